Serve a request end to end through separate processes

The thin whole path: declarations in TOML are merged, validated and accepted by one conditional update of the store's head; every daemon watches the store, installs the version whole and announces its backend server there; a caller's request enters any daemon, goes to the daemon beside a chosen instance and streams back. Watching by every daemon is the baseline that later ways of spreading are measured against.

--- /dev/null
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/DaemonServers.java
@@ -0,0 +1,89 @@
+package org.berylwick.daemon;
+
+import com.linecorp.armeria.server.HttpService;
+import com.linecorp.armeria.server.Server;
+import com.linecorp.armeria.server.ServerBuilder;
+import com.linecorp.armeria.server.grpc.GrpcService;
+import com.linecorp.armeria.server.healthcheck.HealthCheckService;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import org.berylwick.daemon.admin.AdminService;
+import org.berylwick.daemon.call.CallPath;
+import org.berylwick.daemon.settings.DaemonSettings;
+import org.berylwick.internal.kernel.KernelService;
+import org.berylwick.lib.HostPort;
+
+/** The three listening sockets: callers, peers, operators. */
+public final class DaemonServers implements KernelService {
+    /** The name in the kernel. */
+    public static final String NAME = "servers";
+
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+    private static final Duration PING_INTERVAL = Duration.ofSeconds(5);
+    private static final Duration QUIET_PERIOD = Duration.ofMillis(200);
+    private static final Duration GRACE = Duration.ofMinutes(10);
+
+    private final Server callers;
+    private final Server peers;
+    private final Server admin;
+
+    /** Servers that listen from {@link #start()} on. */
+    public DaemonServers(DaemonSettings.Listen listen, CallPath calls, AdminService adminService) {
+        callers = builder(listen.callers()).serviceUnder("/", calls.entry()).build();
+        peers = builder(listen.peers()).serviceUnder("/", calls.owner()).build();
+        HttpService health = HealthCheckService.of();
+        admin = builder(listen.admin())
+                .service(GrpcService.builder().addService(adminService).build())
+                .service("/health/live", health)
+                .build();
+    }
+
+    private static ServerBuilder builder(HostPort address) {
+        return Server.builder()
+                .http(new InetSocketAddress(address.host(), address.port()))
+                .requestTimeoutMillis(0)
+                .maxRequestLength(0)
+                .idleTimeout(IDLE_TIMEOUT)
+                .pingInterval(PING_INTERVAL)
+                .gracefulShutdownTimeout(QUIET_PERIOD, GRACE);
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public void start() {
+        callers.start().join();
+        peers.start().join();
+        admin.start().join();
+    }
+
+    /** Where callers are served, with the real port. */
+    public HostPort callersAddress() {
+        return address(callers);
+    }
+
+    /** Where peers are served, with the real port. */
+    public HostPort peersAddress() {
+        return address(peers);
+    }
+
+    /** Where operators are served, with the real port. */
+    public HostPort adminAddress() {
+        return address(admin);
+    }
+
+    private static HostPort address(Server server) {
+        InetSocketAddress bound = server.activePort().localAddress();
+        return new HostPort(bound.getAddress().getHostAddress(), bound.getPort());
+    }
+
+    @Override
+    public void close() {
+        callers.stop().join();
+        peers.stop().join();
+        admin.stop().join();
+    }
+}
--- /dev/null
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/admin/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' service, metrics and health. */
+package org.berylwick.daemon.admin;
--- /dev/null
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/Problem.java
@@ -0,0 +1,54 @@
+package org.berylwick.daemon.call;
+
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import java.util.Optional;
+import org.berylwick.internal.config.ConfigurationCodec;
+import org.berylwick.lib.RefusalReason;
+
+/** What a daemon itself answers to a caller in place of a backend server, as problem details in JSON. */
+final class Problem {
+    private static final MediaType PROBLEM_JSON = MediaType.create("application", "problem+json");
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private Problem() {}
+
+    private record Body(String type, int status, String detail, String requestId) {}
+
+    /** No brand or route takes the request. */
+    static HttpResponse noRoute(String requestId, String detail) {
+        return of(HttpStatus.NOT_FOUND, "no-route", detail, requestId, Optional.empty());
+    }
+
+    /** The request itself breaks a rule. */
+    static HttpResponse badRequest(String requestId, String detail) {
+        return of(HttpStatus.BAD_REQUEST, "bad-request", detail, requestId, Optional.empty());
+    }
+
+    /** The request was not run; {@code Retry-After} says when to come back. */
+    static HttpResponse notRun(String requestId, RefusalReason reason, Optional<Long> retryAfterMillis) {
+        return of(HttpStatus.SERVICE_UNAVAILABLE, "not-run", reason.word(), requestId, retryAfterMillis);
+    }
+
+    /** The request may have run. */
+    static HttpResponse unknown(String requestId, boolean timedOut, String detail) {
+        HttpStatus status = timedOut ? HttpStatus.GATEWAY_TIMEOUT : HttpStatus.BAD_GATEWAY;
+        return of(status, "outcome-unknown", detail, requestId, Optional.empty());
+    }
+
+    private static HttpResponse of(
+            HttpStatus status, String type, String detail, String requestId, Optional<Long> retryAfterMillis) {
+        ResponseHeadersBuilder headers =
+                ResponseHeaders.builder(status).contentType(PROBLEM_JSON).set(CallHeaders.REQUEST_ID, requestId);
+        // Whole seconds are all the header can say; rounding up keeps callers from coming back too early.
+        retryAfterMillis.ifPresent(ms -> headers.setLong(
+                HttpHeaderNames.RETRY_AFTER, Math.max(1, (ms + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND)));
+        byte[] body = ConfigurationCodec.encode(new Body(type, status.code(), detail, requestId));
+        return HttpResponse.of(headers.build(), HttpData.wrap(body));
+    }
+}
--- /dev/null
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/package-info.java
@@ -0,0 +1,2 @@
+/** The path of a request: entry daemon, owner daemon, backend server. */
+package org.berylwick.daemon.call;
--- /dev/null
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/SelfAnnouncement.java
@@ -0,0 +1,73 @@
+package org.berylwick.daemon.duty;
+
+import org.berylwick.daemon.settings.DaemonSettings;
+import org.berylwick.internal.kernel.KernelService;
+import org.berylwick.internal.version.InstalledVersion;
+import org.berylwick.internal.version.InstalledVersion.InForce;
+import org.berylwick.lib.HostPort;
+import org.berylwick.lib.Member;
+import org.berylwick.lib.ServiceSpec;
+import org.berylwick.lib.TimeSource;
+
+/** What this daemon says of itself to others; any thread may read or change it. */
+public final class SelfAnnouncement implements KernelService {
+    /** The name in the kernel. */
+    public static final String NAME = "self";
+
+    private static final int DEFAULT_SLOTS = 12;
+
+    private final DaemonSettings settings;
+    private final InstalledVersion installed;
+    private final long incarnation;
+    private volatile HostPort address;
+    private volatile Member.State state = Member.State.STARTING;
+
+    /** Announces {@link Member.State#STARTING} until told otherwise. */
+    public SelfAnnouncement(DaemonSettings settings, InstalledVersion installed, TimeSource time) {
+        this.settings = settings;
+        this.installed = installed;
+        this.address = settings.listen().peers();
+        // A replaced process remembers nothing; the clock alone makes its incarnation higher than the last one's.
+        this.incarnation = time.epochMillis();
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    /** Sets the address once the listening port is known. */
+    public void setAddress(HostPort peers) {
+        address = peers;
+    }
+
+    /** Sets whether requests are taken. */
+    public void setState(Member.State newState) {
+        state = newState;
+    }
+
+    /** Whether requests are taken. */
+    public Member.State state() {
+        return state;
+    }
+
+    /** The record to announce now. */
+    public Member current() {
+        InForce inForce = installed.inForce();
+        ServiceSpec spec = inForce.snapshot()
+                .configuration()
+                .services()
+                .get(settings.backendServer().service());
+        return new Member(
+                settings.instance(),
+                settings.backendServer().service(),
+                address,
+                settings.place(),
+                settings.backendServer().labels(),
+                state,
+                incarnation,
+                spec == null ? DEFAULT_SLOTS : spec.slots(),
+                inForce.snapshot().id().number(),
+                inForce.sinceEpochMillis());
+    }
+}
--- /dev/null
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/settings/DaemonSettings.java
@@ -0,0 +1,55 @@
+package org.berylwick.daemon.settings;
+
+import java.net.URI;
+import org.berylwick.lib.HostPort;
+import org.berylwick.lib.Labels;
+import org.berylwick.lib.Place;
+
+/**
+ * All settings of one daemon.
+ *
+ * @param instance unique name of the daemon and its backend server
+ * @param place where it runs
+ * @param listen addresses to listen on
+ * @param backendServer what it stands before
+ * @param platform the platform's store
+ * @param spread how versions and members reach this daemon
+ */
+public record DaemonSettings(
+        String instance,
+        Place place,
+        Listen listen,
+        BackendServer backendServer,
+        Platform platform,
+        SpreadMode spread) {
+    /**
+     * Addresses to listen on; port 0 takes a free one.
+     *
+     * @param callers for callers outside and for the own backend server
+     * @param peers for other daemons
+     * @param admin for operators, metrics and health
+     */
+    public record Listen(HostPort callers, HostPort peers, HostPort admin) {}
+
+    /**
+     * The backend server in the same VM.
+     *
+     * @param service the declared service it answers for
+     * @param address where it listens
+     * @param labels what routes select it by
+     */
+    public record BackendServer(String service, HostPort address, Labels labels) {}
+
+    /**
+     * The platform's store.
+     *
+     * @param uri its base address
+     */
+    public record Platform(URI uri) {}
+
+    /** How versions and members reach a daemon. */
+    public enum SpreadMode {
+        /** Every daemon watches the store: the baseline. */
+        WATCH
+    }
+}
--- /dev/null
+++ b/org.berylwick.standin/src/org/berylwick/standin/backend/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in of a backend server. */
+package org.berylwick.standin.backend;
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/lib/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the domain's nouns. */
+package org.berylwick.lib;
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/config/DeclarationReader.java
@@ -0,0 +1,187 @@
+package org.berylwick.internal.config;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.regex.Pattern;
+import org.berylwick.errors.Fault;
+import org.berylwick.internal.toml.TableReader;
+import org.berylwick.lib.Brand;
+import org.berylwick.lib.Configuration;
+import org.berylwick.lib.Labels;
+import org.berylwick.lib.ObjectRef;
+import org.berylwick.lib.Policy;
+import org.berylwick.lib.Result;
+import org.berylwick.lib.Route;
+import org.berylwick.lib.Selector;
+import org.berylwick.lib.ServiceSpec;
+import org.berylwick.lib.TrafficClass;
+
+/**
+ * Reads operators' TOML documents into a change set.
+ *
+ * <p>A document holds any number of {@code [[brand]]}, {@code [[route]]}, {@code [[policy]]}, {@code [[service]]} and
+ * {@code [[remove]]} tables. Each object may stand once in all documents of one change.
+ */
+public final class DeclarationReader {
+    private static final Pattern NAME = Pattern.compile("[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?");
+    private static final Pattern PATH = Pattern.compile("/[A-Za-z0-9._~/-]*");
+    private static final Pattern METHOD = Pattern.compile("[A-Z]+");
+    private static final int MAX_SLOTS = 10_000;
+    private static final long MAX_TIMEOUT_MILLIS = 3_600_000;
+    private static final int MAX_ATTEMPTS = 5;
+
+    private final List<Fault> faults = new ArrayList<>();
+    private final SortedMap<String, Brand> brands = new TreeMap<>();
+    private final SortedMap<String, Route> routes = new TreeMap<>();
+    private final SortedMap<String, Policy> policies = new TreeMap<>();
+    private final SortedMap<String, ServiceSpec> services = new TreeMap<>();
+    private final List<ObjectRef> removals = new ArrayList<>();
+    private final Map<ObjectRef, DeclaredAt> places = new HashMap<>();
+
+    /**
+     * One text of declarations.
+     *
+     * @param name the file, or what stands for it
+     * @param text TOML
+     */
+    public record Document(String name, String text) {}
+
+    /**
+     * Where an object was declared.
+     *
+     * @param document the document's name
+     * @param line 1-based
+     */
+    public record DeclaredAt(String document, int line) {}
+
+    /**
+     * What documents declare.
+     *
+     * @param changes the objects to add, replace and remove
+     * @param places where each object stands, for faults found later
+     */
+    public record Declarations(ChangeSet changes, Map<ObjectRef, DeclaredAt> places) {}
+
+    private DeclarationReader() {}
+
+    /** Reads all documents, or tells every fault in them. */
+    public static Result<Declarations, List<Fault>> read(List<Document> documents) {
+        DeclarationReader reader = new DeclarationReader();
+        documents.forEach(reader::readDocument);
+        if (!reader.faults.isEmpty()) {
+            return Result.err(List.copyOf(reader.faults));
+        }
+        Configuration upserts = new Configuration(reader.brands, reader.routes, reader.policies, reader.services);
+        return Result.ok(new Declarations(new ChangeSet(upserts, reader.removals), Map.copyOf(reader.places)));
+    }
+
+    private void readDocument(Document document) {
+        TableReader top = TableReader.parse(document.name(), document.text(), faults);
+        top.children("brand").forEach(t -> readBrand(document, t));
+        top.children("route").forEach(t -> readRoute(document, t));
+        top.children("policy").forEach(t -> readPolicy(document, t));
+        top.children("service").forEach(t -> readService(document, t));
+        top.children("remove").forEach(t -> readRemoval(document, t));
+        top.finish();
+    }
+
+    private void readBrand(Document document, TableReader t) {
+        String name = name(document, t, ObjectRef.Kind.BRAND);
+        List<String> hosts = t.strings("hosts");
+        if (hosts.isEmpty()) {
+            t.fault("hosts", "must name at least one host");
+        }
+        brands.put(name, new Brand(name, hosts, new Labels(t.stringMap("labels")), t.stringMap("headers")));
+        t.finish();
+    }
+
+    private void readRoute(Document document, TableReader t) {
+        String name = name(document, t, ObjectRef.Kind.ROUTE);
+        String path = t.requiredString("path");
+        if (!path.isEmpty() && !PATH.matcher(path).matches()) {
+            t.fault("path", "must begin with '/' and hold only letters, digits and . _ ~ / -");
+        }
+        List<String> methods = t.strings("methods");
+        if (!methods.stream().allMatch(m -> METHOD.matcher(m).matches())) {
+            t.fault("methods", "must be request methods in capitals");
+        }
+        routes.put(
+                name,
+                new Route(
+                        name,
+                        new Labels(t.stringMap("labels")),
+                        selector(t, "brands"),
+                        path,
+                        methods,
+                        t.requiredString("service"),
+                        selector(t, "servers")));
+        t.finish();
+    }
+
+    private void readPolicy(Document document, TableReader t) {
+        String name = name(document, t, ObjectRef.Kind.POLICY);
+        policies.put(
+                name,
+                new Policy(
+                        name,
+                        t.integer("priority", 0, 1_000, 0),
+                        selector(t, "routes"),
+                        selector(t, "brands"),
+                        t.choice("class", TrafficClass.class, TrafficClass.READ),
+                        t.durationMillis("timeout", 1, MAX_TIMEOUT_MILLIS, 10_000),
+                        t.integer("max_attempts", 1, MAX_ATTEMPTS, 3),
+                        t.bool("idempotent", false),
+                        t.choice("idempotency_key", Policy.KeyRule.class, Policy.KeyRule.IGNORED)));
+        t.finish();
+    }
+
+    private void readService(Document document, TableReader t) {
+        String name = name(document, t, ObjectRef.Kind.SERVICE);
+        int slots = t.integer("slots", 1, MAX_SLOTS, 12);
+        int connections = t.integer("connections", 1, MAX_SLOTS, 110);
+        if (connections < slots) {
+            t.fault("connections", "must be at least slots (" + slots + ")");
+        }
+        int queueLimit = t.integer("queue_limit", 0, MAX_SLOTS, 4 * slots);
+        services.put(name, new ServiceSpec(name, new Labels(t.stringMap("labels")), slots, connections, queueLimit));
+        t.finish();
+    }
+
+    private void readRemoval(Document document, TableReader t) {
+        ObjectRef.Kind kind = t.choice("kind", ObjectRef.Kind.class, null);
+        if (kind == null) {
+            if (!t.has("kind")) {
+                t.fault("kind", "is missing");
+            }
+            t.requiredString("name");
+            t.finish();
+            return;
+        }
+        removals.add(new ObjectRef(kind, name(document, t, kind)));
+        t.finish();
+    }
+
+    private static Selector selector(TableReader t, String key) {
+        return t.parsed(key, Selector::parse).orElse(Selector.ALL);
+    }
+
+    private String name(Document document, TableReader t, ObjectRef.Kind kind) {
+        String name = t.requiredString("name");
+        if (name.isBlank()) {
+            return name;
+        }
+        if (!NAME.matcher(name).matches()) {
+            t.fault("name", "must be 1 to 63 lower-case letters, digits and inner hyphens");
+        }
+        ObjectRef ref = new ObjectRef(kind, name);
+        DeclaredAt earlier = places.putIfAbsent(ref, new DeclaredAt(document.name(), t.lineOf("name")));
+        if (earlier != null) {
+            t.fault("name", ref + " stands already at " + earlier.document() + ":" + earlier.line());
+        }
+        return name;
+    }
+}
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/config/package-info.java
@@ -0,0 +1,2 @@
+/** Reads, checks, encodes and compares declared configurations. */
+package org.berylwick.internal.config;
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/routing/RoutingTable.java
@@ -0,0 +1,99 @@
+package org.berylwick.internal.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.berylwick.lib.Brand;
+import org.berylwick.lib.Configuration;
+import org.berylwick.lib.Policy;
+import org.berylwick.lib.Route;
+import org.berylwick.lib.ServiceSpec;
+
+/** Routes of each brand in the order they are tried: longest path first, then those naming methods. */
+public final class RoutingTable {
+    private static final Comparator<RouteMatch> MOST_SPECIFIC_FIRST = Comparator.<RouteMatch>comparingInt(
+                    m -> -m.route().path().length())
+            .thenComparing(m -> m.route().methods().isEmpty())
+            .thenComparing(m -> m.route().name());
+
+    private final Map<String, List<RouteMatch>> byHost;
+
+    private RoutingTable(Map<String, List<RouteMatch>> byHost) {
+        this.byHost = byHost;
+    }
+
+    /** Compiles a configuration that was validated; a route without service or policy is left out. */
+    public static RoutingTable compile(Configuration configuration) {
+        Map<String, List<RouteMatch>> hosts = new HashMap<>();
+        for (Brand brand : configuration.brands().values()) {
+            List<RouteMatch> matches = routesOf(configuration, brand);
+            for (String host : brand.hosts()) {
+                hosts.put(host.toLowerCase(Locale.ROOT), matches);
+            }
+        }
+        return new RoutingTable(Map.copyOf(hosts));
+    }
+
+    private static List<RouteMatch> routesOf(Configuration configuration, Brand brand) {
+        List<RouteMatch> matches = new ArrayList<>();
+        for (Route route : configuration.routes().values()) {
+            if (!route.brands().matches(brand.labels())) {
+                continue;
+            }
+            ServiceSpec service = configuration.services().get(route.service());
+            Optional<Policy> policy = policyOf(configuration, brand, route);
+            if (service != null && policy.isPresent()) {
+                matches.add(new RouteMatch(brand, route, policy.get(), service));
+            }
+        }
+        matches.sort(MOST_SPECIFIC_FIRST);
+        return List.copyOf(matches);
+    }
+
+    /** The policy with the highest priority among those that select this route of this brand. */
+    public static Optional<Policy> policyOf(Configuration configuration, Brand brand, Route route) {
+        return configuration.policies().values().stream()
+                .filter(p -> p.routes().matches(route.labels()) && p.brands().matches(brand.labels()))
+                .max(Comparator.comparingInt(Policy::priority));
+    }
+
+    /**
+     * Finds what a request meets.
+     *
+     * @param host the authority without port, any case
+     * @param method the request method
+     * @param path the path without query
+     */
+    public Optional<RouteMatch> find(String host, String method, String path) {
+        List<RouteMatch> matches = byHost.get(host);
+        if (matches == null) {
+            matches = byHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of());
+        }
+        for (RouteMatch m : matches) {
+            if (isUnder(m.route().path(), path) && takes(m.route(), method)) {
+                return Optional.of(m);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Tells whether any brand has this host. */
+    public boolean hasHost(String host) {
+        return byHost.containsKey(host.toLowerCase(Locale.ROOT));
+    }
+
+    private static boolean takes(Route route, String method) {
+        return route.methods().isEmpty() || route.methods().contains(method);
+    }
+
+    private static boolean isUnder(String prefix, String path) {
+        if (!path.startsWith(prefix)) {
+            return false;
+        }
+        return prefix.endsWith("/") || path.length() == prefix.length() || path.charAt(prefix.length()) == '/';
+    }
+}
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/version/Head.java
@@ -0,0 +1,17 @@
+package org.berylwick.internal.version;
+
+import org.berylwick.lib.Digest;
+import org.berylwick.lib.VersionId;
+
+/**
+ * The one object whose conditional update accepts a version.
+ *
+ * @param number of the accepted version
+ * @param digest of its manifest, in hexadecimal
+ * @param operationId the action that had it accepted, so that a writer whose answer was lost can recognise its own
+ */
+record Head(long number, String digest, String operationId) {
+    VersionId id() {
+        return new VersionId(number, new Digest(digest));
+    }
+}
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/version/VersionContent.java
@@ -0,0 +1,133 @@
+package org.berylwick.internal.version;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.berylwick.internal.config.ConfigurationCodec;
+import org.berylwick.internal.routing.RoutingTable;
+import org.berylwick.lib.AuditEntry;
+import org.berylwick.lib.Brand;
+import org.berylwick.lib.Configuration;
+import org.berylwick.lib.Digest;
+import org.berylwick.lib.ObjectRef;
+import org.berylwick.lib.Policy;
+import org.berylwick.lib.Result;
+import org.berylwick.lib.Route;
+import org.berylwick.lib.ServiceSpec;
+import org.berylwick.lib.Snapshot;
+import org.berylwick.lib.VersionId;
+
+/**
+ * One version as bytes under content hashes, the form in which it is stored and spread.
+ *
+ * @param id which version
+ * @param manifest the table of contents
+ * @param manifestBytes what {@code id.digest()} is the hash of
+ * @param parts content by its digest; each part is one declared object
+ */
+public record VersionContent(VersionId id, Manifest manifest, byte[] manifestBytes, Map<Digest, byte[]> parts) {
+    /** Copies the map. */
+    public VersionContent {
+        parts = Map.copyOf(parts);
+    }
+
+    /** Encodes a configuration as the version after {@code previous}. */
+    public static VersionContent encode(VersionId previous, AuditEntry audit, Configuration configuration) {
+        SortedMap<String, String> index = new TreeMap<>();
+        Map<Digest, byte[]> parts = new HashMap<>();
+        configuration.brands().values().forEach(o -> add(index, parts, ObjectRef.Kind.BRAND, o.name(), o));
+        configuration.routes().values().forEach(o -> add(index, parts, ObjectRef.Kind.ROUTE, o.name(), o));
+        configuration.policies().values().forEach(o -> add(index, parts, ObjectRef.Kind.POLICY, o.name(), o));
+        configuration.services().values().forEach(o -> add(index, parts, ObjectRef.Kind.SERVICE, o.name(), o));
+        Manifest manifest =
+                new Manifest(previous.number() + 1, previous.digest().hex(), audit, index);
+        byte[] bytes = ConfigurationCodec.encode(manifest);
+        return new VersionContent(new VersionId(manifest.number(), Digest.of(bytes)), manifest, bytes, parts);
+    }
+
+    private static void add(
+            SortedMap<String, String> index,
+            Map<Digest, byte[]> parts,
+            ObjectRef.Kind kind,
+            String name,
+            Object object) {
+        byte[] content = ConfigurationCodec.encode(object);
+        Digest digest = Digest.of(content);
+        index.put(new ObjectRef(kind, name).toString(), digest.hex());
+        parts.put(digest, content);
+    }
+
+    /**
+     * Reads a manifest that is to be version {@code id}.
+     *
+     * @return the manifest, or why it is not that version's
+     */
+    public static Result<Manifest, String> readManifest(VersionId id, byte[] bytes) {
+        if (!Digest.of(bytes).equals(id.digest())) {
+            return Result.err("the manifest of " + id + " has another digest");
+        }
+        return ConfigurationCodec.decode(bytes, Manifest.class)
+                .flatMap(m -> m.number() == id.number()
+                        ? Result.ok(m)
+                        : Result.err("the manifest of " + id + " is numbered " + m.number()));
+    }
+
+    /**
+     * Puts a version together from a manifest and parts from anywhere.
+     *
+     * <p>Every byte is checked against its digest, so a corrupted or cut part makes the whole version fail and nothing
+     * of it is installed.
+     *
+     * @return the whole version, or what is missing or wrong
+     */
+    public static Result<VersionContent, String> assemble(
+            VersionId id, byte[] manifestBytes, Map<Digest, byte[]> available) {
+        return readManifest(id, manifestBytes).flatMap(manifest -> {
+            Map<Digest, byte[]> parts = new HashMap<>();
+            for (Map.Entry<String, String> e : manifest.parts().entrySet()) {
+                Digest digest = new Digest(e.getValue());
+                byte[] content = available.get(digest);
+                if (content == null) {
+                    return Result.err(id + " lacks part " + e.getKey());
+                }
+                if (!Digest.of(content).equals(digest)) {
+                    return Result.err(id + " has a corrupted part " + e.getKey());
+                }
+                parts.put(digest, content);
+            }
+            return Result.ok(new VersionContent(id, manifest, manifestBytes, parts));
+        });
+    }
+
+    /** Decodes every part and compiles the routing table; the error names the part that cannot be read. */
+    public Result<Snapshot, String> toSnapshot() {
+        SortedMap<String, Brand> brands = new TreeMap<>();
+        SortedMap<String, Route> routes = new TreeMap<>();
+        SortedMap<String, Policy> policies = new TreeMap<>();
+        SortedMap<String, ServiceSpec> services = new TreeMap<>();
+        for (Map.Entry<String, String> e : manifest.parts().entrySet()) {
+            ObjectRef ref = ObjectRef.fromString(e.getKey());
+            byte[] content = parts.get(new Digest(e.getValue()));
+            Result<?, String> decoded = switch (ref.kind()) {
+                case BRAND -> decodeInto(content, Brand.class, ref, brands);
+                case ROUTE -> decodeInto(content, Route.class, ref, routes);
+                case POLICY -> decodeInto(content, Policy.class, ref, policies);
+                case SERVICE -> decodeInto(content, ServiceSpec.class, ref, services);
+            };
+            if (decoded instanceof Result.Err<?, String>(String detail)) {
+                return Result.err(ref + ": " + detail);
+            }
+        }
+        Configuration configuration = new Configuration(brands, routes, policies, services);
+        return Result.ok(new Snapshot(id, configuration, manifest.audit(), RoutingTable.compile(configuration)));
+    }
+
+    private static <T> Result<T, String> decodeInto(byte[] content, Class<T> type, ObjectRef ref, Map<String, T> into) {
+        Result<T, String> decoded = ConfigurationCodec.decode(content, type);
+        if (decoded instanceof Result.Ok<T, String>(T value)) {
+            into.put(ref.name(), value);
+        }
+        return decoded;
+    }
+}
