--- /dev/null
+++ b/org.berylwick.bench/src/org/berylwick/bench/Measure.java
@@ -0,0 +1,40 @@
+package org.berylwick.bench;
+
+import java.io.PrintStream;
+import java.util.List;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/** Runs one measurement by name and prints its figures as {@code key: value} lines. */
+public final class Measure {
+    private static final List<Measurement> MEASUREMENTS = List.of();
+    private static final int EXIT_BAD_INPUT = 2;
+
+    private Measure() {}
+
+    /** The entry point. */
+    public static void main(String[] args) throws Exception {
+        PrintStream out = System.out;
+        ArgumentParser parser = ArgumentParsers.newFor("measure").build();
+        Subparsers names = parser.addSubparsers().dest("measurement").metavar("NAME");
+        MEASUREMENTS.forEach(m -> m.declare(names.addParser(m.name())));
+        Namespace options;
+        try {
+            options = parser.parseArgs(args);
+        } catch (ArgumentParserException e) {
+            parser.handleError(e);
+            System.exit(EXIT_BAD_INPUT);
+            return;
+        }
+        String name = options.getString("measurement");
+        Measurement measurement = MEASUREMENTS.stream()
+                .filter(m -> m.name().equals(name))
+                .findFirst()
+                .orElseThrow();
+        measurement.run(options, out);
+        System.exit(0);
+    }
+}
--- a/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
@@ -1,7 +1,6 @@
 package org.berylwick.daemon;
 
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import com.codahale.metrics.MetricRegistry;
 import org.berylwick.daemon.admin.AdminService;
 import org.berylwick.daemon.call.CallPath;
 import org.berylwick.daemon.duty.BackendServerProbe;
@@ -9,6 +8,9 @@
 import org.berylwick.daemon.duty.SelfAnnouncement;
 import org.berylwick.daemon.duty.VersionWatch;
 import org.berylwick.daemon.settings.DaemonSettings;
+import org.berylwick.internal.event.EventLog;
+import org.berylwick.internal.event.ProcessEvent;
+import org.berylwick.internal.invariant.Invariants;
 import org.berylwick.internal.kernel.Kernel;
 import org.berylwick.internal.membership.MembershipTable;
 import org.berylwick.internal.version.InstalledVersion;
@@ -20,7 +22,7 @@
 
 /** A whole daemon in this process. */
 public final class BerylwickDaemon implements AutoCloseable {
-    private static final Logger LOG = LogManager.getLogger(BerylwickDaemon.class);
+    private static final EventLog EVENTS = new EventLog(BerylwickDaemon.class);
 
     private final PlatformStore store;
     private final Kernel kernel = new Kernel();
@@ -31,6 +33,8 @@
     public BerylwickDaemon(DaemonSettings settings) {
         TimeSource time = TimeSource.SYSTEM;
         store = new HttpPlatformStore(settings.platform().uri(), time);
+        MetricRegistry metrics = new MetricRegistry();
+        kernel.register(new Invariants(metrics));
         VersionRepository repository = new VersionRepository(store);
         InstalledVersion installed = kernel.register(new InstalledVersion(time));
         MembershipTable membership = kernel.register(new MembershipTable());
@@ -47,11 +51,7 @@
     public void start() {
         kernel.start();
         self.setAddress(servers.peersAddress());
-        LOG.info(
-                "listening callers={} peers={} admin={}",
-                servers.callersAddress(),
-                servers.peersAddress(),
-                servers.adminAddress());
+        EVENTS.log(ProcessEvent.LISTENING, servers.callersAddress(), servers.peersAddress(), servers.adminAddress());
     }
 
     /** Finishes what is running, and stops. */
@@ -60,6 +60,6 @@
         self.setState(Member.State.LEAVING);
         kernel.close();
         store.close();
-        LOG.info("stopped");
+        EVENTS.log(ProcessEvent.STOPPED);
     }
 }
--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/BackendServerProbe.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/BackendServerProbe.java
@@ -2,12 +2,11 @@
 
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.HttpStatus;
-import com.linecorp.armeria.common.util.Exceptions;
 import java.time.Duration;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import org.berylwick.internal.event.EventLog;
+import org.berylwick.internal.event.ProcessEvent;
 import org.berylwick.internal.kernel.Duty;
 import org.berylwick.internal.kernel.KernelService;
 import org.berylwick.internal.version.InstalledVersion;
@@ -19,7 +18,7 @@
     /** The name in the kernel. */
     public static final String NAME = "backend-server-probe";
 
-    private static final Logger LOG = LogManager.getLogger(BackendServerProbe.class);
+    private static final EventLog EVENTS = new EventLog(BackendServerProbe.class);
     private static final Duration TIMEOUT = Duration.ofSeconds(1);
     private static final long INTERVAL_MILLIS = 200;
 
@@ -48,7 +47,7 @@
     private void round() throws InterruptedException {
         if (self.state() == Member.State.STARTING && isReady()) {
             self.setState(Member.State.UP);
-            LOG.info("the backend server is ready");
+            EVENTS.log(ProcessEvent.SERVER_READY);
         }
         TimeUnit.MILLISECONDS.sleep(INTERVAL_MILLIS);
     }
@@ -60,7 +59,6 @@
         try {
             return client.get("/health").aggregate().join().status().equals(HttpStatus.OK);
         } catch (CompletionException e) {
-            LOG.debug("no health from the backend server", Exceptions.peel(e));
             return false;
         }
     }
--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/MembershipWatch.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/MembershipWatch.java
@@ -2,10 +2,11 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.berylwick.errors.StoreError;
 import org.berylwick.internal.config.ConfigurationCodec;
+import org.berylwick.internal.event.EventLog;
+import org.berylwick.internal.event.MembershipEvent;
+import org.berylwick.internal.event.StoreEvent;
 import org.berylwick.internal.kernel.Duty;
 import org.berylwick.internal.kernel.KernelService;
 import org.berylwick.internal.membership.MembershipTable;
@@ -27,7 +28,7 @@
     /** The name in the kernel. */
     public static final String NAME = "membership-watch";
 
-    private static final Logger LOG = LogManager.getLogger(MembershipWatch.class);
+    private static final EventLog EVENTS = new EventLog(MembershipWatch.class);
     private static final String PREFIX = "members/";
     private static final long WATCH_MILLIS = 10_000;
     private static final long CALL_MILLIS = 2_000;
@@ -71,7 +72,7 @@
                 seen.changed().forEach(this::merge);
             }
             case Result.Err<WatchBatch, StoreError>(StoreError error) -> {
-                LOG.warn("cannot follow the members: {}", error);
+                EVENTS.log(StoreEvent.MEMBERS_LOST, error);
                 revision = Optional.empty();
                 TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
             }
@@ -85,7 +86,8 @@
         }
         switch (ConfigurationCodec.decode(object.value(), Member.class)) {
             case Result.Ok<Member, String>(Member member) -> table.merge(member);
-            case Result.Err<Member, String>(String detail) -> LOG.warn("cannot read {}: {}", object.key(), detail);
+            case Result.Err<Member, String>(String detail) ->
+                EVENTS.log(MembershipEvent.UNREADABLE_RECORD, object.key(), detail);
         }
     }
 
@@ -101,7 +103,7 @@
                 written = now;
                 table.merge(now);
             } else {
-                LOG.warn("cannot announce: {}", put);
+                EVENTS.log(MembershipEvent.NOT_ANNOUNCED, put);
             }
         }
         TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS / 5);
--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/VersionWatch.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/VersionWatch.java
@@ -2,9 +2,10 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.berylwick.errors.VersionError;
+import org.berylwick.internal.event.EventLog;
+import org.berylwick.internal.event.StoreEvent;
+import org.berylwick.internal.event.VersionEvent;
 import org.berylwick.internal.kernel.Duty;
 import org.berylwick.internal.kernel.KernelService;
 import org.berylwick.internal.version.InstalledVersion;
@@ -21,7 +22,7 @@
     /** The name in the kernel. */
     public static final String NAME = "version-watch";
 
-    private static final Logger LOG = LogManager.getLogger(VersionWatch.class);
+    private static final EventLog EVENTS = new EventLog(VersionWatch.class);
     private static final long WATCH_MILLIS = 10_000;
     private static final long READ_MILLIS = 5_000;
     private static final long PAUSE_MILLIS = 500;
@@ -53,7 +54,7 @@
         Result<Optional<AcceptedHead>, VersionError> seen = revision.isEmpty() ? readFirst() : watch(revision.get());
         switch (seen) {
             case Result.Err<Optional<AcceptedHead>, VersionError>(VersionError error) -> {
-                LOG.warn("cannot follow the head: {}", error);
+                EVENTS.log(StoreEvent.HEAD_LOST, error);
                 revision = Optional.empty();
                 TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
             }
@@ -90,9 +91,9 @@
         Deadline deadline = Deadline.afterMillis(time, READ_MILLIS);
         switch (repository.read(head.id(), installed.inForce().parts(), deadline)) {
             case Result.Ok<VersionContent, VersionError>(VersionContent content) ->
-                LOG.info("version {}: {}", head.id(), installed.install(content));
+                EVENTS.log(VersionEvent.INSTALL, head.id(), installed.install(content));
             case Result.Err<VersionContent, VersionError>(VersionError error) -> {
-                LOG.warn("cannot read version {}: {}", head.id(), error);
+                EVENTS.log(VersionEvent.UNREADABLE, head.id(), error);
                 revision = Optional.empty();
                 TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
             }
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/event/StoreEvent.java
@@ -0,0 +1,36 @@
+package org.berylwick.internal.event;
+
+import org.apache.logging.log4j.Level;
+
+/** Events about the platform store. */
+public enum StoreEvent implements Event {
+    /** The head could not be followed. */
+    HEAD_LOST(5001, Level.WARN, "cannot follow the head: {}"),
+    /** The members could not be followed. */
+    MEMBERS_LOST(5002, Level.WARN, "cannot follow the members: {}");
+
+    private final int number;
+    private final Level level;
+    private final String text;
+
+    StoreEvent(int number, Level level, String text) {
+        this.number = number;
+        this.level = level;
+        this.text = text;
+    }
+
+    @Override
+    public int number() {
+        return number;
+    }
+
+    @Override
+    public Level level() {
+        return level;
+    }
+
+    @Override
+    public String text() {
+        return text;
+    }
+}
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/event/VersionEvent.java
@@ -0,0 +1,36 @@
+package org.berylwick.internal.event;
+
+import org.apache.logging.log4j.Level;
+
+/** Events about configuration versions. */
+public enum VersionEvent implements Event {
+    /** A version came into force, or not, here. */
+    INSTALL(2001, Level.INFO, "version {}: {}"),
+    /** A version that the head names could not be read. */
+    UNREADABLE(2002, Level.WARN, "cannot read version {}: {}");
+
+    private final int number;
+    private final Level level;
+    private final String text;
+
+    VersionEvent(int number, Level level, String text) {
+        this.number = number;
+        this.level = level;
+        this.text = text;
+    }
+
+    @Override
+    public int number() {
+        return number;
+    }
+
+    @Override
+    public Level level() {
+        return level;
+    }
+
+    @Override
+    public String text() {
+        return text;
+    }
+}
--- a/org.berylwick/src/org/berylwick/internal/kernel/Duty.java
+++ b/org.berylwick/src/org/berylwick/internal/kernel/Duty.java
@@ -1,7 +1,7 @@
 package org.berylwick.internal.kernel;
 
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import org.berylwick.internal.event.EventLog;
+import org.berylwick.internal.event.ProcessEvent;
 
 /**
  * One thread that does one duty over and over until closed.
@@ -10,7 +10,7 @@
  * leave its daemon serving on old knowledge for good.
  */
 public final class Duty implements AutoCloseable {
-    private static final Logger LOG = LogManager.getLogger(Duty.class);
+    private static final EventLog EVENTS = new EventLog(Duty.class);
     private static final long PAUSE_AFTER_FAILURE_MILLIS = 500;
     private static final long JOIN_MILLIS = 2_000;
 
@@ -36,7 +36,7 @@
             } catch (InterruptedException e) {
                 return;
             } catch (RuntimeException e) {
-                LOG.error("a round of {} failed", thread.getName(), e);
+                EVENTS.log(ProcessEvent.DUTY_FAILED, thread.getName(), e);
                 pause();
             }
         }
--- a/org.berylwick/src/org/berylwick/internal/kernel/Kernel.java
+++ b/org.berylwick/src/org/berylwick/internal/kernel/Kernel.java
@@ -3,8 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import org.berylwick.internal.event.EventLog;
+import org.berylwick.internal.event.ProcessEvent;
 
 /**
  * Holds a process's services in the order in which they were registered.
@@ -13,7 +13,7 @@
  * before and while starting.
  */
 public final class Kernel implements AutoCloseable {
-    private static final Logger LOG = LogManager.getLogger(Kernel.class);
+    private static final EventLog EVENTS = new EventLog(Kernel.class);
 
     private final List<KernelService> services = new ArrayList<>();
     private int started;
@@ -68,7 +68,7 @@
             try {
                 service.close();
             } catch (RuntimeException e) {
-                LOG.error("service {} did not close", service.name(), e);
+                EVENTS.log(ProcessEvent.NOT_CLOSED, service.name(), e);
             }
         }
     }
