--- a/org.berylwick.daemon/src/org/berylwick/daemon/admin/AdminMessages.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/admin/AdminMessages.java
@@ -26,6 +26,7 @@
                 reply.setAccepted(accepted(version, operationId, repeated));
                 changes.forEach(c -> reply.addChanges(change(c)));
             }
+            case ApplyResult.Unchanged(VersionId current) -> reply.setAccepted(accepted(current, operationId, false));
             case ApplyResult.DryRun(VersionId base, var changes) -> {
                 reply.setAccepted(accepted(base, "", false));
                 changes.forEach(c -> reply.addChanges(change(c)));
--- a/org.berylwick/src/org/berylwick/api/ApplyCommand.java
+++ b/org.berylwick/src/org/berylwick/api/ApplyCommand.java
@@ -5,29 +5,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
 import java.util.UUID;
-import java.util.stream.Collectors;
 import org.berylwick.errors.Fault;
-import org.berylwick.errors.VersionError;
-import org.berylwick.internal.config.ChangeSet;
-import org.berylwick.internal.config.ConfigurationDiff;
-import org.berylwick.internal.config.ConfigurationValidator;
-import org.berylwick.internal.config.DeclarationReader;
-import org.berylwick.internal.config.DeclarationReader.Declarations;
 import org.berylwick.internal.config.DeclarationReader.Document;
-import org.berylwick.internal.version.VersionContent;
+import org.berylwick.internal.config.ProposedChange;
+import org.berylwick.internal.version.VersionReader;
 import org.berylwick.internal.version.VersionRepository;
-import org.berylwick.internal.version.VersionRepository.AcceptedHead;
-import org.berylwick.lib.AuditEntry;
-import org.berylwick.lib.Configuration;
 import org.berylwick.lib.Deadline;
 import org.berylwick.lib.Digest;
-import org.berylwick.lib.ObjectChange;
-import org.berylwick.lib.ObjectRef;
 import org.berylwick.lib.Result;
-import org.berylwick.lib.Snapshot;
 import org.berylwick.lib.TimeSource;
+import org.berylwick.lib.VersionId;
 
 /**
  * Merges documents on a version and has the result accepted.
@@ -36,8 +24,6 @@
  * nobody changed the same objects since; otherwise it is a conflict that names them.
  */
 public final class ApplyCommand {
-    private static final int MAX_RACES = 5;
-
     private final VersionRepository repository;
     private final TimeSource time;
     private final List<Document> documents = new ArrayList<>();
@@ -47,6 +33,7 @@
     private String summary = "";
     private long baseVersion;
     private boolean dryRun;
+    private VersionId inForce = VersionId.NONE;
     private Deadline deadline;
 
     /** A command on {@code repository}; must be given a deadline before {@link #call()}. */
@@ -103,92 +90,24 @@
         return this;
     }
 
-    /** Runs the command. */
-    public ApplyResult call() {
-        return switch (DeclarationReader.read(documents)) {
-            case Result.Err<Declarations, List<Fault>>(List<Fault> faults) -> new ApplyResult.Rejected(faults);
-            case Result.Ok<Declarations, List<Fault>>(Declarations declarations) -> merge(declarations);
-        };
-    }
-
-    private ApplyResult merge(Declarations declarations) {
-        for (int race = 0; race < MAX_RACES; race++) {
-            switch (attempt(declarations)) {
-                case Result.Ok<ApplyResult, VersionError>(ApplyResult result) -> {
-                    return result;
-                }
-                case Result.Err<ApplyResult, VersionError>(VersionError.Superseded ignored) -> {
-                    // Another operator was first; merge again on what was accepted.
-                }
-                case Result.Err<ApplyResult, VersionError>(VersionError error) -> {
-                    return failed(error);
-                }
-            }
-        }
-        return new ApplyResult.Unavailable(
-                "other operators' changes were accepted first " + MAX_RACES + " times", 1_000);
+    /** The version in force where the command runs; a store that shows an older one is not written to. */
+    public ApplyCommand setInForce(VersionId id) {
+        inForce = id;
+        return this;
     }
 
-    private static ApplyResult failed(VersionError error) {
-        return switch (error) {
-            case VersionError.StoreUnavailable(String detail, long retry) -> new ApplyResult.Unavailable(detail, retry);
-            case VersionError.Damaged(String detail) -> new ApplyResult.Unavailable(detail, 0);
-            case VersionError.Undecided(String id, String detail) -> new ApplyResult.Undecided(id, detail);
-            case VersionError.Superseded ignored ->
-                throw new IllegalStateException("handled where the race is run again");
+    /** Runs the command. */
+    public ApplyResult call() {
+        return switch (ProposedChange.read(documents)) {
+            case Result.Err<ProposedChange, List<Fault>>(List<Fault> faults) -> new ApplyResult.Rejected(faults);
+            case Result.Ok<ProposedChange, List<Fault>>(ProposedChange change) -> accept(change);
         };
     }
 
-    private Result<ApplyResult, VersionError> attempt(Declarations declarations) {
-        return repository.readHead(deadline).flatMap(head -> {
-            if (head.operationId().equals(operationId)) {
-                return Result.ok(new ApplyResult.Accepted(head.id(), List.of(), true));
-            }
-            return readSnapshot(head).flatMap(current -> mergeOn(head, current, declarations));
-        });
-    }
-
-    private Result<Snapshot, VersionError> readSnapshot(AcceptedHead head) {
-        if (head.id().number() == 0) {
-            return Result.ok(Snapshot.NONE);
-        }
-        return repository.read(head.id(), known, deadline).flatMap(content -> {
-            known.putAll(content.parts());
-            return content.toSnapshot().mapError(VersionError.Damaged::new);
-        });
-    }
-
-    private Result<ApplyResult, VersionError> mergeOn(AcceptedHead head, Snapshot current, Declarations declarations) {
-        ChangeSet changeSet = declarations.changes();
-        List<ObjectRef> conflicts = conflicts(current, changeSet);
-        if (!conflicts.isEmpty()) {
-            return Result.ok(new ApplyResult.Conflict(head.id(), conflicts));
-        }
-        Configuration merged = changeSet.applyTo(current.configuration());
-        List<Fault> faults = ConfigurationValidator.validate(merged, declarations.places());
-        if (!faults.isEmpty()) {
-            return Result.ok(new ApplyResult.Rejected(faults));
-        }
-        List<ObjectChange> changes = ConfigurationDiff.between(current.configuration(), merged);
-        if (dryRun) {
-            return Result.ok(new ApplyResult.DryRun(head.id(), changes));
-        }
-        AuditEntry audit = new AuditEntry(operationId, author, summary, time.epochMillis(), changes);
-        VersionContent content = VersionContent.encode(head.id(), audit, merged);
-        return repository
-                .accept(head, content, known, deadline)
-                .map(accepted -> new ApplyResult.Accepted(accepted.id(), changes, false));
-    }
-
-    private List<ObjectRef> conflicts(Snapshot current, ChangeSet changeSet) {
-        if (baseVersion == 0 || baseVersion >= current.id().number()) {
-            return List.of();
-        }
-        Set<ObjectRef> mine =
-                ConfigurationDiff.between(current.configuration(), changeSet.applyTo(current.configuration())).stream()
-                        .map(ObjectChange::object)
-                        .collect(Collectors.toSet());
-        // Until versions between the base and the current one are compared, any change that differs counts.
-        return mine.stream().sorted().toList();
+    private ApplyResult accept(ProposedChange change) {
+        VersionReader reader = new VersionReader(repository, known, deadline);
+        ChangeAcceptance.Request request =
+                new ChangeAcceptance.Request(change, operationId, author, summary, baseVersion, dryRun, inForce);
+        return new ChangeAcceptance(repository, reader, time, deadline).accept(request);
     }
 }
--- a/org.berylwick/src/org/berylwick/api/ApplyResult.java
+++ b/org.berylwick/src/org/berylwick/api/ApplyResult.java
@@ -17,6 +17,13 @@
      */
     record Accepted(VersionId version, List<ObjectChange> changes, boolean repeatedOperation) implements ApplyResult {}
 
+    /**
+     * What is accepted already says what was asked for; no version was made.
+     *
+     * @param current the version accepted now
+     */
+    record Unchanged(VersionId current) implements ApplyResult {}
+
     /** It would be accepted; nothing was written, since only a dry run was asked for. */
     record DryRun(VersionId base, List<ObjectChange> changes) implements ApplyResult {}
 
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/api/ValidateCommand.java
@@ -0,0 +1,37 @@
+package org.berylwick.api;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.berylwick.errors.Fault;
+import org.berylwick.internal.config.ConfigurationDiff;
+import org.berylwick.internal.config.DeclarationReader.Document;
+import org.berylwick.internal.config.ProposedChange;
+import org.berylwick.lib.Configuration;
+import org.berylwick.lib.Result;
+
+/** Checks documents as an apply would, without a store: on their own, or merged on a given configuration. */
+public final class ValidateCommand {
+    private final List<Document> documents = new ArrayList<>();
+    private Configuration base = Configuration.EMPTY;
+
+    /** Adds a TOML document. */
+    public ValidateCommand addDocument(String name, String text) {
+        documents.add(new Document(name, text));
+        return this;
+    }
+
+    /** What the documents are merged on; nothing if none is set. */
+    public ValidateCommand setBase(Configuration configuration) {
+        base = configuration;
+        return this;
+    }
+
+    /** Runs the command; calls nothing outside this process. */
+    public ValidateResult call() {
+        return switch (ProposedChange.read(documents).flatMap(change -> change.mergeOn(base))) {
+            case Result.Ok<Configuration, List<Fault>>(Configuration merged) ->
+                new ValidateResult.Valid(ConfigurationDiff.between(base, merged));
+            case Result.Err<Configuration, List<Fault>>(List<Fault> faults) -> new ValidateResult.Invalid(faults);
+        };
+    }
+}
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/version/VersionReader.java
@@ -0,0 +1,75 @@
+package org.berylwick.internal.version;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.berylwick.errors.VersionError;
+import org.berylwick.internal.version.VersionRepository.AcceptedHead;
+import org.berylwick.lib.Deadline;
+import org.berylwick.lib.Digest;
+import org.berylwick.lib.Result;
+import org.berylwick.lib.Snapshot;
+import org.berylwick.lib.VersionId;
+
+/** Reads whole versions for one command, each part from the store at most once; for one thread. */
+public final class VersionReader {
+    private final VersionRepository repository;
+    private final Map<Digest, byte[]> known;
+    private final Deadline deadline;
+
+    /**
+     * A reader for one command.
+     *
+     * @param known parts that need not be read from the store
+     */
+    public VersionReader(VersionRepository repository, Map<Digest, byte[]> known, Deadline deadline) {
+        this.repository = repository;
+        this.known = new HashMap<>(known);
+        this.deadline = deadline;
+    }
+
+    /** The parts read so far and those known before, by digest. */
+    public Map<Digest, byte[]> known() {
+        return Map.copyOf(known);
+    }
+
+    /** What reading by number gave. */
+    public sealed interface Read {
+        /** The whole version. */
+        record Found(Snapshot snapshot) implements Read {}
+
+        /** No version with that number is kept; {@code newest} is the number of the accepted one. */
+        record Absent(long newest) implements Read {}
+    }
+
+    /** Reads which version is accepted. */
+    public Result<AcceptedHead, VersionError> readHead() {
+        return repository.readHead(deadline);
+    }
+
+    /** Reads the version that {@code head} names. */
+    public Result<Snapshot, VersionError> readCurrent(AcceptedHead head) {
+        return readWhole(head.id());
+    }
+
+    /** Reads a version by its number, 0 for the one that {@code head} names. */
+    public Result<Read, VersionError> read(AcceptedHead head, long number) {
+        if (number == 0) {
+            return readCurrent(head).map(Read.Found::new);
+        }
+        return repository
+                .find(head, number, deadline)
+                .flatMap(id -> id.isEmpty()
+                        ? Result.ok(new Read.Absent(head.id().number()))
+                        : readWhole(id.get()).map(Read.Found::new));
+    }
+
+    private Result<Snapshot, VersionError> readWhole(VersionId id) {
+        if (id.number() == 0) {
+            return Result.ok(Snapshot.NONE);
+        }
+        return repository.read(id, known, deadline).flatMap(content -> {
+            known.putAll(content.parts());
+            return content.toSnapshot().mapError(VersionError.Damaged::new);
+        });
+    }
+}
--- a/org.berylwick/src/org/berylwick/internal/version/VersionRepository.java
+++ b/org.berylwick/src/org/berylwick/internal/version/VersionRepository.java
@@ -85,6 +85,27 @@
                 .mapError(VersionError.Damaged::new);
     }
 
+    /** Finds the version with a number in the history of {@code head}; empty if there is none. */
+    public Result<Optional<VersionId>, VersionError> find(AcceptedHead head, long number, Deadline deadline) {
+        if (number <= 0 || number > head.id().number()) {
+            return Result.ok(Optional.empty());
+        }
+        VersionId at = head.id();
+        VersionChain chain = new VersionChain(this, head);
+        while (at.number() > number) {
+            switch (chain.next(deadline)) {
+                case Result.Ok<Optional<VersionChain.Link>, VersionError>(Optional<VersionChain.Link> link) -> {
+                    Manifest manifest = link.orElseThrow().manifest();
+                    at = new VersionId(manifest.number() - 1, new Digest(manifest.previousDigest()));
+                }
+                case Result.Err<Optional<VersionChain.Link>, VersionError>(VersionError error) -> {
+                    return Result.err(error);
+                }
+            }
+        }
+        return Result.ok(Optional.of(at));
+    }
+
     /** Reads a manifest by its digest. */
     public Result<byte[], VersionError> readManifest(Digest digest, Deadline deadline) {
         return readContent(MANIFESTS, digest, deadline);
