Let tests make calls of the memory store fail

Cause: the interface of the store is sealed, so that a test cannot wrap it, and the faults of the platform (an outage, an answer lost after the write took effect, another writer between two calls) had no place to come from.

Ruled out: a third permitted class for tests in the library; a mock. The memory store stays the real one and asks an interceptor before and after each call, outside its lock, so that the interceptor may itself use the store.

--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@link org.berylwick.transport}. */
+package org.berylwick.transport;
--- a/org.berylwick/src/org/berylwick/transport/MemoryStore.java
+++ b/org.berylwick/src/org/berylwick/transport/MemoryStore.java
@@ -11,10 +11,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Supplier;
 import org.berylwick.errors.StoreError;
 import org.berylwick.lib.Deadline;
 import org.berylwick.lib.Result;
 import org.berylwick.lib.TimeSource;
+import org.berylwick.transport.StoreCall.Operation;
 
 /** A complete store in this process's memory, for tests and for the platform's stand-in. */
 public final class MemoryStore implements PlatformStore {
@@ -23,16 +25,43 @@
     private final TreeMap<String, StoredObject> objects = new TreeMap<>();
     private final Map<String, StoredObject> tombstones = new HashMap<>();
     private final TimeSource time;
+    private final StoreInterceptor interceptor;
     private long revision;
     private boolean closed;
 
     /** An empty store. */
     public MemoryStore(TimeSource time) {
+        this(time, StoreInterceptor.NONE);
+    }
+
+    /**
+     * An empty store whose calls may be made to fail.
+     *
+     * @param interceptor asked before and after each call
+     */
+    public MemoryStore(TimeSource time, StoreInterceptor interceptor) {
         this.time = time;
+        this.interceptor = interceptor;
+    }
+
+    private <T> Result<T, StoreError> intercepted(
+            Operation operation, String path, Supplier<Result<T, StoreError>> call) {
+        StoreCall seen = new StoreCall(operation, path);
+        Optional<StoreError> refused = interceptor.before(seen);
+        if (refused.isPresent()) {
+            return Result.err(refused.get());
+        }
+        Result<T, StoreError> answer = call.get();
+        Optional<StoreError> lost = interceptor.after(seen);
+        return lost.isPresent() ? Result.err(lost.get()) : answer;
     }
 
     @Override
     public Result<Optional<StoredObject>, StoreError> get(ObjectKey key, Deadline deadline) {
+        return intercepted(Operation.GET, key.path(), () -> read(key));
+    }
+
+    private Result<Optional<StoredObject>, StoreError> read(ObjectKey key) {
         lock.lock();
         try {
             return Result.ok(Optional.ofNullable(objects.get(key.path())));
@@ -43,6 +72,10 @@
 
     @Override
     public Result<WatchBatch, StoreError> list(String prefix, Deadline deadline) {
+        return intercepted(Operation.LIST, prefix, () -> readAll(prefix));
+    }
+
+    private Result<WatchBatch, StoreError> readAll(String prefix) {
         lock.lock();
         try {
             return Result.ok(new WatchBatch(revision, under(prefix)));
@@ -60,6 +93,10 @@
         if (value.length > MAX_VALUE_BYTES) {
             return Result.err(new StoreError.TooLarge(MAX_VALUE_BYTES));
         }
+        return intercepted(Operation.PUT, key.path(), () -> write(key, value, precondition));
+    }
+
+    private Result<Long, StoreError> write(ObjectKey key, byte[] value, Precondition precondition) {
         lock.lock();
         try {
             StoredObject current = objects.get(key.path());
@@ -78,6 +115,10 @@
 
     @Override
     public Result<Long, StoreError> delete(ObjectKey key, Precondition precondition, Deadline deadline) {
+        return intercepted(Operation.DELETE, key.path(), () -> remove(key, precondition));
+    }
+
+    private Result<Long, StoreError> remove(ObjectKey key, Precondition precondition) {
         lock.lock();
         try {
             StoredObject current = objects.get(key.path());
@@ -112,6 +153,10 @@
 
     @Override
     public Result<WatchBatch, StoreError> watch(String prefix, long after, Deadline deadline) {
+        return intercepted(Operation.WATCH, prefix, () -> awaitChange(prefix, after, deadline));
+    }
+
+    private Result<WatchBatch, StoreError> awaitChange(String prefix, long after, Deadline deadline) {
         lock.lock();
         try {
             List<StoredObject> seen = changedUnder(prefix, after);
