Run stand-ins and whole daemons in one process for tests

Tests of the call path and of versions need real daemons, backend servers and a platform in one JVM. LocalFleet starts them on free ports; the daemon tells its addresses, its installed version and its breaches of invariants.

--- a/org.berylwick.bench/src/org/berylwick/bench/fleet/Fleet.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/fleet/Fleet.java
@@ -79,31 +79,7 @@
 
     /** Starts one daemon without waiting for it. */
     public void startDaemon(FleetPlan.Instance i) {
-        String settings = """
-                instance = "%s"
-                region = "%s"
-                availability_zone = "%s"
-
-                [listen]
-                callers = "127.0.0.1:0"
-                peers = "127.0.0.1:0"
-                admin = "127.0.0.1:0"
-
-                [backend_server]
-                service = "%s"
-                address = "%s"
-                labels = { zone = "%s" }
-
-                [platform]
-                uri = "http://%s"
-                """.formatted(
-                        i.name(),
-                        i.place().region(),
-                        i.place().availabilityZone(),
-                        i.service(),
-                        backends.get(i.name()),
-                        i.place().availabilityZone(),
-                        platform);
+        String settings = SettingsText.of(i, backends.get(i.name()), platform, "");
         Path file = folder.resolve(i.name() + ".toml");
         try {
             Files.writeString(file, settings);
--- a/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
@@ -1,6 +1,7 @@
 package org.berylwick.daemon;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.Arrays;
 import org.berylwick.daemon.admin.AdminService;
 import org.berylwick.daemon.call.CallPath;
 import org.berylwick.daemon.duty.BackendServerProbe;
@@ -10,11 +11,13 @@
 import org.berylwick.daemon.settings.DaemonSettings;
 import org.berylwick.internal.event.EventLog;
 import org.berylwick.internal.event.ProcessEvent;
+import org.berylwick.internal.invariant.Invariant;
 import org.berylwick.internal.invariant.Invariants;
 import org.berylwick.internal.kernel.Kernel;
 import org.berylwick.internal.membership.MembershipTable;
 import org.berylwick.internal.version.InstalledVersion;
 import org.berylwick.internal.version.VersionRepository;
+import org.berylwick.lib.HostPort;
 import org.berylwick.lib.Member;
 import org.berylwick.lib.TimeSource;
 import org.berylwick.transport.HttpPlatformStore;
@@ -28,16 +31,19 @@
     private final Kernel kernel = new Kernel();
     private final SelfAnnouncement self;
     private final DaemonServers servers;
+    private final InstalledVersion installed;
+    private final MembershipTable membership;
+    private final Invariants invariants;
 
     /** Puts the services together; nothing runs until {@link #start()}. */
     public BerylwickDaemon(DaemonSettings settings) {
         TimeSource time = TimeSource.SYSTEM;
         store = new HttpPlatformStore(settings.platform().uri(), time);
         MetricRegistry metrics = new MetricRegistry();
-        kernel.register(new Invariants(metrics));
+        invariants = kernel.register(new Invariants(metrics));
         VersionRepository repository = new VersionRepository(store);
-        InstalledVersion installed = kernel.register(new InstalledVersion(time));
-        MembershipTable membership = kernel.register(new MembershipTable());
+        installed = kernel.register(new InstalledVersion(time));
+        membership = kernel.register(new MembershipTable());
         self = kernel.register(new SelfAnnouncement(settings, installed, time));
         CallPath calls = kernel.register(new CallPath(settings, installed, membership, self::state, time));
         AdminService admin = kernel.register(new AdminService(repository, installed, membership, time));
@@ -54,6 +60,38 @@
         EVENTS.log(ProcessEvent.LISTENING, servers.callersAddress(), servers.peersAddress(), servers.adminAddress());
     }
 
+    /** Where callers are served, with the real port. */
+    public HostPort callersAddress() {
+        return servers.callersAddress();
+    }
+
+    /** Where other daemons are served, with the real port. */
+    public HostPort peersAddress() {
+        return servers.peersAddress();
+    }
+
+    /** Where operators are served, with the real port. */
+    public HostPort adminAddress() {
+        return servers.adminAddress();
+    }
+
+    /** Number of the version in force here; 0 before the first. */
+    public long installedVersion() {
+        return installed.snapshot().id().number();
+    }
+
+    /** How many members this daemon knows as up, itself included. */
+    public long membersUp() {
+        return membership.view().all().stream()
+                .filter(m -> m.state() == Member.State.UP)
+                .count();
+    }
+
+    /** Breaches of invariants seen inside this daemon since its start. */
+    public long invariantBreaches() {
+        return Arrays.stream(Invariant.values()).mapToLong(invariants::breaches).sum();
+    }
+
     /** Finishes what is running, and stops. */
     @Override
     public void close() {
