--- a/org.berylwick.bench/src/org/berylwick/bench/Measurement.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/Measurement.java
@@ -5,7 +5,7 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 
 /** One measurement that {@link Measure} can run. */
-interface Measurement {
+public interface Measurement {
     /** The word that calls it. */
     String name();
 
