--- a/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
@@ -1,17 +1,20 @@
 package org.berylwick.daemon;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.Optional;
 import org.berylwick.daemon.admin.AdminService;
 import org.berylwick.daemon.call.CallPath;
 import org.berylwick.daemon.duty.BackendServerProbe;
 import org.berylwick.daemon.duty.MembershipWatch;
 import org.berylwick.daemon.duty.SelfAnnouncement;
+import org.berylwick.daemon.duty.SpreadDuties;
 import org.berylwick.daemon.duty.VersionWatch;
 import org.berylwick.daemon.settings.DaemonSettings;
 import org.berylwick.internal.event.EventLog;
 import org.berylwick.internal.event.ProcessEvent;
 import org.berylwick.internal.invariant.Invariants;
 import org.berylwick.internal.kernel.Kernel;
+import org.berylwick.internal.kernel.KernelService;
 import org.berylwick.internal.membership.MembershipTable;
 import org.berylwick.internal.version.InstalledVersion;
 import org.berylwick.internal.version.VersionRepository;
@@ -19,6 +22,7 @@
 import org.berylwick.lib.TimeSource;
 import org.berylwick.transport.HttpPlatformStore;
 import org.berylwick.transport.PlatformStore;
+import org.berylwick.transport.StoreMeter;
 
 /** A whole daemon in this process. */
 public final class BerylwickDaemon implements AutoCloseable {
@@ -32,8 +36,8 @@
     /** Puts the services together; nothing runs until {@link #start()}. */
     public BerylwickDaemon(DaemonSettings settings) {
         TimeSource time = TimeSource.SYSTEM;
-        store = new HttpPlatformStore(settings.platform().uri(), time);
         MetricRegistry metrics = new MetricRegistry();
+        store = new HttpPlatformStore(settings.platform().uri(), time, new StoreMeter(metrics));
         kernel.register(new Invariants(metrics));
         VersionRepository repository = new VersionRepository(store);
         InstalledVersion installed = kernel.register(new InstalledVersion(time));
@@ -41,19 +45,40 @@
         self = kernel.register(new SelfAnnouncement(settings, installed, time));
         CallPath calls = kernel.register(new CallPath(settings, installed, membership, self::state, time));
         AdminService admin = kernel.register(new AdminService(repository, installed, membership, time));
-        servers = kernel.register(new DaemonServers(settings.listen(), calls, admin));
-        kernel.register(new VersionWatch(repository, installed, time));
-        kernel.register(new MembershipWatch(store, membership, self, time));
+        Optional<SpreadDuties> spread = switch (settings.spread().mode()) {
+            case WATCH -> Optional.empty();
+            case SPREAD ->
+                Optional.of(new SpreadDuties(
+                        settings,
+                        new SpreadDuties.Parts(store, repository, installed, membership, self, metrics),
+                        time));
+        };
+        servers = kernel.register(new DaemonServers(
+                settings.listen(), calls, admin, spread.map(SpreadDuties::service), self::setAddress));
+        if (spread.isPresent()) {
+            kernel.register(spread.get());
+        } else {
+            kernel.register(new VersionWatch(repository, installed, time));
+            kernel.register(new MembershipWatch(store, membership, self, time));
+        }
         kernel.register(new BackendServerProbe(settings.backendServer().address(), installed, self));
     }
 
     /** Starts every service and announces the backend server. */
     public void start() {
         kernel.start();
-        self.setAddress(servers.peersAddress());
         EVENTS.log(ProcessEvent.LISTENING, servers.callersAddress(), servers.peersAddress(), servers.adminAddress());
     }
 
+    /**
+     * Finds a service of this daemon.
+     *
+     * @throws IllegalStateException if there is none of that name and type
+     */
+    public <T extends KernelService> T service(String name, Class<T> type) {
+        return kernel.get(name, type);
+    }
+
     /** Finishes what is running, and stops. */
     @Override
     public void close() {
--- a/org.berylwick.daemon/src/org/berylwick/daemon/DaemonServers.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/DaemonServers.java
@@ -7,11 +7,14 @@
 import com.linecorp.armeria.server.healthcheck.HealthCheckService;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
 import org.berylwick.daemon.admin.AdminService;
 import org.berylwick.daemon.call.CallPath;
 import org.berylwick.daemon.settings.DaemonSettings;
 import org.berylwick.internal.kernel.KernelService;
 import org.berylwick.lib.HostPort;
+import org.berylwick.transport.SpreadService;
 
 /** The three listening sockets: callers, peers, operators. */
 public final class DaemonServers implements KernelService {
@@ -23,14 +26,24 @@
     private static final Duration QUIET_PERIOD = Duration.ofMillis(200);
     private static final Duration GRACE = Duration.ofMinutes(10);
 
+    private final Consumer<HostPort> onPeersListening;
     private final Server callers;
     private final Server peers;
     private final Server admin;
 
     /** Servers that listen from {@link #start()} on. */
-    public DaemonServers(DaemonSettings.Listen listen, CallPath calls, AdminService adminService) {
+    public DaemonServers(
+            DaemonSettings.Listen listen,
+            CallPath calls,
+            AdminService adminService,
+            Optional<SpreadService> spread,
+            Consumer<HostPort> onPeersListening) {
+        this.onPeersListening = onPeersListening;
         callers = builder(listen.callers()).serviceUnder("/", calls.entry()).build();
-        peers = builder(listen.peers()).serviceUnder("/", calls.owner()).build();
+        ServerBuilder peersBuilder = builder(listen.peers()).serviceUnder("/", calls.owner());
+        spread.ifPresent(
+                s -> peersBuilder.service(GrpcService.builder().addService(s).build()));
+        peers = peersBuilder.build();
         HttpService health = HealthCheckService.of();
         admin = builder(listen.admin())
                 .service(GrpcService.builder().addService(adminService).build())
@@ -57,6 +70,7 @@
     public void start() {
         callers.start().join();
         peers.start().join();
+        onPeersListening.accept(peersAddress());
         admin.start().join();
     }
 
--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/SelfAnnouncement.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/SelfAnnouncement.java
@@ -2,6 +2,7 @@
 
 import org.berylwick.daemon.settings.DaemonSettings;
 import org.berylwick.internal.kernel.KernelService;
+import org.berylwick.internal.spread.SelfMember;
 import org.berylwick.internal.version.InstalledVersion;
 import org.berylwick.internal.version.InstalledVersion.InForce;
 import org.berylwick.lib.HostPort;
@@ -10,7 +11,7 @@
 import org.berylwick.lib.TimeSource;
 
 /** What this daemon says of itself to others; any thread may read or change it. */
-public final class SelfAnnouncement implements KernelService {
+public final class SelfAnnouncement implements KernelService, SelfMember {
     /** The name in the kernel. */
     public static final String NAME = "self";
 
@@ -18,7 +19,7 @@
 
     private final DaemonSettings settings;
     private final InstalledVersion installed;
-    private final long incarnation;
+    private volatile long incarnation;
     private volatile HostPort address;
     private volatile Member.State state = Member.State.STARTING;
 
@@ -51,7 +52,12 @@
         return state;
     }
 
-    /** The record to announce now. */
+    @Override
+    public synchronized void refute(long higher) {
+        incarnation = Math.max(incarnation, higher);
+    }
+
+    @Override
     public Member current() {
         InForce inForce = installed.inForce();
         ServiceSpec spec = inForce.snapshot()
--- a/org.berylwick.daemon/src/org/berylwick/daemon/settings/DaemonSettings.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/settings/DaemonSettings.java
@@ -1,6 +1,8 @@
 package org.berylwick.daemon.settings;
 
 import java.net.URI;
+import java.util.List;
+import org.berylwick.internal.spread.SpreadTuning;
 import org.berylwick.lib.HostPort;
 import org.berylwick.lib.Labels;
 import org.berylwick.lib.Place;
@@ -16,12 +18,7 @@
  * @param spread how versions and members reach this daemon
  */
 public record DaemonSettings(
-        String instance,
-        Place place,
-        Listen listen,
-        BackendServer backendServer,
-        Platform platform,
-        SpreadMode spread) {
+        String instance, Place place, Listen listen, BackendServer backendServer, Platform platform, Spread spread) {
     /**
      * Addresses to listen on; port 0 takes a free one.
      *
@@ -47,9 +44,26 @@
      */
     public record Platform(URI uri) {}
 
-    /** How versions and members reach a daemon. */
+    /**
+     * How versions and members reach a daemon.
+     *
+     * @param mode whether through other daemons
+     * @param tuning figures between prompt and thrifty spreading
+     * @param readers daemons that read the store for each availability zone
+     * @param seeds other daemons' peer addresses, for a start while the store is out
+     */
+    public record Spread(SpreadMode mode, SpreadTuning tuning, int readers, List<HostPort> seeds) {
+        /** Copies the list. */
+        public Spread {
+            seeds = List.copyOf(seeds);
+        }
+    }
+
+    /** Whether daemons ask the store or each other. */
     public enum SpreadMode {
         /** Every daemon watches the store: the baseline. */
-        WATCH
+        WATCH,
+        /** A few daemons in each availability zone read the store, and daemons tell each other. */
+        SPREAD
     }
 }
--- a/org.berylwick.daemon/src/org/berylwick/daemon/settings/SettingsReader.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/settings/SettingsReader.java
@@ -6,7 +6,7 @@
 import org.berylwick.daemon.settings.DaemonSettings.BackendServer;
 import org.berylwick.daemon.settings.DaemonSettings.Listen;
 import org.berylwick.daemon.settings.DaemonSettings.Platform;
-import org.berylwick.daemon.settings.DaemonSettings.SpreadMode;
+import org.berylwick.daemon.settings.DaemonSettings.Spread;
 import org.berylwick.errors.Fault;
 import org.berylwick.internal.toml.TableReader;
 import org.berylwick.lib.HostPort;
@@ -31,14 +31,12 @@
         Listen listen = readListen(top.child("listen"));
         BackendServer server = readBackendServer(top.child("backend_server"));
         Platform platform = readPlatform(top.child("platform"));
-        TableReader spread = top.child("spread");
-        SpreadMode mode = spread.choice("mode", SpreadMode.class, SpreadMode.WATCH);
-        spread.finish();
+        Spread spread = SpreadSettingsReader.read(top.child("spread"));
         top.finish();
         if (!faults.isEmpty()) {
             return Result.err(faults);
         }
-        return Result.ok(new DaemonSettings(instance, place, listen, server, platform, mode));
+        return Result.ok(new DaemonSettings(instance, place, listen, server, platform, spread));
     }
 
     private static Listen readListen(TableReader t) {
--- a/org.berylwick.proto/src/org/berylwick/proto/FetchVersionRequest.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/FetchVersionRequest.java
@@ -17,7 +17,6 @@
     super(builder);
   }
   private FetchVersionRequest() {
-    digest_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   @java.lang.Override
@@ -40,36 +39,14 @@
             org.berylwick.proto.FetchVersionRequest.class, org.berylwick.proto.FetchVersionRequest.Builder.class);
   }
 
-  public static final int VERSION_FIELD_NUMBER = 1;
-  private long version_ = 0L;
-  /**
-   * <code>int64 version = 1;</code>
-   * @return The version.
-   */
-  @java.lang.Override
-  public long getVersion() {
-    return version_;
-  }
-
-  public static final int DIGEST_FIELD_NUMBER = 2;
-  private com.google.protobuf.ByteString digest_ = com.google.protobuf.ByteString.EMPTY;
-  /**
-   * <code>bytes digest = 2;</code>
-   * @return The digest.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString getDigest() {
-    return digest_;
-  }
-
-  public static final int BASE_VERSION_FIELD_NUMBER = 3;
+  public static final int BASE_VERSION_FIELD_NUMBER = 1;
   private long baseVersion_ = 0L;
   /**
    * <pre>
-   * Digests of parts that the asker already holds are inferred from this version; 0 for none.
+   * Version in force at the asker; 0 for none.
    * </pre>
    *
-   * <code>int64 base_version = 3;</code>
+   * <code>int64 base_version = 1;</code>
    * @return The baseVersion.
    */
   @java.lang.Override
@@ -91,14 +68,8 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (version_ != 0L) {
-      output.writeInt64(1, version_);
-    }
-    if (!digest_.isEmpty()) {
-      output.writeBytes(2, digest_);
-    }
     if (baseVersion_ != 0L) {
-      output.writeInt64(3, baseVersion_);
+      output.writeInt64(1, baseVersion_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -109,17 +80,9 @@
     if (size != -1) return size;
 
     size = 0;
-    if (version_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(1, version_);
-    }
-    if (!digest_.isEmpty()) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBytesSize(2, digest_);
-    }
     if (baseVersion_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(3, baseVersion_);
+        .computeInt64Size(1, baseVersion_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -136,10 +99,6 @@
     }
     org.berylwick.proto.FetchVersionRequest other = (org.berylwick.proto.FetchVersionRequest) obj;
 
-    if (getVersion()
-        != other.getVersion()) return false;
-    if (!getDigest()
-        .equals(other.getDigest())) return false;
     if (getBaseVersion()
         != other.getBaseVersion()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -153,11 +112,6 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + VERSION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getVersion());
-    hash = (37 * hash) + DIGEST_FIELD_NUMBER;
-    hash = (53 * hash) + getDigest().hashCode();
     hash = (37 * hash) + BASE_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getBaseVersion());
@@ -292,8 +246,6 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      version_ = 0L;
-      digest_ = com.google.protobuf.ByteString.EMPTY;
       baseVersion_ = 0L;
       return this;
     }
@@ -329,12 +281,6 @@
     private void buildPartial0(org.berylwick.proto.FetchVersionRequest result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.version_ = version_;
-      }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.digest_ = digest_;
-      }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
         result.baseVersion_ = baseVersion_;
       }
     }
@@ -383,12 +329,6 @@
 
     public Builder mergeFrom(org.berylwick.proto.FetchVersionRequest other) {
       if (other == org.berylwick.proto.FetchVersionRequest.getDefaultInstance()) return this;
-      if (other.getVersion() != 0L) {
-        setVersion(other.getVersion());
-      }
-      if (other.getDigest() != com.google.protobuf.ByteString.EMPTY) {
-        setDigest(other.getDigest());
-      }
       if (other.getBaseVersion() != 0L) {
         setBaseVersion(other.getBaseVersion());
       }
@@ -419,20 +359,10 @@
               done = true;
               break;
             case 8: {
-              version_ = input.readInt64();
+              baseVersion_ = input.readInt64();
               bitField0_ |= 0x00000001;
               break;
             } // case 8
-            case 18: {
-              digest_ = input.readBytes();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 18
-            case 24: {
-              baseVersion_ = input.readInt64();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -450,77 +380,13 @@
     }
     private int bitField0_;
 
-    private long version_ ;
-    /**
-     * <code>int64 version = 1;</code>
-     * @return The version.
-     */
-    @java.lang.Override
-    public long getVersion() {
-      return version_;
-    }
-    /**
-     * <code>int64 version = 1;</code>
-     * @param value The version to set.
-     * @return This builder for chaining.
-     */
-    public Builder setVersion(long value) {
-
-      version_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>int64 version = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearVersion() {
-      bitField0_ = (bitField0_ & ~0x00000001);
-      version_ = 0L;
-      onChanged();
-      return this;
-    }
-
-    private com.google.protobuf.ByteString digest_ = com.google.protobuf.ByteString.EMPTY;
-    /**
-     * <code>bytes digest = 2;</code>
-     * @return The digest.
-     */
-    @java.lang.Override
-    public com.google.protobuf.ByteString getDigest() {
-      return digest_;
-    }
-    /**
-     * <code>bytes digest = 2;</code>
-     * @param value The digest to set.
-     * @return This builder for chaining.
-     */
-    public Builder setDigest(com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      digest_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>bytes digest = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearDigest() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      digest_ = getDefaultInstance().getDigest();
-      onChanged();
-      return this;
-    }
-
     private long baseVersion_ ;
     /**
      * <pre>
-     * Digests of parts that the asker already holds are inferred from this version; 0 for none.
+     * Version in force at the asker; 0 for none.
      * </pre>
      *
-     * <code>int64 base_version = 3;</code>
+     * <code>int64 base_version = 1;</code>
      * @return The baseVersion.
      */
     @java.lang.Override
@@ -529,30 +395,30 @@
     }
     /**
      * <pre>
-     * Digests of parts that the asker already holds are inferred from this version; 0 for none.
+     * Version in force at the asker; 0 for none.
      * </pre>
      *
-     * <code>int64 base_version = 3;</code>
+     * <code>int64 base_version = 1;</code>
      * @param value The baseVersion to set.
      * @return This builder for chaining.
      */
     public Builder setBaseVersion(long value) {
 
       baseVersion_ = value;
-      bitField0_ |= 0x00000004;
+      bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Digests of parts that the asker already holds are inferred from this version; 0 for none.
+     * Version in force at the asker; 0 for none.
      * </pre>
      *
-     * <code>int64 base_version = 3;</code>
+     * <code>int64 base_version = 1;</code>
      * @return This builder for chaining.
      */
     public Builder clearBaseVersion() {
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000001);
       baseVersion_ = 0L;
       onChanged();
       return this;
--- a/org.berylwick.proto/src/org/berylwick/proto/FetchVersionRequestOrBuilder.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/FetchVersionRequestOrBuilder.java
@@ -8,24 +8,12 @@
     // @@protoc_insertion_point(interface_extends:berylwick.v1.FetchVersionRequest)
     com.google.protobuf.MessageOrBuilder {
 
-  /**
-   * <code>int64 version = 1;</code>
-   * @return The version.
-   */
-  long getVersion();
-
-  /**
-   * <code>bytes digest = 2;</code>
-   * @return The digest.
-   */
-  com.google.protobuf.ByteString getDigest();
-
   /**
    * <pre>
-   * Digests of parts that the asker already holds are inferred from this version; 0 for none.
+   * Version in force at the asker; 0 for none.
    * </pre>
    *
-   * <code>int64 base_version = 3;</code>
+   * <code>int64 base_version = 1;</code>
    * @return The baseVersion.
    */
   long getBaseVersion();
--- a/org.berylwick.proto/src/org/berylwick/proto/PeerMessage.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/PeerMessage.java
@@ -48,7 +48,10 @@
     HELLO(1),
     VERSION(2),
     MEMBERSHIP(3),
-    DIGEST(4),
+    HEARTBEAT(4),
+    SUMMARY(5),
+    REPORTS(6),
+    REFUSED(7),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -69,7 +72,10 @@
         case 1: return HELLO;
         case 2: return VERSION;
         case 3: return MEMBERSHIP;
-        case 4: return DIGEST;
+        case 4: return HEARTBEAT;
+        case 5: return SUMMARY;
+        case 6: return REPORTS;
+        case 7: return REFUSED;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -178,35 +184,128 @@
     return org.berylwick.proto.MembershipDelta.getDefaultInstance();
   }
 
-  public static final int DIGEST_FIELD_NUMBER = 4;
+  public static final int HEARTBEAT_FIELD_NUMBER = 4;
   /**
-   * <code>.berylwick.v1.MembershipDigest digest = 4;</code>
-   * @return Whether the digest field is set.
+   * <code>.berylwick.v1.Heartbeat heartbeat = 4;</code>
+   * @return Whether the heartbeat field is set.
    */
   @java.lang.Override
-  public boolean hasDigest() {
+  public boolean hasHeartbeat() {
     return bodyCase_ == 4;
   }
   /**
-   * <code>.berylwick.v1.MembershipDigest digest = 4;</code>
-   * @return The digest.
+   * <code>.berylwick.v1.Heartbeat heartbeat = 4;</code>
+   * @return The heartbeat.
    */
   @java.lang.Override
-  public org.berylwick.proto.MembershipDigest getDigest() {
+  public org.berylwick.proto.Heartbeat getHeartbeat() {
     if (bodyCase_ == 4) {
-       return (org.berylwick.proto.MembershipDigest) body_;
+       return (org.berylwick.proto.Heartbeat) body_;
     }
-    return org.berylwick.proto.MembershipDigest.getDefaultInstance();
+    return org.berylwick.proto.Heartbeat.getDefaultInstance();
   }
   /**
-   * <code>.berylwick.v1.MembershipDigest digest = 4;</code>
+   * <code>.berylwick.v1.Heartbeat heartbeat = 4;</code>
    */
   @java.lang.Override
-  public org.berylwick.proto.MembershipDigestOrBuilder getDigestOrBuilder() {
+  public org.berylwick.proto.HeartbeatOrBuilder getHeartbeatOrBuilder() {
     if (bodyCase_ == 4) {
-       return (org.berylwick.proto.MembershipDigest) body_;
+       return (org.berylwick.proto.Heartbeat) body_;
     }
-    return org.berylwick.proto.MembershipDigest.getDefaultInstance();
+    return org.berylwick.proto.Heartbeat.getDefaultInstance();
+  }
+
+  public static final int SUMMARY_FIELD_NUMBER = 5;
+  /**
+   * <code>.berylwick.v1.MembershipSummary summary = 5;</code>
+   * @return Whether the summary field is set.
+   */
+  @java.lang.Override
+  public boolean hasSummary() {
+    return bodyCase_ == 5;
+  }
+  /**
+   * <code>.berylwick.v1.MembershipSummary summary = 5;</code>
+   * @return The summary.
+   */
+  @java.lang.Override
+  public org.berylwick.proto.MembershipSummary getSummary() {
+    if (bodyCase_ == 5) {
+       return (org.berylwick.proto.MembershipSummary) body_;
+    }
+    return org.berylwick.proto.MembershipSummary.getDefaultInstance();
+  }
+  /**
+   * <code>.berylwick.v1.MembershipSummary summary = 5;</code>
+   */
+  @java.lang.Override
+  public org.berylwick.proto.MembershipSummaryOrBuilder getSummaryOrBuilder() {
+    if (bodyCase_ == 5) {
+       return (org.berylwick.proto.MembershipSummary) body_;
+    }
+    return org.berylwick.proto.MembershipSummary.getDefaultInstance();
+  }
+
+  public static final int REPORTS_FIELD_NUMBER = 6;
+  /**
+   * <code>.berylwick.v1.VersionReports reports = 6;</code>
+   * @return Whether the reports field is set.
+   */
+  @java.lang.Override
+  public boolean hasReports() {
+    return bodyCase_ == 6;
+  }
+  /**
+   * <code>.berylwick.v1.VersionReports reports = 6;</code>
+   * @return The reports.
+   */
+  @java.lang.Override
+  public org.berylwick.proto.VersionReports getReports() {
+    if (bodyCase_ == 6) {
+       return (org.berylwick.proto.VersionReports) body_;
+    }
+    return org.berylwick.proto.VersionReports.getDefaultInstance();
+  }
+  /**
+   * <code>.berylwick.v1.VersionReports reports = 6;</code>
+   */
+  @java.lang.Override
+  public org.berylwick.proto.VersionReportsOrBuilder getReportsOrBuilder() {
+    if (bodyCase_ == 6) {
+       return (org.berylwick.proto.VersionReports) body_;
+    }
+    return org.berylwick.proto.VersionReports.getDefaultInstance();
+  }
+
+  public static final int REFUSED_FIELD_NUMBER = 7;
+  /**
+   * <code>.berylwick.v1.Refused refused = 7;</code>
+   * @return Whether the refused field is set.
+   */
+  @java.lang.Override
+  public boolean hasRefused() {
+    return bodyCase_ == 7;
+  }
+  /**
+   * <code>.berylwick.v1.Refused refused = 7;</code>
+   * @return The refused.
+   */
+  @java.lang.Override
+  public org.berylwick.proto.Refused getRefused() {
+    if (bodyCase_ == 7) {
+       return (org.berylwick.proto.Refused) body_;
+    }
+    return org.berylwick.proto.Refused.getDefaultInstance();
+  }
+  /**
+   * <code>.berylwick.v1.Refused refused = 7;</code>
+   */
+  @java.lang.Override
+  public org.berylwick.proto.RefusedOrBuilder getRefusedOrBuilder() {
+    if (bodyCase_ == 7) {
+       return (org.berylwick.proto.Refused) body_;
+    }
+    return org.berylwick.proto.Refused.getDefaultInstance();
   }
 
   private byte memoizedIsInitialized = -1;
@@ -233,7 +332,16 @@
       output.writeMessage(3, (org.berylwick.proto.MembershipDelta) body_);
     }
     if (bodyCase_ == 4) {
-      output.writeMessage(4, (org.berylwick.proto.MembershipDigest) body_);
+      output.writeMessage(4, (org.berylwick.proto.Heartbeat) body_);
+    }
+    if (bodyCase_ == 5) {
+      output.writeMessage(5, (org.berylwick.proto.MembershipSummary) body_);
+    }
+    if (bodyCase_ == 6) {
+      output.writeMessage(6, (org.berylwick.proto.VersionReports) body_);
+    }
+    if (bodyCase_ == 7) {
+      output.writeMessage(7, (org.berylwick.proto.Refused) body_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -258,7 +366,19 @@
     }
     if (bodyCase_ == 4) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(4, (org.berylwick.proto.MembershipDigest) body_);
+        .computeMessageSize(4, (org.berylwick.proto.Heartbeat) body_);
+    }
+    if (bodyCase_ == 5) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(5, (org.berylwick.proto.MembershipSummary) body_);
+    }
+    if (bodyCase_ == 6) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, (org.berylwick.proto.VersionReports) body_);
+    }
+    if (bodyCase_ == 7) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(7, (org.berylwick.proto.Refused) body_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -290,8 +410,20 @@
             .equals(other.getMembership())) return false;
         break;
       case 4:
-        if (!getDigest()
-            .equals(other.getDigest())) return false;
+        if (!getHeartbeat()
+            .equals(other.getHeartbeat())) return false;
+        break;
+      case 5:
+        if (!getSummary()
+            .equals(other.getSummary())) return false;
+        break;
+      case 6:
+        if (!getReports()
+            .equals(other.getReports())) return false;
+        break;
+      case 7:
+        if (!getRefused()
+            .equals(other.getRefused())) return false;
         break;
       case 0:
       default:
@@ -321,8 +453,20 @@
         hash = (53 * hash) + getMembership().hashCode();
         break;
       case 4:
-        hash = (37 * hash) + DIGEST_FIELD_NUMBER;
-        hash = (53 * hash) + getDigest().hashCode();
+        hash = (37 * hash) + HEARTBEAT_FIELD_NUMBER;
+        hash = (53 * hash) + getHeartbeat().hashCode();
+        break;
+      case 5:
+        hash = (37 * hash) + SUMMARY_FIELD_NUMBER;
+        hash = (53 * hash) + getSummary().hashCode();
+        break;
+      case 6:
+        hash = (37 * hash) + REPORTS_FIELD_NUMBER;
+        hash = (53 * hash) + getReports().hashCode();
+        break;
+      case 7:
+        hash = (37 * hash) + REFUSED_FIELD_NUMBER;
+        hash = (53 * hash) + getRefused().hashCode();
         break;
       case 0:
       default:
@@ -467,8 +611,17 @@
       if (membershipBuilder_ != null) {
         membershipBuilder_.clear();
       }
-      if (digestBuilder_ != null) {
-        digestBuilder_.clear();
+      if (heartbeatBuilder_ != null) {
+        heartbeatBuilder_.clear();
+      }
+      if (summaryBuilder_ != null) {
+        summaryBuilder_.clear();
+      }
+      if (reportsBuilder_ != null) {
+        reportsBuilder_.clear();
+      }
+      if (refusedBuilder_ != null) {
+        refusedBuilder_.clear();
       }
       bodyCase_ = 0;
       body_ = null;
@@ -524,8 +677,20 @@
         result.body_ = membershipBuilder_.build();
       }
       if (bodyCase_ == 4 &&
-          digestBuilder_ != null) {
-        result.body_ = digestBuilder_.build();
+          heartbeatBuilder_ != null) {
+        result.body_ = heartbeatBuilder_.build();
+      }
+      if (bodyCase_ == 5 &&
+          summaryBuilder_ != null) {
+        result.body_ = summaryBuilder_.build();
+      }
+      if (bodyCase_ == 6 &&
+          reportsBuilder_ != null) {
+        result.body_ = reportsBuilder_.build();
+      }
+      if (bodyCase_ == 7 &&
+          refusedBuilder_ != null) {
+        result.body_ = refusedBuilder_.build();
       }
     }
 
@@ -586,8 +751,20 @@
           mergeMembership(other.getMembership());
           break;
         }
-        case DIGEST: {
-          mergeDigest(other.getDigest());
+        case HEARTBEAT: {
+          mergeHeartbeat(other.getHeartbeat());
+          break;
+        }
+        case SUMMARY: {
+          mergeSummary(other.getSummary());
+          break;
+        }
+        case REPORTS: {
+          mergeReports(other.getReports());
+          break;
+        }
+        case REFUSED: {
+          mergeRefused(other.getRefused());
           break;
         }
         case BODY_NOT_SET: {
@@ -643,11 +820,32 @@
             } // case 26
             case 34: {
               input.readMessage(
-                  getDigestFieldBuilder().getBuilder(),
+                  getHeartbeatFieldBuilder().getBuilder(),
                   extensionRegistry);
               bodyCase_ = 4;
               break;
             } // case 34
+            case 42: {
+              input.readMessage(
+                  getSummaryFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 5;
+              break;
+            } // case 42
+            case 50: {
+              input.readMessage(
+                  getReportsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 6;
+              break;
+            } // case 50
+            case 58: {
+              input.readMessage(
+                  getRefusedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 7;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1107,71 +1305,71 @@
     }
 
     private com.google.protobuf.SingleFieldBuilderV3<
-        org.berylwick.proto.MembershipDigest, org.berylwick.proto.MembershipDigest.Builder, org.berylwick.proto.MembershipDigestOrBuilder> digestBuilder_;
+        org.berylwick.proto.Heartbeat, org.berylwick.proto.Heartbeat.Builder, org.berylwick.proto.HeartbeatOrBuilder> heartbeatBuilder_;
     /**
-     * <code>.berylwick.v1.MembershipDigest digest = 4;</code>
-     * @return Whether the digest field is set.
+     * <code>.berylwick.v1.Heartbeat heartbeat = 4;</code>
+     * @return Whether the heartbeat field is set.
      */
     @java.lang.Override
-    public boolean hasDigest() {
+    public boolean hasHeartbeat() {
       return bodyCase_ == 4;
     }
     /**
-     * <code>.berylwick.v1.MembershipDigest digest = 4;</code>
-     * @return The digest.
+     * <code>.berylwick.v1.Heartbeat heartbeat = 4;</code>
+     * @return The heartbeat.
      */
     @java.lang.Override
-    public org.berylwick.proto.MembershipDigest getDigest() {
-      if (digestBuilder_ == null) {
+    public org.berylwick.proto.Heartbeat getHeartbeat() {
+      if (heartbeatBuilder_ == null) {
         if (bodyCase_ == 4) {
-          return (org.berylwick.proto.MembershipDigest) body_;
+          return (org.berylwick.proto.Heartbeat) body_;
         }
-        return org.berylwick.proto.MembershipDigest.getDefaultInstance();
+        return org.berylwick.proto.Heartbeat.getDefaultInstance();
       } else {
         if (bodyCase_ == 4) {
-          return digestBuilder_.getMessage();
+          return heartbeatBuilder_.getMessage();
         }
-        return org.berylwick.proto.MembershipDigest.getDefaultInstance();
+        return org.berylwick.proto.Heartbeat.getDefaultInstance();
       }
     }
     /**
-     * <code>.berylwick.v1.MembershipDigest digest = 4;</code>
+     * <code>.berylwick.v1.Heartbeat heartbeat = 4;</code>
      */
-    public Builder setDigest(org.berylwick.proto.MembershipDigest value) {
-      if (digestBuilder_ == null) {
+    public Builder setHeartbeat(org.berylwick.proto.Heartbeat value) {
+      if (heartbeatBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
         body_ = value;
         onChanged();
       } else {
-        digestBuilder_.setMessage(value);
+        heartbeatBuilder_.setMessage(value);
       }
       bodyCase_ = 4;
       return this;
     }
     /**
-     * <code>.berylwick.v1.MembershipDigest digest = 4;</code>
+     * <code>.berylwick.v1.Heartbeat heartbeat = 4;</code>
      */
-    public Builder setDigest(
-        org.berylwick.proto.MembershipDigest.Builder builderForValue) {
-      if (digestBuilder_ == null) {
+    public Builder setHeartbeat(
+        org.berylwick.proto.Heartbeat.Builder builderForValue) {
+      if (heartbeatBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        digestBuilder_.setMessage(builderForValue.build());
+        heartbeatBuilder_.setMessage(builderForValue.build());
       }
       bodyCase_ = 4;
       return this;
     }
     /**
-     * <code>.berylwick.v1.MembershipDigest digest = 4;</code>
+     * <code>.berylwick.v1.Heartbeat heartbeat = 4;</code>
      */
-    public Builder mergeDigest(org.berylwick.proto.MembershipDigest value) {
-      if (digestBuilder_ == null) {
+    public Builder mergeHeartbeat(org.berylwick.proto.Heartbeat value) {
+      if (heartbeatBuilder_ == null) {
         if (bodyCase_ == 4 &&
-            body_ != org.berylwick.proto.MembershipDigest.getDefaultInstance()) {
-          body_ = org.berylwick.proto.MembershipDigest.newBuilder((org.berylwick.proto.MembershipDigest) body_)
+            body_ != org.berylwick.proto.Heartbeat.getDefaultInstance()) {
+          body_ = org.berylwick.proto.Heartbeat.newBuilder((org.berylwick.proto.Heartbeat) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
@@ -1179,19 +1377,19 @@
         onChanged();
       } else {
         if (bodyCase_ == 4) {
-          digestBuilder_.mergeFrom(value);
+          heartbeatBuilder_.mergeFrom(value);
         } else {
-          digestBuilder_.setMessage(value);
+          heartbeatBuilder_.setMessage(value);
         }
       }
       bodyCase_ = 4;
       return this;
     }
     /**
-     * <code>.berylwick.v1.MembershipDigest digest = 4;</code>
+     * <code>.berylwick.v1.Heartbeat heartbeat = 4;</code>
      */
-    public Builder clearDigest() {
-      if (digestBuilder_ == null) {
+    public Builder clearHeartbeat() {
+      if (heartbeatBuilder_ == null) {
         if (bodyCase_ == 4) {
           bodyCase_ = 0;
           body_ = null;
@@ -1202,50 +1400,476 @@
           bodyCase_ = 0;
           body_ = null;
         }
-        digestBuilder_.clear();
+        heartbeatBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.berylwick.v1.MembershipDigest digest = 4;</code>
+     * <code>.berylwick.v1.Heartbeat heartbeat = 4;</code>
      */
-    public org.berylwick.proto.MembershipDigest.Builder getDigestBuilder() {
-      return getDigestFieldBuilder().getBuilder();
+    public org.berylwick.proto.Heartbeat.Builder getHeartbeatBuilder() {
+      return getHeartbeatFieldBuilder().getBuilder();
     }
     /**
-     * <code>.berylwick.v1.MembershipDigest digest = 4;</code>
+     * <code>.berylwick.v1.Heartbeat heartbeat = 4;</code>
      */
     @java.lang.Override
-    public org.berylwick.proto.MembershipDigestOrBuilder getDigestOrBuilder() {
-      if ((bodyCase_ == 4) && (digestBuilder_ != null)) {
-        return digestBuilder_.getMessageOrBuilder();
+    public org.berylwick.proto.HeartbeatOrBuilder getHeartbeatOrBuilder() {
+      if ((bodyCase_ == 4) && (heartbeatBuilder_ != null)) {
+        return heartbeatBuilder_.getMessageOrBuilder();
       } else {
         if (bodyCase_ == 4) {
-          return (org.berylwick.proto.MembershipDigest) body_;
+          return (org.berylwick.proto.Heartbeat) body_;
         }
-        return org.berylwick.proto.MembershipDigest.getDefaultInstance();
+        return org.berylwick.proto.Heartbeat.getDefaultInstance();
       }
     }
     /**
-     * <code>.berylwick.v1.MembershipDigest digest = 4;</code>
+     * <code>.berylwick.v1.Heartbeat heartbeat = 4;</code>
      */
     private com.google.protobuf.SingleFieldBuilderV3<
-        org.berylwick.proto.MembershipDigest, org.berylwick.proto.MembershipDigest.Builder, org.berylwick.proto.MembershipDigestOrBuilder> 
-        getDigestFieldBuilder() {
-      if (digestBuilder_ == null) {
+        org.berylwick.proto.Heartbeat, org.berylwick.proto.Heartbeat.Builder, org.berylwick.proto.HeartbeatOrBuilder> 
+        getHeartbeatFieldBuilder() {
+      if (heartbeatBuilder_ == null) {
         if (!(bodyCase_ == 4)) {
-          body_ = org.berylwick.proto.MembershipDigest.getDefaultInstance();
+          body_ = org.berylwick.proto.Heartbeat.getDefaultInstance();
         }
-        digestBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
-            org.berylwick.proto.MembershipDigest, org.berylwick.proto.MembershipDigest.Builder, org.berylwick.proto.MembershipDigestOrBuilder>(
-                (org.berylwick.proto.MembershipDigest) body_,
+        heartbeatBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
+            org.berylwick.proto.Heartbeat, org.berylwick.proto.Heartbeat.Builder, org.berylwick.proto.HeartbeatOrBuilder>(
+                (org.berylwick.proto.Heartbeat) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
       bodyCase_ = 4;
       onChanged();
-      return digestBuilder_;
+      return heartbeatBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.berylwick.proto.MembershipSummary, org.berylwick.proto.MembershipSummary.Builder, org.berylwick.proto.MembershipSummaryOrBuilder> summaryBuilder_;
+    /**
+     * <code>.berylwick.v1.MembershipSummary summary = 5;</code>
+     * @return Whether the summary field is set.
+     */
+    @java.lang.Override
+    public boolean hasSummary() {
+      return bodyCase_ == 5;
+    }
+    /**
+     * <code>.berylwick.v1.MembershipSummary summary = 5;</code>
+     * @return The summary.
+     */
+    @java.lang.Override
+    public org.berylwick.proto.MembershipSummary getSummary() {
+      if (summaryBuilder_ == null) {
+        if (bodyCase_ == 5) {
+          return (org.berylwick.proto.MembershipSummary) body_;
+        }
+        return org.berylwick.proto.MembershipSummary.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 5) {
+          return summaryBuilder_.getMessage();
+        }
+        return org.berylwick.proto.MembershipSummary.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.berylwick.v1.MembershipSummary summary = 5;</code>
+     */
+    public Builder setSummary(org.berylwick.proto.MembershipSummary value) {
+      if (summaryBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        summaryBuilder_.setMessage(value);
+      }
+      bodyCase_ = 5;
+      return this;
+    }
+    /**
+     * <code>.berylwick.v1.MembershipSummary summary = 5;</code>
+     */
+    public Builder setSummary(
+        org.berylwick.proto.MembershipSummary.Builder builderForValue) {
+      if (summaryBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        summaryBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 5;
+      return this;
+    }
+    /**
+     * <code>.berylwick.v1.MembershipSummary summary = 5;</code>
+     */
+    public Builder mergeSummary(org.berylwick.proto.MembershipSummary value) {
+      if (summaryBuilder_ == null) {
+        if (bodyCase_ == 5 &&
+            body_ != org.berylwick.proto.MembershipSummary.getDefaultInstance()) {
+          body_ = org.berylwick.proto.MembershipSummary.newBuilder((org.berylwick.proto.MembershipSummary) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 5) {
+          summaryBuilder_.mergeFrom(value);
+        } else {
+          summaryBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 5;
+      return this;
+    }
+    /**
+     * <code>.berylwick.v1.MembershipSummary summary = 5;</code>
+     */
+    public Builder clearSummary() {
+      if (summaryBuilder_ == null) {
+        if (bodyCase_ == 5) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 5) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        summaryBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.berylwick.v1.MembershipSummary summary = 5;</code>
+     */
+    public org.berylwick.proto.MembershipSummary.Builder getSummaryBuilder() {
+      return getSummaryFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.berylwick.v1.MembershipSummary summary = 5;</code>
+     */
+    @java.lang.Override
+    public org.berylwick.proto.MembershipSummaryOrBuilder getSummaryOrBuilder() {
+      if ((bodyCase_ == 5) && (summaryBuilder_ != null)) {
+        return summaryBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 5) {
+          return (org.berylwick.proto.MembershipSummary) body_;
+        }
+        return org.berylwick.proto.MembershipSummary.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.berylwick.v1.MembershipSummary summary = 5;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.berylwick.proto.MembershipSummary, org.berylwick.proto.MembershipSummary.Builder, org.berylwick.proto.MembershipSummaryOrBuilder> 
+        getSummaryFieldBuilder() {
+      if (summaryBuilder_ == null) {
+        if (!(bodyCase_ == 5)) {
+          body_ = org.berylwick.proto.MembershipSummary.getDefaultInstance();
+        }
+        summaryBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
+            org.berylwick.proto.MembershipSummary, org.berylwick.proto.MembershipSummary.Builder, org.berylwick.proto.MembershipSummaryOrBuilder>(
+                (org.berylwick.proto.MembershipSummary) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 5;
+      onChanged();
+      return summaryBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.berylwick.proto.VersionReports, org.berylwick.proto.VersionReports.Builder, org.berylwick.proto.VersionReportsOrBuilder> reportsBuilder_;
+    /**
+     * <code>.berylwick.v1.VersionReports reports = 6;</code>
+     * @return Whether the reports field is set.
+     */
+    @java.lang.Override
+    public boolean hasReports() {
+      return bodyCase_ == 6;
+    }
+    /**
+     * <code>.berylwick.v1.VersionReports reports = 6;</code>
+     * @return The reports.
+     */
+    @java.lang.Override
+    public org.berylwick.proto.VersionReports getReports() {
+      if (reportsBuilder_ == null) {
+        if (bodyCase_ == 6) {
+          return (org.berylwick.proto.VersionReports) body_;
+        }
+        return org.berylwick.proto.VersionReports.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 6) {
+          return reportsBuilder_.getMessage();
+        }
+        return org.berylwick.proto.VersionReports.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.berylwick.v1.VersionReports reports = 6;</code>
+     */
+    public Builder setReports(org.berylwick.proto.VersionReports value) {
+      if (reportsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        reportsBuilder_.setMessage(value);
+      }
+      bodyCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.berylwick.v1.VersionReports reports = 6;</code>
+     */
+    public Builder setReports(
+        org.berylwick.proto.VersionReports.Builder builderForValue) {
+      if (reportsBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        reportsBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.berylwick.v1.VersionReports reports = 6;</code>
+     */
+    public Builder mergeReports(org.berylwick.proto.VersionReports value) {
+      if (reportsBuilder_ == null) {
+        if (bodyCase_ == 6 &&
+            body_ != org.berylwick.proto.VersionReports.getDefaultInstance()) {
+          body_ = org.berylwick.proto.VersionReports.newBuilder((org.berylwick.proto.VersionReports) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 6) {
+          reportsBuilder_.mergeFrom(value);
+        } else {
+          reportsBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.berylwick.v1.VersionReports reports = 6;</code>
+     */
+    public Builder clearReports() {
+      if (reportsBuilder_ == null) {
+        if (bodyCase_ == 6) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 6) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        reportsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.berylwick.v1.VersionReports reports = 6;</code>
+     */
+    public org.berylwick.proto.VersionReports.Builder getReportsBuilder() {
+      return getReportsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.berylwick.v1.VersionReports reports = 6;</code>
+     */
+    @java.lang.Override
+    public org.berylwick.proto.VersionReportsOrBuilder getReportsOrBuilder() {
+      if ((bodyCase_ == 6) && (reportsBuilder_ != null)) {
+        return reportsBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 6) {
+          return (org.berylwick.proto.VersionReports) body_;
+        }
+        return org.berylwick.proto.VersionReports.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.berylwick.v1.VersionReports reports = 6;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.berylwick.proto.VersionReports, org.berylwick.proto.VersionReports.Builder, org.berylwick.proto.VersionReportsOrBuilder> 
+        getReportsFieldBuilder() {
+      if (reportsBuilder_ == null) {
+        if (!(bodyCase_ == 6)) {
+          body_ = org.berylwick.proto.VersionReports.getDefaultInstance();
+        }
+        reportsBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
+            org.berylwick.proto.VersionReports, org.berylwick.proto.VersionReports.Builder, org.berylwick.proto.VersionReportsOrBuilder>(
+                (org.berylwick.proto.VersionReports) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 6;
+      onChanged();
+      return reportsBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.berylwick.proto.Refused, org.berylwick.proto.Refused.Builder, org.berylwick.proto.RefusedOrBuilder> refusedBuilder_;
+    /**
+     * <code>.berylwick.v1.Refused refused = 7;</code>
+     * @return Whether the refused field is set.
+     */
+    @java.lang.Override
+    public boolean hasRefused() {
+      return bodyCase_ == 7;
+    }
+    /**
+     * <code>.berylwick.v1.Refused refused = 7;</code>
+     * @return The refused.
+     */
+    @java.lang.Override
+    public org.berylwick.proto.Refused getRefused() {
+      if (refusedBuilder_ == null) {
+        if (bodyCase_ == 7) {
+          return (org.berylwick.proto.Refused) body_;
+        }
+        return org.berylwick.proto.Refused.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 7) {
+          return refusedBuilder_.getMessage();
+        }
+        return org.berylwick.proto.Refused.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.berylwick.v1.Refused refused = 7;</code>
+     */
+    public Builder setRefused(org.berylwick.proto.Refused value) {
+      if (refusedBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        refusedBuilder_.setMessage(value);
+      }
+      bodyCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.berylwick.v1.Refused refused = 7;</code>
+     */
+    public Builder setRefused(
+        org.berylwick.proto.Refused.Builder builderForValue) {
+      if (refusedBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        refusedBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.berylwick.v1.Refused refused = 7;</code>
+     */
+    public Builder mergeRefused(org.berylwick.proto.Refused value) {
+      if (refusedBuilder_ == null) {
+        if (bodyCase_ == 7 &&
+            body_ != org.berylwick.proto.Refused.getDefaultInstance()) {
+          body_ = org.berylwick.proto.Refused.newBuilder((org.berylwick.proto.Refused) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 7) {
+          refusedBuilder_.mergeFrom(value);
+        } else {
+          refusedBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.berylwick.v1.Refused refused = 7;</code>
+     */
+    public Builder clearRefused() {
+      if (refusedBuilder_ == null) {
+        if (bodyCase_ == 7) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 7) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        refusedBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.berylwick.v1.Refused refused = 7;</code>
+     */
+    public org.berylwick.proto.Refused.Builder getRefusedBuilder() {
+      return getRefusedFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.berylwick.v1.Refused refused = 7;</code>
+     */
+    @java.lang.Override
+    public org.berylwick.proto.RefusedOrBuilder getRefusedOrBuilder() {
+      if ((bodyCase_ == 7) && (refusedBuilder_ != null)) {
+        return refusedBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 7) {
+          return (org.berylwick.proto.Refused) body_;
+        }
+        return org.berylwick.proto.Refused.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.berylwick.v1.Refused refused = 7;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.berylwick.proto.Refused, org.berylwick.proto.Refused.Builder, org.berylwick.proto.RefusedOrBuilder> 
+        getRefusedFieldBuilder() {
+      if (refusedBuilder_ == null) {
+        if (!(bodyCase_ == 7)) {
+          body_ = org.berylwick.proto.Refused.getDefaultInstance();
+        }
+        refusedBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
+            org.berylwick.proto.Refused, org.berylwick.proto.Refused.Builder, org.berylwick.proto.RefusedOrBuilder>(
+                (org.berylwick.proto.Refused) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 7;
+      onChanged();
+      return refusedBuilder_;
     }
     @java.lang.Override
     public final Builder setUnknownFields(
--- a/org.berylwick.proto/src/org/berylwick/proto/PeerMessageOrBuilder.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/PeerMessageOrBuilder.java
@@ -54,19 +54,64 @@
   org.berylwick.proto.MembershipDeltaOrBuilder getMembershipOrBuilder();
 
   /**
-   * <code>.berylwick.v1.MembershipDigest digest = 4;</code>
-   * @return Whether the digest field is set.
+   * <code>.berylwick.v1.Heartbeat heartbeat = 4;</code>
+   * @return Whether the heartbeat field is set.
    */
-  boolean hasDigest();
+  boolean hasHeartbeat();
   /**
-   * <code>.berylwick.v1.MembershipDigest digest = 4;</code>
-   * @return The digest.
+   * <code>.berylwick.v1.Heartbeat heartbeat = 4;</code>
+   * @return The heartbeat.
    */
-  org.berylwick.proto.MembershipDigest getDigest();
+  org.berylwick.proto.Heartbeat getHeartbeat();
   /**
-   * <code>.berylwick.v1.MembershipDigest digest = 4;</code>
+   * <code>.berylwick.v1.Heartbeat heartbeat = 4;</code>
    */
-  org.berylwick.proto.MembershipDigestOrBuilder getDigestOrBuilder();
+  org.berylwick.proto.HeartbeatOrBuilder getHeartbeatOrBuilder();
+
+  /**
+   * <code>.berylwick.v1.MembershipSummary summary = 5;</code>
+   * @return Whether the summary field is set.
+   */
+  boolean hasSummary();
+  /**
+   * <code>.berylwick.v1.MembershipSummary summary = 5;</code>
+   * @return The summary.
+   */
+  org.berylwick.proto.MembershipSummary getSummary();
+  /**
+   * <code>.berylwick.v1.MembershipSummary summary = 5;</code>
+   */
+  org.berylwick.proto.MembershipSummaryOrBuilder getSummaryOrBuilder();
+
+  /**
+   * <code>.berylwick.v1.VersionReports reports = 6;</code>
+   * @return Whether the reports field is set.
+   */
+  boolean hasReports();
+  /**
+   * <code>.berylwick.v1.VersionReports reports = 6;</code>
+   * @return The reports.
+   */
+  org.berylwick.proto.VersionReports getReports();
+  /**
+   * <code>.berylwick.v1.VersionReports reports = 6;</code>
+   */
+  org.berylwick.proto.VersionReportsOrBuilder getReportsOrBuilder();
+
+  /**
+   * <code>.berylwick.v1.Refused refused = 7;</code>
+   * @return Whether the refused field is set.
+   */
+  boolean hasRefused();
+  /**
+   * <code>.berylwick.v1.Refused refused = 7;</code>
+   * @return The refused.
+   */
+  org.berylwick.proto.Refused getRefused();
+  /**
+   * <code>.berylwick.v1.Refused refused = 7;</code>
+   */
+  org.berylwick.proto.RefusedOrBuilder getRefusedOrBuilder();
 
   org.berylwick.proto.PeerMessage.BodyCase getBodyCase();
 }
--- a/org.berylwick.proto/src/org/berylwick/proto/MembershipDigest.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/Refused.java
@@ -6,53 +6,52 @@
 
 /**
  * <pre>
- * Digest exchange: lets two daemons find what a push lost without sending everything.
+ * The callee admits no more streams now; nothing else was taken in.
  * </pre>
  *
- * Protobuf type {@code berylwick.v1.MembershipDigest}
+ * Protobuf type {@code berylwick.v1.Refused}
  */
-public final class MembershipDigest extends
+public final class Refused extends
     com.google.protobuf.GeneratedMessageV3 implements
-    // @@protoc_insertion_point(message_implements:berylwick.v1.MembershipDigest)
-    MembershipDigestOrBuilder {
+    // @@protoc_insertion_point(message_implements:berylwick.v1.Refused)
+    RefusedOrBuilder {
 private static final long serialVersionUID = 0L;
-  // Use MembershipDigest.newBuilder() to construct.
-  private MembershipDigest(com.google.protobuf.GeneratedMessageV3.Builder<?> builder) {
+  // Use Refused.newBuilder() to construct.
+  private Refused(com.google.protobuf.GeneratedMessageV3.Builder<?> builder) {
     super(builder);
   }
-  private MembershipDigest() {
-    digest_ = com.google.protobuf.ByteString.EMPTY;
+  private Refused() {
   }
 
   @java.lang.Override
   @SuppressWarnings({"unused"})
   protected java.lang.Object newInstance(
       UnusedPrivateParameter unused) {
-    return new MembershipDigest();
+    return new Refused();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return org.berylwick.proto.SpreadOuterClass.internal_static_berylwick_v1_MembershipDigest_descriptor;
+    return org.berylwick.proto.SpreadOuterClass.internal_static_berylwick_v1_Refused_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.berylwick.proto.SpreadOuterClass.internal_static_berylwick_v1_MembershipDigest_fieldAccessorTable
+    return org.berylwick.proto.SpreadOuterClass.internal_static_berylwick_v1_Refused_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.berylwick.proto.MembershipDigest.class, org.berylwick.proto.MembershipDigest.Builder.class);
+            org.berylwick.proto.Refused.class, org.berylwick.proto.Refused.Builder.class);
   }
 
-  public static final int DIGEST_FIELD_NUMBER = 1;
-  private com.google.protobuf.ByteString digest_ = com.google.protobuf.ByteString.EMPTY;
+  public static final int RETRY_AFTER_MS_FIELD_NUMBER = 1;
+  private int retryAfterMs_ = 0;
   /**
-   * <code>bytes digest = 1;</code>
-   * @return The digest.
+   * <code>uint32 retry_after_ms = 1;</code>
+   * @return The retryAfterMs.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString getDigest() {
-    return digest_;
+  public int getRetryAfterMs() {
+    return retryAfterMs_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -69,8 +68,8 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (!digest_.isEmpty()) {
-      output.writeBytes(1, digest_);
+    if (retryAfterMs_ != 0) {
+      output.writeUInt32(1, retryAfterMs_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -81,9 +80,9 @@
     if (size != -1) return size;
 
     size = 0;
-    if (!digest_.isEmpty()) {
+    if (retryAfterMs_ != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeBytesSize(1, digest_);
+        .computeUInt32Size(1, retryAfterMs_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -95,13 +94,13 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof org.berylwick.proto.MembershipDigest)) {
+    if (!(obj instanceof org.berylwick.proto.Refused)) {
       return super.equals(obj);
     }
-    org.berylwick.proto.MembershipDigest other = (org.berylwick.proto.MembershipDigest) obj;
+    org.berylwick.proto.Refused other = (org.berylwick.proto.Refused) obj;
 
-    if (!getDigest()
-        .equals(other.getDigest())) return false;
+    if (getRetryAfterMs()
+        != other.getRetryAfterMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -113,51 +112,51 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + DIGEST_FIELD_NUMBER;
-    hash = (53 * hash) + getDigest().hashCode();
+    hash = (37 * hash) + RETRY_AFTER_MS_FIELD_NUMBER;
+    hash = (53 * hash) + getRetryAfterMs();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static org.berylwick.proto.MembershipDigest parseFrom(
+  public static org.berylwick.proto.Refused parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.berylwick.proto.MembershipDigest parseFrom(
+  public static org.berylwick.proto.Refused parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.berylwick.proto.MembershipDigest parseFrom(
+  public static org.berylwick.proto.Refused parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.berylwick.proto.MembershipDigest parseFrom(
+  public static org.berylwick.proto.Refused parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.berylwick.proto.MembershipDigest parseFrom(byte[] data)
+  public static org.berylwick.proto.Refused parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.berylwick.proto.MembershipDigest parseFrom(
+  public static org.berylwick.proto.Refused parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.berylwick.proto.MembershipDigest parseFrom(java.io.InputStream input)
+  public static org.berylwick.proto.Refused parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageV3
         .parseWithIOException(PARSER, input);
   }
-  public static org.berylwick.proto.MembershipDigest parseFrom(
+  public static org.berylwick.proto.Refused parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -165,26 +164,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static org.berylwick.proto.MembershipDigest parseDelimitedFrom(java.io.InputStream input)
+  public static org.berylwick.proto.Refused parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageV3
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static org.berylwick.proto.MembershipDigest parseDelimitedFrom(
+  public static org.berylwick.proto.Refused parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageV3
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static org.berylwick.proto.MembershipDigest parseFrom(
+  public static org.berylwick.proto.Refused parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageV3
         .parseWithIOException(PARSER, input);
   }
-  public static org.berylwick.proto.MembershipDigest parseFrom(
+  public static org.berylwick.proto.Refused parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -197,7 +196,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(org.berylwick.proto.MembershipDigest prototype) {
+  public static Builder newBuilder(org.berylwick.proto.Refused prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -214,29 +213,29 @@
   }
   /**
    * <pre>
-   * Digest exchange: lets two daemons find what a push lost without sending everything.
+   * The callee admits no more streams now; nothing else was taken in.
    * </pre>
    *
-   * Protobuf type {@code berylwick.v1.MembershipDigest}
+   * Protobuf type {@code berylwick.v1.Refused}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessageV3.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:berylwick.v1.MembershipDigest)
-      org.berylwick.proto.MembershipDigestOrBuilder {
+      // @@protoc_insertion_point(builder_implements:berylwick.v1.Refused)
+      org.berylwick.proto.RefusedOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.berylwick.proto.SpreadOuterClass.internal_static_berylwick_v1_MembershipDigest_descriptor;
+      return org.berylwick.proto.SpreadOuterClass.internal_static_berylwick_v1_Refused_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.berylwick.proto.SpreadOuterClass.internal_static_berylwick_v1_MembershipDigest_fieldAccessorTable
+      return org.berylwick.proto.SpreadOuterClass.internal_static_berylwick_v1_Refused_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.berylwick.proto.MembershipDigest.class, org.berylwick.proto.MembershipDigest.Builder.class);
+              org.berylwick.proto.Refused.class, org.berylwick.proto.Refused.Builder.class);
     }
 
-    // Construct using org.berylwick.proto.MembershipDigest.newBuilder()
+    // Construct using org.berylwick.proto.Refused.newBuilder()
     private Builder() {
 
     }
@@ -250,24 +249,24 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      digest_ = com.google.protobuf.ByteString.EMPTY;
+      retryAfterMs_ = 0;
       return this;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return org.berylwick.proto.SpreadOuterClass.internal_static_berylwick_v1_MembershipDigest_descriptor;
+      return org.berylwick.proto.SpreadOuterClass.internal_static_berylwick_v1_Refused_descriptor;
     }
 
     @java.lang.Override
-    public org.berylwick.proto.MembershipDigest getDefaultInstanceForType() {
-      return org.berylwick.proto.MembershipDigest.getDefaultInstance();
+    public org.berylwick.proto.Refused getDefaultInstanceForType() {
+      return org.berylwick.proto.Refused.getDefaultInstance();
     }
 
     @java.lang.Override
-    public org.berylwick.proto.MembershipDigest build() {
-      org.berylwick.proto.MembershipDigest result = buildPartial();
+    public org.berylwick.proto.Refused build() {
+      org.berylwick.proto.Refused result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -275,17 +274,17 @@
     }
 
     @java.lang.Override
-    public org.berylwick.proto.MembershipDigest buildPartial() {
-      org.berylwick.proto.MembershipDigest result = new org.berylwick.proto.MembershipDigest(this);
+    public org.berylwick.proto.Refused buildPartial() {
+      org.berylwick.proto.Refused result = new org.berylwick.proto.Refused(this);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartial0(org.berylwick.proto.MembershipDigest result) {
+    private void buildPartial0(org.berylwick.proto.Refused result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.digest_ = digest_;
+        result.retryAfterMs_ = retryAfterMs_;
       }
     }
 
@@ -323,18 +322,18 @@
     }
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof org.berylwick.proto.MembershipDigest) {
-        return mergeFrom((org.berylwick.proto.MembershipDigest)other);
+      if (other instanceof org.berylwick.proto.Refused) {
+        return mergeFrom((org.berylwick.proto.Refused)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(org.berylwick.proto.MembershipDigest other) {
-      if (other == org.berylwick.proto.MembershipDigest.getDefaultInstance()) return this;
-      if (other.getDigest() != com.google.protobuf.ByteString.EMPTY) {
-        setDigest(other.getDigest());
+    public Builder mergeFrom(org.berylwick.proto.Refused other) {
+      if (other == org.berylwick.proto.Refused.getDefaultInstance()) return this;
+      if (other.getRetryAfterMs() != 0) {
+        setRetryAfterMs(other.getRetryAfterMs());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -362,11 +361,11 @@
             case 0:
               done = true;
               break;
-            case 10: {
-              digest_ = input.readBytes();
+            case 8: {
+              retryAfterMs_ = input.readUInt32();
               bitField0_ |= 0x00000001;
               break;
-            } // case 10
+            } // case 8
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -384,34 +383,34 @@
     }
     private int bitField0_;
 
-    private com.google.protobuf.ByteString digest_ = com.google.protobuf.ByteString.EMPTY;
+    private int retryAfterMs_ ;
     /**
-     * <code>bytes digest = 1;</code>
-     * @return The digest.
+     * <code>uint32 retry_after_ms = 1;</code>
+     * @return The retryAfterMs.
      */
     @java.lang.Override
-    public com.google.protobuf.ByteString getDigest() {
-      return digest_;
+    public int getRetryAfterMs() {
+      return retryAfterMs_;
     }
     /**
-     * <code>bytes digest = 1;</code>
-     * @param value The digest to set.
+     * <code>uint32 retry_after_ms = 1;</code>
+     * @param value The retryAfterMs to set.
      * @return This builder for chaining.
      */
-    public Builder setDigest(com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      digest_ = value;
+    public Builder setRetryAfterMs(int value) {
+
+      retryAfterMs_ = value;
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
-     * <code>bytes digest = 1;</code>
+     * <code>uint32 retry_after_ms = 1;</code>
      * @return This builder for chaining.
      */
-    public Builder clearDigest() {
+    public Builder clearRetryAfterMs() {
       bitField0_ = (bitField0_ & ~0x00000001);
-      digest_ = getDefaultInstance().getDigest();
+      retryAfterMs_ = 0;
       onChanged();
       return this;
     }
@@ -428,23 +427,23 @@
     }
 
 
-    // @@protoc_insertion_point(builder_scope:berylwick.v1.MembershipDigest)
+    // @@protoc_insertion_point(builder_scope:berylwick.v1.Refused)
   }
 
-  // @@protoc_insertion_point(class_scope:berylwick.v1.MembershipDigest)
-  private static final org.berylwick.proto.MembershipDigest DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:berylwick.v1.Refused)
+  private static final org.berylwick.proto.Refused DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new org.berylwick.proto.MembershipDigest();
+    DEFAULT_INSTANCE = new org.berylwick.proto.Refused();
   }
 
-  public static org.berylwick.proto.MembershipDigest getDefaultInstance() {
+  public static org.berylwick.proto.Refused getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<MembershipDigest>
-      PARSER = new com.google.protobuf.AbstractParser<MembershipDigest>() {
+  private static final com.google.protobuf.Parser<Refused>
+      PARSER = new com.google.protobuf.AbstractParser<Refused>() {
     @java.lang.Override
-    public MembershipDigest parsePartialFrom(
+    public Refused parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -463,17 +462,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<MembershipDigest> parser() {
+  public static com.google.protobuf.Parser<Refused> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<MembershipDigest> getParserForType() {
+  public com.google.protobuf.Parser<Refused> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public org.berylwick.proto.MembershipDigest getDefaultInstanceForType() {
+  public org.berylwick.proto.Refused getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/org.berylwick.proto/src/org/berylwick/proto/SpreadGrpc.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/SpreadGrpc.java
@@ -77,6 +77,37 @@
     return getFetchVersionMethod;
   }
 
+  private static volatile io.grpc.MethodDescriptor<org.berylwick.proto.ProbeRequest,
+      org.berylwick.proto.ProbeReply> getProbeMethod;
+
+  @io.grpc.stub.annotations.RpcMethod(
+      fullMethodName = SERVICE_NAME + '/' + "Probe",
+      requestType = org.berylwick.proto.ProbeRequest.class,
+      responseType = org.berylwick.proto.ProbeReply.class,
+      methodType = io.grpc.MethodDescriptor.MethodType.UNARY)
+  public static io.grpc.MethodDescriptor<org.berylwick.proto.ProbeRequest,
+      org.berylwick.proto.ProbeReply> getProbeMethod() {
+    io.grpc.MethodDescriptor<org.berylwick.proto.ProbeRequest, org.berylwick.proto.ProbeReply> getProbeMethod;
+    if ((getProbeMethod = SpreadGrpc.getProbeMethod) == null) {
+      synchronized (SpreadGrpc.class) {
+        if ((getProbeMethod = SpreadGrpc.getProbeMethod) == null) {
+          SpreadGrpc.getProbeMethod = getProbeMethod =
+              io.grpc.MethodDescriptor.<org.berylwick.proto.ProbeRequest, org.berylwick.proto.ProbeReply>newBuilder()
+              .setType(io.grpc.MethodDescriptor.MethodType.UNARY)
+              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "Probe"))
+              .setSampledToLocalTracing(true)
+              .setRequestMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  org.berylwick.proto.ProbeRequest.getDefaultInstance()))
+              .setResponseMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  org.berylwick.proto.ProbeReply.getDefaultInstance()))
+              .setSchemaDescriptor(new SpreadMethodDescriptorSupplier("Probe"))
+              .build();
+        }
+      }
+    }
+    return getProbeMethod;
+  }
+
   /**
    * Creates a new async stub that supports all call types for the service
    */
@@ -155,13 +186,23 @@
 
     /**
      * <pre>
-     * Sends the parts of a version that the asker lacks.
+     * Sends the version in force at the callee, as a delta where it still knows the asker's base.
      * </pre>
      */
     default void fetchVersion(org.berylwick.proto.FetchVersionRequest request,
         io.grpc.stub.StreamObserver<org.berylwick.proto.VersionChunk> responseObserver) {
       io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getFetchVersionMethod(), responseObserver);
     }
+
+    /**
+     * <pre>
+     * Tells that the callee runs, or tries the same on another daemon for the asker.
+     * </pre>
+     */
+    default void probe(org.berylwick.proto.ProbeRequest request,
+        io.grpc.stub.StreamObserver<org.berylwick.proto.ProbeReply> responseObserver) {
+      io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getProbeMethod(), responseObserver);
+    }
   }
 
   /**
@@ -210,7 +251,7 @@
 
     /**
      * <pre>
-     * Sends the parts of a version that the asker lacks.
+     * Sends the version in force at the callee, as a delta where it still knows the asker's base.
      * </pre>
      */
     public void fetchVersion(org.berylwick.proto.FetchVersionRequest request,
@@ -218,6 +259,17 @@
       io.grpc.stub.ClientCalls.asyncServerStreamingCall(
           getChannel().newCall(getFetchVersionMethod(), getCallOptions()), request, responseObserver);
     }
+
+    /**
+     * <pre>
+     * Tells that the callee runs, or tries the same on another daemon for the asker.
+     * </pre>
+     */
+    public void probe(org.berylwick.proto.ProbeRequest request,
+        io.grpc.stub.StreamObserver<org.berylwick.proto.ProbeReply> responseObserver) {
+      io.grpc.stub.ClientCalls.asyncUnaryCall(
+          getChannel().newCall(getProbeMethod(), getCallOptions()), request, responseObserver);
+    }
   }
 
   /**
@@ -253,7 +305,7 @@
 
     /**
      * <pre>
-     * Sends the parts of a version that the asker lacks.
+     * Sends the version in force at the callee, as a delta where it still knows the asker's base.
      * </pre>
      */
     @io.grpc.ExperimentalApi("https://github.com/grpc/grpc-java/issues/10918")
@@ -262,6 +314,16 @@
       return io.grpc.stub.ClientCalls.blockingV2ServerStreamingCall(
           getChannel(), getFetchVersionMethod(), getCallOptions(), request);
     }
+
+    /**
+     * <pre>
+     * Tells that the callee runs, or tries the same on another daemon for the asker.
+     * </pre>
+     */
+    public org.berylwick.proto.ProbeReply probe(org.berylwick.proto.ProbeRequest request) throws io.grpc.StatusException {
+      return io.grpc.stub.ClientCalls.blockingV2UnaryCall(
+          getChannel(), getProbeMethod(), getCallOptions(), request);
+    }
   }
 
   /**
@@ -285,7 +347,7 @@
 
     /**
      * <pre>
-     * Sends the parts of a version that the asker lacks.
+     * Sends the version in force at the callee, as a delta where it still knows the asker's base.
      * </pre>
      */
     public java.util.Iterator<org.berylwick.proto.VersionChunk> fetchVersion(
@@ -293,6 +355,16 @@
       return io.grpc.stub.ClientCalls.blockingServerStreamingCall(
           getChannel(), getFetchVersionMethod(), getCallOptions(), request);
     }
+
+    /**
+     * <pre>
+     * Tells that the callee runs, or tries the same on another daemon for the asker.
+     * </pre>
+     */
+    public org.berylwick.proto.ProbeReply probe(org.berylwick.proto.ProbeRequest request) {
+      return io.grpc.stub.ClientCalls.blockingUnaryCall(
+          getChannel(), getProbeMethod(), getCallOptions(), request);
+    }
   }
 
   /**
@@ -313,10 +385,22 @@
         io.grpc.Channel channel, io.grpc.CallOptions callOptions) {
       return new SpreadFutureStub(channel, callOptions);
     }
+
+    /**
+     * <pre>
+     * Tells that the callee runs, or tries the same on another daemon for the asker.
+     * </pre>
+     */
+    public com.google.common.util.concurrent.ListenableFuture<org.berylwick.proto.ProbeReply> probe(
+        org.berylwick.proto.ProbeRequest request) {
+      return io.grpc.stub.ClientCalls.futureUnaryCall(
+          getChannel().newCall(getProbeMethod(), getCallOptions()), request);
+    }
   }
 
   private static final int METHODID_FETCH_VERSION = 0;
-  private static final int METHODID_EXCHANGE = 1;
+  private static final int METHODID_PROBE = 1;
+  private static final int METHODID_EXCHANGE = 2;
 
   private static final class MethodHandlers<Req, Resp> implements
       io.grpc.stub.ServerCalls.UnaryMethod<Req, Resp>,
@@ -339,6 +423,10 @@
           serviceImpl.fetchVersion((org.berylwick.proto.FetchVersionRequest) request,
               (io.grpc.stub.StreamObserver<org.berylwick.proto.VersionChunk>) responseObserver);
           break;
+        case METHODID_PROBE:
+          serviceImpl.probe((org.berylwick.proto.ProbeRequest) request,
+              (io.grpc.stub.StreamObserver<org.berylwick.proto.ProbeReply>) responseObserver);
+          break;
         default:
           throw new AssertionError();
       }
@@ -374,6 +462,13 @@
               org.berylwick.proto.FetchVersionRequest,
               org.berylwick.proto.VersionChunk>(
                 service, METHODID_FETCH_VERSION)))
+        .addMethod(
+          getProbeMethod(),
+          io.grpc.stub.ServerCalls.asyncUnaryCall(
+            new MethodHandlers<
+              org.berylwick.proto.ProbeRequest,
+              org.berylwick.proto.ProbeReply>(
+                service, METHODID_PROBE)))
         .build();
   }
 
@@ -424,6 +519,7 @@
               .setSchemaDescriptor(new SpreadFileDescriptorSupplier())
               .addMethod(getExchangeMethod())
               .addMethod(getFetchVersionMethod())
+              .addMethod(getProbeMethod())
               .build();
         }
       }
--- a/org.berylwick.proto/src/org/berylwick/proto/SpreadOuterClass.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/SpreadOuterClass.java
@@ -41,10 +41,25 @@
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_berylwick_v1_MembershipDelta_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_berylwick_v1_MembershipDigest_descriptor;
+    internal_static_berylwick_v1_Heartbeat_descriptor;
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
-      internal_static_berylwick_v1_MembershipDigest_fieldAccessorTable;
+      internal_static_berylwick_v1_Heartbeat_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_berylwick_v1_MembershipSummary_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_berylwick_v1_MembershipSummary_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_berylwick_v1_VersionReports_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_berylwick_v1_VersionReports_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_berylwick_v1_Refused_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_berylwick_v1_Refused_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_berylwick_v1_PeerMessage_descriptor;
   static final 
@@ -60,6 +75,21 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_berylwick_v1_VersionChunk_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_berylwick_v1_VersionDelta_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_berylwick_v1_VersionDelta_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_berylwick_v1_ProbeRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_berylwick_v1_ProbeRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_berylwick_v1_ProbeReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_berylwick_v1_ProbeReply_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -83,24 +113,40 @@
       "o\022(\n\004self\030\001 \001(\0132\032.berylwick.v1.MemberRec" +
       "ord\022,\n\007version\030\002 \001(\0132\033.berylwick.v1.Vers" +
       "ionNotice\">\n\017MembershipDelta\022+\n\007members\030" +
-      "\001 \003(\0132\032.berylwick.v1.MemberRecord\"\"\n\020Mem" +
-      "bershipDigest\022\016\n\006digest\030\001 \001(\014\"\322\001\n\013PeerMe" +
-      "ssage\022$\n\005hello\030\001 \001(\0132\023.berylwick.v1.Hell" +
-      "oH\000\022.\n\007version\030\002 \001(\0132\033.berylwick.v1.Vers" +
-      "ionNoticeH\000\0223\n\nmembership\030\003 \001(\0132\035.berylw" +
-      "ick.v1.MembershipDeltaH\000\0220\n\006digest\030\004 \001(\013" +
-      "2\036.berylwick.v1.MembershipDigestH\000B\006\n\004bo" +
-      "dy\"L\n\023FetchVersionRequest\022\017\n\007version\030\001 \001" +
-      "(\003\022\016\n\006digest\030\002 \001(\014\022\024\n\014base_version\030\003 \001(\003" +
-      "\"/\n\014VersionChunk\022\016\n\006digest\030\001 \001(\014\022\017\n\007cont" +
-      "ent\030\002 \001(\014*e\n\013MemberState\022\034\n\030MEMBER_STATE" +
-      "_UNSPECIFIED\020\000\022\014\n\010STARTING\020\001\022\006\n\002UP\020\002\022\013\n\007" +
-      "SUSPECT\020\003\022\013\n\007LEAVING\020\004\022\010\n\004GONE\020\0052\237\001\n\006Spr" +
-      "ead\022D\n\010Exchange\022\031.berylwick.v1.PeerMessa" +
-      "ge\032\031.berylwick.v1.PeerMessage(\0010\001\022O\n\014Fet" +
-      "chVersion\022!.berylwick.v1.FetchVersionReq" +
-      "uest\032\032.berylwick.v1.VersionChunk0\001B\027\n\023or" +
-      "g.berylwick.protoP\001b\006proto3"
+      "\001 \003(\0132\032.berylwick.v1.MemberRecord\"b\n\tHea" +
+      "rtbeat\022\017\n\007version\030\001 \001(\003\022\026\n\016members_diges" +
+      "t\030\002 \001(\006\022\026\n\016reports_digest\030\003 \001(\006\022\024\n\014store" +
+      "_age_ms\030\004 \001(\r\"$\n\021MembershipSummary\022\017\n\007re" +
+      "cords\030\001 \003(\006\"m\n\016VersionReports\022\017\n\007version" +
+      "\030\001 \001(\003\022\017\n\007members\030\002 \003(\006\022\035\n\025installed_at_" +
+      "epoch_ms\030\003 \001(\003\022\032\n\022installed_after_ms\030\004 \003" +
+      "(\r\"!\n\007Refused\022\026\n\016retry_after_ms\030\001 \001(\r\"\335\002" +
+      "\n\013PeerMessage\022$\n\005hello\030\001 \001(\0132\023.berylwick" +
+      ".v1.HelloH\000\022.\n\007version\030\002 \001(\0132\033.berylwick" +
+      ".v1.VersionNoticeH\000\0223\n\nmembership\030\003 \001(\0132" +
+      "\035.berylwick.v1.MembershipDeltaH\000\022,\n\thear" +
+      "tbeat\030\004 \001(\0132\027.berylwick.v1.HeartbeatH\000\0222" +
+      "\n\007summary\030\005 \001(\0132\037.berylwick.v1.Membershi" +
+      "pSummaryH\000\022/\n\007reports\030\006 \001(\0132\034.berylwick." +
+      "v1.VersionReportsH\000\022(\n\007refused\030\007 \001(\0132\025.b" +
+      "erylwick.v1.RefusedH\000B\006\n\004body\"+\n\023FetchVe" +
+      "rsionRequest\022\024\n\014base_version\030\001 \001(\003\"\034\n\014Ve" +
+      "rsionChunk\022\014\n\004gzip\030\001 \001(\014\"\213\001\n\014VersionDelt" +
+      "a\022,\n\007version\030\001 \001(\0132\033.berylwick.v1.Versio" +
+      "nNotice\022\024\n\014base_version\030\002 \001(\003\022\020\n\010manifes" +
+      "t\030\003 \001(\014\022\026\n\016manifest_delta\030\004 \001(\014\022\r\n\005parts" +
+      "\030\005 \003(\014\"\036\n\014ProbeRequest\022\016\n\006target\030\001 \001(\t\"3" +
+      "\n\nProbeReply\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarn" +
+      "ation\030\002 \001(\003*e\n\013MemberState\022\034\n\030MEMBER_STA" +
+      "TE_UNSPECIFIED\020\000\022\014\n\010STARTING\020\001\022\006\n\002UP\020\002\022\013" +
+      "\n\007SUSPECT\020\003\022\013\n\007LEAVING\020\004\022\010\n\004GONE\020\0052\336\001\n\006S" +
+      "pread\022D\n\010Exchange\022\031.berylwick.v1.PeerMes" +
+      "sage\032\031.berylwick.v1.PeerMessage(\0010\001\022O\n\014F" +
+      "etchVersion\022!.berylwick.v1.FetchVersionR" +
+      "equest\032\032.berylwick.v1.VersionChunk0\001\022=\n\005" +
+      "Probe\022\032.berylwick.v1.ProbeRequest\032\030.bery" +
+      "lwick.v1.ProbeReplyB\027\n\023org.berylwick.pro" +
+      "toP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -136,30 +182,66 @@
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_MembershipDelta_descriptor,
         new java.lang.String[] { "Members", });
-    internal_static_berylwick_v1_MembershipDigest_descriptor =
+    internal_static_berylwick_v1_Heartbeat_descriptor =
       getDescriptor().getMessageTypes().get(4);
-    internal_static_berylwick_v1_MembershipDigest_fieldAccessorTable = new
+    internal_static_berylwick_v1_Heartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
-        internal_static_berylwick_v1_MembershipDigest_descriptor,
-        new java.lang.String[] { "Digest", });
-    internal_static_berylwick_v1_PeerMessage_descriptor =
+        internal_static_berylwick_v1_Heartbeat_descriptor,
+        new java.lang.String[] { "Version", "MembersDigest", "ReportsDigest", "StoreAgeMs", });
+    internal_static_berylwick_v1_MembershipSummary_descriptor =
       getDescriptor().getMessageTypes().get(5);
+    internal_static_berylwick_v1_MembershipSummary_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_berylwick_v1_MembershipSummary_descriptor,
+        new java.lang.String[] { "Records", });
+    internal_static_berylwick_v1_VersionReports_descriptor =
+      getDescriptor().getMessageTypes().get(6);
+    internal_static_berylwick_v1_VersionReports_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_berylwick_v1_VersionReports_descriptor,
+        new java.lang.String[] { "Version", "Members", "InstalledAtEpochMs", "InstalledAfterMs", });
+    internal_static_berylwick_v1_Refused_descriptor =
+      getDescriptor().getMessageTypes().get(7);
+    internal_static_berylwick_v1_Refused_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_berylwick_v1_Refused_descriptor,
+        new java.lang.String[] { "RetryAfterMs", });
+    internal_static_berylwick_v1_PeerMessage_descriptor =
+      getDescriptor().getMessageTypes().get(8);
     internal_static_berylwick_v1_PeerMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_PeerMessage_descriptor,
-        new java.lang.String[] { "Hello", "Version", "Membership", "Digest", "Body", });
+        new java.lang.String[] { "Hello", "Version", "Membership", "Heartbeat", "Summary", "Reports", "Refused", "Body", });
     internal_static_berylwick_v1_FetchVersionRequest_descriptor =
-      getDescriptor().getMessageTypes().get(6);
+      getDescriptor().getMessageTypes().get(9);
     internal_static_berylwick_v1_FetchVersionRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_FetchVersionRequest_descriptor,
-        new java.lang.String[] { "Version", "Digest", "BaseVersion", });
+        new java.lang.String[] { "BaseVersion", });
     internal_static_berylwick_v1_VersionChunk_descriptor =
-      getDescriptor().getMessageTypes().get(7);
+      getDescriptor().getMessageTypes().get(10);
     internal_static_berylwick_v1_VersionChunk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_VersionChunk_descriptor,
-        new java.lang.String[] { "Digest", "Content", });
+        new java.lang.String[] { "Gzip", });
+    internal_static_berylwick_v1_VersionDelta_descriptor =
+      getDescriptor().getMessageTypes().get(11);
+    internal_static_berylwick_v1_VersionDelta_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_berylwick_v1_VersionDelta_descriptor,
+        new java.lang.String[] { "Version", "BaseVersion", "Manifest", "ManifestDelta", "Parts", });
+    internal_static_berylwick_v1_ProbeRequest_descriptor =
+      getDescriptor().getMessageTypes().get(12);
+    internal_static_berylwick_v1_ProbeRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_berylwick_v1_ProbeRequest_descriptor,
+        new java.lang.String[] { "Target", });
+    internal_static_berylwick_v1_ProbeReply_descriptor =
+      getDescriptor().getMessageTypes().get(13);
+    internal_static_berylwick_v1_ProbeReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_berylwick_v1_ProbeReply_descriptor,
+        new java.lang.String[] { "Instance", "Incarnation", });
   }
 
   // @@protoc_insertion_point(outer_class_scope)
--- a/org.berylwick.proto/src/org/berylwick/proto/VersionChunk.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/VersionChunk.java
@@ -17,8 +17,7 @@
     super(builder);
   }
   private VersionChunk() {
-    digest_ = com.google.protobuf.ByteString.EMPTY;
-    content_ = com.google.protobuf.ByteString.EMPTY;
+    gzip_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   @java.lang.Override
@@ -41,30 +40,19 @@
             org.berylwick.proto.VersionChunk.class, org.berylwick.proto.VersionChunk.Builder.class);
   }
 
-  public static final int DIGEST_FIELD_NUMBER = 1;
-  private com.google.protobuf.ByteString digest_ = com.google.protobuf.ByteString.EMPTY;
+  public static final int GZIP_FIELD_NUMBER = 1;
+  private com.google.protobuf.ByteString gzip_ = com.google.protobuf.ByteString.EMPTY;
   /**
    * <pre>
-   * SHA-256 of the content; the manifest comes first.
+   * A piece of a gzip stream; all pieces together hold one VersionDelta.
    * </pre>
    *
-   * <code>bytes digest = 1;</code>
-   * @return The digest.
+   * <code>bytes gzip = 1;</code>
+   * @return The gzip.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString getDigest() {
-    return digest_;
-  }
-
-  public static final int CONTENT_FIELD_NUMBER = 2;
-  private com.google.protobuf.ByteString content_ = com.google.protobuf.ByteString.EMPTY;
-  /**
-   * <code>bytes content = 2;</code>
-   * @return The content.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString getContent() {
-    return content_;
+  public com.google.protobuf.ByteString getGzip() {
+    return gzip_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -81,11 +69,8 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (!digest_.isEmpty()) {
-      output.writeBytes(1, digest_);
-    }
-    if (!content_.isEmpty()) {
-      output.writeBytes(2, content_);
+    if (!gzip_.isEmpty()) {
+      output.writeBytes(1, gzip_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -96,13 +81,9 @@
     if (size != -1) return size;
 
     size = 0;
-    if (!digest_.isEmpty()) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBytesSize(1, digest_);
-    }
-    if (!content_.isEmpty()) {
+    if (!gzip_.isEmpty()) {
       size += com.google.protobuf.CodedOutputStream
-        .computeBytesSize(2, content_);
+        .computeBytesSize(1, gzip_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -119,10 +100,8 @@
     }
     org.berylwick.proto.VersionChunk other = (org.berylwick.proto.VersionChunk) obj;
 
-    if (!getDigest()
-        .equals(other.getDigest())) return false;
-    if (!getContent()
-        .equals(other.getContent())) return false;
+    if (!getGzip()
+        .equals(other.getGzip())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -134,10 +113,8 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + DIGEST_FIELD_NUMBER;
-    hash = (53 * hash) + getDigest().hashCode();
-    hash = (37 * hash) + CONTENT_FIELD_NUMBER;
-    hash = (53 * hash) + getContent().hashCode();
+    hash = (37 * hash) + GZIP_FIELD_NUMBER;
+    hash = (53 * hash) + getGzip().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -269,8 +246,7 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      digest_ = com.google.protobuf.ByteString.EMPTY;
-      content_ = com.google.protobuf.ByteString.EMPTY;
+      gzip_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
@@ -305,10 +281,7 @@
     private void buildPartial0(org.berylwick.proto.VersionChunk result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.digest_ = digest_;
-      }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.content_ = content_;
+        result.gzip_ = gzip_;
       }
     }
 
@@ -356,11 +329,8 @@
 
     public Builder mergeFrom(org.berylwick.proto.VersionChunk other) {
       if (other == org.berylwick.proto.VersionChunk.getDefaultInstance()) return this;
-      if (other.getDigest() != com.google.protobuf.ByteString.EMPTY) {
-        setDigest(other.getDigest());
-      }
-      if (other.getContent() != com.google.protobuf.ByteString.EMPTY) {
-        setContent(other.getContent());
+      if (other.getGzip() != com.google.protobuf.ByteString.EMPTY) {
+        setGzip(other.getGzip());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -389,15 +359,10 @@
               done = true;
               break;
             case 10: {
-              digest_ = input.readBytes();
+              gzip_ = input.readBytes();
               bitField0_ |= 0x00000001;
               break;
             } // case 10
-            case 18: {
-              content_ = input.readBytes();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 18
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -415,78 +380,46 @@
     }
     private int bitField0_;
 
-    private com.google.protobuf.ByteString digest_ = com.google.protobuf.ByteString.EMPTY;
+    private com.google.protobuf.ByteString gzip_ = com.google.protobuf.ByteString.EMPTY;
     /**
      * <pre>
-     * SHA-256 of the content; the manifest comes first.
+     * A piece of a gzip stream; all pieces together hold one VersionDelta.
      * </pre>
      *
-     * <code>bytes digest = 1;</code>
-     * @return The digest.
+     * <code>bytes gzip = 1;</code>
+     * @return The gzip.
      */
     @java.lang.Override
-    public com.google.protobuf.ByteString getDigest() {
-      return digest_;
+    public com.google.protobuf.ByteString getGzip() {
+      return gzip_;
     }
     /**
      * <pre>
-     * SHA-256 of the content; the manifest comes first.
+     * A piece of a gzip stream; all pieces together hold one VersionDelta.
      * </pre>
      *
-     * <code>bytes digest = 1;</code>
-     * @param value The digest to set.
+     * <code>bytes gzip = 1;</code>
+     * @param value The gzip to set.
      * @return This builder for chaining.
      */
-    public Builder setDigest(com.google.protobuf.ByteString value) {
+    public Builder setGzip(com.google.protobuf.ByteString value) {
       if (value == null) { throw new NullPointerException(); }
-      digest_ = value;
+      gzip_ = value;
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * SHA-256 of the content; the manifest comes first.
+     * A piece of a gzip stream; all pieces together hold one VersionDelta.
      * </pre>
      *
-     * <code>bytes digest = 1;</code>
+     * <code>bytes gzip = 1;</code>
      * @return This builder for chaining.
      */
-    public Builder clearDigest() {
+    public Builder clearGzip() {
       bitField0_ = (bitField0_ & ~0x00000001);
-      digest_ = getDefaultInstance().getDigest();
-      onChanged();
-      return this;
-    }
-
-    private com.google.protobuf.ByteString content_ = com.google.protobuf.ByteString.EMPTY;
-    /**
-     * <code>bytes content = 2;</code>
-     * @return The content.
-     */
-    @java.lang.Override
-    public com.google.protobuf.ByteString getContent() {
-      return content_;
-    }
-    /**
-     * <code>bytes content = 2;</code>
-     * @param value The content to set.
-     * @return This builder for chaining.
-     */
-    public Builder setContent(com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      content_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>bytes content = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearContent() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      content_ = getDefaultInstance().getContent();
+      gzip_ = getDefaultInstance().getGzip();
       onChanged();
       return this;
     }
--- a/org.berylwick.proto/src/org/berylwick/proto/VersionChunkOrBuilder.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/VersionChunkOrBuilder.java
@@ -10,17 +10,11 @@
 
   /**
    * <pre>
-   * SHA-256 of the content; the manifest comes first.
+   * A piece of a gzip stream; all pieces together hold one VersionDelta.
    * </pre>
    *
-   * <code>bytes digest = 1;</code>
-   * @return The digest.
+   * <code>bytes gzip = 1;</code>
+   * @return The gzip.
    */
-  com.google.protobuf.ByteString getDigest();
-
-  /**
-   * <code>bytes content = 2;</code>
-   * @return The content.
-   */
-  com.google.protobuf.ByteString getContent();
+  com.google.protobuf.ByteString getGzip();
 }
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** Whole daemons in this process, against stand-ins. */
+package org.berylwick.daemon;
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/testing/package-info.java
@@ -0,0 +1,2 @@
+/** Fixtures that several tests share. */
+package org.berylwick.testing;
--- a/org.berylwick/src/org/berylwick/internal/event/StoreEvent.java
+++ b/org.berylwick/src/org/berylwick/internal/event/StoreEvent.java
@@ -7,7 +7,11 @@
     /** The head could not be followed. */
     HEAD_LOST(5001, Level.WARN, "cannot follow the head: {}"),
     /** The members could not be followed. */
-    MEMBERS_LOST(5002, Level.WARN, "cannot follow the members: {}");
+    MEMBERS_LOST(5002, Level.WARN, "cannot follow the members: {}"),
+    /** This daemon began to read the store for its zone. */
+    READER(5003, Level.INFO, "reads the store for {} from place {}"),
+    /** This daemon no longer reads the store for its zone. */
+    READER_ENDED(5004, Level.INFO, "no longer reads the store: {}");
 
     private final int number;
     private final Level level;
--- a/org.berylwick/src/org/berylwick/internal/event/VersionEvent.java
+++ b/org.berylwick/src/org/berylwick/internal/event/VersionEvent.java
@@ -7,7 +7,9 @@
     /** A version came into force, or not, here. */
     INSTALL(2001, Level.INFO, "version {}: {}"),
     /** A version that the head names could not be read. */
-    UNREADABLE(2002, Level.WARN, "cannot read version {}: {}");
+    UNREADABLE(2002, Level.WARN, "cannot read version {}: {}"),
+    /** A peer's version could not be fetched or put together. */
+    PULL_FAILED(2003, Level.WARN, "cannot take version {} from {}: {}");
 
     private final int number;
     private final Level level;
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/membership/FailureDetector.java
@@ -0,0 +1,140 @@
+package org.berylwick.internal.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.berylwick.lib.Deadline;
+import org.berylwick.lib.Member;
+import org.berylwick.lib.MembershipView;
+import org.berylwick.lib.TimeSource;
+
+/**
+ * Decides when a member is suspected, given up and forgotten; for one thread.
+ *
+ * <p>A member that answers neither directly nor through others is suspected, which everybody hears of; it has the
+ * suspicion's timeout to refute by a higher incarnation, and is gone after it. A record of a member gone is kept for a
+ * while, so that late news of it does not bring it back.
+ */
+public final class FailureDetector {
+    private final TimeSource time;
+    private final long suspicionMillis;
+    private final long tombstoneMillis;
+    private final Map<String, Pending> suspicions = new HashMap<>();
+    private final Map<String, Pending> tombstones = new HashMap<>();
+
+    private record Pending(long incarnation, Deadline until) {}
+
+    /**
+     * Nothing suspected.
+     *
+     * @param suspicionMillis how long a suspected member has to refute
+     * @param tombstoneMillis how long a member gone is remembered
+     */
+    public FailureDetector(TimeSource time, long suspicionMillis, long tombstoneMillis) {
+        this.time = time;
+        this.suspicionMillis = suspicionMillis;
+        this.tombstoneMillis = tombstoneMillis;
+    }
+
+    /**
+     * A probe of {@code member} failed in every way.
+     *
+     * @return the record to merge and spread; empty if nothing is to be told
+     */
+    public Optional<Member> unreachable(Member member) {
+        return switch (member.state()) {
+            case GONE, SUSPECT -> Optional.empty();
+            // It takes no work already, so no one need be told until it is given up.
+            case LEAVING -> {
+                suspect(member);
+                yield Optional.empty();
+            }
+            case STARTING, UP -> Optional.of(member.withState(Member.State.SUSPECT));
+        };
+    }
+
+    /** A member's record changed to {@code member}. */
+    public void changed(Member member) {
+        String instance = member.instance();
+        switch (member.state()) {
+            case SUSPECT -> {
+                tombstones.remove(instance);
+                suspect(member);
+            }
+            case GONE -> {
+                suspicions.remove(instance);
+                tombstones.putIfAbsent(
+                        instance, new Pending(member.incarnation(), Deadline.afterMillis(time, tombstoneMillis)));
+            }
+            case STARTING, UP, LEAVING -> {
+                suspicions.remove(instance);
+                tombstones.remove(instance);
+            }
+        }
+    }
+
+    private void suspect(Member member) {
+        Pending known = suspicions.get(member.instance());
+        if (known == null || known.incarnation() < member.incarnation()) {
+            suspicions.put(
+                    member.instance(), new Pending(member.incarnation(), Deadline.afterMillis(time, suspicionMillis)));
+        }
+    }
+
+    /**
+     * The members to give up now, as records to merge and spread.
+     *
+     * <p>None while more than half of those not gone are suspected: a daemon cut off from the others would otherwise
+     * give up everybody and have nobody left to send requests to. The suspected are still used when no other is left.
+     */
+    public List<Member> expired(MembershipView view) {
+        long alive =
+                view.all().stream().filter(m -> m.state() != Member.State.GONE).count();
+        if (suspicions.size() * 2L > alive) {
+            return List.of();
+        }
+        List<Member> gone = new ArrayList<>();
+        Iterator<Map.Entry<String, Pending>> i = suspicions.entrySet().iterator();
+        while (i.hasNext()) {
+            Map.Entry<String, Pending> e = i.next();
+            if (!e.getValue().until().isPast(time)) {
+                continue;
+            }
+            i.remove();
+            view.find(e.getKey())
+                    .filter(m -> m.incarnation() == e.getValue().incarnation())
+                    .ifPresent(m -> gone.add(m.withState(Member.State.GONE)));
+        }
+        return gone;
+    }
+
+    /** The members whose tombstones may be dropped now. */
+    public List<String> forgettable() {
+        List<String> names = new ArrayList<>();
+        tombstones.entrySet().removeIf(e -> {
+            boolean past = e.getValue().until().isPast(time);
+            if (past) {
+                names.add(e.getKey());
+            }
+            return past;
+        });
+        return names;
+    }
+
+    /**
+     * What a daemon answers to others' word about itself.
+     *
+     * @return the incarnation to go on with; empty if nothing need be refuted
+     */
+    public static OptionalLong refute(Member self, Member claim) {
+        boolean ahead = claim.incarnation() > self.incarnation();
+        boolean accused = claim.incarnation() == self.incarnation()
+                && (claim.state() == Member.State.SUSPECT || claim.state() == Member.State.GONE)
+                && claim.state().compareTo(self.state()) > 0;
+        return ahead || accused ? OptionalLong.of(claim.incarnation() + 1) : OptionalLong.empty();
+    }
+}
--- a/org.berylwick/src/org/berylwick/internal/membership/MembershipTable.java
+++ b/org.berylwick/src/org/berylwick/internal/membership/MembershipTable.java
@@ -1,6 +1,9 @@
 package org.berylwick.internal.membership;
 
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.berylwick.internal.kernel.KernelService;
 import org.berylwick.lib.Member;
@@ -9,8 +12,8 @@
 /**
  * The members known to this process, merged from announcements that may be late or crossed.
  *
- * <p>Of two records of one instance the higher incarnation wins, and at one incarnation the state further along. Any
- * thread may read the view; merges are serialised.
+ * <p>Of two records of one instance the higher incarnation wins; at one incarnation the state further along wins, and
+ * the content with the higher version. Any thread may read the view; merges are serialised.
  */
 public final class MembershipTable implements KernelService {
     /** The name in the kernel. */
@@ -18,6 +21,8 @@
 
     private final Map<String, Member> members = new HashMap<>();
     private volatile MembershipView view = MembershipView.EMPTY;
+    private long statesHash;
+    private long versionsHash;
 
     /** What became of a merged record. */
     public enum Merge {
@@ -27,6 +32,14 @@
         UNCHANGED
     }
 
+    /**
+     * Order-free hashes of all members but those gone; equal tables have equal hashes.
+     *
+     * @param states over instance, incarnation and state
+     * @param versions over instance, incarnation and version in force
+     */
+    public record Hashes(long states, long versions) {}
+
     @Override
     public String name() {
         return NAME;
@@ -37,31 +50,64 @@
         return view;
     }
 
+    /** Hashes of the members as of now. */
+    public synchronized Hashes hashes() {
+        return new Hashes(statesHash, versionsHash);
+    }
+
     /** Takes in one record. */
-    public synchronized Merge merge(Member record) {
-        Member known = members.get(record.instance());
-        if (known != null && !supersedes(record, known)) {
-            return Merge.UNCHANGED;
+    public Merge merge(Member record) {
+        return mergeAll(List.of(record)).isEmpty() ? Merge.UNCHANGED : Merge.CHANGED;
+    }
+
+    /**
+     * Takes in many records with one new view.
+     *
+     * @return the members that changed, as they are now
+     */
+    public synchronized List<Member> mergeAll(Collection<Member> records) {
+        List<Member> changed = new ArrayList<>();
+        for (Member record : records) {
+            Member known = members.get(record.instance());
+            // A tombstone that others have dropped already would otherwise travel round for good.
+            if (known == null && record.state() == Member.State.GONE) {
+                continue;
+            }
+            Member joined = known == null ? record : MemberMerge.join(known, record);
+            if (!joined.equals(known)) {
+                replace(known, joined);
+                changed.add(joined);
+            }
         }
-        members.put(record.instance(), record);
-        view = new MembershipView(members.values());
-        return Merge.CHANGED;
+        if (!changed.isEmpty()) {
+            view = new MembershipView(members.values());
+        }
+        return changed;
     }
 
     /** Drops an instance. */
     public synchronized void forget(String instance) {
-        if (members.remove(instance) != null) {
+        Member known = members.remove(instance);
+        if (known != null) {
+            count(known);
             view = new MembershipView(members.values());
         }
     }
 
-    private static boolean supersedes(Member record, Member known) {
-        if (record.incarnation() != known.incarnation()) {
-            return record.incarnation() > known.incarnation();
+    private void replace(Member known, Member now) {
+        if (known != null) {
+            count(known);
         }
-        if (record.state() != known.state()) {
-            return record.state().compareTo(known.state()) > 0;
+        count(now);
+        members.put(now.instance(), now);
+    }
+
+    /** Counts a record in, or, the second time, out: exclusive or is its own inverse. */
+    private void count(Member member) {
+        if (member.state() == Member.State.GONE) {
+            return;
         }
-        return record.version() > known.version();
+        statesHash ^= MemberHash.ofState(member);
+        versionsHash ^= MemberHash.ofVersion(member);
     }
 }
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/spread/Backoff.java
@@ -0,0 +1,40 @@
+package org.berylwick.internal.spread;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * Waits between tries: uniformly random between nothing and a bound that doubles with each failure.
+ *
+ * <p>Full jitter spreads a herd that failed at one moment over the whole interval; equal waits would bring it back as
+ * one.
+ */
+public final class Backoff {
+    private final RandomGenerator random;
+    private final long firstMillis;
+    private final long maxMillis;
+    private int failures;
+
+    /**
+     * No failures yet.
+     *
+     * @param firstMillis bound of the first wait
+     * @param maxMillis bound of any wait
+     */
+    public Backoff(RandomGenerator random, long firstMillis, long maxMillis) {
+        this.random = random;
+        this.firstMillis = firstMillis;
+        this.maxMillis = maxMillis;
+    }
+
+    /** Notes a failure; tells how long to wait, in milliseconds. */
+    public long nextMillis() {
+        long bound = Math.min(maxMillis, firstMillis << Math.min(failures, 20));
+        failures++;
+        return random.nextLong(bound + 1);
+    }
+
+    /** Notes a success. */
+    public void reset() {
+        failures = 0;
+    }
+}
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/spread/LinkTable.java
@@ -0,0 +1,194 @@
+package org.berylwick.internal.spread;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.berylwick.internal.event.EventLog;
+import org.berylwick.internal.event.MembershipEvent;
+import org.berylwick.lib.Deadline;
+import org.berylwick.lib.HostPort;
+import org.berylwick.lib.Member;
+import org.berylwick.lib.TimeSource;
+import org.berylwick.proto.PeerMessage;
+import org.berylwick.proto.Refused;
+import org.berylwick.transport.PeerCalls;
+import org.berylwick.transport.PeerStream;
+
+/** The streams to other daemons: which to open, to admit and to close; for the spreading duty's thread alone. */
+final class LinkTable {
+    private static final EventLog EVENTS = new EventLog(LinkTable.class);
+    private static final long FIRST_BACKOFF_MILLIS = 200;
+    private static final long MAX_BACKOFF_MILLIS = 5_000;
+    private static final long HELLO_MILLIS = 3_000;
+    private static final long SURPLUS_GRACE_MILLIS = 10_000;
+    private static final double ADMITTED_PER_SECOND = 50;
+    private static final double ADMITTED_BURST = 20;
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
+    private final SpreadTuning tuning;
+    private final PeerCalls calls;
+    private final PeerStream.Listener listener;
+    private final TimeSource time;
+    private final RandomGenerator random;
+    private final SpreadMetrics metrics;
+    private final TokenBucket admission;
+    private final Map<PeerStream, PeerLink> links = new LinkedHashMap<>();
+    private final Map<HostPort, Retry> retries = new HashMap<>();
+
+    private record Retry(Backoff backoff, Deadline notBefore) {}
+
+    LinkTable(
+            SpreadTuning tuning,
+            PeerCalls calls,
+            PeerStream.Listener listener,
+            TimeSource time,
+            RandomGenerator random,
+            SpreadMetrics metrics) {
+        this.tuning = tuning;
+        this.calls = calls;
+        this.listener = listener;
+        this.time = time;
+        this.random = random;
+        this.metrics = metrics;
+        this.admission = new TokenBucket(time, ADMITTED_PER_SECOND, ADMITTED_BURST);
+    }
+
+    Optional<PeerLink> find(PeerStream stream) {
+        return Optional.ofNullable(links.get(stream));
+    }
+
+    /** All links whose peers are known. */
+    List<PeerLink> open() {
+        return links.values().stream().filter(PeerLink::isOpen).toList();
+    }
+
+    Collection<PeerLink> all() {
+        return new ArrayList<>(links.values());
+    }
+
+    /** Takes in a stream that a peer opened; empty if it was refused. */
+    Optional<PeerLink> admit(PeerStream stream) {
+        long incoming = links.values().stream().filter(l -> !l.outgoing).count();
+        if (incoming >= tuning.maxIncoming() || !admission.tryTake()) {
+            metrics.refused.inc();
+            long retry = RETRY_AFTER_MILLIS + random.nextLong(RETRY_AFTER_MILLIS);
+            stream.send(PeerMessage.newBuilder()
+                    .setRefused(Refused.newBuilder().setRetryAfterMs((int) retry))
+                    .build());
+            stream.close();
+            return Optional.empty();
+        }
+        metrics.opened.inc();
+        PeerLink link = new PeerLink(stream, false, null, time.nanoTime());
+        links.put(stream, link);
+        return Optional.of(link);
+    }
+
+    /** Opens streams to those of {@code chosen} that have none, and closes old ones to others. */
+    List<PeerLink> reconcile(List<Member> chosen) {
+        Set<String> linked = links.values().stream()
+                .flatMap(l -> l.peer.stream())
+                .map(Member::instance)
+                .collect(Collectors.toSet());
+        List<PeerLink> opened = new ArrayList<>();
+        for (Member m : chosen) {
+            if (!linked.contains(m.instance())) {
+                open(m.address()).ifPresent(opened::add);
+            }
+        }
+        Set<String> wanted = chosen.stream().map(Member::instance).collect(Collectors.toSet());
+        long graceNanos = SURPLUS_GRACE_MILLIS * 1_000_000L;
+        for (PeerLink l : all()) {
+            boolean surplus = l.outgoing
+                    && l.isOpen()
+                    && !wanted.contains(l.peer.get().instance())
+                    && linked.containsAll(wanted)
+                    && time.nanoTime() - l.openedAtNanos > graceNanos;
+            if (surplus) {
+                drop(l);
+            }
+        }
+        return opened;
+    }
+
+    /** Opens a stream unless there is one to the address, or one failed there just now. */
+    Optional<PeerLink> open(HostPort address) {
+        Retry retry = retries.get(address);
+        boolean waiting = retry != null && !retry.notBefore().isPast(time);
+        boolean underWay = links.values().stream().anyMatch(l -> address.equals(l.address));
+        if (waiting || underWay) {
+            return Optional.empty();
+        }
+        PeerStream stream = calls.open(address, listener);
+        PeerLink link = new PeerLink(stream, true, address, time.nanoTime());
+        links.put(stream, link);
+        return Optional.of(link);
+    }
+
+    /** The peer at the other end said who it is. */
+    void established(PeerLink link, Member peer) {
+        link.peer = Optional.of(peer);
+        link.address = peer.address();
+        retries.remove(peer.address());
+        metrics.opened.inc();
+    }
+
+    /** The peer admits nobody now. */
+    void refused(PeerLink link, long retryAfterMillis) {
+        retries.put(link.address, new Retry(backoff(link.address), Deadline.afterMillis(time, retryAfterMillis)));
+        drop(link);
+    }
+
+    /** A stream ended by itself. */
+    void ended(PeerLink link) {
+        links.remove(link.stream);
+        if (link.outgoing) {
+            Backoff backoff = backoff(link.address);
+            retries.put(link.address, new Retry(backoff, Deadline.afterMillis(time, backoff.nextMillis())));
+        }
+    }
+
+    private Backoff backoff(HostPort address) {
+        Retry known = retries.get(address);
+        return known == null ? new Backoff(random, FIRST_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS) : known.backoff();
+    }
+
+    /** Ends a stream. */
+    void drop(PeerLink link) {
+        links.remove(link.stream);
+        link.stream.close();
+    }
+
+    /**
+     * Ends the streams that fell silent: something between the two ends may have lost track of them, and such a stream
+     * would neither bring anything nor end by itself.
+     *
+     * @return the links that were ended
+     */
+    List<PeerLink> dropSilent() {
+        List<PeerLink> silent = new ArrayList<>();
+        long now = time.nanoTime();
+        for (PeerLink l : all()) {
+            long limit = l.isOpen() ? tuning.silence() : HELLO_MILLIS;
+            if (now - l.receivedAtNanos > limit * 1_000_000L) {
+                EVENTS.log(MembershipEvent.STREAM_SILENT, l.address);
+                ended(l);
+                l.stream.close();
+                silent.add(l);
+            }
+        }
+        return silent;
+    }
+
+    /** Ends all streams. */
+    void closeAll() {
+        all().forEach(this::drop);
+    }
+}
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/spread/PeerChooser.java
@@ -0,0 +1,68 @@
+package org.berylwick.internal.spread;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.berylwick.internal.membership.MemberHash;
+import org.berylwick.lib.Member;
+
+/**
+ * Chooses the members to which a daemon opens streams.
+ *
+ * <p>The first is the next one on a ring of all members, ordered by region, availability zone and a hash of the name:
+ * the ring alone keeps the graph connected, and crosses zones only where one ends. The others are picked by rendezvous
+ * hashing, in turn outside the zone, inside it and outside the region: they make the graph's diameter logarithmic and
+ * join zones at many points. The same members give the same choice, and a change of one member changes few streams.
+ */
+public final class PeerChooser {
+    private static final Comparator<Member> RING = Comparator.<Member, String>comparing(
+                    m -> m.place().region())
+            .thenComparing(m -> m.place().availabilityZone())
+            .thenComparingLong(m -> MemberHash.of(m.instance()))
+            .thenComparing(Member::instance);
+
+    private PeerChooser() {}
+
+    /**
+     * The members to open streams to.
+     *
+     * @param members all known; those suspected, leaving or gone are passed over
+     * @param fanOut most streams to open
+     */
+    public static List<Member> choose(Member self, Collection<Member> members, int fanOut) {
+        List<Member> live = members.stream()
+                .filter(m -> !m.instance().equals(self.instance()))
+                .filter(m -> m.state() == Member.State.UP || m.state() == Member.State.STARTING)
+                .sorted(RING)
+                .toList();
+        Map<String, Member> chosen = new LinkedHashMap<>();
+        if (live.isEmpty()) {
+            return List.of();
+        }
+        Member next =
+                live.stream().filter(m -> RING.compare(m, self) > 0).findFirst().orElse(live.getFirst());
+        chosen.put(next.instance(), next);
+        Predicate<Member> sameZone = m -> m.place().equals(self.place());
+        Predicate<Member> sameRegion =
+                m -> m.place().region().equals(self.place().region());
+        List<Predicate<Member>> turns = List.of(sameZone.negate(), sameZone, sameRegion.negate(), sameZone);
+        for (int i = 0; chosen.size() < Math.min(fanOut, live.size()); i++) {
+            Optional<Member> best = best(self, live, chosen, turns.get(i % turns.size()));
+            best.or(() -> best(self, live, chosen, m -> true)).ifPresent(m -> chosen.put(m.instance(), m));
+        }
+        return new ArrayList<>(chosen.values());
+    }
+
+    private static Optional<Member> best(
+            Member self, List<Member> live, Map<String, Member> chosen, Predicate<Member> wanted) {
+        return live.stream()
+                .filter(m -> !chosen.containsKey(m.instance()))
+                .filter(wanted)
+                .max(Comparator.comparingLong(m -> MemberHash.of(self.instance() + '>' + m.instance())));
+    }
+}
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/spread/PeerLink.java
@@ -0,0 +1,72 @@
+package org.berylwick.internal.spread;
+
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.berylwick.internal.membership.MembershipTable.Hashes;
+import org.berylwick.lib.HostPort;
+import org.berylwick.lib.Member;
+import org.berylwick.proto.PeerMessage;
+import org.berylwick.transport.PeerStream;
+
+/**
+ * What one daemon knows of one stream to a peer; for the spreading duty's thread alone.
+ *
+ * <p>What is to be sent is kept as names, not as messages: a slow peer makes no queue grow, and gets the latest record
+ * of each name once it takes messages again.
+ */
+final class PeerLink {
+    final PeerStream stream;
+    final boolean outgoing;
+    final long openedAtNanos;
+    final Set<String> records = new LinkedHashSet<>();
+    final Set<String> reports = new LinkedHashSet<>();
+    HostPort address;
+    Optional<Member> peer = Optional.empty();
+    long receivedAtNanos;
+    long nextHeartbeatNanos;
+    long peerVersion;
+    long toldVersion;
+    private Hashes lastOwn = new Hashes(0, 0);
+    private Hashes lastTheirs = new Hashes(0, 0);
+    private int compared;
+
+    PeerLink(PeerStream stream, boolean outgoing, HostPort address, long nowNanos) {
+        this.stream = stream;
+        this.outgoing = outgoing;
+        this.address = address;
+        this.openedAtNanos = nowNanos;
+        this.receivedAtNanos = nowNanos;
+        this.nextHeartbeatNanos = nowNanos;
+    }
+
+    boolean isOpen() {
+        return peer.isPresent();
+    }
+
+    void send(PeerMessage message) {
+        stream.send(message);
+    }
+
+    /**
+     * Compares tables after a heartbeat.
+     *
+     * @param settled heartbeats over which both tables must have stood still to count as different
+     * @return whether they differ and neither is just changing
+     */
+    boolean differs(Hashes own, Hashes theirs, int settled) {
+        boolean still = own.equals(lastOwn) && theirs.equals(lastTheirs);
+        boolean first = compared == 0;
+        lastOwn = own;
+        lastTheirs = theirs;
+        compared = still && !first ? compared + 1 : 1;
+        if (own.equals(theirs)) {
+            return false;
+        }
+        if (first || compared > settled) {
+            compared = 1;
+            return true;
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/spread/Prober.java
@@ -0,0 +1,57 @@
+package org.berylwick.internal.spread;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.berylwick.lib.Deadline;
+import org.berylwick.lib.Member;
+import org.berylwick.lib.TimeSource;
+import org.berylwick.proto.ProbeReply;
+import org.berylwick.transport.PeerCalls;
+
+/**
+ * Finds out whether a member still answers: directly, and through others at the same time, so that a path lost between
+ * two daemons alone does not make either suspect the other.
+ */
+final class Prober {
+    private static final long PROBE_MILLIS = 1_500;
+
+    private final PeerCalls calls;
+    private final Consumer<SpreadEvent> events;
+    private final TimeSource time;
+    private final Set<String> underWay = new HashSet<>();
+
+    Prober(PeerCalls calls, Consumer<SpreadEvent> events, TimeSource time) {
+        this.calls = calls;
+        this.events = events;
+        this.time = time;
+    }
+
+    /** Probes a member; the outcome comes as an event. */
+    void probe(Member member, List<Member> helpers) {
+        synchronized (underWay) {
+            if (!underWay.add(member.instance())) {
+                return;
+            }
+        }
+        Deadline deadline = Deadline.afterMillis(time, PROBE_MILLIS);
+        List<CompletableFuture<Optional<ProbeReply>>> probes = new ArrayList<>();
+        probes.add(calls.probe(member.address(), deadline));
+        helpers.forEach(h -> probes.add(calls.probeThrough(h.address(), member.address(), deadline)));
+        CompletableFuture.allOf(probes.toArray(CompletableFuture[]::new)).whenComplete((done, failure) -> {
+            synchronized (underWay) {
+                underWay.remove(member.instance());
+            }
+            // An address may have been given to another daemon meanwhile; only the name tells.
+            boolean answered = failure == null
+                    && probes.stream()
+                            .flatMap(p -> p.join().stream())
+                            .anyMatch(r -> r.getInstance().equals(member.instance()));
+            events.accept(answered ? new SpreadEvent.Reachable(member) : new SpreadEvent.Unreachable(member));
+        });
+    }
+}
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/spread/Spreader.java
@@ -0,0 +1,339 @@
+package org.berylwick.internal.spread;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.berylwick.internal.event.EventLog;
+import org.berylwick.internal.event.MembershipEvent;
+import org.berylwick.internal.kernel.Ring;
+import org.berylwick.internal.membership.FailureDetector;
+import org.berylwick.internal.membership.MembershipTable;
+import org.berylwick.internal.membership.MembershipTable.Hashes;
+import org.berylwick.internal.version.InstalledVersion;
+import org.berylwick.lib.Deadline;
+import org.berylwick.lib.HostPort;
+import org.berylwick.lib.Member;
+import org.berylwick.lib.Result;
+import org.berylwick.lib.TimeSource;
+import org.berylwick.lib.VersionId;
+import org.berylwick.proto.Heartbeat;
+import org.berylwick.proto.Hello;
+import org.berylwick.proto.PeerMessage;
+import org.berylwick.transport.MemberMessages;
+import org.berylwick.transport.PeerCalls;
+import org.berylwick.transport.PeerStream;
+
+/**
+ * Spreads versions and membership over streams between daemons.
+ *
+ * <p>A notice of each new version goes over every stream at once; who lacks it fetches the body from the one whose
+ * notice came first. Heartbeats tell the version in force and hashes of the membership table, so what a push lost is
+ * found and made good. {@link #round} is for one thread; anything else tells it through the ring.
+ */
+public final class Spreader implements PeerStream.Listener {
+    private static final EventLog EVENTS = new EventLog(Spreader.class);
+    private static final long UPKEEP_MILLIS = 250;
+    private static final long TOMBSTONE_MILLIS = 600_000;
+    private static final int SETTLED_HEARTBEATS = 3;
+    private static final int HELPERS = 3;
+
+    private final SpreadTuning tuning;
+    private final SelfMember self;
+    private final MembershipTable table;
+    private final InstalledVersion installed;
+    private final StoreFreshness freshness;
+    private final VersionOffers offers;
+    private final Ring<SpreadEvent> ring;
+    private final TimeSource time;
+    private final Random random;
+    private final SpreadMetrics metrics;
+    private final FailureDetector detector;
+    private final LinkTable links;
+    private final Prober prober;
+    private final MembershipGossip gossip;
+    private Deadline nextUpkeep;
+    private Deadline nextProbe;
+    private volatile int openLinks;
+    private volatile boolean closed;
+
+    /** Takes word of versions that peers have and this daemon lacks. */
+    @FunctionalInterface
+    public interface VersionOffers {
+        /** The daemon at {@code address} has version {@code number} in force. */
+        void offer(HostPort address, long number);
+    }
+
+    /** Everything that a spreader works with. */
+    public record Parts(
+            SpreadTuning tuning,
+            SelfMember self,
+            MembershipTable table,
+            InstalledVersion installed,
+            StoreFreshness freshness,
+            VersionOffers offers,
+            PeerCalls calls,
+            Ring<SpreadEvent> ring,
+            SpreadMetrics metrics) {}
+
+    /** A spreader without streams. */
+    public Spreader(Parts parts, TimeSource time, Random random) {
+        tuning = parts.tuning();
+        self = parts.self();
+        table = parts.table();
+        installed = parts.installed();
+        freshness = parts.freshness();
+        offers = parts.offers();
+        ring = parts.ring();
+        metrics = parts.metrics();
+        this.time = time;
+        this.random = random;
+        detector = new FailureDetector(time, tuning.suspicion(), TOMBSTONE_MILLIS);
+        links = new LinkTable(tuning, parts.calls(), this, time, random, metrics);
+        prober = new Prober(parts.calls(), this::tell, time);
+        gossip = new MembershipGossip(tuning, self, table, detector, links, time, metrics);
+        nextUpkeep = new Deadline(time.nanoTime());
+        nextProbe = Deadline.afterMillis(time, tuning.probe());
+        installed.addListener(v -> tell(new SpreadEvent.Installed()));
+    }
+
+    /** Tells the spreader something, from any thread; what the full ring refuses, heartbeats make good. */
+    public void tell(SpreadEvent event) {
+        if (ring.offer(event) == Ring.Offer.FULL) {
+            metrics.eventRefused();
+        }
+    }
+
+    @Override
+    public void received(PeerStream stream, PeerMessage message) {
+        if (closed) {
+            stream.close();
+            return;
+        }
+        tell(new SpreadEvent.Received(stream, message));
+    }
+
+    @Override
+    public void closed(PeerStream stream, String reason) {
+        tell(new SpreadEvent.Closed(stream, reason));
+    }
+
+    /** How many peers this daemon exchanges with. */
+    public int openLinks() {
+        return openLinks;
+    }
+
+    /** Does what is due and what comes in until the next thing is due. */
+    public void round() {
+        if (nextUpkeep.isPast(time)) {
+            nextUpkeep = Deadline.afterMillis(time, UPKEEP_MILLIS);
+            upkeep();
+        }
+        heartbeats();
+        gossip.flush();
+        Deadline wait = gossip.nextFlush(nextUpkeep);
+        ring.poll(wait.remainingNanos(time)).ifPresent(this::handle);
+        // Takes what else is there before sending, so that one message carries what came together.
+        for (int i = 0; i < 256; i++) {
+            Optional<SpreadEvent> more = ring.poll(0);
+            if (more.isEmpty()) {
+                break;
+            }
+            handle(more.get());
+        }
+        openLinks = links.open().size();
+    }
+
+    private void handle(SpreadEvent event) {
+        switch (event) {
+            case SpreadEvent.Received(PeerStream stream, PeerMessage message) ->
+                links.find(stream)
+                        .or(() -> message.hasHello() ? links.admit(stream) : Optional.empty())
+                        .ifPresent(l -> handle(l, message));
+            case SpreadEvent.Closed(PeerStream stream, String reason) ->
+                links.find(stream).ifPresent(l -> {
+                    links.ended(l);
+                    l.peer.or(() -> memberAt(l.address)).ifPresent(this::doubt);
+                });
+            case SpreadEvent.Installed() -> {
+                gossip.merge(List.of(), null);
+                links.open().forEach(this::notice);
+            }
+            case SpreadEvent.Found(List<HostPort> addresses) -> join(addresses);
+            case SpreadEvent.Unreachable(Member member) -> unreachable(member);
+            case SpreadEvent.Reachable(Member member) -> {
+                if (member.state() == Member.State.SUSPECT || member.state() == Member.State.GONE) {
+                    links.open(member.address()).ifPresent(this::hello);
+                }
+            }
+        }
+    }
+
+    private void handle(PeerLink link, PeerMessage message) {
+        link.receivedAtNanos = time.nanoTime();
+        switch (message.getBodyCase()) {
+            case HELLO -> greeted(link, message.getHello());
+            case VERSION -> offered(link, message.getVersion().getVersion());
+            case MEMBERSHIP -> gossip.received(message.getMembership(), link);
+            case HEARTBEAT -> received(link, message.getHeartbeat());
+            case SUMMARY -> gossip.received(message.getSummary(), link);
+            case REPORTS -> gossip.received(message.getReports(), link);
+            case REFUSED -> links.refused(link, message.getRefused().getRetryAfterMs());
+            case BODY_NOT_SET -> {}
+        }
+    }
+
+    private void greeted(PeerLink link, Hello hello) {
+        switch (MemberMessages.toMember(hello.getSelf())) {
+            case Result.Err<Member, String>(String detail) -> {
+                EVENTS.log(MembershipEvent.UNREADABLE_RECORD, link.address, detail);
+                links.drop(link);
+            }
+            case Result.Ok<Member, String>(Member peer)
+            when peer.instance().equals(self.current().instance()) -> links.drop(link);
+            case Result.Ok<Member, String>(Member peer) -> {
+                links.established(link, peer);
+                if (!link.outgoing) {
+                    hello(link);
+                }
+                gossip.merge(List.of(peer), link);
+                offered(link, hello.getVersion().getVersion());
+                notice(link);
+                heartbeat(link);
+            }
+        }
+    }
+
+    private void hello(PeerLink link) {
+        VersionId id = installed.snapshot().id();
+        link.toldVersion = id.number();
+        link.send(PeerMessage.newBuilder()
+                .setHello(Hello.newBuilder()
+                        .setSelf(MemberMessages.toMessage(self.current()))
+                        .setVersion(VersionServer.notice(id)))
+                .build());
+    }
+
+    private void join(List<HostPort> addresses) {
+        List<HostPort> shuffled = new ArrayList<>(addresses);
+        shuffled.remove(self.current().address());
+        table.view().all().stream()
+                .filter(m -> m.state() != Member.State.GONE)
+                .forEach(m -> shuffled.remove(m.address()));
+        Collections.shuffle(shuffled, random);
+        shuffled.stream().limit(tuning.fanOut()).forEach(a -> links.open(a).ifPresent(this::hello));
+    }
+
+    private void offered(PeerLink link, long version) {
+        link.peerVersion = Math.max(link.peerVersion, version);
+        if (version > installed.snapshot().id().number()) {
+            offers.offer(link.address, version);
+        }
+    }
+
+    private void notice(PeerLink link) {
+        VersionId id = installed.snapshot().id();
+        if (id.number() <= link.peerVersion || id.number() <= link.toldVersion) {
+            return;
+        }
+        link.toldVersion = id.number();
+        link.send(PeerMessage.newBuilder().setVersion(VersionServer.notice(id)).build());
+    }
+
+    private void heartbeats() {
+        long now = time.nanoTime();
+        for (PeerLink l : links.open()) {
+            if (now - l.nextHeartbeatNanos >= 0) {
+                heartbeat(l);
+            }
+        }
+    }
+
+    private void heartbeat(PeerLink link) {
+        link.nextHeartbeatNanos = time.nanoTime() + tuning.heartbeat() * 1_000_000L;
+        if (!link.stream.isReady()) {
+            return;
+        }
+        Hashes own = table.hashes();
+        link.send(PeerMessage.newBuilder()
+                .setHeartbeat(Heartbeat.newBuilder()
+                        .setVersion(installed.snapshot().id().number())
+                        .setMembersDigest(own.states())
+                        .setReportsDigest(own.versions())
+                        .setStoreAgeMs((int) Math.min(Integer.MAX_VALUE, freshness.ageMillis())))
+                .build());
+    }
+
+    private void received(PeerLink link, Heartbeat beat) {
+        freshness.heardAgo(Integer.toUnsignedLong(beat.getStoreAgeMs()));
+        offered(link, beat.getVersion());
+        Hashes own = table.hashes();
+        Hashes theirs = new Hashes(beat.getMembersDigest(), beat.getReportsDigest());
+        if (!link.differs(own, theirs, SETTLED_HEARTBEATS)) {
+            return;
+        }
+        if (own.states() != theirs.states()) {
+            gossip.summarise(link);
+        } else {
+            gossip.reportAll(link);
+        }
+    }
+
+    private void upkeep() {
+        Member me = self.current();
+        gossip.merge(List.of(), null);
+        links.dropSilent().forEach(l -> l.peer.or(() -> memberAt(l.address)).ifPresent(this::doubt));
+        gossip.merge(detector.expired(table.view()), null);
+        detector.forgettable().forEach(table::forget);
+        List<Member> chosen = me.state() == Member.State.LEAVING
+                ? List.of()
+                : PeerChooser.choose(me, table.view().all(), tuning.fanOut());
+        links.reconcile(chosen).forEach(this::hello);
+        if (nextProbe.isPast(time)) {
+            nextProbe = Deadline.afterMillis(time, tuning.probe() / 2 + random.nextLong(tuning.probe()));
+            List<Member> others = table.view().all().stream()
+                    .filter(m -> !m.instance().equals(me.instance()))
+                    .toList();
+            if (!others.isEmpty()) {
+                doubt(others.get(random.nextInt(others.size())));
+            }
+        }
+    }
+
+    private Optional<Member> memberAt(HostPort address) {
+        return table.view().all().stream()
+                .filter(m -> m.address().equals(address))
+                .findFirst();
+    }
+
+    private void doubt(Member member) {
+        Member now = table.view().find(member.instance()).orElse(member);
+        List<Member> helpers = new ArrayList<>();
+        for (PeerLink l : links.open()) {
+            if (helpers.size() < HELPERS && !l.peer.get().instance().equals(now.instance())) {
+                helpers.add(l.peer.get());
+            }
+        }
+        prober.probe(now, helpers);
+    }
+
+    private void unreachable(Member probed) {
+        Optional<Member> now = table.view().find(probed.instance());
+        if (now.isEmpty() || now.get().incarnation() != probed.incarnation()) {
+            return;
+        }
+        detector.unreachable(now.get()).ifPresent(suspect -> {
+            metrics.suspected.inc();
+            gossip.merge(List.of(suspect), null);
+        });
+    }
+
+    /** Tells the peers of the last state, such as leaving, and ends all streams. */
+    public void close() {
+        closed = true;
+        gossip.merge(List.of(), null);
+        gossip.flushNow();
+        links.closeAll();
+    }
+}
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/spread/StoreFreshness.java
@@ -0,0 +1,38 @@
+package org.berylwick.internal.spread;
+
+import org.berylwick.lib.TimeSource;
+
+/**
+ * When some reader of the fleet last heard from the platform's store, as far as this daemon knows.
+ *
+ * <p>Ages travel with heartbeats, never clock readings, so clocks need not agree. A daemon steps in as a reader when
+ * the age shows that no reader is left, instead of asking the store who reads. Any thread may use it.
+ */
+public final class StoreFreshness {
+    private final TimeSource time;
+    private long heardAtNanos;
+
+    /** As if heard from just now, so that a fresh daemon waits before it steps in. */
+    public StoreFreshness(TimeSource time) {
+        this.time = time;
+        this.heardAtNanos = time.nanoTime();
+    }
+
+    /** This daemon itself was answered by the store. */
+    public synchronized void heardNow() {
+        heardAtNanos = time.nanoTime();
+    }
+
+    /** A peer told how long ago some reader was answered. */
+    public synchronized void heardAgo(long ageMillis) {
+        long at = time.nanoTime() - ageMillis * 1_000_000L;
+        if (at - heardAtNanos > 0) {
+            heardAtNanos = at;
+        }
+    }
+
+    /** @return milliseconds since any reader was answered */
+    public synchronized long ageMillis() {
+        return (time.nanoTime() - heardAtNanos) / 1_000_000L;
+    }
+}
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/spread/TokenBucket.java
@@ -0,0 +1,61 @@
+package org.berylwick.internal.spread;
+
+import org.berylwick.lib.TimeSource;
+
+/**
+ * Lets through a bounded rate with short bursts; safe for use from any thread.
+ *
+ * <p>Used for store calls, whose rate shrinks as the fleet grows, and for streams that a daemon admits.
+ */
+public final class TokenBucket {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final TimeSource time;
+    private final double burst;
+    private double perSecond;
+    private double tokens;
+    private long countedAt;
+
+    /** A full bucket. */
+    public TokenBucket(TimeSource time, double perSecond, double burst) {
+        this.time = time;
+        this.perSecond = perSecond;
+        this.burst = burst;
+        this.tokens = burst;
+        this.countedAt = time.nanoTime();
+    }
+
+    /** Sets another rate; what has gathered stays. */
+    public synchronized void setRate(double newPerSecond) {
+        refill();
+        perSecond = newPerSecond;
+    }
+
+    /** Takes one token if there is one. */
+    public synchronized boolean tryTake() {
+        refill();
+        if (tokens < 1) {
+            return false;
+        }
+        tokens--;
+        return true;
+    }
+
+    /** Takes {@code count} tokens for what was done already; the bucket may go below empty. */
+    public synchronized void charge(long count) {
+        refill();
+        tokens -= count;
+    }
+
+    /** @return milliseconds until a token is there, at least 1 if there is none now */
+    public synchronized long waitMillis() {
+        refill();
+        return tokens >= 1 ? 0 : Math.max(1, (long) Math.ceil((1 - tokens) / perSecond * 1_000));
+    }
+
+    private void refill() {
+        long now = time.nanoTime();
+        tokens = Math.min(burst, tokens + (now - countedAt) / NANOS_PER_SECOND * perSecond);
+        countedAt = now;
+    }
+}
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/spread/VersionServer.java
@@ -0,0 +1,115 @@
+package org.berylwick.internal.spread;
+
+import com.google.protobuf.ByteString;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.zip.GZIPOutputStream;
+import org.berylwick.internal.config.ConfigurationCodec;
+import org.berylwick.internal.version.InstalledVersion;
+import org.berylwick.internal.version.InstalledVersion.InForce;
+import org.berylwick.internal.version.Manifest;
+import org.berylwick.lib.Digest;
+import org.berylwick.lib.Result;
+import org.berylwick.lib.VersionId;
+import org.berylwick.proto.VersionDelta;
+import org.berylwick.proto.VersionNotice;
+
+/**
+ * Encodes the version in force for peers that hold an earlier one; any thread may ask.
+ *
+ * <p>The manifests of the last few versions are kept, so that a peer behind by some versions gets only what differs;
+ * one that is further behind gets the whole version. What was encoded is kept until the next version, as several peers
+ * ask for the same.
+ */
+public final class VersionServer {
+    private static final int KEPT_MANIFESTS = 8;
+
+    private final InstalledVersion installed;
+    private final Map<Long, Manifest> manifests = new LinkedHashMap<>();
+    private final Map<Long, byte[]> encoded = new HashMap<>();
+    private long encodedVersion;
+
+    /** Serves what is installed from now on. */
+    public VersionServer(InstalledVersion installed) {
+        this.installed = installed;
+        installed.addListener(this::remember);
+    }
+
+    private synchronized void remember(InForce inForce) {
+        manifest(inForce).ifPresent(m -> manifests.put(m.number(), m));
+        while (manifests.size() > KEPT_MANIFESTS) {
+            manifests.remove(manifests.keySet().iterator().next());
+        }
+    }
+
+    private static Optional<Manifest> manifest(InForce inForce) {
+        return switch (ConfigurationCodec.decode(inForce.manifestBytes(), Manifest.class)) {
+            case Result.Ok<Manifest, String>(Manifest m) -> Optional.of(m);
+            case Result.Err<Manifest, String> ignored -> Optional.empty();
+        };
+    }
+
+    /**
+     * The version in force as a gzip stream of one {@link VersionDelta}; empty if there is none.
+     *
+     * @param base number of the version that the asker holds, 0 for none
+     */
+    public synchronized Optional<byte[]> encode(long base) {
+        InForce inForce = installed.inForce();
+        VersionId id = inForce.snapshot().id();
+        if (id.number() == 0) {
+            return Optional.empty();
+        }
+        if (encodedVersion != id.number()) {
+            encoded.clear();
+            encodedVersion = id.number();
+        }
+        return Optional.of(encoded.computeIfAbsent(base, b -> gzip(delta(inForce, b))));
+    }
+
+    private VersionDelta delta(InForce inForce, long base) {
+        VersionId id = inForce.snapshot().id();
+        VersionDelta.Builder delta = VersionDelta.newBuilder().setVersion(notice(id));
+        Manifest baseManifest = base < id.number() ? manifests.get(base) : null;
+        Manifest target = manifests.get(id.number());
+        if (baseManifest == null || target == null) {
+            delta.setManifest(ByteString.copyFrom(inForce.manifestBytes()));
+            inForce.parts().values().forEach(p -> delta.addParts(ByteString.copyFrom(p)));
+            return delta.build();
+        }
+        ManifestDelta difference = ManifestDelta.between(baseManifest, target);
+        Set<String> held = new HashSet<>(baseManifest.parts().values());
+        delta.setBaseVersion(base).setManifestDelta(ByteString.copyFrom(ConfigurationCodec.encode(difference)));
+        difference.set().values().stream()
+                .filter(hex -> !held.contains(hex))
+                .distinct()
+                .forEach(hex ->
+                        delta.addParts(ByteString.copyFrom(inForce.parts().get(new Digest(hex)))));
+        return delta.build();
+    }
+
+    /** A version's name as it travels. */
+    public static VersionNotice notice(VersionId id) {
+        return VersionNotice.newBuilder()
+                .setVersion(id.number())
+                .setDigest(ByteString.fromHex(id.digest().hex()))
+                .build();
+    }
+
+    private static byte[] gzip(VersionDelta delta) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (GZIPOutputStream out = new GZIPOutputStream(bytes)) {
+            delta.writeTo(out);
+        } catch (IOException e) {
+            throw new UncheckedIOException("a stream in memory cannot fail", e);
+        }
+        return bytes.toByteArray();
+    }
+}
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/spread/package-info.java
@@ -0,0 +1,2 @@
+/** How versions and membership spread between daemons: the decisions, free of sockets and threads. */
+package org.berylwick.internal.spread;
--- a/org.berylwick/src/org/berylwick/transport/HttpPlatformStore.java
+++ b/org.berylwick/src/org/berylwick/transport/HttpPlatformStore.java
@@ -1,6 +1,8 @@
 package org.berylwick.transport;
 
+import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.ClientFactoryOptions;
 import com.linecorp.armeria.client.RequestOptions;
 import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.client.WebClient;
@@ -50,19 +52,29 @@
     private final ClientFactory factory;
     private final WebClient client;
     private final TimeSource time;
+    private final StoreMeter meter;
+
+    /** A client of the store at {@code uri} whose calls nobody counts. */
+    public HttpPlatformStore(URI uri, TimeSource time) {
+        this(uri, time, new StoreMeter(new MetricRegistry()));
+    }
 
     /**
      * A client of the store at {@code uri}.
      *
      * @param uri scheme http, with host and port
+     * @param meter counts calls and bytes
      */
-    public HttpPlatformStore(URI uri, TimeSource time) {
+    public HttpPlatformStore(URI uri, TimeSource time, StoreMeter meter) {
         this.time = time;
+        this.meter = meter;
         factory = ClientFactory.builder()
                 .connectTimeout(CONNECT_TIMEOUT)
                 // A connection whose path lost track of it stays open and silent for good; an unanswered
                 // ping closes it, so that the next call goes over a new one.
                 .pingIntervalMillis(PING_INTERVAL.toMillis())
+                .options(ClientFactoryOptions.of(
+                        ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER.newValue(meter.wire()::addTo)))
                 .build();
         client = WebClient.builder(uri)
                 .factory(factory)
@@ -128,6 +140,7 @@
         if (millis == 0) {
             return Result.err(new StoreError.Unavailable("deadline passed before the call"));
         }
+        meter.call();
         try {
             RequestOptions options =
                     RequestOptions.builder().responseTimeoutMillis(millis).build();
