End a waiting call to the store when its duty is closed

Cause: a daemon took 10 s to stop. A stack dump during the stop showed the duties' threads in CompletableFuture.join, which an interrupt does not end; each duty waited for the end of its watch.

Change: wait with get, abort the response on an interrupt, and answer that the outcome is unknown, since a write may be on its way.

--- a/org.berylwick/src/org/berylwick/transport/HttpPlatformStore.java
+++ b/org.berylwick/src/org/berylwick/transport/HttpPlatformStore.java
@@ -11,6 +11,7 @@
 import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
 import com.linecorp.armeria.common.util.Exceptions;
@@ -20,7 +21,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutionException;
 import org.berylwick.errors.StoreError;
 import org.berylwick.lib.Deadline;
 import org.berylwick.lib.Result;
@@ -141,13 +142,18 @@
             return Result.err(new StoreError.Unavailable("deadline passed before the call"));
         }
         meter.call();
+        RequestOptions options =
+                RequestOptions.builder().responseTimeoutMillis(millis).build();
+        HttpResponse response = client.execute(HttpRequest.of(headers, HttpData.wrap(body)), options);
         try {
-            RequestOptions options =
-                    RequestOptions.builder().responseTimeoutMillis(millis).build();
-            HttpRequest request = HttpRequest.of(headers, HttpData.wrap(body));
-            return Result.ok(client.execute(request, options).aggregate().join());
-        } catch (CompletionException e) {
+            return Result.ok(response.aggregate().get());
+        } catch (ExecutionException e) {
             return Result.err(errorOf(Exceptions.peel(e)));
+        } catch (InterruptedException e) {
+            // The duty is being closed; a watch left waiting would hold up the close for its whole wait.
+            response.abort();
+            Thread.currentThread().interrupt();
+            return Result.err(new StoreError.OutcomeUnknown("interrupted"));
         }
     }
 
