--- a/org.berylwick.bench/src/org/berylwick/bench/fleet/Fleet.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/fleet/Fleet.java
@@ -79,7 +79,16 @@
 
     /** Starts one daemon without waiting for it. */
     public void startDaemon(FleetPlan.Instance i) {
-        String settings = SettingsText.of(i, backends.get(i.name()), platform, "");
+        startDaemon(i, new DaemonLinks(backends.get(i.name()), platform), "");
+    }
+
+    /**
+     * Starts one daemon without waiting for it, in place of an ended one of the same name if there was one.
+     *
+     * @param moreSettings TOML tables for the daemon's settings
+     */
+    public ChildProcess startDaemon(FleetPlan.Instance i, DaemonLinks links, String moreSettings) {
+        String settings = SettingsText.of(i, links, moreSettings);
         Path file = folder.resolve(i.name() + ".toml");
         try {
             Files.writeString(file, settings);
@@ -87,7 +96,9 @@
             throw new UncheckedIOException(e);
         }
         List<String> command = List.of(top.resolve("bin/berylwickd").toString(), "--settings", file.toString());
-        daemons.put(i.name(), ChildProcess.start(i.name(), Map.of(), command));
+        ChildProcess child = ChildProcess.start(i.name(), Map.of(), command);
+        daemons.put(i.name(), child);
+        return child;
     }
 
     /** Waits until a started daemon listens. */
--- a/org.berylwick.bench/src/org/berylwick/bench/fleet/LocalFleet.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/fleet/LocalFleet.java
@@ -56,7 +56,7 @@
      */
     public void add(FleetPlan.Instance i, String moreSettings) {
         BackendServer server = addBackend(i.name());
-        startDaemon(i, server.address(), platform.address(), moreSettings);
+        startDaemon(i, new DaemonLinks(server.address(), platform.address()), moreSettings);
     }
 
     /** Starts a backend server without a daemon. */
@@ -67,9 +67,9 @@
         return server;
     }
 
-    /** Starts a daemon; {@code backend} and {@code store} may be addresses of relays. */
-    public BerylwickDaemon startDaemon(FleetPlan.Instance i, HostPort backend, HostPort store, String moreSettings) {
-        String text = SettingsText.of(i, backend, store, moreSettings);
+    /** Starts a daemon. */
+    public BerylwickDaemon startDaemon(FleetPlan.Instance i, DaemonLinks links, String moreSettings) {
+        String text = SettingsText.of(i, links, moreSettings);
         DaemonSettings settings = switch (SettingsReader.read(i.name(), text)) {
             case Result.Ok<DaemonSettings, List<Fault>>(DaemonSettings read) -> read;
             case Result.Err<DaemonSettings, List<Fault>>(List<Fault> faults) ->
--- a/org.berylwick.bench/src/org/berylwick/bench/fleet/SettingsText.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/fleet/SettingsText.java
@@ -1,7 +1,5 @@
 package org.berylwick.bench.fleet;
 
-import org.berylwick.lib.HostPort;
-
 /** The settings document of one daemon on loopback with free ports. */
 final class SettingsText {
     private SettingsText() {}
@@ -9,11 +7,11 @@
     /**
      * Writes the document.
      *
-     * @param backend where its backend server listens, or a relay to it
-     * @param platform where the platform's stand-in listens, or a relay to it
      * @param more TOML tables that are appended
      */
-    static String of(FleetPlan.Instance i, HostPort backend, HostPort platform, String more) {
+    static String of(FleetPlan.Instance i, DaemonLinks links, String more) {
+        String advertised =
+                links.advertised().map(a -> "advertised = \"" + a + "\"").orElse("");
         return """
                 instance = "%s"
                 region = "%s"
@@ -23,6 +21,7 @@
                 callers = "127.0.0.1:0"
                 peers = "127.0.0.1:0"
                 admin = "127.0.0.1:0"
+                %s
 
                 [backend_server]
                 service = "%s"
@@ -37,10 +36,11 @@
                         i.name(),
                         i.place().region(),
                         i.place().availabilityZone(),
+                        advertised,
                         i.service(),
-                        backend,
+                        links.backend(),
                         i.place().availabilityZone(),
-                        platform,
+                        links.platform(),
                         more);
     }
 }
--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/SelfAnnouncement.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/SelfAnnouncement.java
@@ -37,9 +37,9 @@
         return NAME;
     }
 
-    /** Sets the address once the listening port is known. */
+    /** Sets the address once the listening port is known, unless the settings advertise another. */
     public void setAddress(HostPort peers) {
-        address = peers;
+        address = settings.listen().advertised().orElse(peers);
     }
 
     /** Sets whether requests are taken. */
--- a/org.berylwick.daemon/src/org/berylwick/daemon/settings/DaemonSettings.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/settings/DaemonSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.URI;
 import java.util.List;
+import java.util.Optional;
 import org.berylwick.internal.spread.SpreadTuning;
 import org.berylwick.lib.HostPort;
 import org.berylwick.lib.Labels;
@@ -25,8 +26,9 @@
      * @param callers for callers outside and for the own backend server
      * @param peers for other daemons
      * @param admin for operators, metrics and health
+     * @param advertised where other daemons are told to connect, if not to {@code peers} itself
      */
-    public record Listen(HostPort callers, HostPort peers, HostPort admin) {}
+    public record Listen(HostPort callers, HostPort peers, HostPort admin, Optional<HostPort> advertised) {}
 
     /**
      * The backend server in the same VM.
--- a/org.berylwick.daemon/src/org/berylwick/daemon/settings/SettingsReader.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/settings/SettingsReader.java
@@ -43,7 +43,8 @@
         Listen listen = new Listen(
                 address(t, "callers", "127.0.0.1:8080"),
                 address(t, "peers", "127.0.0.1:8081"),
-                address(t, "admin", "127.0.0.1:8082"));
+                address(t, "admin", "127.0.0.1:8082"),
+                t.parsed("advertised", HostPort::fromString));
         t.finish();
         return listen;
     }
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/bench/relay/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the relay that fails connections. */
+package org.berylwick.bench.relay;
