--- a/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
@@ -34,6 +34,7 @@
     private final PlatformStore store;
     private final Kernel kernel = new Kernel();
     private final SelfAnnouncement self;
+    private final CallPath calls;
     private final DaemonServers servers;
     private final InstalledVersion installed;
     private final MembershipTable membership;
@@ -49,7 +50,7 @@
         installed = kernel.register(new InstalledVersion(time));
         membership = kernel.register(new MembershipTable());
         self = kernel.register(new SelfAnnouncement(settings, installed, time));
-        CallPath calls = kernel.register(new CallPath(settings, installed, membership, self::state, time));
+        calls = kernel.register(new CallPath(settings, installed, membership, self::state, metrics, invariants, time));
         AdminService admin = kernel.register(new AdminService(repository, installed, membership, time));
         Optional<SpreadDuties> spread = switch (settings.spread().mode()) {
             case WATCH -> Optional.empty();
@@ -117,10 +118,20 @@
         return kernel.get(name, type);
     }
 
-    /** Finishes what is running, and stops. */
+    /**
+     * Finishes what is running, and stops.
+     *
+     * <p>In this order: new work is refused here at once and the leave announced; callers are sent away and served
+     * until the others know of it; what runs is finished; only then the sockets close.
+     */
     @Override
     public void close() {
         self.setState(Member.State.LEAVING);
+        try {
+            calls.drain();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         kernel.close();
         store.close();
         EVENTS.log(ProcessEvent.STOPPED);
--- a/org.berylwick.daemon/src/org/berylwick/daemon/DaemonServers.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/DaemonServers.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.berylwick.daemon.admin.AdminService;
 import org.berylwick.daemon.call.CallPath;
@@ -24,7 +25,7 @@
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
     private static final Duration PING_INTERVAL = Duration.ofSeconds(5);
     private static final Duration QUIET_PERIOD = Duration.ofMillis(200);
-    private static final Duration GRACE = Duration.ofMinutes(10);
+    private static final Duration GRACE = Duration.ofSeconds(5);
 
     private final Consumer<HostPort> onPeersListening;
     private final Server callers;
@@ -96,8 +97,7 @@
 
     @Override
     public void close() {
-        callers.stop().join();
-        peers.stop().join();
+        CompletableFuture.allOf(callers.stop(), peers.stop()).join();
         admin.stop().join();
     }
 }
--- a/org.berylwick.daemon/src/org/berylwick/daemon/Main.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/Main.java
@@ -66,7 +66,9 @@
                         () -> {
                             daemon.close();
                             LogManager.shutdown();
-                            stopped.countDown();
+                            // A stop on SIGTERM that finished everything is a success; left to itself the virtual
+                            // machine would exit with the signal's number, which supervisors take for a failure.
+                            Runtime.getRuntime().halt(0);
                         },
                         "shutdown"));
         daemon.start();
--- /dev/null
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/Answer.java
@@ -0,0 +1,39 @@
+package org.berylwick.daemon.call;
+
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpHeaders;
+import com.linecorp.armeria.common.HttpObject;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.stream.StreamMessage;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * An answer whose head is there and whose body still streams.
+ *
+ * @param headers its head
+ * @param body passes at the pace of whoever reads it; fails if the answer was cut
+ * @param trailers complete after the body
+ */
+record Answer(ResponseHeaders headers, StreamMessage<HttpData> body, CompletableFuture<HttpHeaders> trailers) {
+    /** This answer with another head. */
+    Answer withHeaders(ResponseHeaders newHeaders) {
+        return new Answer(newHeaders, body, trailers);
+    }
+
+    /** This answer with another body. */
+    Answer withBody(StreamMessage<HttpData> newBody) {
+        return new Answer(headers, newBody, trailers);
+    }
+
+    /** The response that says the same. */
+    HttpResponse toResponse() {
+        if (!headers.contains(HttpHeaderNames.TRAILER)) {
+            return HttpResponse.of(headers, body);
+        }
+        StreamMessage<HttpObject> end = StreamMessage.of(trailers.thenApply(
+                t -> t.isEmpty() ? StreamMessage.<HttpObject>of() : StreamMessage.<HttpObject>of(t)));
+        return HttpResponse.of(headers, StreamMessage.concat(body, end));
+    }
+}
--- /dev/null
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/AnswerDelivery.java
@@ -0,0 +1,65 @@
+package org.berylwick.daemon.call;
+
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import java.util.OptionalLong;
+import org.berylwick.internal.event.CallEvent;
+import org.berylwick.internal.event.EventLog;
+import org.berylwick.lib.Member;
+
+/** Passes an answer on to the caller, whole or visibly cut. */
+final class AnswerDelivery {
+    private static final EventLog EVENTS = new EventLog(AnswerDelivery.class);
+
+    private final Forwarder forwarder;
+    private final Call call;
+
+    AnswerDelivery(Forwarder forwarder, Call call) {
+        this.forwarder = forwarder;
+        this.call = call;
+    }
+
+    /**
+     * The response to the caller.
+     *
+     * @param from the member that answers
+     */
+    HttpResponse deliver(Answer answer, Member from) {
+        ResponseHeadersBuilder builder = answer.headers().toBuilder();
+        builder.set(CallHeaders.REQUEST_ID, call.requestId());
+        ResponseHeaders headers = builder.build();
+        Answer whole = ResumableAnswer.of(forwarder, call, answer, from);
+        OptionalLong length = bodyLength(headers);
+        AnswerGuard body = new AnswerGuard(call.requestId(), whole.body(), length, forwarder.invariants());
+        HttpResponse response = whole.withHeaders(headers).withBody(body).toResponse();
+        response.whenComplete().whenComplete((done, failure) -> {
+            if (failure != null) {
+                ended(body, failure);
+            }
+        });
+        return response;
+    }
+
+    private void ended(AnswerGuard body, Throwable failure) {
+        if (call.isCallerGone()) {
+            forwarder.metrics().countCancelled();
+            return;
+        }
+        forwarder.metrics().countCut();
+        EVENTS.log(
+                CallEvent.ANSWER_CUT,
+                call.requestId(),
+                body.passed(),
+                failure.getClass().getSimpleName());
+    }
+
+    private OptionalLong bodyLength(ResponseHeaders headers) {
+        boolean bodiless = call.headers().method() == HttpMethod.HEAD
+                || headers.status().equals(HttpStatus.NOT_MODIFIED)
+                || headers.contentLength() < 0;
+        return bodiless ? OptionalLong.empty() : OptionalLong.of(headers.contentLength());
+    }
+}
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/BackendServerClient.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/BackendServerClient.java
@@ -1,14 +1,10 @@
 package org.berylwick.daemon.call;
 
 import com.linecorp.armeria.client.ClientFactory;
-import com.linecorp.armeria.client.RequestOptions;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.HttpRequest;
-import com.linecorp.armeria.common.HttpResponse;
 import java.time.Duration;
-import org.berylwick.lib.Deadline;
 import org.berylwick.lib.HostPort;
-import org.berylwick.lib.TimeSource;
 
 /**
  * The connections to the backend server in the same VM.
@@ -22,10 +18,8 @@
 
     private final ClientFactory factory;
     private final WebClient client;
-    private final TimeSource time;
 
-    BackendServerClient(HostPort address, TimeSource time) {
-        this.time = time;
+    BackendServerClient(HostPort address) {
         factory = ClientFactory.builder()
                 .connectTimeout(CONNECT_TIMEOUT)
                 .idleTimeout(IDLE_TIMEOUT)
@@ -39,11 +33,8 @@
     }
 
     /** Sends a request; whoever subscribes to the response streams it. */
-    HttpResponse execute(HttpRequest request, Deadline deadline) {
-        RequestOptions options = RequestOptions.builder()
-                .responseTimeoutMillis(Math.max(1, deadline.remainingMillis(time)))
-                .build();
-        return client.execute(request, options);
+    Exchange execute(HttpRequest request, long timeoutMillis) {
+        return Exchange.start(client, request, timeoutMillis);
     }
 
     @Override
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/CallHeaders.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/CallHeaders.java
@@ -17,6 +17,12 @@
     /** Request, entry to owner: name of the traffic class. */
     static final AsciiString TRAFFIC_CLASS = AsciiString.cached("berylwick-class");
 
+    /** Request, entry to owner: milliseconds within which the head of the answer must be there. */
+    static final AsciiString HEAD_MILLIS = AsciiString.cached("berylwick-head-ms");
+
+    /** Request, entry to owner, bulk transfers only: longest time in milliseconds in which nothing may move. */
+    static final AsciiString STALL_MILLIS = AsciiString.cached("berylwick-stall-ms");
+
     /** Response, owner to entry: see {@link #OUTCOME_ANSWERED} and the other words. */
     static final AsciiString OUTCOME = AsciiString.cached("berylwick-outcome");
 
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/CallPath.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/CallPath.java
@@ -1,12 +1,19 @@
 package org.berylwick.daemon.call;
 
+import com.codahale.metrics.MetricRegistry;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.berylwick.daemon.settings.DaemonSettings;
+import org.berylwick.internal.event.CallEvent;
+import org.berylwick.internal.event.EventLog;
+import org.berylwick.internal.invariant.Invariant;
+import org.berylwick.internal.invariant.Invariants;
 import org.berylwick.internal.kernel.KernelService;
 import org.berylwick.internal.limit.SlotLimiter;
 import org.berylwick.internal.membership.MembershipTable;
 import org.berylwick.internal.routing.MemberChooser;
 import org.berylwick.internal.version.InstalledVersion;
+import org.berylwick.lib.Deadline;
 import org.berylwick.lib.Member;
 import org.berylwick.lib.ServiceSpec;
 import org.berylwick.lib.TimeSource;
@@ -16,14 +23,23 @@
     /** The name in the kernel. */
     public static final String NAME = "call-path";
 
+    private static final EventLog EVENTS = new EventLog(CallPath.class);
     private static final int DEFAULT_SLOTS = 12;
     private static final int DEFAULT_QUEUE = 48;
+    private static final long ANNOUNCE_MILLIS = 2_000;
+    private static final long GRACE_MILLIS = 600_000;
+    private static final long POLL_MILLIS = 20;
 
-    private final PeerClients peers;
+    private final String instance;
+    private final PeerClients peers = new PeerClients();
     private final BackendServerClient server;
     private final SlotLimiter limiter;
     private final EntryService entry;
     private final OwnerService owner;
+    private final MembershipTable membership;
+    private final CallMetrics metrics;
+    private final Invariants invariants;
+    private final TimeSource time;
 
     /**
      * The call path of one daemon.
@@ -35,14 +51,24 @@
             InstalledVersion installed,
             MembershipTable membership,
             Supplier<Member.State> state,
+            MetricRegistry registry,
+            Invariants invariants,
             TimeSource time) {
-        peers = new PeerClients(time);
-        server = new BackendServerClient(settings.backendServer().address(), time);
+        this.instance = settings.instance();
+        this.membership = membership;
+        this.invariants = invariants;
+        this.time = time;
+        metrics = new CallMetrics(registry);
+        server = new BackendServerClient(settings.backendServer().address());
         limiter = new SlotLimiter(time, DEFAULT_SLOTS, DEFAULT_QUEUE);
         PeerLoads loads = new PeerLoads();
         MemberChooser chooser = new MemberChooser(settings.place(), loads::load);
-        entry = new EntryService(installed, membership, new Forwarder(peers, chooser, loads, time), time);
-        owner = new OwnerService(settings.instance(), limiter, server, state, time);
+        Owner ownServer = new Owner(limiter, server, state, metrics, invariants, time);
+        PeerSender sender = new PeerSender(peers, loads, time);
+        Forwarder forwarder =
+                new Forwarder(instance, ownServer, sender, chooser, membership, metrics, invariants, time);
+        entry = new EntryService(installed, membership, forwarder, metrics, time);
+        owner = new OwnerService(instance, ownServer, time);
         String service = settings.backendServer().service();
         installed.addListener(v -> {
             ServiceSpec spec = v.snapshot().configuration().services().get(service);
@@ -67,6 +93,34 @@
         return owner;
     }
 
+    /**
+     * Sends callers away and returns once nothing runs here any more, or after ten minutes; the own backend server must
+     * be announced as leaving before.
+     *
+     * <p>Callers are served on for as long as other members may take to learn of the leave: their requests are refused
+     * here truthfully meanwhile, whereas a connection that closes under a request leaves its outcome unknown.
+     */
+    public void drain() throws InterruptedException {
+        EVENTS.log(CallEvent.DRAINING, metrics.running());
+        entry.drain();
+        Deadline announced = Deadline.afterMillis(time, ANNOUNCE_MILLIS);
+        while (!announced.isPast(time) && hasOtherMembers()) {
+            TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+        }
+        Deadline grace = Deadline.afterMillis(time, GRACE_MILLIS);
+        while (!grace.isPast(time) && metrics.running() > 0) {
+            TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+        }
+        int left = metrics.running();
+        EVENTS.log(CallEvent.DRAINED, left);
+        invariants.check(Invariant.GRACEFUL_STOP, left == 0, () -> left + " requests are cut by a planned stop");
+    }
+
+    private boolean hasOtherMembers() {
+        return membership.view().all().stream()
+                .anyMatch(m -> m.state() == Member.State.UP && !m.instance().equals(instance));
+    }
+
     @Override
     public void close() {
         peers.close();
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/EntryService.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/EntryService.java
@@ -1,5 +1,6 @@
 package org.berylwick.daemon.call;
 
+import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
@@ -10,12 +11,14 @@
 import java.util.HexFormat;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import org.berylwick.internal.membership.MembershipTable;
 import org.berylwick.internal.routing.RouteMatch;
 import org.berylwick.internal.version.InstalledVersion;
 import org.berylwick.lib.Deadline;
 import org.berylwick.lib.Snapshot;
 import org.berylwick.lib.TimeSource;
+import org.berylwick.lib.TrafficClass;
 
 /** Takes requests from callers, finds their brand and route, and has them run. */
 public final class EntryService implements HttpService {
@@ -24,61 +27,117 @@
     private final InstalledVersion installed;
     private final MembershipTable membership;
     private final Forwarder forwarder;
+    private final CallMetrics metrics;
     private final TimeSource time;
+    private volatile boolean draining;
 
-    EntryService(InstalledVersion installed, MembershipTable membership, Forwarder forwarder, TimeSource time) {
+    EntryService(
+            InstalledVersion installed,
+            MembershipTable membership,
+            Forwarder forwarder,
+            CallMetrics metrics,
+            TimeSource time) {
         this.installed = installed;
         this.membership = membership;
         this.forwarder = forwarder;
+        this.metrics = metrics;
         this.time = time;
     }
 
+    /** Sends callers away from now on: each is still answered, and its connection ends with the answer. */
+    void drain() {
+        draining = true;
+    }
+
     @Override
     public HttpResponse serve(ServiceRequestContext ctx, HttpRequest request) {
-        Snapshot snapshot = installed.snapshot();
-        RequestHeaders received = request.headers();
-        String requestId = received.get(CallHeaders.REQUEST_ID, "");
-        if (requestId.isEmpty()) {
-            requestId = HexFormat.of().toHexDigits(ThreadLocalRandom.current().nextLong());
+        if (draining) {
+            // Connection: close with HTTP/1.1 and GOAWAY with HTTP/2: the caller goes elsewhere before the sockets
+            // close, when a request of its could cross with the close and be lost.
+            ctx.initiateConnectionShutdown();
         }
-        String host = hostOf(request.authority());
+        return switch (CallerRequest.read(request.headers())) {
+            case CallerRequest.Malformed(String detail) -> {
+                metrics.countRejected();
+                yield Problem.badRequest(newRequestId(), detail);
+            }
+            case CallerRequest.Accepted accepted -> find(ctx, request, accepted);
+        };
+    }
+
+    private HttpResponse find(ServiceRequestContext ctx, HttpRequest request, CallerRequest.Accepted accepted) {
+        Snapshot snapshot = installed.snapshot();
+        String requestId = accepted.requestId().orElseGet(EntryService::newRequestId);
+        String host = accepted.host();
         Optional<RouteMatch> match =
                 snapshot.table().find(host, request.method().name(), ctx.path());
         if (match.isEmpty()) {
+            metrics.countRejected();
             return Problem.noRoute(requestId, "no route for " + request.method() + " " + host + ctx.path());
         }
-        return forward(requestId, match.get(), request);
+        return forward(ctx, request, requestId, match.get(), accepted);
     }
 
-    private HttpResponse forward(String requestId, RouteMatch match, HttpRequest request) {
-        RequestHeaders received = request.headers();
-        Deadline deadline = Deadline.afterMillis(time, match.policy().timeoutMillis());
-        long asked = received.getLong(CallHeaders.TIMEOUT_MILLIS, -1);
-        if (asked >= 0) {
-            deadline = deadline.earlier(Deadline.afterMillis(time, asked));
+    private static String newRequestId() {
+        return HexFormat.of().toHexDigits(ThreadLocalRandom.current().nextLong());
+    }
+
+    private HttpResponse forward(
+            ServiceRequestContext ctx,
+            HttpRequest request,
+            String requestId,
+            RouteMatch match,
+            CallerRequest.Accepted accepted) {
+        long policyMillis = match.policy().timeoutMillis();
+        Optional<Deadline> callerBy = accepted.timeoutMillis().map(ms -> Deadline.afterMillis(time, ms));
+        Deadline policyBy = Deadline.afterMillis(time, policyMillis);
+        Deadline deadline = callerBy.map(policyBy::earlier).orElse(policyBy);
+        TransferLimit limit = match.policy().trafficClass() == TrafficClass.BULK
+                ? new TransferLimit.Progress(policyMillis, callerBy)
+                : new TransferLimit.Whole(deadline);
+        RequestHeaders headers = forwarded(request.headers(), requestId, match);
+        Call call = new Call(
+                requestId,
+                match,
+                membership.view(),
+                deadline,
+                limit,
+                headers,
+                new CallBody.Held(HttpData.empty()),
+                ctx);
+        long length = contentLength(request);
+        if (length == 0) {
+            return forwarder.forward(call);
         }
+        if (length < 0 || length > MAX_REPLAYED_BODY_BYTES) {
+            return forwarder.forward(call.withBody(new CallBody.Streamed(request)));
+        }
+        return hold(request, call);
+    }
+
+    /** Reads a small body to its end first, so that it can be sent again. */
+    private HttpResponse hold(HttpRequest request, Call call) {
+        var timeout = call.context()
+                .eventLoop()
+                .schedule(() -> request.abort(), call.deadline().remainingMillis(time), TimeUnit.MILLISECONDS);
+        return HttpResponse.of(request.aggregate().handle((whole, failure) -> {
+            timeout.cancel(false);
+            return failure == null
+                    ? forwarder.forward(call.withBody(new CallBody.Held(whole.content())))
+                    : Problem.requestTimeout(call.requestId());
+        }));
+    }
+
+    private static RequestHeaders forwarded(RequestHeaders received, String requestId, RouteMatch match) {
         RequestHeadersBuilder headers = received.toBuilder();
         CallHeaders.removeHopByHop(headers);
         CallHeaders.removeInternal(headers);
+        headers.remove(HttpHeaderNames.EXPECT);
+        headers.remove(CallHeaders.TIMEOUT_MILLIS);
         headers.set(CallHeaders.REQUEST_ID, requestId);
         headers.set(CallHeaders.BRAND, match.brand().name());
         match.brand().headers().forEach(headers::set);
-        RequestHeaders forwarded = headers.build();
-        long length = contentLength(request);
-        if (length < 0 || length > MAX_REPLAYED_BODY_BYTES) {
-            HttpRequest streamed = request.withHeaders(forwarded);
-            return forwarder.forward(new Call(requestId, match, membership.view(), deadline, streamed, false));
-        }
-        if (length == 0) {
-            HttpRequest empty = HttpRequest.of(forwarded);
-            return forwarder.forward(new Call(requestId, match, membership.view(), deadline, empty, true));
-        }
-        Deadline by = deadline;
-        String id = requestId;
-        return HttpResponse.of(request.aggregate().thenApply(whole -> {
-            HttpRequest replayed = HttpRequest.of(forwarded, whole.content());
-            return forwarder.forward(new Call(id, match, membership.view(), by, replayed, true));
-        }));
+        return headers.build();
     }
 
     /** The body's length if it is known, -1 if not. */
@@ -96,12 +155,4 @@
                         });
         return bodiless ? 0 : -1;
     }
-
-    private static String hostOf(String authority) {
-        if (authority == null) {
-            return "";
-        }
-        int colon = authority.lastIndexOf(':');
-        return colon < 0 ? authority : authority.substring(0, colon);
-    }
 }
--- /dev/null
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnedRequest.java
@@ -0,0 +1,17 @@
+package org.berylwick.daemon.call;
+
+import com.linecorp.armeria.common.HttpRequest;
+import org.berylwick.lib.Deadline;
+import org.berylwick.lib.TrafficClass;
+
+/**
+ * A request as it reaches the owner of a backend server, from another daemon or from its own entry.
+ *
+ * @param requestId names it on every hop
+ * @param trafficClass decides its place in the queue for a slot
+ * @param deadline by when the head of the answer must be there
+ * @param limit what bounds the rest of the answer
+ * @param request with the headers that go to the backend server
+ */
+record OwnedRequest(
+        String requestId, TrafficClass trafficClass, Deadline deadline, TransferLimit limit, HttpRequest request) {}
--- /dev/null
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerRun.java
@@ -0,0 +1,155 @@
+package org.berylwick.daemon.call;
+
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import com.linecorp.armeria.common.SplitHttpResponse;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.berylwick.internal.event.CallEvent;
+import org.berylwick.internal.event.EventLog;
+import org.berylwick.internal.limit.SlotLimiter;
+import org.berylwick.internal.limit.SlotLimiter.Admission;
+import org.berylwick.lib.Deadline;
+import org.berylwick.lib.Outcome;
+import org.berylwick.lib.RefusalReason;
+
+/** One request at the owner of its backend server. */
+final class OwnerRun {
+    private static final EventLog EVENTS = new EventLog(OwnerRun.class);
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
+    private final Owner owner;
+    private final OwnedRequest owned;
+    private final Pace pace;
+    private final CompletableFuture<Outcome<Answer>> outcome = new CompletableFuture<>();
+    private volatile boolean cancelled;
+    private volatile Exchange exchange;
+
+    OwnerRun(Owner owner, OwnedRequest owned) {
+        this.owner = owner;
+        this.owned = owned;
+        this.pace = new Pace(owned.limit(), owner.time());
+    }
+
+    CompletableFuture<Outcome<Answer>> outcome() {
+        return outcome;
+    }
+
+    /** Asks for a slot and sends the request once it is held. */
+    void begin() {
+        Optional<RefusalReason> refusal = owner.refusal(owned.deadline());
+        if (refusal.isPresent()) {
+            refuse(refusal.get());
+            return;
+        }
+        owner.limiter().acquire(owned.trafficClass(), owned.deadline()).whenComplete((admission, failure) -> {
+            if (failure != null) {
+                refuse(RefusalReason.OVERLOADED);
+                return;
+            }
+            switch (admission) {
+                case Admission.Refused() -> refuse(RefusalReason.OVERLOADED);
+                case Admission.Admitted(SlotLimiter.Permit permit) -> admitted(permit);
+            }
+        });
+    }
+
+    /** Gives the request up: nobody waits for its answer any more. */
+    void cancel() {
+        cancelled = true;
+        Exchange begun = exchange;
+        if (begun != null && !outcome.isDone()) {
+            begun.response().abort();
+        }
+    }
+
+    private void admitted(SlotLimiter.Permit permit) {
+        // Time has passed in the queue: the caller may be gone, the deadline past or the backend server leaving.
+        Optional<RefusalReason> refusal =
+                cancelled ? Optional.of(RefusalReason.DEADLINE) : owner.refusal(owned.deadline());
+        if (refusal.isPresent()) {
+            permit.close();
+            refuse(refusal.get());
+            return;
+        }
+        owner.checkMayWork(owned.requestId());
+        owner.metrics().begin();
+        Exchange begun =
+                owner.server().execute(pace.watch(toSend()), owned.deadline().remainingMillis(owner.time()));
+        pace.begin(begun);
+        begun.response().whenComplete().whenComplete((done, failure) -> {
+            permit.close();
+            owner.metrics().end();
+        });
+        exchange = begun;
+        SplitHttpResponse split = begun.response().split();
+        if (cancelled) {
+            begun.response().abort();
+        }
+        split.headers().whenComplete((headers, failure) -> {
+            if (failure == null) {
+                headSeen(headers, split);
+            } else {
+                failed(failure);
+            }
+        });
+    }
+
+    private HttpRequest toSend() {
+        RequestHeadersBuilder headers = owned.request().headers().toBuilder();
+        CallHeaders.removeInternal(headers);
+        Optional<Deadline> by = switch (owned.limit()) {
+            case TransferLimit.Whole(Deadline wholeBy) -> Optional.of(wholeBy.earlier(owned.deadline()));
+            case TransferLimit.Progress(long stallMillis, Optional<Deadline> callerBy) -> callerBy;
+        };
+        headers.remove(CallHeaders.TIMEOUT_MILLIS);
+        by.ifPresent(d -> headers.setLong(CallHeaders.TIMEOUT_MILLIS, d.remainingMillis(owner.time())));
+        return owned.request().withHeaders(headers);
+    }
+
+    private void headSeen(ResponseHeaders received, SplitHttpResponse split) {
+        String echoed = received.get(CallHeaders.REQUEST_ID, owned.requestId());
+        if (!echoed.equals(owned.requestId())) {
+            // The connection is one answer behind or ahead; every later answer on it would reach a wrong caller too.
+            EVENTS.log(CallEvent.CROSSED_ANSWER, owned.requestId(), echoed);
+            owner.metrics().countCrossed();
+            split.body().abort();
+            exchange.closeConnection();
+            outcome.complete(new Outcome.Unknown<>("the answer was another request's"));
+            return;
+        }
+        if (received.status().equals(HttpStatus.SERVICE_UNAVAILABLE) && received.contains(CallHeaders.SHED)) {
+            // Read to its end, so that the connection can be used again.
+            split.body().subscribe();
+            refuse(RefusalReason.SHED);
+            return;
+        }
+        ResponseHeadersBuilder headers = received.toBuilder();
+        CallHeaders.removeHopByHop(headers);
+        CallHeaders.removeInternal(headers);
+        headers.remove(CallHeaders.SHED);
+        headers.set(CallHeaders.REQUEST_ID, owned.requestId());
+        outcome.complete(
+                new Outcome.Answered<>(new Answer(headers.build(), pace.headSeen(split.body()), split.trailers())));
+    }
+
+    private void failed(Throwable failure) {
+        // Both must agree: the library's word that the peer cannot have seen the request, and that its head was
+        // never handed to the connection. With HTTP/1.1 a head that was handed over may have been run.
+        boolean sent = exchange.isHeadSent();
+        if (Exchange.isUnprocessed(failure) && !sent) {
+            owner.checkNotSent(owned.requestId(), exchange.isHeadSent());
+            boolean late = owned.deadline().isPast(owner.time());
+            refuse(late ? RefusalReason.DEADLINE : RefusalReason.SERVER_UNREACHABLE);
+            return;
+        }
+        outcome.complete(new Outcome.Unknown<>(failure.getClass().getSimpleName()));
+    }
+
+    private void refuse(RefusalReason reason) {
+        outcome.complete(new Outcome.RefusedNotRun<>(reason, Optional.of(RETRY_AFTER_MILLIS)));
+    }
+}
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerService.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerService.java
@@ -1,137 +1,107 @@
 package org.berylwick.daemon.call;
 
-import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
-import com.linecorp.armeria.common.RequestHeadersBuilder;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
-import com.linecorp.armeria.common.SplitHttpResponse;
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
-import java.util.Locale;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.function.Supplier;
-import org.berylwick.internal.limit.SlotLimiter;
-import org.berylwick.internal.limit.SlotLimiter.Admission;
 import org.berylwick.lib.Deadline;
-import org.berylwick.lib.Member;
+import org.berylwick.lib.Outcome;
 import org.berylwick.lib.RefusalReason;
 import org.berylwick.lib.TimeSource;
 import org.berylwick.lib.TrafficClass;
 
 /**
- * Takes calls for the own backend server from other daemons, admits them to its slots and streams the answer back.
+ * Takes calls for the own backend server from other daemons.
  *
- * <p>Every response says in {@link CallHeaders#OUTCOME} what is known. {@code not-run} is said only before a byte was
- * written to the backend server, or when the backend server itself said that it shed the request.
+ * <p>Every response says in {@link CallHeaders#OUTCOME} what is known.
  */
 public final class OwnerService implements HttpService {
-    private static final long RETRY_AFTER_MILLIS = 1_000;
+    private static final long MILLIS_PER_SECOND = 1_000;
 
     private final String instance;
-    private final SlotLimiter limiter;
-    private final BackendServerClient server;
-    private final Supplier<Member.State> state;
+    private final Owner owner;
     private final TimeSource time;
 
     /**
      * The service of one daemon.
      *
      * @param instance the own instance name
-     * @param state whether the backend server takes requests
      */
-    OwnerService(
-            String instance,
-            SlotLimiter limiter,
-            BackendServerClient server,
-            Supplier<Member.State> state,
-            TimeSource time) {
+    OwnerService(String instance, Owner owner, TimeSource time) {
         this.instance = instance;
-        this.limiter = limiter;
-        this.server = server;
-        this.state = state;
+        this.owner = owner;
         this.time = time;
     }
 
     @Override
     public HttpResponse serve(ServiceRequestContext ctx, HttpRequest request) {
         RequestHeaders headers = request.headers();
-        if (!instance.equals(headers.get(CallHeaders.INSTANCE))) {
-            return notRun(RefusalReason.NO_MEMBER);
+        String requestId = headers.get(CallHeaders.REQUEST_ID, "");
+        // An address is reused when a VM is replaced; the request is meant for the instance that had it before.
+        if (!instance.equals(headers.get(CallHeaders.INSTANCE)) || requestId.isEmpty()) {
+            return encode(requestId, new Outcome.RefusedNotRun<>(RefusalReason.NO_MEMBER, Optional.empty()));
         }
-        TrafficClass trafficClass = TrafficClass.valueOf(
-                headers.get(CallHeaders.TRAFFIC_CLASS, "READ").toUpperCase(Locale.ROOT));
-        Deadline deadline = Deadline.afterMillis(time, headers.getLong(CallHeaders.TIMEOUT_MILLIS, 0));
-        return HttpResponse.of(admit(request, trafficClass, deadline));
-    }
-
-    private CompletableFuture<HttpResponse> admit(HttpRequest request, TrafficClass trafficClass, Deadline deadline) {
-        switch (state.get()) {
-            case STARTING -> {
-                return CompletableFuture.completedFuture(notRun(RefusalReason.STARTING));
+        Attempt attempt = owner.run(decode(requestId, request));
+        HttpResponse response = HttpResponse.of(attempt.outcome().thenApply(o -> encode(requestId, o)));
+        response.whenComplete().whenComplete((done, failure) -> {
+            if (failure != null) {
+                attempt.cancel().run();
             }
-            case LEAVING, GONE -> {
-                return CompletableFuture.completedFuture(notRun(RefusalReason.LEAVING));
-            }
-            case UP, SUSPECT -> {}
-            default -> throw new IllegalStateException("no such state: " + state.get());
-        }
-        return limiter.acquire(trafficClass, deadline).thenCompose(admission -> switch (admission) {
-            case Admission.Refused() -> CompletableFuture.completedFuture(notRun(RefusalReason.OVERLOADED));
-            case Admission.Admitted(SlotLimiter.Permit permit) -> run(request, deadline, permit);
         });
+        return response;
     }
 
-    private CompletableFuture<HttpResponse> run(HttpRequest request, Deadline deadline, SlotLimiter.Permit permit) {
-        RequestHeadersBuilder headers = request.headers().toBuilder();
-        CallHeaders.removeInternal(headers);
-        headers.setLong(CallHeaders.TIMEOUT_MILLIS, deadline.remainingMillis(time));
-        HttpResponse response = server.execute(request.withHeaders(headers), deadline);
-        response.whenComplete().whenComplete((done, failure) -> permit.close());
-        SplitHttpResponse split = response.split();
-        return split.headers().handle((answer, failure) -> failure == null ? answered(answer, split) : failed(failure));
-    }
-
-    private HttpResponse answered(ResponseHeaders answer, SplitHttpResponse split) {
-        if (answer.status().equals(HttpStatus.SERVICE_UNAVAILABLE) && answer.contains(CallHeaders.SHED)) {
-            split.body().abort();
-            return notRun(RefusalReason.SHED);
-        }
-        ResponseHeadersBuilder headers = answer.toBuilder();
-        CallHeaders.removeHopByHop(headers);
-        CallHeaders.removeInternal(headers);
-        headers.set(CallHeaders.OUTCOME, CallHeaders.OUTCOME_ANSWERED);
-        headers.setInt(CallHeaders.LOAD, limiter.inUse() + limiter.waiting());
-        return HttpResponse.of(headers.build(), split.body());
-    }
-
-    private HttpResponse failed(Throwable failure) {
-        if (failure instanceof UnprocessedRequestException) {
-            return notRun(RefusalReason.SERVER_UNREACHABLE);
-        }
-        ResponseHeaders headers = ResponseHeaders.builder(HttpStatus.BAD_GATEWAY)
-                .set(CallHeaders.OUTCOME, CallHeaders.OUTCOME_UNKNOWN)
-                .set(CallHeaders.REASON, failure.getClass().getSimpleName())
-                .build();
-        return HttpResponse.of(headers);
+    private OwnedRequest decode(String requestId, HttpRequest request) {
+        RequestHeaders headers = request.headers();
+        TrafficClass trafficClass = switch (headers.get(CallHeaders.TRAFFIC_CLASS, "")) {
+            case "CONFIRMATION" -> TrafficClass.CONFIRMATION;
+            case "LOOKUP" -> TrafficClass.LOOKUP;
+            case "BULK" -> TrafficClass.BULK;
+            default -> TrafficClass.READ;
+        };
+        Deadline headBy = Deadline.afterMillis(time, headers.getLong(CallHeaders.HEAD_MILLIS, 0));
+        long wholeMillis = headers.getLong(CallHeaders.TIMEOUT_MILLIS, -1);
+        long stallMillis = headers.getLong(CallHeaders.STALL_MILLIS, -1);
+        Optional<Deadline> wholeBy =
+                wholeMillis < 0 ? Optional.empty() : Optional.of(Deadline.afterMillis(time, wholeMillis));
+        TransferLimit limit = stallMillis < 0
+                ? new TransferLimit.Whole(wholeBy.orElse(headBy))
+                : new TransferLimit.Progress(stallMillis, wholeBy);
+        return new OwnedRequest(requestId, trafficClass, headBy, limit, request);
     }
 
-    private HttpResponse notRun(RefusalReason reason) {
-        ResponseHeaders headers = ResponseHeaders.builder(HttpStatus.SERVICE_UNAVAILABLE)
-                .set(CallHeaders.OUTCOME, CallHeaders.OUTCOME_NOT_RUN)
-                .set(CallHeaders.REASON, reason.word())
-                .setInt(CallHeaders.LOAD, limiter.inUse() + limiter.waiting())
-                .setLong(HttpHeaderNames.RETRY_AFTER, retryAfter().orElse(0L) / 1_000)
-                .build();
-        return HttpResponse.of(headers);
+    private HttpResponse encode(String requestId, Outcome<Answer> outcome) {
+        return switch (outcome) {
+            case Outcome.Answered<Answer>(Answer answer) -> {
+                ResponseHeadersBuilder headers = answer.headers().toBuilder();
+                headers.set(CallHeaders.OUTCOME, CallHeaders.OUTCOME_ANSWERED);
+                headers.setInt(CallHeaders.LOAD, owner.load());
+                yield answer.withHeaders(headers.build()).toResponse();
+            }
+            case Outcome.RefusedNotRun<Answer>(RefusalReason reason, Optional<Long> retryAfter) -> {
+                ResponseHeadersBuilder headers =
+                        head(HttpStatus.SERVICE_UNAVAILABLE, CallHeaders.OUTCOME_NOT_RUN, requestId, reason.word());
+                retryAfter.ifPresent(ms ->
+                        headers.setLong(HttpHeaderNames.RETRY_AFTER, (ms + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND));
+                yield HttpResponse.of(headers.build());
+            }
+            case Outcome.Unknown<Answer>(String detail) ->
+                HttpResponse.of(head(HttpStatus.BAD_GATEWAY, CallHeaders.OUTCOME_UNKNOWN, requestId, detail)
+                        .build());
+        };
     }
 
-    private static Optional<Long> retryAfter() {
-        return Optional.of(RETRY_AFTER_MILLIS);
+    private ResponseHeadersBuilder head(HttpStatus status, String outcome, String requestId, String reason) {
+        return ResponseHeaders.builder(status)
+                .set(CallHeaders.OUTCOME, outcome)
+                .set(CallHeaders.REASON, reason)
+                .set(CallHeaders.REQUEST_ID, requestId)
+                .setInt(CallHeaders.LOAD, owner.load());
     }
 }
--- /dev/null
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/Pace.java
@@ -0,0 +1,65 @@
+package org.berylwick.daemon.call;
+
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.stream.StreamMessage;
+import org.berylwick.lib.Deadline;
+import org.berylwick.lib.TimeSource;
+
+/**
+ * Keeps the time limit of one exchange: first for the head of its answer, then for the rest.
+ *
+ * <p>A bulk transfer's limit is moved on whenever some of its body moves, in either direction.
+ */
+final class Pace {
+    private static final int RENEWALS_PER_LIMIT = 8;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final TransferLimit limit;
+    private final TimeSource time;
+    private volatile Exchange exchange;
+    private long nextRenewalNanos;
+
+    Pace(TransferLimit limit, TimeSource time) {
+        this.limit = limit;
+        this.time = time;
+    }
+
+    /** The request with its body watched, if that matters. */
+    HttpRequest watch(HttpRequest request) {
+        return limit instanceof TransferLimit.Progress ? request.peekData(d -> moved()) : request;
+    }
+
+    /** The exchange whose limit is kept. */
+    void begin(Exchange begun) {
+        exchange = begun;
+        nextRenewalNanos = time.nanoTime();
+    }
+
+    /** The head is there; returns the body to pass on. */
+    StreamMessage<HttpData> headSeen(StreamMessage<HttpData> body) {
+        return switch (limit) {
+            case TransferLimit.Whole(Deadline by) -> {
+                exchange.extend(by.remainingMillis(time));
+                yield body;
+            }
+            case TransferLimit.Progress p -> {
+                moved();
+                yield body.peek(d -> moved());
+            }
+        };
+    }
+
+    private void moved() {
+        if (exchange == null || !(limit instanceof TransferLimit.Progress p)) {
+            return;
+        }
+        long now = time.nanoTime();
+        if (now - nextRenewalNanos < 0) {
+            return;
+        }
+        nextRenewalNanos = now + p.stallMillis() * NANOS_PER_MILLI / RENEWALS_PER_LIMIT;
+        long callerMillis = p.callerBy().map(by -> by.remainingMillis(time)).orElse(Long.MAX_VALUE);
+        exchange.extend(Math.min(p.stallMillis(), callerMillis));
+    }
+}
--- /dev/null
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/PeerSender.java
@@ -0,0 +1,112 @@
+package org.berylwick.daemon.call;
+
+import com.linecorp.armeria.client.ResponseTimeoutException;
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import com.linecorp.armeria.common.SplitHttpResponse;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.berylwick.lib.Deadline;
+import org.berylwick.lib.Member;
+import org.berylwick.lib.Outcome;
+import org.berylwick.lib.RefusalReason;
+import org.berylwick.lib.TimeSource;
+
+/** Sends attempts to the daemons of other members and reads from their responses what is known. */
+final class PeerSender {
+    private static final long MILLIS_PER_SECOND = 1_000;
+    private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
+
+    /** How much earlier the owner gives up than the entry, so that its true refusal still arrives. */
+    private static final long HOP_MILLIS = 5;
+
+    private static final int HOP_SHARE = 10;
+
+    private final PeerClients peers;
+    private final PeerLoads loads;
+    private final TimeSource time;
+
+    PeerSender(PeerClients peers, PeerLoads loads, TimeSource time) {
+        this.peers = peers;
+        this.loads = loads;
+        this.time = time;
+    }
+
+    /** Sends one attempt; the head of its answer must be there within {@code attemptMillis}. */
+    Attempt send(Call call, Member member, long attemptMillis) {
+        RequestHeadersBuilder headers = call.headers().toBuilder();
+        headers.set(CallHeaders.INSTANCE, member.instance());
+        headers.set(
+                CallHeaders.TRAFFIC_CLASS, call.match().policy().trafficClass().name());
+        headers.setLong(CallHeaders.HEAD_MILLIS, attemptMillis - Math.min(HOP_MILLIS, attemptMillis / HOP_SHARE));
+        headers.remove(CallHeaders.TIMEOUT_MILLIS);
+        switch (call.limit()) {
+            case TransferLimit.Whole(Deadline by) ->
+                headers.setLong(CallHeaders.TIMEOUT_MILLIS, by.remainingMillis(time));
+            case TransferLimit.Progress(long stallMillis, Optional<Deadline> callerBy) -> {
+                headers.setLong(CallHeaders.STALL_MILLIS, stallMillis);
+                callerBy.ifPresent(by -> headers.setLong(CallHeaders.TIMEOUT_MILLIS, by.remainingMillis(time)));
+            }
+        }
+        Pace pace = new Pace(call.limit(), time);
+        Exchange exchange =
+                peers.execute(member.address(), pace.watch(call.newRequest(headers.build())), attemptMillis);
+        pace.begin(exchange);
+        loads.begin(member);
+        exchange.response().whenComplete().whenComplete((done, failure) -> loads.end(member));
+        SplitHttpResponse split = exchange.response().split();
+        CompletableFuture<Outcome<Answer>> outcome = split.headers()
+                .handle((answer, failure) ->
+                        failure == null ? outcomeOf(call, member, answer, split, exchange, pace) : outcomeOf(failure));
+        return new Attempt(outcome, () -> {
+            if (!outcome.isDone()) {
+                exchange.response().abort();
+            }
+        });
+    }
+
+    private Outcome<Answer> outcomeOf(
+            Call call, Member member, ResponseHeaders received, SplitHttpResponse split, Exchange exchange, Pace pace) {
+        loads.report(member, received.getInt(CallHeaders.LOAD, 0));
+        String answered = received.get(CallHeaders.REQUEST_ID, "");
+        if (!answered.equals(call.requestId()) && received.contains(CallHeaders.OUTCOME)) {
+            split.body().abort();
+            exchange.closeConnection();
+            return new Outcome.Unknown<>("the answer was another request's");
+        }
+        switch (received.get(CallHeaders.OUTCOME, "")) {
+            case CallHeaders.OUTCOME_ANSWERED -> {
+                ResponseHeadersBuilder headers = received.toBuilder();
+                CallHeaders.removeHopByHop(headers);
+                CallHeaders.removeInternal(headers);
+                return new Outcome.Answered<>(
+                        new Answer(headers.build(), pace.headSeen(split.body()), split.trailers()));
+            }
+            case CallHeaders.OUTCOME_NOT_RUN -> {
+                split.body().abort();
+                RefusalReason reason = RefusalReason.fromWord(received.get(CallHeaders.REASON, ""))
+                        .orElse(RefusalReason.NO_MEMBER);
+                long seconds = received.getLong(HttpHeaderNames.RETRY_AFTER, 1);
+                return new Outcome.RefusedNotRun<>(reason, Optional.of(seconds * MILLIS_PER_SECOND));
+            }
+            default -> {
+                split.body().abort();
+                return new Outcome.Unknown<>(
+                        received.get(CallHeaders.REASON, received.status().toString()));
+            }
+        }
+    }
+
+    private static Outcome<Answer> outcomeOf(Throwable failure) {
+        if (Exchange.isUnprocessed(failure)) {
+            return new Outcome.RefusedNotRun<>(
+                    RefusalReason.DAEMON_UNREACHABLE, Optional.of(DEFAULT_RETRY_AFTER_MILLIS));
+        }
+        return new Outcome.Unknown<>(
+                failure instanceof ResponseTimeoutException
+                        ? "no answer in time"
+                        : failure.getClass().getSimpleName());
+    }
+}
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/Problem.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/Problem.java
@@ -35,10 +35,21 @@
         return of(HttpStatus.SERVICE_UNAVAILABLE, "not-run", reason.word(), requestId, retryAfterMillis);
     }
 
-    /** The request may have run. */
-    static HttpResponse unknown(String requestId, boolean timedOut, String detail) {
+    /** The request's headers or body did not arrive in time. */
+    static HttpResponse requestTimeout(String requestId) {
+        return of(
+                HttpStatus.REQUEST_TIMEOUT, "request-timeout", "the body did not arrive", requestId, Optional.empty());
+    }
+
+    /**
+     * The request may have run.
+     *
+     * @param harmless whether the caller may send it again; only then it is told when
+     */
+    static HttpResponse unknown(String requestId, boolean timedOut, boolean harmless, String detail) {
         HttpStatus status = timedOut ? HttpStatus.GATEWAY_TIMEOUT : HttpStatus.BAD_GATEWAY;
-        return of(status, "outcome-unknown", detail, requestId, Optional.empty());
+        Optional<Long> retryAfter = harmless ? Optional.of(MILLIS_PER_SECOND) : Optional.empty();
+        return of(status, "outcome-unknown", detail, requestId, retryAfter);
     }
 
     private static HttpResponse of(
--- /dev/null
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/SilenceDetector.java
@@ -0,0 +1,98 @@
+package org.berylwick.daemon.call;
+
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http2.Http2ConnectionHandler;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.berylwick.internal.event.CallEvent;
+import org.berylwick.internal.event.EventLog;
+
+/**
+ * Closes an HTTP/2 connection on which the other end has gone silent.
+ *
+ * <p>A connection may go silent for good without being closed, and its requests would wait for their deadlines one
+ * after another. The client library pings only a connection on which nothing is written, so requests with bodies would
+ * hide the silence; here only what is read counts. A ping goes out a second after something was written that nothing
+ * followed, and on an idle connection every three seconds; when nothing at all is read within two more, the connection
+ * is closed: its requests end at once as unknown, and the next request opens another one.
+ */
+final class SilenceDetector extends ChannelDuplexHandler {
+    private static final EventLog EVENTS = new EventLog(SilenceDetector.class);
+    private static final long CHECK_MILLIS = 250;
+    private static final long BUSY_PING_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long IDLE_PING_NANOS = TimeUnit.SECONDS.toNanos(3);
+    private static final long ANSWER_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    private long lastReadNanos;
+    private boolean writtenSinceRead;
+    private boolean pingPending;
+    private long pingNanos;
+    private ScheduledFuture<?> check;
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        lastReadNanos = System.nanoTime();
+        check = ctx.executor()
+                .scheduleWithFixedDelay(() -> check(ctx), CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        ctx.fireChannelActive();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        noteRead();
+        ctx.fireChannelRead(message);
+    }
+
+    @Override
+    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+        writtenSinceRead = true;
+        ctx.write(message, promise);
+    }
+
+    private void noteRead() {
+        lastReadNanos = System.nanoTime();
+        writtenSinceRead = false;
+        pingPending = false;
+    }
+
+    private void check(ChannelHandlerContext ctx) {
+        // Reading stops while a slow caller holds back the stream; that silence is our own.
+        if (!ctx.channel().config().isAutoRead()) {
+            noteRead();
+            return;
+        }
+        long now = System.nanoTime();
+        if (pingPending) {
+            if (now - pingNanos >= ANSWER_NANOS) {
+                EVENTS.log(CallEvent.SILENT_CONNECTION, ctx.channel().remoteAddress());
+                ctx.close();
+            }
+            return;
+        }
+        if (now - lastReadNanos >= (writtenSinceRead ? BUSY_PING_NANOS : IDLE_PING_NANOS)) {
+            ping(ctx, now);
+        }
+    }
+
+    private void ping(ChannelHandlerContext ctx, long now) {
+        Http2ConnectionHandler http2 = ctx.pipeline().get(Http2ConnectionHandler.class);
+        if (http2 == null) {
+            return;
+        }
+        pingPending = true;
+        pingNanos = now;
+        ChannelHandlerContext handler = ctx.pipeline().context(http2);
+        http2.encoder().writePing(handler, false, now, handler.newPromise());
+        handler.flush();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        if (check != null) {
+            check.cancel(false);
+        }
+        ctx.fireChannelInactive();
+    }
+}
--- /dev/null
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/TransferLimit.java
@@ -0,0 +1,24 @@
+package org.berylwick.daemon.call;
+
+import java.util.Optional;
+import org.berylwick.lib.Deadline;
+
+/** What bounds the time that the answer takes after its head. */
+sealed interface TransferLimit {
+    /**
+     * The whole answer must be there.
+     *
+     * @param by when
+     */
+    record Whole(Deadline by) implements TransferLimit {}
+
+    /**
+     * Some of the body must have moved.
+     *
+     * <p>For bulk transfers: however long one takes, it is cut only when it stands still.
+     *
+     * @param stallMillis longest time in which nothing moves
+     * @param callerBy when the caller itself stops waiting, if it said so
+     */
+    record Progress(long stallMillis, Optional<Deadline> callerBy) implements TransferLimit {}
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/daemon/call/CallRig.java
@@ -0,0 +1,166 @@
+package org.berylwick.daemon.call;
+
+import com.codahale.metrics.MetricRegistry;
+import com.linecorp.armeria.server.HttpService;
+import com.linecorp.armeria.server.Server;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.berylwick.api.ApplyCommand;
+import org.berylwick.api.ApplyResult;
+import org.berylwick.daemon.settings.DaemonSettings;
+import org.berylwick.errors.VersionError;
+import org.berylwick.internal.invariant.Invariant;
+import org.berylwick.internal.invariant.Invariants;
+import org.berylwick.internal.membership.MembershipTable;
+import org.berylwick.internal.spread.SpreadTuning;
+import org.berylwick.internal.version.InstalledVersion;
+import org.berylwick.internal.version.VersionContent;
+import org.berylwick.internal.version.VersionRepository;
+import org.berylwick.lib.Deadline;
+import org.berylwick.lib.HostPort;
+import org.berylwick.lib.Labels;
+import org.berylwick.lib.Member;
+import org.berylwick.lib.Place;
+import org.berylwick.lib.Result;
+import org.berylwick.lib.TimeSource;
+import org.berylwick.transport.MemoryStore;
+
+/**
+ * Call paths of several daemons without their control duties: the test itself says who is a member and where.
+ *
+ * <p>So a relay can stand between any two daemons, and between a daemon and its backend server.
+ */
+final class CallRig implements AutoCloseable {
+    private static final TimeSource TIME = TimeSource.SYSTEM;
+    private static final Place PLACE = new Place("ncr", "makati");
+    private static final long APPLY_MILLIS = 10_000;
+
+    private final Map<String, RigDaemon> daemons = new LinkedHashMap<>();
+    private final VersionContent version;
+
+    /** One daemon of the rig. */
+    static final class RigDaemon {
+        final MetricRegistry metrics = new MetricRegistry();
+        final Invariants invariants = new Invariants(metrics);
+        final MembershipTable membership = new MembershipTable();
+        final InstalledVersion installed = new InstalledVersion(TIME);
+        final CallPath calls;
+        final Server callers;
+        final Server peers;
+        volatile Member.State state = Member.State.UP;
+
+        private RigDaemon(String instance, String service, HostPort backend, VersionContent version) {
+            HostPort any = new HostPort("127.0.0.1", 0);
+            DaemonSettings settings = new DaemonSettings(
+                    instance,
+                    PLACE,
+                    new DaemonSettings.Listen(any, any, any),
+                    new DaemonSettings.BackendServer(service, backend, new Labels(Map.of())),
+                    new DaemonSettings.Platform(URI.create("http://127.0.0.1:1")),
+                    new DaemonSettings.Spread(DaemonSettings.SpreadMode.WATCH, SpreadTuning.DEFAULT, 0, List.of()));
+            calls = new CallPath(settings, installed, membership, () -> state, metrics, invariants, TIME);
+            installed.install(version);
+            callers = serve(calls.entry());
+            peers = serve(calls.owner());
+        }
+
+        private static Server serve(HttpService service) {
+            Server server = Server.builder()
+                    .http(new InetSocketAddress("127.0.0.1", 0))
+                    .requestTimeoutMillis(0)
+                    .maxRequestLength(0)
+                    .serviceUnder("/", service)
+                    .build();
+            server.start().join();
+            return server;
+        }
+
+        /** Where callers are served. */
+        HostPort callersAddress() {
+            return address(callers);
+        }
+
+        /** Where peers are served. */
+        HostPort peersAddress() {
+            return address(peers);
+        }
+
+        private static HostPort address(Server server) {
+            return new HostPort("127.0.0.1", server.activeLocalPort());
+        }
+
+        /** A counter of this daemon. */
+        long count(String metric) {
+            return metrics.counter(metric).getCount();
+        }
+
+        /** Not waited for: the server library holds its threads for some seconds after the sockets are closed. */
+        private void close() {
+            callers.stop();
+            peers.stop();
+            calls.close();
+        }
+    }
+
+    /** A rig whose daemons have the declared configuration in force. */
+    CallRig(String declarations) {
+        VersionRepository repository = new VersionRepository(new MemoryStore(TIME));
+        Deadline by = Deadline.afterMillis(TIME, APPLY_MILLIS);
+        ApplyResult applied = new ApplyCommand(repository, TIME)
+                .addDocument("test.toml", declarations)
+                .setDeadline(by)
+                .call();
+        if (!(applied instanceof ApplyResult.Accepted accepted)) {
+            throw new IllegalArgumentException(applied.toString());
+        }
+        if (!(repository.read(accepted.version(), Map.of(), by)
+                instanceof Result.Ok<VersionContent, VersionError>(VersionContent content))) {
+            throw new IllegalStateException("the version can't be read back");
+        }
+        version = content;
+    }
+
+    /** Adds a daemon beside a backend server; nobody knows it as a member yet. */
+    RigDaemon add(String instance, String service, HostPort backend) {
+        RigDaemon daemon = new RigDaemon(instance, service, backend, version);
+        daemons.put(instance, daemon);
+        return daemon;
+    }
+
+    /** Makes a daemon known to all daemons as a member that is up at {@code address}. */
+    void announce(String instance, String service, HostPort address) {
+        Member member =
+                new Member(instance, service, address, PLACE, new Labels(Map.of()), Member.State.UP, 1, 12, 1, 1);
+        daemons.values().forEach(d -> d.membership.merge(member));
+    }
+
+    /** Adds a daemon and makes it known. */
+    RigDaemon addMember(String instance, String service, HostPort backend) {
+        RigDaemon daemon = add(instance, service, backend);
+        daemons.forEach((name, d) -> d.membership.view().all().forEach(m -> daemon.membership.merge(m)));
+        announce(instance, service, daemon.peersAddress());
+        return daemon;
+    }
+
+    /** Breaches of any invariant in any daemon. */
+    List<String> breaches() {
+        List<String> found = new ArrayList<>();
+        daemons.forEach((name, d) -> {
+            for (Invariant i : Invariant.values()) {
+                if (d.invariants.breaches(i) > 0) {
+                    found.add(name + " " + i);
+                }
+            }
+        });
+        return found;
+    }
+
+    @Override
+    public void close() {
+        daemons.values().forEach(RigDaemon::close);
+    }
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/daemon/call/Declarations.java
@@ -0,0 +1,55 @@
+package org.berylwick.daemon.call;
+
+/** The configuration that the tests of this package share. */
+final class Declarations {
+    /** One brand with a route for each kind of traffic, all to the service "web". */
+    static final String TEXT = """
+            [[brand]]
+            name = "one"
+            hosts = ["one.example"]
+
+            [[service]]
+            name = "web"
+
+            [[route]]
+            name = "orders"
+            path = "/orders"
+            service = "web"
+            labels = { kind = "order" }
+
+            [[route]]
+            name = "tiles"
+            path = "/tiles"
+            service = "web"
+            labels = { kind = "read" }
+
+            [[route]]
+            name = "archives"
+            path = "/archives"
+            service = "web"
+            labels = { kind = "bulk" }
+
+            [[policy]]
+            name = "order"
+            routes = "kind=order"
+            class = "confirmation"
+            timeout = "5s"
+            idempotent = false
+
+            [[policy]]
+            name = "read"
+            routes = "kind=read"
+            class = "read"
+            timeout = "10s"
+            idempotent = true
+
+            [[policy]]
+            name = "bulk"
+            routes = "kind=bulk"
+            class = "bulk"
+            timeout = "4s"
+            idempotent = true
+            """;
+
+    private Declarations() {}
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/daemon/call/OutcomeTest.java
@@ -0,0 +1,268 @@
+package org.berylwick.daemon.call;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
+import java.io.IOException;
+import java.util.List;
+import org.berylwick.daemon.call.CallRig.RigDaemon;
+import org.berylwick.lib.HostPort;
+import org.berylwick.lib.Member;
+import org.berylwick.testing.RawServer;
+import org.berylwick.testing.TcpRelay;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** What callers are told, and how often a request is run, when a hop breaks at each point of an exchange. */
+class OutcomeTest {
+    private static final String BODY = "amount=10";
+
+    private final CallRig rig = new CallRig(Declarations.TEXT);
+    private final RawServer first = new RawServer();
+    private final RawServer second = new RawServer();
+
+    @AfterEach
+    void close() {
+        assertEquals(List.of(), rig.breaches());
+        rig.close();
+        first.close();
+        second.close();
+    }
+
+    private static AggregatedHttpResponse send(RigDaemon entry, HttpMethod method, String path, String id) {
+        RequestHeadersBuilder headers =
+                RequestHeaders.builder(method, path).set("host", "one.example").set("x-request-id", id);
+        WebClient client = WebClient.of("http://" + entry.callersAddress());
+        return method == HttpMethod.POST
+                ? client.execute(headers.build(), BODY).aggregate().join()
+                : client.execute(headers.build()).aggregate().join();
+    }
+
+    private int runs(String id) {
+        return first.runs(id) + second.runs(id);
+    }
+
+    /** An entry whose only members are the two backend servers beside other daemons. */
+    private RigDaemon entryBeforeBoth() {
+        RigDaemon entry = rig.add("entry", "none", first.address());
+        rig.addMember("a", "web", first.address());
+        rig.addMember("b", "web", second.address());
+        return entry;
+    }
+
+    private void bothDo(RawServer.Script script) {
+        first.setScript(script);
+        second.setScript(script);
+    }
+
+    @Test
+    void orderWhoseServerResetsAfterTheHeadRunsOnceAndIsUnknown() {
+        // The caller gets 502 outcome-unknown without Retry-After: the server has read the head of the order and
+        // resets before the body; it may have begun, so neither owner nor entry may send it again.
+        RigDaemon entry = entryBeforeBoth();
+        bothDo((c, r) -> c.reset());
+        AggregatedHttpResponse answer = send(entry, HttpMethod.POST, "/orders", "o-1");
+        assertEquals(502, answer.status().code());
+        assertTrue(answer.contentUtf8().contains("outcome-unknown"), answer.contentUtf8());
+        assertFalse(answer.headers().contains("retry-after"));
+        assertEquals(1, runs("o-1"));
+    }
+
+    @Test
+    void orderWhoseServerResetsAfterTheBodyRunsOnceAndIsUnknown() {
+        // The caller gets 502 outcome-unknown: the server has the whole order and resets before it answers.
+        RigDaemon entry = entryBeforeBoth();
+        bothDo((c, r) -> {
+            c.read(BODY.length());
+            c.reset();
+        });
+        assertEquals(
+                502, send(entry, HttpMethod.POST, "/orders", "o-2").status().code());
+        assertEquals(1, runs("o-2"));
+    }
+
+    @Test
+    void orderWhoseServerClosesWithinTheAnswersHeadRunsOnceAndIsUnknown() {
+        // The caller gets 502 outcome-unknown: half a status line came back, which says nothing.
+        RigDaemon entry = entryBeforeBoth();
+        bothDo((c, r) -> {
+            c.read(BODY.length());
+            c.write("HTTP/1.1 200 O");
+            c.reset();
+        });
+        assertEquals(
+                502, send(entry, HttpMethod.POST, "/orders", "o-3").status().code());
+        assertEquals(1, runs("o-3"));
+    }
+
+    @Test
+    void readIsSentToAnotherServerAfterAnUnknownOutcome() {
+        // The caller gets its tile: the first server resets after the head, and as the route is idempotent the entry
+        // asks the other one.
+        RigDaemon entry = entryBeforeBoth();
+        RawServer.Script once = (c, r) -> {
+            if (runs(r.id()) == 1) {
+                c.reset();
+            } else {
+                c.answer(r, "tile");
+            }
+        };
+        bothDo(once);
+        AggregatedHttpResponse answer = send(entry, HttpMethod.GET, "/tiles/1", "t-1");
+        assertEquals("tile", answer.contentUtf8());
+        assertEquals(2, runs("t-1"));
+    }
+
+    @Test
+    void orderIsSentOnWhenItsServerCannotBeConnectedTo() {
+        // The caller gets its answer: nothing listens beside the first owner, whose refusal is proven not run.
+        first.close();
+        RigDaemon entry = entryBeforeBoth();
+        for (int i = 0; i < 8; i++) {
+            assertEquals(
+                    200,
+                    send(entry, HttpMethod.POST, "/orders", "c-" + i).status().code());
+            assertEquals(1, runs("c-" + i));
+        }
+    }
+
+    @Test
+    void orderIsSentOnWhenADaemonCannotBeConnectedTo() {
+        // The caller gets its answer: one member's daemon is gone but still announced.
+        RigDaemon entry = rig.add("entry", "none", first.address());
+        rig.addMember("b", "web", second.address());
+        rig.announce("gone", "web", new HostPort("127.0.0.1", 1));
+        for (int i = 0; i < 8; i++) {
+            assertEquals(
+                    200,
+                    send(entry, HttpMethod.POST, "/orders", "d-" + i).status().code());
+            assertEquals(1, runs("d-" + i));
+        }
+    }
+
+    @Test
+    void orderIsSentOnWhenAnAddressNowBelongsToAnotherInstance() {
+        // The caller gets its answer: the announced address was taken over by the daemon of another service, which
+        // refuses the instance that it is not; its backend server must not see the order.
+        RawServer other = new RawServer();
+        RigDaemon entry = rig.add("entry", "none", first.address());
+        RigDaemon taken = rig.add("taken", "none", other.address());
+        rig.addMember("b", "web", second.address());
+        rig.announce("old", "web", taken.peersAddress());
+        for (int i = 0; i < 8; i++) {
+            assertEquals(
+                    200,
+                    send(entry, HttpMethod.POST, "/orders", "w-" + i).status().code());
+        }
+        assertEquals(List.of(), other.requests());
+        other.close();
+    }
+
+    @Test
+    void orderIsSentOnWhenAServerSheds() {
+        // The caller gets its answer: the first server sheds the order with x-shed and did not run it.
+        RigDaemon entry = entryBeforeBoth();
+        RawServer.Script shedFirst = (c, r) -> {
+            c.read(BODY.length());
+            if (runs(r.id()) == 1) {
+                c.write("HTTP/1.1 503 Busy\r\nx-shed: true\r\ncontent-length: 4\r\n\r\nbusy");
+            } else {
+                c.answer(r, "booked");
+            }
+        };
+        bothDo(shedFirst);
+        assertEquals("booked", send(entry, HttpMethod.POST, "/orders", "s-1").contentUtf8());
+    }
+
+    @Test
+    void orderCutBetweenTheDaemonsRunsOnceAndIsUnknown() throws IOException {
+        // The caller gets 502 outcome-unknown: the connection between entry and owner is cut while the order runs.
+        // The owner cannot say any more whether it did, so the entry must not send it to the other member.
+        RigDaemon entry = rig.add("entry", "none", first.address());
+        RigDaemon owner = rig.add("a", "web", first.address());
+        try (TcpRelay relay = new TcpRelay(owner.peersAddress())) {
+            rig.announce("a", "web", relay.address());
+            first.setScript((c, r) -> {
+                relay.cutOpen();
+                c.awaitClosedByPeer();
+            });
+            AggregatedHttpResponse answer = send(entry, HttpMethod.POST, "/orders", "x-1");
+            assertEquals(502, answer.status().code());
+            assertTrue(answer.contentUtf8().contains("outcome-unknown"));
+            assertEquals(1, runs("x-1"));
+        }
+    }
+
+    @Test
+    void readRefusedAfterAnUnknownOutcomeIsNotCalledNotRun() {
+        // The caller gets 502 outcome-unknown: the only server ran the read and reset, and then nothing could be
+        // connected to any more. Saying "not run" for the last attempt would be untrue of the first.
+        RigDaemon entry = rig.add("entry", "none", first.address());
+        rig.addMember("a", "web", first.address());
+        first.setScript((c, r) -> {
+            first.close();
+            c.reset();
+        });
+        AggregatedHttpResponse answer = send(entry, HttpMethod.GET, "/tiles/2", "r-1");
+        assertTrue(answer.contentUtf8().contains("outcome-unknown"), answer.contentUtf8());
+        assertEquals("1", answer.headers().get("retry-after"));
+        assertEquals(1, runs("r-1"));
+    }
+
+    @Test
+    void deadlineThatPassedIsRefusedWithoutRunning() {
+        // The caller, which said it waits 0 ms, gets 503 not-run: its server never hears of the order.
+        RigDaemon entry = entryBeforeBoth();
+        WebClient client = WebClient.of("http://" + entry.callersAddress());
+        AggregatedHttpResponse answer = client.execute(
+                        RequestHeaders.builder(HttpMethod.POST, "/orders")
+                                .set("host", "one.example")
+                                .set("x-request-id", "z-1")
+                                .set("x-request-timeout-ms", "0")
+                                .build(),
+                        BODY)
+                .aggregate()
+                .join();
+        assertEquals(503, answer.status().code());
+        assertTrue(answer.contentUtf8().contains("deadline"), answer.contentUtf8());
+        assertEquals(0, runs("z-1"));
+    }
+
+    @Test
+    void leavingServerIsRefusedForAtItsOwnerAndRememberedAtOnce() {
+        // Every caller gets its answer: one server is leaving but still announced as up; its owner refuses, and the
+        // entry does not ask it again.
+        RigDaemon entry = rig.add("entry", "none", first.address());
+        RigDaemon leaving = rig.addMember("a", "web", first.address());
+        rig.addMember("b", "web", second.address());
+        leaving.state = Member.State.LEAVING;
+        for (int i = 0; i < 20; i++) {
+            assertEquals(
+                    200,
+                    send(entry, HttpMethod.POST, "/orders", "l-" + i).status().code());
+        }
+        assertEquals(List.of(), first.requests());
+        assertEquals(
+                Member.State.LEAVING,
+                entry.membership.view().find("a").orElseThrow().state());
+        assertTrue(entry.count(CallMetrics.VERDICT + "RETRY") <= 1);
+    }
+
+    @Test
+    void entryThatIsTheOwnerAnswersWithoutANetworkHop() {
+        // The caller gets its answer although nobody can connect to the daemon's own address: it is its own owner.
+        RigDaemon entry = rig.add("a", "web", first.address());
+        rig.announce("a", "web", new HostPort("127.0.0.1", 1));
+        assertEquals("ok", send(entry, HttpMethod.POST, "/orders", "p-1").contentUtf8());
+        first.setScript((c, r) -> c.reset());
+        assertEquals(
+                502, send(entry, HttpMethod.POST, "/orders", "p-2").status().code());
+        assertEquals(1, runs("p-2"));
+    }
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/daemon/call/RawCaller.java
@@ -0,0 +1,62 @@
+package org.berylwick.daemon.call;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import org.berylwick.lib.HostPort;
+
+/** A caller made of bytes, which sees exactly how an answer ends. */
+final class RawCaller implements AutoCloseable {
+    private static final int READ_TIMEOUT_MILLIS = 30_000;
+    private static final int BUFFER_BYTES = 64 << 10;
+
+    private final Socket socket;
+
+    RawCaller(HostPort address) throws IOException {
+        socket = new Socket(address.host(), address.port());
+        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+    }
+
+    void write(String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    /** Sends a GET with more header lines, each ended by CR LF. */
+    void get(String path, String lines) throws IOException {
+        write("GET " + path + " HTTP/1.1\r\nhost: one.example\r\n" + lines + "\r\n");
+    }
+
+    InputStream in() throws IOException {
+        return socket.getInputStream();
+    }
+
+    /**
+     * Everything until the connection ends.
+     *
+     * @throws SocketTimeoutException if it does not end
+     */
+    String readToEnd() throws IOException {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        byte[] buffer = new byte[BUFFER_BYTES];
+        try {
+            for (int n = socket.getInputStream().read(buffer);
+                    n >= 0;
+                    n = socket.getInputStream().read(buffer)) {
+                all.write(buffer, 0, n);
+            }
+        } catch (SocketException e) {
+            // A reset ends the connection as well.
+        }
+        return all.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/retry/RetryBudgetTest.java
@@ -0,0 +1,70 @@
+package org.berylwick.internal.retry;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.berylwick.testing.ManualTimeSource;
+
+/** How many retries a daemon makes in an outage. */
+class RetryBudgetTest {
+    private static final double SHARE = 0.2;
+    private static final int FLOOR = 10;
+    private static final long WINDOW_MILLIS = 10_000;
+    private static final long BUCKET_MILLIS = WINDOW_MILLIS / 10;
+
+    @Property(seed = "4711", tries = 300)
+    void retriesOfAnyWindowStayUnderTheShareOfTheRequestsThatLedToThem(
+            @ForAll @Size(min = 1, max = 400) List<@IntRange(max = 500) Integer> pauses) {
+        ManualTimeSource time = new ManualTimeSource();
+        RetryBudget budget = new RetryBudget(time, SHARE, FLOOR, WINDOW_MILLIS);
+        Deque<Long> requests = new ArrayDeque<>();
+        Deque<Long> retries = new ArrayDeque<>();
+        for (int pause : pauses) {
+            time.advance(Duration.ofMillis(pause));
+            long now = time.nanoTime() / 1_000_000;
+            budget.countRequest();
+            requests.add(now);
+            // In an outage every request asks for as many retries as it can get.
+            while (budget.tryRetry()) {
+                retries.add(now);
+            }
+            // A retry granted at the start of this window was counted against the requests of the window before it.
+            forgetBefore(requests, now - 2 * WINDOW_MILLIS);
+            forgetBefore(retries, now - WINDOW_MILLIS + BUCKET_MILLIS);
+            assertTrue(
+                    retries.size() <= FLOOR + SHARE * requests.size(),
+                    retries.size() + " retries for " + requests.size() + " requests");
+        }
+    }
+
+    @Property(seed = "4712", tries = 100)
+    void aBudgetUsedUpIsWholeAgainAfterAWindow(@ForAll @IntRange(min = 1, max = 1_000) int requests) {
+        ManualTimeSource time = new ManualTimeSource();
+        RetryBudget budget = new RetryBudget(time, SHARE, FLOOR, WINDOW_MILLIS);
+        for (int i = 0; i < requests; i++) {
+            budget.countRequest();
+        }
+        while (budget.tryRetry()) {
+            // Uses it up.
+        }
+        time.advance(Duration.ofMillis(WINDOW_MILLIS + BUCKET_MILLIS));
+        int granted = 0;
+        while (budget.tryRetry()) {
+            granted++;
+        }
+        assertTrue(granted == FLOOR, "granted " + granted);
+    }
+
+    private static void forgetBefore(Deque<Long> times, long bound) {
+        while (!times.isEmpty() && times.peek() <= bound) {
+            times.remove();
+        }
+    }
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the decisions about retries. */
+package org.berylwick.internal.retry;
--- a/org.berylwick/src/org/berylwick/internal/event/CallEvent.java
+++ b/org.berylwick/src/org/berylwick/internal/event/CallEvent.java
@@ -5,7 +5,21 @@
 /** Events about requests. */
 public enum CallEvent implements Event {
     /** A request ended without it being known whether it ran. */
-    OUTCOME_UNKNOWN(4001, Level.WARN, "request {} to {}: outcome unknown: {}");
+    OUTCOME_UNKNOWN(4001, Level.WARN, "request {} to {}: outcome unknown: {}"),
+    /** The backend server's answer names another request; its connection was closed. */
+    CROSSED_ANSWER(4002, Level.ERROR, "request {} was answered for {}: dropped"),
+    /** Nothing came over a connection any more; it was closed. */
+    SILENT_CONNECTION(4003, Level.WARN, "the connection to {} went silent: closed"),
+    /** An answer that was being streamed ended early; the caller sees it cut. */
+    ANSWER_CUT(4004, Level.WARN, "answer to request {} was cut after {} bytes: {}"),
+    /** An answer that was cut goes on from another attempt. */
+    ANSWER_RESUMED(4005, Level.INFO, "answer to request {} goes on at byte {} from {}"),
+    /** The share of retries is used up. */
+    OVER_BUDGET(4006, Level.WARN, "request {} to {} is not sent again: retry budget used up"),
+    /** The daemon stops: callers are sent away and what runs is finished. */
+    DRAINING(4007, Level.INFO, "draining: {} requests run here"),
+    /** Nothing runs any more, or the time for it is over. */
+    DRAINED(4008, Level.INFO, "drained: {} requests are left");
 
     private final int number;
     private final Level level;
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/retry/RetryBudget.java
@@ -0,0 +1,74 @@
+package org.berylwick.internal.retry;
+
+import org.berylwick.lib.TimeSource;
+
+/**
+ * Bounds retries to a share of the requests of the last seconds.
+ *
+ * <p>In an outage every request fails, and without a bound each of them would arrive several times at servers that are
+ * overloaded already. A small floor lets a service with few requests retry at all. Any thread may use it.
+ */
+public final class RetryBudget {
+    private static final int BUCKETS = 10;
+
+    private final TimeSource time;
+    private final double share;
+    private final int floor;
+    private final long bucketNanos;
+    private final long originNanos;
+    private final long[] requests = new long[BUCKETS];
+    private final long[] retries = new long[BUCKETS];
+    private long newestBucket;
+
+    /**
+     * A budget with no request seen yet.
+     *
+     * @param share retries allowed for each request of the window
+     * @param floor retries allowed in a window whatever the number of requests
+     * @param windowMillis length of the window
+     */
+    public RetryBudget(TimeSource time, double share, int floor, long windowMillis) {
+        this.time = time;
+        this.share = share;
+        this.floor = floor;
+        this.bucketNanos = Math.max(1, windowMillis * 1_000_000L / BUCKETS);
+        this.originNanos = time.nanoTime();
+    }
+
+    /** Notes a request, once however often it is sent. */
+    public synchronized void countRequest() {
+        requests[currentSlot()]++;
+    }
+
+    /** Takes one retry out of the budget if there is one left. */
+    public synchronized boolean tryRetry() {
+        int slot = currentSlot();
+        if (sum(retries) + 1 > floor + share * sum(requests)) {
+            return false;
+        }
+        retries[slot]++;
+        return true;
+    }
+
+    private int currentSlot() {
+        long bucket = (time.nanoTime() - originNanos) / bucketNanos;
+        long stale = Math.min(BUCKETS, bucket - newestBucket);
+        for (long i = 1; i <= stale; i++) {
+            int slot = (int) ((newestBucket + i) % BUCKETS);
+            requests[slot] = 0;
+            retries[slot] = 0;
+        }
+        if (stale > 0) {
+            newestBucket = bucket;
+        }
+        return (int) (newestBucket % BUCKETS);
+    }
+
+    private static long sum(long[] counts) {
+        long total = 0;
+        for (long c : counts) {
+            total += c;
+        }
+        return total;
+    }
+}
