--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/CallPath.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/CallPath.java
@@ -1,6 +1,7 @@
 package org.berylwick.daemon.call;
 
 import com.codahale.metrics.MetricRegistry;
+import com.linecorp.armeria.common.CommonPools;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.berylwick.daemon.settings.DaemonSettings;
@@ -10,9 +11,11 @@
 import org.berylwick.internal.invariant.Invariants;
 import org.berylwick.internal.kernel.KernelService;
 import org.berylwick.internal.limit.SlotLimiter;
+import org.berylwick.internal.limit.SlotLimits;
 import org.berylwick.internal.membership.MembershipTable;
 import org.berylwick.internal.routing.MemberChooser;
 import org.berylwick.internal.version.InstalledVersion;
+import org.berylwick.lib.Configuration;
 import org.berylwick.lib.Deadline;
 import org.berylwick.lib.Member;
 import org.berylwick.lib.ServiceSpec;
@@ -60,7 +63,14 @@
         this.time = time;
         metrics = new CallMetrics(registry);
         server = new BackendServerClient(settings.backendServer().address());
-        limiter = new SlotLimiter(time, DEFAULT_SLOTS, DEFAULT_QUEUE);
+        limiter = new SlotLimiter(
+                time,
+                (at, task) -> CommonPools.workerGroup()
+                        .next()
+                        .schedule(task, Math.max(0, at.remainingNanos(time)), TimeUnit.NANOSECONDS),
+                registry,
+                invariants,
+                SlotLimits.ofAllClasses(DEFAULT_SLOTS, DEFAULT_QUEUE));
         PeerLoads loads = new PeerLoads();
         MemberChooser chooser = new MemberChooser(settings.place(), loads::load);
         Owner ownServer = new Owner(limiter, server, state, metrics, invariants, time);
@@ -71,9 +81,10 @@
         owner = new OwnerService(instance, ownServer, time);
         String service = settings.backendServer().service();
         installed.addListener(v -> {
-            ServiceSpec spec = v.snapshot().configuration().services().get(service);
+            Configuration configuration = v.snapshot().configuration();
+            ServiceSpec spec = configuration.services().get(service);
             if (spec != null) {
-                limiter.setLimits(spec.slots(), spec.queueLimit());
+                limiter.setLimits(SlotLimits.of(configuration, spec));
             }
         });
     }
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerRun.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerRun.java
@@ -27,6 +27,7 @@
     private final CompletableFuture<Outcome<Answer>> outcome = new CompletableFuture<>();
     private volatile boolean cancelled;
     private volatile Exchange exchange;
+    private volatile CompletableFuture<Admission> asked;
 
     OwnerRun(Owner owner, OwnedRequest owned) {
         this.owner = owner;
@@ -45,13 +46,14 @@
             refuse(refusal.get());
             return;
         }
-        owner.limiter().acquire(owned.trafficClass(), owned.deadline()).whenComplete((admission, failure) -> {
+        asked = owner.limiter().acquire(owned.trafficClass(), owned.deadline());
+        asked.whenComplete((admission, failure) -> {
             if (failure != null) {
-                refuse(RefusalReason.OVERLOADED);
+                refuse(RefusalReason.DEADLINE);
                 return;
             }
             switch (admission) {
-                case Admission.Refused() -> refuse(RefusalReason.OVERLOADED);
+                case Admission.Refused(RefusalReason reason, long retryAfterMillis) -> refuse(reason, retryAfterMillis);
                 case Admission.Admitted(SlotLimiter.Permit permit) -> admitted(permit);
             }
         });
@@ -60,6 +62,12 @@
     /** Gives the request up: nobody waits for its answer any more. */
     void cancel() {
         cancelled = true;
+        CompletableFuture<Admission> waiting = asked;
+        if (waiting != null) {
+            // Without this the request keeps its place in the queue and later takes a slot for an answer that
+            // nobody reads.
+            waiting.cancel(false);
+        }
         Exchange begun = exchange;
         if (begun != null && !outcome.isDone()) {
             begun.response().abort();
@@ -91,7 +99,7 @@
         }
         split.headers().whenComplete((headers, failure) -> {
             if (failure == null) {
-                headSeen(headers, split);
+                headSeen(headers, split, permit);
             } else {
                 failed(failure);
             }
@@ -110,7 +118,7 @@
         return owned.request().withHeaders(headers);
     }
 
-    private void headSeen(ResponseHeaders received, SplitHttpResponse split) {
+    private void headSeen(ResponseHeaders received, SplitHttpResponse split, SlotLimiter.Permit permit) {
         String echoed = received.get(CallHeaders.REQUEST_ID, owned.requestId());
         if (!echoed.equals(owned.requestId())) {
             // The connection is one answer behind or ahead; every later answer on it would reach a wrong caller too.
@@ -122,6 +130,7 @@
             return;
         }
         if (received.status().equals(HttpStatus.SERVICE_UNAVAILABLE) && received.contains(CallHeaders.SHED)) {
+            permit.shed();
             // Read to its end, so that the connection can be used again.
             split.body().subscribe();
             refuse(RefusalReason.SHED);
@@ -150,6 +159,10 @@
     }
 
     private void refuse(RefusalReason reason) {
-        outcome.complete(new Outcome.RefusedNotRun<>(reason, Optional.of(RETRY_AFTER_MILLIS)));
+        refuse(reason, RETRY_AFTER_MILLIS);
+    }
+
+    private void refuse(RefusalReason reason, long retryAfterMillis) {
+        outcome.complete(new Outcome.RefusedNotRun<>(reason, Optional.of(retryAfterMillis)));
     }
 }
--- a/org.berylwick.test/tst/org/berylwick/daemon/call/CallRig.java
+++ b/org.berylwick.test/tst/org/berylwick/daemon/call/CallRig.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.berylwick.api.ApplyCommand;
 import org.berylwick.api.ApplyResult;
 import org.berylwick.daemon.settings.DaemonSettings;
@@ -58,7 +59,7 @@
             DaemonSettings settings = new DaemonSettings(
                     instance,
                     PLACE,
-                    new DaemonSettings.Listen(any, any, any),
+                    new DaemonSettings.Listen(any, any, any, Optional.empty()),
                     new DaemonSettings.BackendServer(service, backend, new Labels(Map.of())),
                     new DaemonSettings.Platform(URI.create("http://127.0.0.1:1")),
                     new DaemonSettings.Spread(DaemonSettings.SpreadMode.WATCH, SpreadTuning.DEFAULT, 0, List.of()));
--- a/org.berylwick/src/org/berylwick/internal/event/CallEvent.java
+++ b/org.berylwick/src/org/berylwick/internal/event/CallEvent.java
@@ -19,7 +19,19 @@
     /** The daemon stops: callers are sent away and what runs is finished. */
     DRAINING(4007, Level.INFO, "draining: {} requests run here"),
     /** Nothing runs any more, or the time for it is over. */
-    DRAINED(4008, Level.INFO, "drained: {} requests are left");
+    DRAINED(4008, Level.INFO, "drained: {} requests are left"),
+
+    /** The backend server shed a request, so fewer slots are used for a while. */
+    SLOTS_LOWERED(4041, Level.WARN, "backend server sheds: slots {} -> {} of {}"),
+
+    /** All declared slots are used again. */
+    SLOTS_RESTORED(4042, Level.DEBUG, "all {} slots are used again"),
+
+    /** A member is given no requests for a while, as those sent there failed. */
+    MEMBER_EJECTED(4043, Level.WARN, "{} of {} ejected for {} ms: {}"),
+
+    /** A member that was ejected takes requests again. */
+    MEMBER_RETURNED(4044, Level.INFO, "{} of {} takes requests again");
 
     private final int number;
     private final Level level;
