Claim idempotency keys by conditional updates of slot objects

Cause: a caller that gets no answer sends its request again, to any daemon, and a placement is confirmed twice.

Change: a key's record lives in one of 2^20 slot objects. A claim is one read and one conditional update, its settlement one more update; expired records leave with the next claim in their slot. A claim is never taken over. A lost answer is settled by reading the slot and knowing the own claim id again. A claim in doubt is released with a write that makes a late one fail. KeyDuty does this on four threads with bounded rings.

Checked: KeyClaimsTest runs three claimants in 1,500 random interleavings with refused calls, lost answers, late writes, pauses and deaths.

--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/idempotency/InterleavedStore.java
@@ -0,0 +1,151 @@
+package org.berylwick.internal.idempotency;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import org.berylwick.errors.StoreError;
+import org.berylwick.lib.Deadline;
+import org.berylwick.lib.TimeSource;
+import org.berylwick.transport.MemoryStore;
+import org.berylwick.transport.ObjectKey;
+import org.berylwick.transport.StoreCall;
+import org.berylwick.transport.StoreInterceptor;
+
+/**
+ * A store whose clients run in an order that a seed decides, one call at a time, with faults in between.
+ *
+ * <p>Each client stops before and after each call until {@link #run} lets it go on. A call may be refused, its answer
+ * may be lost after it took effect, and a write may be held back with its answer lost, to land at any later time.
+ */
+final class InterleavedStore implements StoreInterceptor {
+    private static final int ONE_IN_FAULTS = 5;
+
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Condition changed = lock.newCondition();
+    private final List<Thread> atGate = new ArrayList<>();
+    private final List<StoreCall> heldBack = new ArrayList<>();
+    private final Random random;
+    private final TimeSource time;
+    private final MemoryStore store;
+    private Thread allowed;
+    private int live;
+
+    InterleavedStore(Random random, TimeSource time) {
+        this.random = random;
+        this.time = time;
+        this.store = new MemoryStore(time, this);
+    }
+
+    MemoryStore store() {
+        return store;
+    }
+
+    /** Runs the clients to their ends; {@code between} runs now and then between two calls. */
+    void run(List<Runnable> clients, Runnable between) {
+        lock.lock();
+        try {
+            live = clients.size();
+            clients.forEach(c -> Thread.ofVirtual().start(() -> client(c)));
+            while (live > 0) {
+                while (allowed != null || atGate.size() < live) {
+                    changed.awaitUninterruptibly();
+                }
+                if (live == 0) {
+                    break;
+                }
+                if (random.nextInt(ONE_IN_FAULTS) == 0) {
+                    between.run();
+                    landOne();
+                }
+                allowed = atGate.remove(random.nextInt(atGate.size()));
+                changed.signalAll();
+            }
+        } finally {
+            lock.unlock();
+        }
+        while (!heldBack.isEmpty()) {
+            landOne();
+        }
+    }
+
+    private void client(Runnable body) {
+        gate();
+        try {
+            body.run();
+        } finally {
+            lock.lock();
+            try {
+                live--;
+                allowed = null;
+                changed.signalAll();
+            } finally {
+                lock.unlock();
+            }
+        }
+    }
+
+    /** Gives the turn back and waits for the next one. */
+    private void gate() {
+        lock.lock();
+        try {
+            Thread self = Thread.currentThread();
+            if (allowed == self) {
+                allowed = null;
+            }
+            // Threads reach their first gate in any order; a place by age keeps the seed's choice the same.
+            atGate.add(self);
+            atGate.sort((a, b) -> Long.compare(a.threadId(), b.threadId()));
+            changed.signalAll();
+            while (allowed != self) {
+                changed.awaitUninterruptibly();
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void landOne() {
+        if (!heldBack.isEmpty()) {
+            StoreCall late = heldBack.remove(random.nextInt(heldBack.size()));
+            StoreCall.Write write = late.write().orElseThrow();
+            store.put(new ObjectKey(late.path()), write.value(), write.precondition(), Deadline.afterMillis(time, 1));
+        }
+    }
+
+    /** Calls of the scheduling thread itself, and of tests before and after, pass without a gate. */
+    private boolean isClient() {
+        return Thread.currentThread().isVirtual();
+    }
+
+    @Override
+    public Optional<StoreError> before(StoreCall call) {
+        if (!isClient()) {
+            return Optional.empty();
+        }
+        gate();
+        return switch (random.nextInt(2 * ONE_IN_FAULTS)) {
+            case 0 -> Optional.of(new StoreError.Unavailable("out"));
+            case 1 -> {
+                if (call.isWrite()) {
+                    heldBack.add(call);
+                }
+                yield Optional.of(new StoreError.OutcomeUnknown("held back"));
+            }
+            default -> Optional.empty();
+        };
+    }
+
+    @Override
+    public Optional<StoreError> after(StoreCall call) {
+        if (!isClient()) {
+            return Optional.empty();
+        }
+        gate();
+        return random.nextInt(ONE_IN_FAULTS) == 0
+                ? Optional.of(new StoreError.OutcomeUnknown("answer lost"))
+                : Optional.empty();
+    }
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/idempotency/KeyClaimsTest.java
@@ -0,0 +1,234 @@
+package org.berylwick.internal.idempotency;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.berylwick.errors.ClaimError;
+import org.berylwick.errors.StoreError;
+import org.berylwick.lib.Deadline;
+import org.berylwick.lib.Digest;
+import org.berylwick.lib.Result;
+import org.berylwick.testing.ManualTimeSource;
+import org.berylwick.transport.MemoryStore;
+import org.berylwick.transport.Precondition;
+import org.berylwick.transport.StoreCall;
+import org.berylwick.transport.StoreInterceptor;
+import org.junit.jupiter.api.Test;
+
+/** Who may run a request under a key, with claimants, faults and pauses in any order. */
+class KeyClaimsTest {
+    private static final KeyId KEY = KeyId.of("kapitolyo", "placements", "order-17");
+    private static final Digest FINGERPRINT = Digest.of("POST /placements".getBytes(StandardCharsets.UTF_8));
+    private static final StoredAnswer ANSWER =
+            new StoredAnswer(201, List.of(new StoredAnswer.Header("location", "/placements/9")), new byte[] {1, 2, 3});
+    private static final int CLAIMANTS = 3;
+    private static final int REQUESTS_EACH = 2;
+    private static final int SETTLE_ATTEMPTS = 200;
+
+    private final ManualTimeSource time = new ManualTimeSource();
+    private final Deadline farOff = Deadline.after(time, Duration.ofDays(30));
+
+    private KeyRequest request() {
+        return new KeyRequest(KEY, FINGERPRINT, time.epochMillis() + 1_000);
+    }
+
+    /** How a granted request goes on. */
+    private enum Fate {
+        ANSWERED,
+        NOT_RUN,
+        UNKNOWN,
+        DIES_BEFORE_SENDING,
+        DIES_AFTER_SENDING
+    }
+
+    /** What happened to all requests of one try. */
+    private static final class Tally {
+        private final AtomicInteger runs = new AtomicInteger();
+        private final AtomicInteger answered = new AtomicInteger();
+        private final AtomicInteger finalFates = new AtomicInteger();
+    }
+
+    private void client(KeyClaims claims, Random fates, Tally tally) {
+        for (int i = 0; i < REQUESTS_EACH; i++) {
+            switch (claims.claim(request(), farOff)) {
+                case ClaimOutcome.Granted(KeyClaim claim) -> {
+                    if (!run(claims, claim, Fate.values()[fates.nextInt(Fate.values().length)], tally)) {
+                        return;
+                    }
+                }
+                case ClaimOutcome.Taken(KeyRecord existing) -> {
+                    if (existing.run() instanceof KeyState.Answered(StoredAnswer answer)) {
+                        assertEquals(ANSWER, answer);
+                    }
+                }
+                case ClaimOutcome.Refused(var ignored, Optional<KeyClaim> toRelease) ->
+                    toRelease.ifPresent(c -> settle(claims, c, new Settlement.Release()));
+            }
+        }
+    }
+
+    private boolean run(KeyClaims claims, KeyClaim claim, Fate fate, Tally tally) {
+        if (fate != Fate.NOT_RUN) {
+            tally.finalFates.incrementAndGet();
+        }
+        if (fate != Fate.NOT_RUN && fate != Fate.DIES_BEFORE_SENDING) {
+            tally.runs.incrementAndGet();
+        }
+        switch (fate) {
+            case ANSWERED -> {
+                settle(claims, claim, new Settlement.Keep(new KeyState.Answered(ANSWER)));
+                tally.answered.incrementAndGet();
+            }
+            case UNKNOWN -> settle(claims, claim, new Settlement.Keep(new KeyState.Unknown()));
+            case NOT_RUN -> settle(claims, claim, new Settlement.Release());
+            case DIES_BEFORE_SENDING, DIES_AFTER_SENDING -> {
+                return false;
+            }
+            default -> throw new IllegalStateException(fate.toString());
+        }
+        return true;
+    }
+
+    private void settle(KeyClaims claims, KeyClaim claim, Settlement settlement) {
+        for (int i = 0; i < SETTLE_ATTEMPTS; i++) {
+            switch (claims.settle(claim, settlement, farOff)) {
+                case SettleOutcome.Settled() -> {
+                    return;
+                }
+                case SettleOutcome.Lost() -> throw new AssertionError("the claim vanished");
+                case SettleOutcome.Later ignored -> {}
+            }
+        }
+        throw new AssertionError("not settled");
+    }
+
+    /**
+     * Three daemons get the same request twice each, at any time between one another's calls of the store. Calls are
+     * refused, their answers are lost, writes land long after their answer was given up, claimants pause for minutes or
+     * die. The caller is charged twice if two requests run; it is left without its order if a key stays taken although
+     * nobody ran it; both are what the claims are there to prevent.
+     */
+    @Property(seed = "4711", tries = 1500)
+    void atMostOneRequestRunsAndAnUnusedKeyIsFree(@ForAll long seed) {
+        Random random = new Random(seed);
+        InterleavedStore interleaved = new InterleavedStore(random, time);
+        Tally tally = new Tally();
+        List<AssertionError> failures = new ArrayList<>();
+        List<Runnable> clients = new ArrayList<>();
+        for (int i = 0; i < CLAIMANTS; i++) {
+            KeyClaims claims = new KeyClaims(interleaved.store(), "daemon-" + i, time);
+            Random fates = new Random(random.nextLong());
+            clients.add(() -> {
+                try {
+                    client(claims, fates, tally);
+                } catch (AssertionError e) {
+                    failures.add(e);
+                }
+            });
+        }
+        interleaved.run(clients, () -> time.advance(Duration.ofMinutes(2)));
+        assertEquals(List.of(), failures);
+        assertTrue(tally.finalFates.get() <= 1, "requests let run: " + tally.finalFates);
+        assertTrue(tally.runs.get() <= 1, "runs: " + tally.runs);
+        ClaimOutcome last = new KeyClaims(interleaved.store(), "last", time).claim(request(), farOff);
+        if (tally.finalFates.get() == 0) {
+            assertInstanceOf(ClaimOutcome.Granted.class, last);
+            return;
+        }
+        KeyState run =
+                assertInstanceOf(ClaimOutcome.Taken.class, last).existing().run();
+        if (tally.answered.get() == 1) {
+            assertEquals(new KeyState.Answered(ANSWER), run);
+        }
+    }
+
+    @Test
+    void aKeyIsFreeAgainAfterTheRetentionAndItsRecordIsGone() {
+        MemoryStore store = new MemoryStore(time);
+        KeyClaims claims = new KeyClaims(store, "daemon", time);
+        assertInstanceOf(ClaimOutcome.Granted.class, claims.claim(request(), farOff));
+        time.advance(Duration.ofMillis(KeySlot.RETENTION_MILLIS));
+        assertInstanceOf(ClaimOutcome.Taken.class, claims.claim(request(), farOff));
+        time.advance(Duration.ofMillis(1));
+        assertInstanceOf(ClaimOutcome.Granted.class, claims.claim(request(), farOff));
+        assertEquals(1, slot(store).records().size());
+    }
+
+    private KeySlot slot(MemoryStore store) {
+        return value(KeySlot.decode(
+                value(store.get(KEY.slot(), farOff)).orElseThrow().value()));
+    }
+
+    private static <T, E> T value(Result<T, E> result) {
+        return switch (result) {
+            case Result.Ok<T, E>(T value) -> value;
+            case Result.Err<T, E>(E error) -> throw new AssertionError(error);
+        };
+    }
+
+    @Test
+    void keptAnswersMakeRoomForClaimsOldestFirstAndThatTheyRanIsNotForgotten() {
+        KeySlot slot = KeySlot.EMPTY;
+        for (int i = 0; i < 3; i++) {
+            StoredAnswer answer = new StoredAnswer(200 + i, List.of(), new byte[1_000]);
+            KeyRecord record = new KeyRecord("k" + i, "f", "c" + i, "d", i, new KeyState.Answered(answer));
+            slot = slot.plus(record, i);
+        }
+        KeySlot trimmed = value(KeySlot.decode(slot.encode(3_400).orElseThrow()));
+        assertEquals(new KeyState.Ran(200), trimmed.records().get(0).run());
+        assertEquals(slot.records().subList(1, 3), trimmed.records().subList(1, 3));
+        assertEquals(Optional.empty(), slot.encode(100));
+    }
+
+    /**
+     * The write of a claim is held up on the way and its answer given up; the caller is told, truly, that its request
+     * was not run. The claim is released, and only then the held-up write arrives. Were it let in, the caller would be
+     * told for a day that its key is taken, though nobody ever ran the request.
+     */
+    @Test
+    void aWriteThatArrivesAfterItsClaimWasReleasedIsRefused() {
+        List<StoreCall> heldUp = new ArrayList<>();
+        AtomicInteger failing = new AtomicInteger(2);
+        MemoryStore store = new MemoryStore(time, new StoreInterceptor() {
+            @Override
+            public Optional<StoreError> before(StoreCall call) {
+                if (failing.get() == 0 || (failing.get() == 2 && !call.isWrite())) {
+                    return Optional.empty();
+                }
+                if (failing.getAndDecrement() == 2) {
+                    heldUp.add(call);
+                    return Optional.of(new StoreError.OutcomeUnknown("held up"));
+                }
+                return Optional.of(new StoreError.Unavailable("out"));
+            }
+        });
+        KeyClaims claims = new KeyClaims(store, "daemon", time);
+        ClaimOutcome.Refused refused = assertInstanceOf(ClaimOutcome.Refused.class, claims.claim(request(), farOff));
+        KeyClaim toRelease = refused.toRelease().orElseThrow();
+        assertEquals(new SettleOutcome.Settled(), claims.settle(toRelease, new Settlement.Release(), farOff));
+        StoreCall.Write late = heldUp.getFirst().write().orElseThrow();
+        assertInstanceOf(Result.Err.class, store.put(KEY.slot(), late.value(), late.precondition(), farOff));
+        assertInstanceOf(ClaimOutcome.Granted.class, claims.claim(request(), farOff));
+    }
+
+    @Test
+    void anUnreadableSlotIsRefusedAndLeftAlone() {
+        MemoryStore store = new MemoryStore(time);
+        byte[] damaged = {'?'};
+        store.put(KEY.slot(), damaged, new Precondition.None(), farOff);
+        ClaimOutcome.Refused refused = assertInstanceOf(
+                ClaimOutcome.Refused.class, new KeyClaims(store, "daemon", time).claim(request(), farOff));
+        assertInstanceOf(ClaimError.Unreadable.class, refused.error());
+        assertEquals(1, value(store.get(KEY.slot(), farOff)).orElseThrow().value().length);
+    }
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/idempotency/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of claims of idempotency keys. */
+package org.berylwick.internal.idempotency;
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/idempotency/KeyClaims.java
@@ -0,0 +1,183 @@
+package org.berylwick.internal.idempotency;
+
+import java.util.Optional;
+import java.util.UUID;
+import org.berylwick.errors.ClaimError;
+import org.berylwick.errors.StoreError;
+import org.berylwick.internal.idempotency.KeyClaim.SlotImage;
+import org.berylwick.lib.Deadline;
+import org.berylwick.lib.Result;
+import org.berylwick.lib.TimeSource;
+import org.berylwick.transport.PlatformStore;
+import org.berylwick.transport.Precondition;
+import org.berylwick.transport.StoredObject;
+
+/**
+ * Decides through the platform's store which request runs under a key.
+ *
+ * <p>A claim is a conditional update of the key's slot object: of several daemons that claim one key, the store lets
+ * one through. A claim is never taken over, so a claimant that was paused for however long does no harm, and one that
+ * died leaves its key taken until it expires. Slot objects are never deleted; an update that is overtaken therefore
+ * always fails its precondition.
+ *
+ * <p>All calls block; any thread may call.
+ */
+public final class KeyClaims {
+    private static final int MAX_ROUNDS = 16;
+    private static final int MAX_SLOT_BYTES = PlatformStore.MAX_VALUE_BYTES / 2;
+    private static final int MAX_IMAGE_BYTES = 16 << 10;
+
+    private final PlatformStore store;
+    private final String claimant;
+    private final TimeSource time;
+
+    /**
+     * Claims in the name of one daemon.
+     *
+     * @param store stays the caller's to close
+     * @param claimant instance name of the daemon
+     */
+    public KeyClaims(PlatformStore store, String claimant, TimeSource time) {
+        this.store = store;
+        this.claimant = claimant;
+        this.time = time;
+    }
+
+    /** Tries to claim a key: two calls of the store if nobody holds it, one if somebody does. */
+    public ClaimOutcome claim(KeyRequest request, Deadline deadline) {
+        String claimId = UUID.randomUUID().toString();
+        boolean inDoubt = false;
+        ClaimError last = new ClaimError.Undecided("the deadline passed before the claim");
+        for (int round = 0; round < MAX_ROUNDS && !deadline.isPast(time); round++) {
+            Result<SlotImage, ClaimError> read = read(request.key(), deadline);
+            if (!(read instanceof Result.Ok<SlotImage, ClaimError>(SlotImage image))) {
+                return refused(request, claimId, inDoubt, ((Result.Err<SlotImage, ClaimError>) read).error());
+            }
+            long now = time.epochMillis();
+            Optional<KeyRecord> existing = image.slot().find(request.key(), now);
+            if (existing.isPresent()) {
+                // A claim whose answer was lost has taken effect: without knowing its own record again, the
+                // claimant would tell its caller that another request holds the key, and the request never runs.
+                return existing.get().claimId().equals(claimId)
+                        ? granted(request, claimId, Optional.empty())
+                        : new ClaimOutcome.Taken(existing.get());
+            }
+            KeyRecord record = new KeyRecord(
+                    request.key().hash().hex(),
+                    request.fingerprint().hex(),
+                    claimId,
+                    claimant,
+                    now,
+                    new KeyState.Claimed(request.untilMillis()));
+            KeySlot claimed = image.slot().plus(record, now);
+            switch (write(request.key(), image.version(), claimed, deadline)) {
+                case Result.Ok<Optional<SlotImage>, StoreError>(Optional<SlotImage> written) -> {
+                    return granted(request, claimId, written);
+                }
+                case Result.Err<Optional<SlotImage>, StoreError>(StoreError error) -> {
+                    last = ClaimError.of(error);
+                    if (!mayHaveTakenEffect(error)) {
+                        return refused(request, claimId, inDoubt, last);
+                    }
+                    inDoubt = true;
+                }
+            }
+        }
+        return refused(request, claimId, inDoubt, last);
+    }
+
+    /** A client below may have repeated the write, so "precondition failed" can be the echo of our own success. */
+    private static boolean mayHaveTakenEffect(StoreError error) {
+        return error instanceof StoreError.OutcomeUnknown || error instanceof StoreError.PreconditionFailed;
+    }
+
+    private static ClaimOutcome granted(KeyRequest request, String claimId, Optional<SlotImage> written) {
+        return new ClaimOutcome.Granted(new KeyClaim(request.key(), claimId, written, false));
+    }
+
+    private static ClaimOutcome refused(KeyRequest request, String claimId, boolean inDoubt, ClaimError error) {
+        Optional<KeyClaim> toRelease =
+                inDoubt ? Optional.of(new KeyClaim(request.key(), claimId, Optional.empty(), true)) : Optional.empty();
+        return new ClaimOutcome.Refused(error, toRelease);
+    }
+
+    /** Ends a claim: one call of the store if its slot has not changed since the claim, two if it has. */
+    public SettleOutcome settle(KeyClaim claim, Settlement settlement, Deadline deadline) {
+        Optional<SlotImage> known = claim.written();
+        ClaimError last = new ClaimError.Undecided("the deadline passed before the claim was settled");
+        for (int round = 0; round < MAX_ROUNDS && !deadline.isPast(time); round++) {
+            Result<SlotImage, ClaimError> read =
+                    known.<Result<SlotImage, ClaimError>>map(Result::ok).orElseGet(() -> read(claim.key(), deadline));
+            known = Optional.empty();
+            if (!(read instanceof Result.Ok<SlotImage, ClaimError>(SlotImage image))) {
+                return new SettleOutcome.Later(((Result.Err<SlotImage, ClaimError>) read).error());
+            }
+            Optional<KeyRecord> own = image.slot().findClaim(claim.claimId());
+            Optional<SettleOutcome> done = doneAlready(claim, settlement, own);
+            if (done.isPresent()) {
+                return done.get();
+            }
+            KeySlot settled = switch (settlement) {
+                case Settlement.Release() -> image.slot().without(claim.claimId());
+                case Settlement.Keep(KeyState run) -> image.slot().with(claim.claimId(), run);
+            };
+            switch (write(claim.key(), image.version(), settled, deadline)) {
+                case Result.Ok<Optional<SlotImage>, StoreError> ignored -> {
+                    return new SettleOutcome.Settled();
+                }
+                case Result.Err<Optional<SlotImage>, StoreError>(StoreError error) -> {
+                    last = ClaimError.of(error);
+                    if (!mayHaveTakenEffect(error)) {
+                        return new SettleOutcome.Later(last);
+                    }
+                }
+            }
+        }
+        return new SettleOutcome.Later(last);
+    }
+
+    private static Optional<SettleOutcome> doneAlready(KeyClaim claim, Settlement settlement, Optional<KeyRecord> own) {
+        return switch (settlement) {
+            // A write of a claim in doubt may be on its way still. It would land after the release and take the key
+            // for a request that never ran; so the slot is written once more, and the late write fails its
+            // precondition.
+            case Settlement.Release() ->
+                own.isEmpty() && !claim.inDoubt() ? Optional.of(new SettleOutcome.Settled()) : Optional.empty();
+            case Settlement.Keep ignored -> {
+                if (own.isEmpty()) {
+                    yield Optional.of(new SettleOutcome.Lost());
+                }
+                yield own.get().run() instanceof KeyState.Claimed
+                        ? Optional.empty()
+                        : Optional.of(new SettleOutcome.Settled());
+            }
+        };
+    }
+
+    private Result<SlotImage, ClaimError> read(KeyId key, Deadline deadline) {
+        return store.get(key.slot(), deadline).mapError(ClaimError::of).flatMap(KeyClaims::decode);
+    }
+
+    private static Result<SlotImage, ClaimError> decode(Optional<StoredObject> found) {
+        if (found.isEmpty()) {
+            return Result.ok(new SlotImage(0, KeySlot.EMPTY));
+        }
+        StoredObject object = found.get();
+        return KeySlot.decode(object.value())
+                .map(slot -> new SlotImage(object.version(), slot))
+                .mapError(ClaimError.Unreadable::new);
+    }
+
+    /** Writes the slot; the image is left out if it is too large to be kept in memory. */
+    private Result<Optional<SlotImage>, StoreError> write(KeyId key, long version, KeySlot slot, Deadline deadline) {
+        Optional<byte[]> bytes = slot.encode(MAX_SLOT_BYTES);
+        if (bytes.isEmpty()) {
+            return Result.err(new StoreError.TooLarge(MAX_SLOT_BYTES));
+        }
+        Precondition precondition =
+                version == 0 ? new Precondition.MustBeAbsent() : new Precondition.MustHaveVersion(version);
+        boolean small = bytes.get().length <= MAX_IMAGE_BYTES;
+        return store.put(key.slot(), bytes.get(), precondition, deadline)
+                .map(v -> small ? Optional.of(new SlotImage(v, slot)) : Optional.empty());
+    }
+}
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/idempotency/KeyDuty.java
@@ -0,0 +1,216 @@
+package org.berylwick.internal.idempotency;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.berylwick.errors.ClaimError;
+import org.berylwick.internal.event.CallEvent;
+import org.berylwick.internal.event.EventLog;
+import org.berylwick.internal.invariant.Invariant;
+import org.berylwick.internal.invariant.Invariants;
+import org.berylwick.internal.kernel.KernelService;
+import org.berylwick.internal.kernel.Ring;
+import org.berylwick.lib.Deadline;
+import org.berylwick.lib.TimeSource;
+import org.berylwick.transport.PlatformStore;
+
+/**
+ * Claims and settles keys on threads of its own, for callers that must not block.
+ *
+ * <p>Requests for one slot go to one thread. The number of claims under way is bounded, and each has at most one
+ * message in a ring as large as that bound: so a full house refuses new claims, truly as not run, and never loses the
+ * settlement of an old one.
+ */
+public final class KeyDuty implements KernelService {
+    /** The name in the kernel. */
+    public static final String NAME = "idempotency-keys";
+
+    /** Most claims under way at once; also the capacity of each thread's ring. */
+    static final int MAX_OUTSTANDING = 512;
+
+    private static final EventLog EVENTS = new EventLog(KeyDuty.class);
+    private static final int THREADS = 4;
+    private static final long CLAIM_MILLIS = 2_000;
+    private static final long SETTLE_GIVE_UP_MILLIS = TimeUnit.MINUTES.toMillis(10);
+    private static final long CLOSE_MILLIS = 5_000;
+    private static final long CLOSE_POLL_MILLIS = 10;
+
+    private final KeyClaims claims;
+    private final Invariants invariants;
+    private final TimeSource time;
+    private final AtomicInteger outstanding = new AtomicInteger();
+    private final List<KeyWorker> workers = new ArrayList<>();
+    private final Counter granted;
+    private final Counter taken;
+    private final Counter refused;
+    private final Counter settled;
+    private final Counter retried;
+    private final Counter notSettled;
+    private final Timer claimTime;
+
+    /**
+     * A duty that begins with {@link #start()}.
+     *
+     * @param store stays the caller's to close
+     * @param claimant instance name of the daemon
+     */
+    public KeyDuty(
+            PlatformStore store, String claimant, Invariants invariants, MetricRegistry metrics, TimeSource time) {
+        this.claims = new KeyClaims(store, claimant, time);
+        this.invariants = invariants;
+        this.time = time;
+        granted = metrics.counter(KeyMetrics.GRANTED);
+        taken = metrics.counter(KeyMetrics.TAKEN);
+        refused = metrics.counter(KeyMetrics.REFUSED);
+        settled = metrics.counter(KeyMetrics.SETTLED);
+        retried = metrics.counter(KeyMetrics.SETTLE_RETRIES);
+        notSettled = metrics.counter(KeyMetrics.NOT_SETTLED);
+        claimTime = metrics.timer(KeyMetrics.CLAIM_TIME);
+        metrics.register(KeyMetrics.OUTSTANDING, (Gauge<Integer>) outstanding::get);
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public void start() {
+        for (int i = 0; i < THREADS; i++) {
+            workers.add(new KeyWorker(NAME + "-" + i, this, claims, time));
+        }
+    }
+
+    /**
+     * Tries to claim a key.
+     *
+     * @param deadline of the request; the claim gets two seconds of it at most
+     * @return completed on a thread of this duty, never exceptionally
+     */
+    public CompletableFuture<ClaimOutcome> claim(KeyRequest request, Deadline deadline) {
+        CompletableFuture<ClaimOutcome> outcome = new CompletableFuture<>();
+        if (outstanding.incrementAndGet() > MAX_OUTSTANDING) {
+            refuse(request, outcome, new ClaimError.TooManyClaims());
+            return outcome;
+        }
+        Deadline bounded = deadline.earlier(Deadline.afterMillis(time, CLAIM_MILLIS));
+        KeyJob job = new KeyJob.Claim(request, bounded, claimTime.time(), outcome);
+        if (worker(request.key()).offer(job) == Ring.Offer.FULL) {
+            refuse(request, outcome, new ClaimError.TooManyClaims());
+        }
+        return outcome;
+    }
+
+    /** Ends a granted claim, now or as soon as the store takes it; to be called exactly once for each. */
+    public void settle(KeyClaim claim, Settlement settlement) {
+        Deadline giveUp = Deadline.afterMillis(time, SETTLE_GIVE_UP_MILLIS);
+        KeyJob.Settle job = new KeyJob.Settle(claim, settlement, giveUp);
+        if (worker(claim.key()).offer(job) == Ring.Offer.FULL) {
+            gaveUp(job, new ClaimError.TooManyClaims());
+        }
+    }
+
+    private KeyWorker worker(KeyId key) {
+        return workers.get(Math.floorMod(key.slot().hashCode(), THREADS));
+    }
+
+    private void refuse(KeyRequest request, CompletableFuture<ClaimOutcome> outcome, ClaimError error) {
+        outstanding.decrementAndGet();
+        refused.inc();
+        EVENTS.log(CallEvent.KEY_NOT_CLAIMED, request.key().hash().abbreviated(), error);
+        outcome.complete(new ClaimOutcome.Refused(error, Optional.empty()));
+    }
+
+    /** Tells the outcome of a claim and gives the job that remains, if one does. */
+    Optional<KeyJob.Settle> claimed(KeyJob.Claim job, ClaimOutcome outcome) {
+        job.timing().stop();
+        Optional<KeyJob.Settle> remaining = Optional.empty();
+        switch (outcome) {
+            case ClaimOutcome.Granted ignored -> granted.inc();
+            case ClaimOutcome.Taken ignored -> {
+                taken.inc();
+                outstanding.decrementAndGet();
+            }
+            case ClaimOutcome.Refused(ClaimError error, Optional<KeyClaim> toRelease) -> {
+                refused.inc();
+                EVENTS.log(CallEvent.KEY_NOT_CLAIMED, job.request().key().hash().abbreviated(), error);
+                Deadline giveUp = Deadline.afterMillis(time, SETTLE_GIVE_UP_MILLIS);
+                remaining = toRelease.map(c -> new KeyJob.Settle(c, new Settlement.Release(), giveUp));
+                if (remaining.isEmpty()) {
+                    outstanding.decrementAndGet();
+                }
+            }
+        }
+        job.outcome().complete(outcome);
+        return remaining;
+    }
+
+    /** Notes what became of an attempt to settle; true if it is over. */
+    boolean settled(KeyJob.Settle job, SettleOutcome outcome) {
+        boolean kept = job.settlement() instanceof Settlement.Keep;
+        switch (outcome) {
+            case SettleOutcome.Settled() -> {
+                if (kept) {
+                    invariants.check(Invariant.AT_MOST_ONCE, true, () -> "");
+                }
+                settled.inc();
+                outstanding.decrementAndGet();
+                return true;
+            }
+            case SettleOutcome.Lost() -> {
+                invariants.check(
+                        Invariant.AT_MOST_ONCE,
+                        false,
+                        () -> "the claim of key " + job.claim().key().hash().abbreviated()
+                                + " vanished while its request ran");
+                outstanding.decrementAndGet();
+                return true;
+            }
+            case SettleOutcome.Later(ClaimError error) -> {
+                if (job.giveUp().isPast(time)) {
+                    gaveUp(job, error);
+                    return true;
+                }
+                retried.inc();
+                return false;
+            }
+        }
+    }
+
+    private void gaveUp(KeyJob.Settle job, ClaimError error) {
+        notSettled.inc();
+        EVENTS.log(
+                CallEvent.KEY_NOT_SETTLED,
+                job.claim().key().hash().abbreviated(),
+                job.settlement().getClass().getSimpleName(),
+                error);
+        outstanding.decrementAndGet();
+    }
+
+    /** Claims made and not settled yet, with the requests that wait for their claim. */
+    public int outstanding() {
+        return outstanding.get();
+    }
+
+    /** Gives the settlements that are under way a few seconds to reach the store. */
+    @Override
+    public void close() {
+        Deadline deadline = Deadline.afterMillis(time, CLOSE_MILLIS);
+        while (outstanding.get() > 0 && !deadline.isPast(time)) {
+            try {
+                TimeUnit.MILLISECONDS.sleep(CLOSE_POLL_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                break;
+            }
+        }
+        workers.forEach(KeyWorker::close);
+    }
+}
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/idempotency/KeyWorker.java
@@ -0,0 +1,91 @@
+package org.berylwick.internal.idempotency;
+
+import java.util.ArrayDeque;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.berylwick.errors.ClaimError;
+import org.berylwick.internal.kernel.Duty;
+import org.berylwick.internal.kernel.Ring;
+import org.berylwick.lib.Deadline;
+import org.berylwick.lib.TimeSource;
+
+/** One thread of the {@link KeyDuty}, with its ring and the settlements that wait for another attempt. */
+final class KeyWorker implements AutoCloseable {
+    private static final long IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+    private static final long CALL_MILLIS = 1_000;
+    private static final long RETRY_MILLIS = 500;
+
+    private final KeyDuty owner;
+    private final KeyClaims claims;
+    private final TimeSource time;
+    private final Ring<KeyJob> ring = new Ring<>(KeyDuty.MAX_OUTSTANDING);
+    private final ArrayDeque<Waiting> retries = new ArrayDeque<>();
+    private final Duty duty;
+
+    private record Waiting(KeyJob.Settle job, Deadline notBefore) {}
+
+    KeyWorker(String name, KeyDuty owner, KeyClaims claims, TimeSource time) {
+        this.owner = owner;
+        this.claims = claims;
+        this.time = time;
+        this.duty = new Duty(name, this::round);
+    }
+
+    /** Gives the thread a job, from any thread. */
+    Ring.Offer offer(KeyJob job) {
+        return ring.offer(job);
+    }
+
+    /** One job and one retry a round: with the store out, neither keeps the other waiting for more than one call. */
+    private void round() {
+        ring.poll(waitNanos()).ifPresent(this::run);
+        Waiting first = retries.peek();
+        if (first != null && first.notBefore().isPast(time)) {
+            retries.remove();
+            settle(first.job());
+        }
+    }
+
+    private long waitNanos() {
+        Waiting first = retries.peek();
+        return first == null
+                ? IDLE_NANOS
+                : Math.min(IDLE_NANOS, first.notBefore().remainingNanos(time));
+    }
+
+    private void run(KeyJob job) {
+        switch (job) {
+            case KeyJob.Claim claim -> owner.claimed(claim, attempt(claim)).ifPresent(this::settle);
+            case KeyJob.Settle settle -> settle(settle);
+        }
+    }
+
+    private void settle(KeyJob.Settle job) {
+        if (!owner.settled(job, attempt(job))) {
+            retries.add(new Waiting(job, Deadline.afterMillis(time, RETRY_MILLIS)));
+        }
+    }
+
+    // An exception out of a job would end the round but not the job: its request would wait for ever, and its place
+    // among the claims under way would never be free again. It counts as a call of the store without an answer.
+    private ClaimOutcome attempt(KeyJob.Claim job) {
+        try {
+            return claims.claim(job.request(), job.deadline());
+        } catch (RuntimeException e) {
+            return new ClaimOutcome.Refused(new ClaimError.Undecided(e.toString()), Optional.empty());
+        }
+    }
+
+    private SettleOutcome attempt(KeyJob.Settle job) {
+        try {
+            return claims.settle(job.claim(), job.settlement(), Deadline.afterMillis(time, CALL_MILLIS));
+        } catch (RuntimeException e) {
+            return new SettleOutcome.Later(new ClaimError.Undecided(e.toString()));
+        }
+    }
+
+    @Override
+    public void close() {
+        duty.close();
+    }
+}
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/idempotency/StoredAnswer.java
@@ -0,0 +1,35 @@
+package org.berylwick.internal.idempotency;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * A backend server's whole answer, as a repeat is given it.
+ *
+ * @param status the HTTP status code
+ * @param headers those that belong to the answer and not to a connection or one request
+ * @param body the whole body
+ */
+public record StoredAnswer(int status, List<Header> headers, byte[] body) {
+    /** One header line. */
+    public record Header(String name, String value) {}
+
+    /** Copies the list. */
+    public StoredAnswer {
+        headers = List.copyOf(headers);
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof StoredAnswer a
+                && status == a.status
+                && headers.equals(a.headers)
+                && Arrays.equals(body, a.body);
+    }
+
+    @Override
+    public int hashCode() {
+        return Objects.hash(status, headers, Arrays.hashCode(body));
+    }
+}
--- a/org.berylwick/src/org/berylwick/lib/RefusalReason.java
+++ b/org.berylwick/src/org/berylwick/lib/RefusalReason.java
@@ -20,7 +20,9 @@
     /** The deadline passed before the request was sent to the backend server. */
     DEADLINE,
     /** No member of the service can take the request. */
-    NO_MEMBER;
+    NO_MEMBER,
+    /** The platform's store, which decides who runs a request with an idempotency key, did not decide. */
+    STORE_UNAVAILABLE;
 
     /** The word on the wire: lower case with hyphens. */
     public String word() {
