Bring about the faults of platform and backend servers on demand

Both are controlled in the process or under /control; docs/STANDINS.md is the protocol.

Stopping an Armeria server takes 2 s for its boss threads to wind down; the stand-ins do not wait for that.

--- a/org.berylwick.bench/src/org/berylwick/bench/fleet/LocalFleet.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/fleet/LocalFleet.java
@@ -154,6 +154,8 @@
     /** Stops the daemons, all at once, then the stand-ins. */
     @Override
     public void close() {
+        // Nothing is looked at any more; daemons that wait on the store need not sit out their watches.
+        platform.faults().startOutage(SETTLE_TIMEOUT);
         List<Thread> stopping = new ArrayList<>();
         daemons.values().forEach(d -> stopping.add(Thread.ofPlatform().start(d::close)));
         try {
--- a/org.berylwick.standin/src/org/berylwick/standin/backend/BackendServer.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/backend/BackendServer.java
@@ -1,52 +1,83 @@
 package org.berylwick.standin.backend;
 
 import com.linecorp.armeria.common.HttpData;
-import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
-import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.server.Server;
-import com.linecorp.armeria.server.ServiceRequestContext;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.CompletableFuture;
 import org.berylwick.internal.config.ConfigurationCodec;
 import org.berylwick.lib.HostPort;
+import org.berylwick.lib.TimeSource;
+import org.berylwick.standin.QuickStop;
 
-/** Answers any request with what it saw of it, as long as a slot is free. */
+/**
+ * Stands in for a service's instance, over HTTP/1.1 and HTTP/2 without TLS.
+ *
+ * <p>Any path is a request: it takes a slot, its body is read, it is counted as run, takes its time and is answered
+ * with what was seen of it as JSON, or with {@code ?bytes=N} with N bytes of {@link Content}, a strong {@code ETag} and
+ * {@code Range} support; {@code &bytes_per_s=M} paces them, {@code ?service_ms=T} takes longer. No free slot, or no
+ * time left: 503 with {@code x-shed: true}, and the request is not run. {@code x-request-id} is echoed. Once
+ * {@code x-request-timeout-ms} has passed the work stops with 504; a caller that gives up stops it too. A request with
+ * {@code x-standin-chain: N} or {@code ?chain=N} calls on through the own daemon, N links deep, with what time remains.
+ * {@code x-standin-fault: WORD} spoils this answer as {@link AnswerFault} says.
+ *
+ * <p>{@code GET /health}: 200, or 503 while draining. {@code GET /load}: slots and those taken. Under {@code /control},
+ * whatever the method: {@code drain?on=}, {@code shed?on=}, {@code slow?ms=}, {@code daemon?callers=HOST:PORT},
+ * {@code health?says=true|well|ill|silent&lag_ms=}, {@code load?busy=}, {@code answers?fault=WORD&count=&late_ms=},
+ * {@code runs}, {@code runs?id=&key=}.
+ */
 public final class BackendServer implements AutoCloseable {
-    private static final String REQUEST_ID = "x-request-id";
-
-    private final String instance;
-    private final int slots;
-    private final Duration serviceTime;
-    private final AtomicInteger busy = new AtomicInteger();
+    private final BackendFaults faults = new BackendFaults(TimeSource.SYSTEM);
+    private final ChainCaller chain = new ChainCaller(TimeSource.SYSTEM);
+    private final BackendOptions options;
+    private final RunLedger ledger;
+    private final BackendService service;
     private final Server server;
 
-    private record Echo(String instance, String method, String path, String brand, String theme) {}
+    private record Load(int slots, int busy) {}
 
     /**
-     * A backend server that listens on {@code address} from {@link #start()} on.
+     * A backend server that listens on {@code address} from {@link #start()} on, with a ledger of its own.
      *
      * @param slots requests run at once; more are shed
      * @param serviceTime how long each takes
      */
     public BackendServer(String instance, HostPort address, int slots, Duration serviceTime) {
-        this.instance = instance;
-        this.slots = slots;
-        this.serviceTime = serviceTime;
+        this(instance, address, BackendOptions.DEFAULT.withSlots(slots).withServiceTime(serviceTime), new RunLedger());
+    }
+
+    /** A backend server that listens on {@code address} from {@link #start()} on and counts in {@code ledger}. */
+    public BackendServer(String instance, HostPort address, BackendOptions options, RunLedger ledger) {
+        this.options = options;
+        this.ledger = ledger;
+        service = new BackendService(instance, options, faults, ledger, chain);
         server = Server.builder()
                 .http(new InetSocketAddress(address.host(), address.port()))
                 .requestTimeoutMillis(0)
-                .service("/health", (ctx, req) -> HttpResponse.of(HttpStatus.OK))
-                .serviceUnder("/", this::serve)
+                .maxRequestLength(0)
+                .maxNumConnections(options.connections())
+                .childChannelPipelineCustomizer(pipeline -> spend(options.connectionTime()))
+                .service("/health", (ctx, req) -> health())
+                .service("/load", (ctx, req) -> load())
+                .serviceUnder("/control", new BackendControl(faults, ledger, chain))
+                .serviceUnder("/", service)
                 .build();
     }
 
-    /** Begins to listen. */
+    private static void spend(Duration time) {
+        long until = System.nanoTime() + time.toNanos();
+        while (System.nanoTime() < until) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Begins to listen; the cold period begins. */
     public void start() {
         server.start().join();
+        service.startCold();
     }
 
     /** Where it listens, with the real port. */
@@ -55,35 +86,49 @@
         return new HostPort(bound.getAddress().getHostAddress(), bound.getPort());
     }
 
-    private HttpResponse serve(ServiceRequestContext ctx, HttpRequest request) {
-        if (busy.incrementAndGet() > slots) {
-            busy.decrementAndGet();
-            return HttpResponse.of(ResponseHeaders.builder(HttpStatus.SERVICE_UNAVAILABLE)
-                    .set("x-shed", "true")
-                    .build());
-        }
-        HttpResponse answer = HttpResponse.of(request.aggregate().thenApply(whole -> answer(ctx, request)));
-        HttpResponse timed = serviceTime.isZero() ? answer : HttpResponse.delayed(answer, serviceTime);
-        timed.whenComplete().whenComplete((done, failure) -> busy.decrementAndGet());
-        return timed;
+    /** What is wrong with it. */
+    public BackendFaults faults() {
+        return faults;
     }
 
-    private HttpResponse answer(ServiceRequestContext ctx, HttpRequest request) {
-        Echo echo = new Echo(
-                instance,
-                request.method().name(),
-                ctx.path(),
-                request.headers().get("x-brand", ""),
-                request.headers().get("x-theme", ""));
-        ResponseHeaders headers = ResponseHeaders.builder(HttpStatus.OK)
-                .contentType(MediaType.JSON)
-                .set(REQUEST_ID, request.headers().get(REQUEST_ID, ""))
-                .build();
-        return HttpResponse.of(headers, HttpData.wrap(ConfigurationCodec.encode(echo)));
+    /** The runs counted. */
+    public RunLedger ledger() {
+        return ledger;
+    }
+
+    /** Slots taken now. */
+    public int busy() {
+        return service.busy();
+    }
+
+    /** Connections open now. */
+    public int connections() {
+        return server.numConnections();
+    }
+
+    /** Names the callers' address of the daemon beside it, through which it calls on. */
+    public void setDaemon(HostPort callers) {
+        chain.setDaemon(callers);
+    }
+
+    private HttpResponse health() {
+        HttpStatus well = HttpStatus.OK;
+        return switch (faults.health()) {
+            case WELL -> HttpResponse.of(well);
+            case ILL -> HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
+            case SILENT -> HttpResponse.of(new CompletableFuture<>());
+            case TRUE -> HttpResponse.of(faults.drainingShows() ? HttpStatus.SERVICE_UNAVAILABLE : well);
+        };
+    }
+
+    private HttpResponse load() {
+        Load load = new Load(options.slots(), faults.claimedBusy().orElse(service.busy()));
+        return HttpResponse.of(HttpStatus.OK, MediaType.JSON, HttpData.wrap(ConfigurationCodec.encode(load)));
     }
 
+    /** Stops to listen and cuts what runs, as when its VM fails. */
     @Override
     public void close() {
-        server.stop().join();
+        QuickStop.stop(server);
     }
 }
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/standin/backend/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the backend server stand-in, the judge of what was run. */
+package org.berylwick.standin.backend;
