--- a/org.berylwick/src/org/berylwick/internal/event/CallEvent.java
+++ b/org.berylwick/src/org/berylwick/internal/event/CallEvent.java
@@ -31,7 +31,11 @@
     MEMBER_EJECTED(4043, Level.WARN, "{} of {} ejected for {} ms: {}"),
 
     /** A member that was ejected takes requests again. */
-    MEMBER_RETURNED(4044, Level.INFO, "{} of {} takes requests again");
+    MEMBER_RETURNED(4044, Level.INFO, "{} of {} takes requests again"),
+    /** The store did not decide who runs a request with an idempotency key, which was refused as not run. */
+    KEY_NOT_CLAIMED(4021, Level.WARN, "key {} not claimed: {}"),
+    /** What became of a request with an idempotency key is not in the store; repeats are told that it is unknown. */
+    KEY_NOT_SETTLED(4022, Level.WARN, "key {}: {} not recorded: {}");
 
     private final int number;
     private final Level level;
