Show the interceptor of the memory store what a write carries

Cause: a test of a write that is still under way when its answer is given up must let the same write arrive later, so it needs the value and the precondition.

Change: StoreCall carries them for a put or delete.

--- a/org.berylwick/src/org/berylwick/transport/MemoryStore.java
+++ b/org.berylwick/src/org/berylwick/transport/MemoryStore.java
@@ -46,7 +46,10 @@
 
     private <T> Result<T, StoreError> intercepted(
             Operation operation, String path, Supplier<Result<T, StoreError>> call) {
-        StoreCall seen = new StoreCall(operation, path);
+        return intercepted(new StoreCall(operation, path, Optional.empty()), call);
+    }
+
+    private <T> Result<T, StoreError> intercepted(StoreCall seen, Supplier<Result<T, StoreError>> call) {
         Optional<StoreError> refused = interceptor.before(seen);
         if (refused.isPresent()) {
             return Result.err(refused.get());
@@ -93,7 +96,9 @@
         if (value.length > MAX_VALUE_BYTES) {
             return Result.err(new StoreError.TooLarge(MAX_VALUE_BYTES));
         }
-        return intercepted(Operation.PUT, key.path(), () -> write(key, value, precondition));
+        StoreCall call =
+                new StoreCall(Operation.PUT, key.path(), Optional.of(new StoreCall.Write(value.clone(), precondition)));
+        return intercepted(call, () -> write(key, value, precondition));
     }
 
     private Result<Long, StoreError> write(ObjectKey key, byte[] value, Precondition precondition) {
@@ -115,7 +120,9 @@
 
     @Override
     public Result<Long, StoreError> delete(ObjectKey key, Precondition precondition, Deadline deadline) {
-        return intercepted(Operation.DELETE, key.path(), () -> remove(key, precondition));
+        StoreCall call = new StoreCall(
+                Operation.DELETE, key.path(), Optional.of(new StoreCall.Write(new byte[0], precondition)));
+        return intercepted(call, () -> remove(key, precondition));
     }
 
     private Result<Long, StoreError> remove(ObjectKey key, Precondition precondition) {
