Settle lost answers of the head truly, and find repeats behind others

Cause: after a lost answer the head was read once. If it still named the base because the write was under way, or another operator's version by then, the answer was "another version was first" and the change was merged and written again: one operation could be accepted twice, or be told that nothing changed and then be accepted. A repeat was recognised only while its version was the head.

Ruled out: walking the manifests back from the head (one read of a whole manifest for each version passed); a list of operations in each manifest (spread to every daemon with each version: 128 entries are about 17 kB); one object for each operation, written before the head (says what was tried, not what was accepted).

Change: - HeadUpdate sends the same conditional write again until it is settled. One copy at most takes effect, and once the head has left the base none can. - The head names a segment of the history (numbers, digests, operations; 128 a segment, each naming the full one before), written with each version. A repeat is found in up to five segments, 512 versions or more; a version is found by its number in one read per 128. Daemons never read segments. - A part is skipped on writing only if the base version holds it; before, a part known from an older version was skipped as well. - A loser removes its own manifest and segment. - ApplyCommand refuses a store that shows less than what is in force.

Left: parts and superseded segments of losers and of old versions stay in the store.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/admin/AdminService.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/admin/AdminService.java
@@ -66,6 +66,7 @@
                 .setSummary(request.getSummary())
                 .setBaseVersion(request.getBaseVersion())
                 .setDryRun(request.getDryRun())
+                .setInForce(installed.snapshot().id())
                 .setDeadline(Deadline.afterMillis(time, APPLY_MILLIS));
         request.getDocumentsList().forEach(d -> command.addDocument(d.getName(), d.getText()));
         ApplyResult result = command.call();
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/version/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@link org.berylwick.internal.version}. */
+package org.berylwick.internal.version;
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/testing/package-info.java
@@ -0,0 +1,2 @@
+/** Fixtures that tests of several packages use. */
+package org.berylwick.testing;
--- a/org.berylwick/src/org/berylwick/api/ApplyResult.java
+++ b/org.berylwick/src/org/berylwick/api/ApplyResult.java
@@ -12,7 +12,7 @@
      * It is accepted and will be in force everywhere.
      *
      * @param version the version that holds it
-     * @param changes against the version before
+     * @param changes against the version before; empty for a repeat whose entry could not be read
      * @param repeatedOperation whether an earlier call with the same operation id had been accepted already
      */
     record Accepted(VersionId version, List<ObjectChange> changes, boolean repeatedOperation) implements ApplyResult {}
--- a/org.berylwick/src/org/berylwick/api/ChangeAcceptance.java
+++ b/org.berylwick/src/org/berylwick/api/ChangeAcceptance.java
@@ -7,8 +7,10 @@
 import org.berylwick.errors.VersionError;
 import org.berylwick.internal.config.ConfigurationDiff;
 import org.berylwick.internal.config.ProposedChange;
+import org.berylwick.internal.version.Manifest;
 import org.berylwick.internal.version.VersionContent;
 import org.berylwick.internal.version.VersionReader;
+import org.berylwick.internal.version.VersionReader.Whole;
 import org.berylwick.internal.version.VersionRepository;
 import org.berylwick.internal.version.VersionRepository.AcceptedHead;
 import org.berylwick.lib.AuditEntry;
@@ -80,19 +82,41 @@
 
     private Result<ApplyResult, VersionError> attempt(Request request) {
         return reader.readHead().flatMap(head -> {
-            if (head.operationId().equals(request.operationId())) {
-                return Result.ok(new ApplyResult.Accepted(head.id(), List.of(), true));
+            // Accepting on a head that is behind what is in force would make a second history,
+            // which no daemon that holds the first one would follow.
+            if (isBehind(head.id(), request.inForce())) {
+                return Result.err(new VersionError.StoreUnavailable(
+                        "the store shows version " + head.id() + " but " + request.inForce() + " is in force here",
+                        VersionError.DEFAULT_RETRY_MILLIS));
             }
-            return reader.readCurrent(head).flatMap(current -> mergeOn(head, current, request));
+            return repository
+                    .findAccepted(head, request.operationId(), request.baseVersion(), deadline)
+                    .flatMap(earlier -> earlier.isPresent()
+                            ? Result.ok(repeated(earlier.get()))
+                            : reader.readCurrent(head).flatMap(current -> mergeOn(head, current, request)));
         });
     }
 
-    private Result<ApplyResult, VersionError> mergeOn(AcceptedHead head, Snapshot current, Request request) {
-        List<ObjectRef> conflicts = conflicts(current, request);
+    private static boolean isBehind(VersionId head, VersionId inForce) {
+        return inForce.isNewerThan(head) || (head.number() == inForce.number() && !head.equals(inForce));
+    }
+
+    private ApplyResult repeated(VersionId id) {
+        Result<Manifest, VersionError> manifest = repository
+                .readManifest(id.digest(), deadline)
+                .flatMap(bytes -> VersionContent.readManifest(id, bytes).mapError(VersionError.Damaged::new));
+        List<ObjectChange> changes = manifest instanceof Result.Ok<Manifest, VersionError>(Manifest m)
+                ? m.audit().changes()
+                : List.of();
+        return new ApplyResult.Accepted(id, changes, true);
+    }
+
+    private Result<ApplyResult, VersionError> mergeOn(AcceptedHead head, Whole current, Request request) {
+        List<ObjectRef> conflicts = conflicts(current.snapshot(), request);
         if (!conflicts.isEmpty()) {
             return Result.ok(new ApplyResult.Conflict(head.id(), conflicts));
         }
-        return switch (request.change().mergeOn(current.configuration())) {
+        return switch (request.change().mergeOn(current.snapshot().configuration())) {
             case Result.Err<Configuration, List<Fault>>(List<Fault> faults) ->
                 Result.ok(new ApplyResult.Rejected(faults));
             case Result.Ok<Configuration, List<Fault>>(Configuration merged) -> accept(head, current, merged, request);
@@ -100,8 +124,9 @@
     }
 
     private Result<ApplyResult, VersionError> accept(
-            AcceptedHead head, Snapshot current, Configuration merged, Request request) {
-        List<ObjectChange> changes = ConfigurationDiff.between(current.configuration(), merged);
+            AcceptedHead head, Whole current, Configuration merged, Request request) {
+        List<ObjectChange> changes =
+                ConfigurationDiff.between(current.snapshot().configuration(), merged);
         if (changes.isEmpty()) {
             return Result.ok(new ApplyResult.Unchanged(head.id()));
         }
@@ -112,8 +137,8 @@
                 new AuditEntry(request.operationId(), request.author(), request.summary(), time.epochMillis(), changes);
         VersionContent content = VersionContent.encode(head.id(), audit, merged);
         return repository
-                .accept(head, content, reader.known(), deadline)
-                .map(accepted -> new ApplyResult.Accepted(accepted.id(), changes, false));
+                .accept(head, current.content(), content, deadline)
+                .map(a -> a.earlier() ? repeated(a.id()) : new ApplyResult.Accepted(a.id(), changes, false));
     }
 
     private static List<ObjectRef> conflicts(Snapshot current, Request request) {
--- a/org.berylwick/src/org/berylwick/internal/version/VersionContent.java
+++ b/org.berylwick/src/org/berylwick/internal/version/VersionContent.java
@@ -27,6 +27,13 @@
  * @param parts content by its digest; each part is one declared object
  */
 public record VersionContent(VersionId id, Manifest manifest, byte[] manifestBytes, Map<Digest, byte[]> parts) {
+    /** Before the first version. */
+    public static final VersionContent NONE = new VersionContent(
+            VersionId.NONE,
+            new Manifest(0, VersionId.NONE.digest().hex(), Snapshot.NONE.audit(), new TreeMap<>()),
+            new byte[0],
+            Map.of());
+
     /** Copies the map. */
     public VersionContent {
         parts = Map.copyOf(parts);
--- a/org.berylwick/src/org/berylwick/internal/version/VersionReader.java
+++ b/org.berylwick/src/org/berylwick/internal/version/VersionReader.java
@@ -27,11 +27,6 @@
         this.deadline = deadline;
     }
 
-    /** The parts read so far and those known before, by digest. */
-    public Map<Digest, byte[]> known() {
-        return Map.copyOf(known);
-    }
-
     /** What reading by number gave. */
     public sealed interface Read {
         /** The whole version. */
@@ -46,30 +41,40 @@
         return repository.readHead(deadline);
     }
 
+    /**
+     * A whole version in both its forms.
+     *
+     * @param content as stored
+     * @param snapshot as used
+     */
+    public record Whole(VersionContent content, Snapshot snapshot) {}
+
     /** Reads the version that {@code head} names. */
-    public Result<Snapshot, VersionError> readCurrent(AcceptedHead head) {
+    public Result<Whole, VersionError> readCurrent(AcceptedHead head) {
         return readWhole(head.id());
     }
 
     /** Reads a version by its number, 0 for the one that {@code head} names. */
     public Result<Read, VersionError> read(AcceptedHead head, long number) {
         if (number == 0) {
-            return readCurrent(head).map(Read.Found::new);
+            return readCurrent(head).map(w -> new Read.Found(w.snapshot()));
         }
         return repository
                 .find(head, number, deadline)
                 .flatMap(id -> id.isEmpty()
                         ? Result.ok(new Read.Absent(head.id().number()))
-                        : readWhole(id.get()).map(Read.Found::new));
+                        : readWhole(id.get()).map(w -> new Read.Found(w.snapshot())));
     }
 
-    private Result<Snapshot, VersionError> readWhole(VersionId id) {
+    private Result<Whole, VersionError> readWhole(VersionId id) {
         if (id.number() == 0) {
-            return Result.ok(Snapshot.NONE);
+            return Result.ok(new Whole(VersionContent.NONE, Snapshot.NONE));
         }
         return repository.read(id, known, deadline).flatMap(content -> {
             known.putAll(content.parts());
-            return content.toSnapshot().mapError(VersionError.Damaged::new);
+            return content.toSnapshot()
+                    .map(snapshot -> new Whole(content, snapshot))
+                    .mapError(VersionError.Damaged::new);
         });
     }
 }
--- a/org.berylwick/src/org/berylwick/internal/version/VersionRepository.java
+++ b/org.berylwick/src/org/berylwick/internal/version/VersionRepository.java
@@ -4,16 +4,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.berylwick.errors.StoreError;
 import org.berylwick.errors.VersionError;
 import org.berylwick.internal.config.ConfigurationCodec;
+import org.berylwick.internal.version.HistorySegment.Entry;
 import org.berylwick.lib.Deadline;
 import org.berylwick.lib.Digest;
 import org.berylwick.lib.Result;
+import org.berylwick.lib.TimeSource;
 import org.berylwick.lib.VersionId;
 import org.berylwick.transport.ObjectKey;
 import org.berylwick.transport.PlatformStore;
-import org.berylwick.transport.Precondition;
 import org.berylwick.transport.StoredObject;
 import org.berylwick.transport.WatchBatch;
 
@@ -28,15 +28,38 @@
     /** The prefix that a watcher of versions watches. */
     public static final String HEAD_PREFIX = "config/head";
 
-    private static final ObjectKey HEAD = new ObjectKey(HEAD_PREFIX);
+    static final ObjectKey HEAD = new ObjectKey(HEAD_PREFIX);
+
+    /**
+     * Segments read to recognise an operation: at least 512 versions, more than the 460 changes of a planned day, so
+     * that a repeat is recognised for a day.
+     */
+    static final int OPERATION_SEGMENTS = 5;
+
     private static final String MANIFESTS = "config/manifest/";
     private static final String PARTS = "config/part/";
+    private static final long FIRST_PAUSE_MILLIS = 20;
 
     private final PlatformStore store;
+    private final ContentStore contents;
+    private final HistoryIndex history;
+    private final HeadUpdate headUpdate;
 
     /** A repository in {@code store}, which stays the caller's to close. */
     public VersionRepository(PlatformStore store) {
+        this(store, TimeSource.SYSTEM, FIRST_PAUSE_MILLIS);
+    }
+
+    /**
+     * A repository with its own clock.
+     *
+     * @param firstPauseMillis between repeats of a write of the head whose answer was lost, from the second repeat
+     */
+    public VersionRepository(PlatformStore store, TimeSource time, long firstPauseMillis) {
         this.store = store;
+        this.contents = new ContentStore(store);
+        this.history = new HistoryIndex(contents);
+        this.headUpdate = new HeadUpdate(this, store, time, firstPauseMillis);
     }
 
     /**
@@ -45,15 +68,27 @@
      * @param id the accepted version, {@link VersionId#NONE} if there is none yet
      * @param operationId the action that had it accepted
      * @param headVersion the head object's version in the store, 0 if there is none yet
+     * @param history hexadecimal digest of the newest segment of the history, empty if there is none yet
      */
-    public record AcceptedHead(VersionId id, String operationId, long headVersion) {}
+    public record AcceptedHead(VersionId id, String operationId, long headVersion, String history) {
+        /** Before the first version. */
+        static final AcceptedHead NONE = new AcceptedHead(VersionId.NONE, "", 0, "");
+    }
+
+    /**
+     * An operation that is accepted.
+     *
+     * @param id the version that it made
+     * @param earlier whether that was not this attempt but another with the same operation id
+     */
+    public record Acceptance(VersionId id, boolean earlier) {}
 
     /** Reads which version is accepted. */
     public Result<AcceptedHead, VersionError> readHead(Deadline deadline) {
         return store.get(HEAD, deadline)
                 .mapError(VersionError::ofRead)
-                .flatMap(found -> found.map(VersionRepository::decodeHead)
-                        .orElseGet(() -> Result.ok(new AcceptedHead(VersionId.NONE, "", 0))));
+                .flatMap(found ->
+                        found.map(VersionRepository::decodeHead).orElseGet(() -> Result.ok(AcceptedHead.NONE)));
     }
 
     /** Waits for a head newer than the store's revision {@code after}; empty if the deadline passed first. */
@@ -81,7 +116,7 @@
 
     private static Result<AcceptedHead, VersionError> decodeHead(StoredObject object) {
         return ConfigurationCodec.decode(object.value(), Head.class)
-                .map(h -> new AcceptedHead(h.id(), h.operationId(), object.version()))
+                .map(h -> new AcceptedHead(h.id(), h.operationId(), object.version(), h.history()))
                 .mapError(VersionError.Damaged::new);
     }
 
@@ -90,25 +125,38 @@
         if (number <= 0 || number > head.id().number()) {
             return Result.ok(Optional.empty());
         }
-        VersionId at = head.id();
-        VersionChain chain = new VersionChain(this, head);
-        while (at.number() > number) {
-            switch (chain.next(deadline)) {
-                case Result.Ok<Optional<VersionChain.Link>, VersionError>(Optional<VersionChain.Link> link) -> {
-                    Manifest manifest = link.orElseThrow().manifest();
-                    at = new VersionId(manifest.number() - 1, new Digest(manifest.previousDigest()));
-                }
-                case Result.Err<Optional<VersionChain.Link>, VersionError>(VersionError error) -> {
-                    return Result.err(error);
-                }
-            }
+        if (number == head.id().number()) {
+            return Result.ok(Optional.of(head.id()));
         }
-        return Result.ok(Optional.of(at));
+        return history.findNumber(head, number, deadline).map(found -> found.map(Entry::id));
+    }
+
+    /**
+     * Finds the version that an operation had accepted, if that is in the history of {@code head}.
+     *
+     * <p>Looks at the last {@value HistorySegment#CAPACITY} versions four times over, at least; an older repeat is
+     * taken for a new operation.
+     *
+     * @param after versions up to this number need not be looked at
+     */
+    public Result<Optional<VersionId>, VersionError> findAccepted(
+            AcceptedHead head, String operationId, long after, Deadline deadline) {
+        if (head.operationId().equals(operationId)) {
+            return Result.ok(Optional.of(head.id()));
+        }
+        return history.findOperation(head, operationId, after, OPERATION_SEGMENTS, deadline)
+                .map(found -> found.map(Entry::id));
+    }
+
+    /** Looks at every version after {@code after}, however many. */
+    Result<Optional<Entry>, VersionError> findOperation(
+            AcceptedHead head, String operationId, long after, Deadline deadline) {
+        return history.findOperation(head, operationId, after, Integer.MAX_VALUE, deadline);
     }
 
     /** Reads a manifest by its digest. */
     public Result<byte[], VersionError> readManifest(Digest digest, Deadline deadline) {
-        return readContent(MANIFESTS, digest, deadline);
+        return contents.read(MANIFESTS, digest, deadline);
     }
 
     /**
@@ -133,7 +181,7 @@
                 parts.put(digest, held);
                 continue;
             }
-            switch (readContent(PARTS, digest, deadline)) {
+            switch (contents.read(PARTS, digest, deadline)) {
                 case Result.Ok<byte[], VersionError>(byte[] content) -> parts.put(digest, content);
                 case Result.Err<byte[], VersionError>(VersionError error) -> {
                     return Result.err(error);
@@ -143,77 +191,56 @@
         return VersionContent.assemble(id, manifestBytes, parts).mapError(VersionError.Damaged::new);
     }
 
-    private Result<byte[], VersionError> readContent(String prefix, Digest digest, Deadline deadline) {
-        return store.get(new ObjectKey(prefix + digest.hex()), deadline)
-                .mapError(VersionError::ofRead)
-                .flatMap(found -> found.<Result<byte[], VersionError>>map(o -> Result.ok(o.value()))
-                        .orElseGet(() -> Result.err(
-                                new VersionError.Damaged("the store lacks " + prefix + digest.abbreviated()))));
-    }
-
     /**
      * Has a version accepted on top of {@code base}.
      *
-     * @param known digests of parts that are in the store already
+     * <p>An error other than {@link VersionError.Undecided} means that nothing was accepted, and that nothing of this
+     * attempt can be later.
+     *
+     * @param base the head that the version was made from
+     * @param baseContent the version that {@code base} names; its parts are in the store
      */
-    public Result<AcceptedHead, VersionError> accept(
-            AcceptedHead base, VersionContent content, Map<Digest, byte[]> known, Deadline deadline) {
+    public Result<Acceptance, VersionError> accept(
+            AcceptedHead base, VersionContent baseContent, VersionContent content, Deadline deadline) {
+        return history.newest(base, deadline).flatMap(segment -> {
+            HistorySegment longer = segment.append(
+                    base.history(), content.id(), content.manifest().audit().operationId());
+            byte[] segmentBytes = ConfigurationCodec.encode(longer);
+            Digest segmentDigest = Digest.of(segmentBytes);
+            Optional<VersionError> failed = writeParts(baseContent, content, deadline)
+                    .or(() -> contents.write(MANIFESTS, content.id().digest(), content.manifestBytes(), deadline))
+                    .or(() -> contents.write(HistoryIndex.SEGMENTS, segmentDigest, segmentBytes, deadline));
+            if (failed.isPresent()) {
+                return Result.err(failed.get());
+            }
+            return updateHead(base, content, segmentDigest, deadline);
+        });
+    }
+
+    private Optional<VersionError> writeParts(VersionContent base, VersionContent content, Deadline deadline) {
         for (Map.Entry<Digest, byte[]> part : content.parts().entrySet()) {
-            if (known.containsKey(part.getKey())) {
+            if (base.parts().containsKey(part.getKey())) {
                 continue;
             }
-            Optional<VersionError> failed = writeContent(PARTS, part.getKey(), part.getValue(), deadline);
+            Optional<VersionError> failed = contents.write(PARTS, part.getKey(), part.getValue(), deadline);
             if (failed.isPresent()) {
-                return Result.err(failed.get());
+                return failed;
             }
         }
-        Optional<VersionError> failed =
-                writeContent(MANIFESTS, content.id().digest(), content.manifestBytes(), deadline);
-        if (failed.isPresent()) {
-            return Result.err(failed.get());
-        }
-        return updateHead(base, content, deadline);
+        return Optional.empty();
     }
 
-    private Optional<VersionError> writeContent(String prefix, Digest digest, byte[] value, Deadline deadline) {
-        ObjectKey key = new ObjectKey(prefix + digest.hex());
-        // Content under its own hash is the same whoever wrote it, so a write that was answered
-        // "exists already" is as good as one that succeeded.
-        return switch (store.put(key, value, new Precondition.MustBeAbsent(), deadline)) {
-            case Result.Ok<Long, StoreError> ignored -> Optional.empty();
-            case Result.Err<Long, StoreError>(StoreError.PreconditionFailed ignored) -> Optional.empty();
-            case Result.Err<Long, StoreError>(StoreError error) -> Optional.of(VersionError.ofRead(error));
-        };
-    }
-
-    private Result<AcceptedHead, VersionError> updateHead(
-            AcceptedHead base, VersionContent content, Deadline deadline) {
+    private Result<Acceptance, VersionError> updateHead(
+            AcceptedHead base, VersionContent content, Digest segment, Deadline deadline) {
         String operationId = content.manifest().audit().operationId();
-        byte[] value = ConfigurationCodec.encode(
-                new Head(content.id().number(), content.id().digest().hex(), operationId));
-        Precondition precondition = base.headVersion() == 0
-                ? new Precondition.MustBeAbsent()
-                : new Precondition.MustHaveVersion(base.headVersion());
-        return switch (store.put(HEAD, value, precondition, deadline)) {
-            case Result.Ok<Long, StoreError>(Long version) ->
-                Result.ok(new AcceptedHead(content.id(), operationId, version));
-            case Result.Err<Long, StoreError>(StoreError.OutcomeUnknown(String detail)) ->
-                settle(content, operationId, detail, deadline);
-            // A client below may have repeated the write, so "precondition failed" can be the echo of our own success.
-            case Result.Err<Long, StoreError>(StoreError.PreconditionFailed ignored) ->
-                settle(content, operationId, "precondition failed", deadline);
-            case Result.Err<Long, StoreError>(StoreError error) -> Result.err(VersionError.ofRead(error));
-        };
-    }
-
-    private Result<AcceptedHead, VersionError> settle(
-            VersionContent content, String operationId, String detail, Deadline deadline) {
-        return switch (readHead(deadline)) {
-            case Result.Ok<AcceptedHead, VersionError>(AcceptedHead head)
-            when head.id().equals(content.id()) -> Result.ok(head);
-            case Result.Ok<AcceptedHead, VersionError> ignored -> Result.err(new VersionError.Superseded());
-            case Result.Err<AcceptedHead, VersionError> ignored ->
-                Result.err(new VersionError.Undecided(operationId, detail));
-        };
+        Head head = new Head(content.id().number(), content.id().digest().hex(), operationId, segment.hex());
+        Result<Acceptance, VersionError> result =
+                headUpdate.run(new HeadUpdate.Write(base, content, ConfigurationCodec.encode(head)), deadline);
+        if (result instanceof Result.Err<Acceptance, VersionError>(VersionError.Superseded ignored)) {
+            // Both are this attempt's alone, since they carry its operation and time, and its base is gone for good.
+            contents.remove(MANIFESTS, content.id().digest(), deadline);
+            contents.remove(HistoryIndex.SEGMENTS, segment, deadline);
+        }
+        return result;
     }
 }
