--- a/org.berylwick.bench/src/org/berylwick/bench/Measure.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/Measure.java
@@ -9,10 +9,11 @@
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.berylwick.bench.call.CallMeasurement;
 import org.berylwick.bench.call.ColdMeasurement;
+import org.berylwick.bench.control.Convergence;
 
 /** Runs one measurement by name and prints its figures as {@code key: value} lines. */
 public final class Measure {
-    private static final List<Measurement> MEASUREMENTS = List.of(new CallMeasurement(), new ColdMeasurement());
+    private static final List<Measurement> MEASUREMENTS = List.of(new CallMeasurement(), new ColdMeasurement(), new Convergence());
     private static final int EXIT_BAD_INPUT = 2;
 
     private Measure() {}
--- a/org.berylwick.bench/src/org/berylwick/bench/fleet/Fleet.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/fleet/Fleet.java
@@ -79,7 +79,17 @@
 
     /** Starts one daemon without waiting for it. */
     public void startDaemon(FleetPlan.Instance i) {
-        String settings = SettingsText.of(i, backends.get(i.name()), platform, "");
+        startDaemon(i, "", Map.of());
+    }
+
+    /**
+     * Starts one daemon without waiting for it.
+     *
+     * @param moreSettings TOML tables that are appended to its settings
+     * @param environment added to this process's own
+     */
+    public void startDaemon(FleetPlan.Instance i, String moreSettings, Map<String, String> environment) {
+        String settings = SettingsText.of(i, backends.get(i.name()), platform, moreSettings);
         Path file = folder.resolve(i.name() + ".toml");
         try {
             Files.writeString(file, settings);
@@ -87,7 +97,7 @@
             throw new UncheckedIOException(e);
         }
         List<String> command = List.of(top.resolve("bin/berylwickd").toString(), "--settings", file.toString());
-        daemons.put(i.name(), ChildProcess.start(i.name(), Map.of(), command));
+        daemons.put(i.name(), ChildProcess.start(i.name(), environment, command));
     }
 
     /** Waits until a started daemon listens. */
--- a/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
@@ -60,7 +60,7 @@
                         time));
         };
         servers = kernel.register(new DaemonServers(
-                settings.listen(), calls, admin, spread.map(SpreadDuties::service), self::setAddress));
+                settings.listen(), calls, admin, spread.map(SpreadDuties::service), self::setAddress, metrics));
         if (spread.isPresent()) {
             kernel.register(spread.get());
         } else {
--- a/org.berylwick.daemon/src/org/berylwick/daemon/DaemonServers.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/DaemonServers.java
@@ -1,5 +1,6 @@
 package org.berylwick.daemon;
 
+import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServerBuilder;
@@ -10,6 +11,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.berylwick.daemon.admin.AdminService;
+import org.berylwick.daemon.admin.MetricsService;
 import org.berylwick.daemon.call.CallPath;
 import org.berylwick.daemon.settings.DaemonSettings;
 import org.berylwick.internal.kernel.KernelService;
@@ -37,7 +39,8 @@
             CallPath calls,
             AdminService adminService,
             Optional<SpreadService> spread,
-            Consumer<HostPort> onPeersListening) {
+            Consumer<HostPort> onPeersListening,
+            MetricRegistry metrics) {
         this.onPeersListening = onPeersListening;
         callers = builder(listen.callers()).serviceUnder("/", calls.entry()).build();
         ServerBuilder peersBuilder = builder(listen.peers()).serviceUnder("/", calls.owner());
@@ -48,6 +51,7 @@
         admin = builder(listen.admin())
                 .service(GrpcService.builder().addService(adminService).build())
                 .service("/health/live", health)
+                .service("/metrics", new MetricsService(metrics))
                 .build();
     }
 
--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/ReaderRole.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/ReaderRole.java
@@ -34,11 +34,13 @@
     private static final String READERS = "readers/";
     private static final long TICK_MILLIS = 100;
     private static final long CALL_MILLIS = 2_000;
-    private static final long LEASE_MILLIS = 30_000;
-    private static final long RENEW_MILLIS = 10_000;
+    private static final long LEASE_MILLIS = 15_000;
+    private static final long RENEW_MILLIS = 7_000;
     private static final long STALE_MILLIS = 15_000;
     private static final long ALONE_MILLIS = 2_000;
     private static final long JITTER_MILLIS = 3_000;
+    private static final double FLEET_CALLS_PER_SECOND = 400;
+    private static final int FEWEST_MEMBERS = 40;
 
     private final PlatformStore store;
     private final DaemonSettings settings;
@@ -96,6 +98,11 @@
 
     private void round() throws InterruptedException {
         boolean alone = spreader.openLinks() == 0;
+        if (!alone) {
+            // Each daemon's share of the store's rate shrinks as the fleet grows.
+            int members = Math.max(FEWEST_MEMBERS, table.view().all().size());
+            budget.setRate(FLEET_CALLS_PER_SECOND / members);
+        }
         if (!alone) {
             aloneUntil = nextAlone();
         } else if (directory.search() == PeerDirectory.Search.EMPTY) {
--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/StoreReader.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/StoreReader.java
@@ -26,6 +26,9 @@
 /**
  * Follows the store's head while this daemon is one of its zone's readers, and reads the head once at the start.
  *
+ * <p>Only readers take content from the store: when all daemons are replaced at once, each of them reading a whole
+ * version there would use up its rate for a minute.
+ *
  * <p>All readers see a new head at the same moment, and one of them is enough to read the content: the others wait for
  * their turn, and mostly have the version from a peer before it comes.
  */
@@ -34,11 +37,10 @@
     private static final String NAME = "store-reader";
     private static final long WATCH_MILLIS = 10_000;
     private static final long READ_MILLIS = 5_000;
-    private static final long TURN_MILLIS = 150;
+    private static final long TURN_MILLIS = 400;
     private static final long TICK_MILLIS = 20;
     private static final long IDLE_MILLIS = 100;
     private static final long PAUSE_MILLIS = 500;
-    private static final long FROM_PEERS_MILLIS = 1_500;
 
     private final VersionRepository repository;
     private final InstalledVersion installed;
@@ -49,7 +51,6 @@
     private final TokenBucket budget;
     private final TimeSource time;
     private final RandomGenerator random;
-    private final Deadline fromPeersUntil;
     private Optional<Long> revision = Optional.empty();
     private Deadline nextFirstRead;
     private volatile Optional<VersionId> firstHead = Optional.empty();
@@ -75,7 +76,6 @@
         budget = parts.budget();
         this.time = time;
         this.random = random;
-        fromPeersUntil = Deadline.afterMillis(time, FROM_PEERS_MILLIS + random.nextLong(FROM_PEERS_MILLIS));
         nextFirstRead = Deadline.afterMillis(time, random.nextLong(PAUSE_MILLIS));
     }
 
@@ -92,9 +92,6 @@
         if (firstHead.isEmpty() && nextFirstRead.isPast(time)) {
             readFirstHead();
         }
-        if (needsFirstVersion()) {
-            read(firstHead.get());
-        }
         if (role.slot().isEmpty()) {
             revision = Optional.empty();
             TimeUnit.MILLISECONDS.sleep(IDLE_MILLIS);
@@ -115,14 +112,6 @@
         }
     }
 
-    /** A fresh daemon takes its first version from peers if it finds any in time, and from the store if not. */
-    private boolean needsFirstVersion() {
-        return firstHead.isPresent()
-                && firstHead.get().isNewerThan(installed.snapshot().id())
-                && fromPeersUntil.isPast(time)
-                && budget.tryTake();
-    }
-
     private void follow() throws InterruptedException {
         Result<Optional<AcceptedHead>, VersionError> seen = revision.isEmpty() ? readHead() : watch(revision.get());
         switch (seen) {
@@ -188,10 +177,8 @@
             return;
         }
         Deadline deadline = Deadline.afterMillis(time, READ_MILLIS);
-        int held = installed.inForce().parts().size();
         switch (repository.read(id, installed.inForce().parts(), deadline)) {
             case Result.Ok<VersionContent, VersionError>(VersionContent content) -> {
-                budget.charge(Math.max(0, content.parts().size() - held));
                 EVENTS.log(VersionEvent.INSTALL, id, installed.install(content));
             }
             case Result.Err<VersionContent, VersionError>(VersionError error) -> {
--- a/org.berylwick/src/org/berylwick/transport/PeerClient.java
+++ b/org.berylwick/src/org/berylwick/transport/PeerClient.java
@@ -175,6 +175,7 @@
 
     @Override
     public void close() {
-        factory.close();
+        // Nothing waits for the connections' end, which may take the library's quiet period of seconds.
+        factory.closeAsync();
     }
 }
