--- a/org.berylwick.bench/src/org/berylwick/bench/fleet/Fleet.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/fleet/Fleet.java
@@ -79,15 +79,27 @@
 
     /** Starts one daemon without waiting for it. */
     public void startDaemon(FleetPlan.Instance i) {
-        startDaemon(i, new DaemonLinks(backends.get(i.name()), platform), "");
+        startDaemon(i, "", Map.of());
+    }
+
+    /** Starts one daemon without waiting for it, with more settings and a larger environment. */
+    public ChildProcess startDaemon(FleetPlan.Instance i, String moreSettings, Map<String, String> environment) {
+        return startDaemon(i, new DaemonLinks(backends.get(i.name()), platform), moreSettings, environment);
+    }
+
+    /** Starts one daemon without waiting for it, over links of its own. */
+    public ChildProcess startDaemon(FleetPlan.Instance i, DaemonLinks links, String moreSettings) {
+        return startDaemon(i, links, moreSettings, Map.of());
     }
 
     /**
      * Starts one daemon without waiting for it, in place of an ended one of the same name if there was one.
      *
      * @param moreSettings TOML tables for the daemon's settings
+     * @param environment added to this process's own
      */
-    public ChildProcess startDaemon(FleetPlan.Instance i, DaemonLinks links, String moreSettings) {
+    public ChildProcess startDaemon(
+            FleetPlan.Instance i, DaemonLinks links, String moreSettings, Map<String, String> environment) {
         String settings = SettingsText.of(i, links, moreSettings);
         Path file = folder.resolve(i.name() + ".toml");
         try {
@@ -96,7 +108,7 @@
             throw new UncheckedIOException(e);
         }
         List<String> command = List.of(top.resolve("bin/berylwickd").toString(), "--settings", file.toString());
-        ChildProcess child = ChildProcess.start(i.name(), Map.of(), command);
+        ChildProcess child = ChildProcess.start(i.name(), environment, command);
         daemons.put(i.name(), child);
         return child;
     }
