--- a/org.berylwick.daemon/src/org/berylwick/daemon/DaemonServers.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/DaemonServers.java
@@ -1,15 +1,12 @@
 package org.berylwick.daemon;
 
-import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServerBuilder;
 import com.linecorp.armeria.server.grpc.GrpcService;
-import com.linecorp.armeria.server.healthcheck.HealthCheckService;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.berylwick.daemon.admin.AdminService;
 import org.berylwick.daemon.call.CallPath;
 import org.berylwick.daemon.settings.DaemonSettings;
 import org.berylwick.internal.kernel.KernelService;
@@ -35,7 +32,7 @@
     public DaemonServers(
             DaemonSettings.Listen listen,
             CallPath calls,
-            AdminService adminService,
+            Server adminServer,
             Optional<SpreadService> spread,
             Consumer<HostPort> onPeersListening) {
         this.onPeersListening = onPeersListening;
@@ -44,11 +41,7 @@
         spread.ifPresent(
                 s -> peersBuilder.service(GrpcService.builder().addService(s).build()));
         peers = peersBuilder.build();
-        HttpService health = HealthCheckService.of();
-        admin = builder(listen.admin())
-                .service(GrpcService.builder().addService(adminService).build())
-                .service("/health/live", health)
-                .build();
+        admin = adminServer;
     }
 
     private static ServerBuilder builder(HostPort address) {
