--- a/org.berylwick.daemon/src/org/berylwick/daemon/admin/AdminMessages.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/admin/AdminMessages.java
@@ -1,7 +1,10 @@
 package org.berylwick.daemon.admin;
 
+import java.util.stream.Collectors;
 import org.berylwick.api.ApplyResult;
+import org.berylwick.api.HistoryResult.AcceptedVersion;
 import org.berylwick.errors.Fault;
+import org.berylwick.lib.AuditEntry;
 import org.berylwick.lib.Member;
 import org.berylwick.lib.ObjectChange;
 import org.berylwick.lib.VersionId;
@@ -9,10 +12,12 @@
 import org.berylwick.proto.ApplyReply;
 import org.berylwick.proto.Change;
 import org.berylwick.proto.Conflict;
-import org.berylwick.proto.DaemonStatus;
+import org.berylwick.proto.DryRun;
+import org.berylwick.proto.HistoryEntry;
 import org.berylwick.proto.MemberInfo;
 import org.berylwick.proto.Rejected;
 import org.berylwick.proto.Unavailable;
+import org.berylwick.proto.Unchanged;
 import org.berylwick.proto.Undecided;
 
 /** Turns the domain's records into messages of the operators' service. */
@@ -26,11 +31,12 @@
                 reply.setAccepted(accepted(version, operationId, repeated));
                 changes.forEach(c -> reply.addChanges(change(c)));
             }
-            case ApplyResult.Unchanged(VersionId current) -> reply.setAccepted(accepted(current, operationId, false));
             case ApplyResult.DryRun(VersionId base, var changes) -> {
-                reply.setAccepted(accepted(base, "", false));
+                reply.setDryRun(DryRun.newBuilder().setBaseVersion(base.number()));
                 changes.forEach(c -> reply.addChanges(change(c)));
             }
+            case ApplyResult.Unchanged(VersionId current) ->
+                reply.setUnchanged(Unchanged.newBuilder().setCurrentVersion(current.number()));
             case ApplyResult.Conflict(VersionId current, var objects) -> {
                 Conflict.Builder conflict = Conflict.newBuilder().setCurrentVersion(current.number());
                 objects.forEach(o -> conflict.addObjects(o.toString()));
@@ -49,6 +55,35 @@
         return reply.build();
     }
 
+    /** One word for the audit trail and the log. */
+    static String word(ApplyResult result) {
+        return switch (result) {
+            case ApplyResult.Accepted ignored -> "accepted";
+            case ApplyResult.DryRun ignored -> "dry-run";
+            case ApplyResult.Unchanged ignored -> "unchanged";
+            case ApplyResult.Conflict ignored -> "conflict";
+            case ApplyResult.Rejected ignored -> "rejected";
+            case ApplyResult.Unavailable ignored -> "unavailable";
+            case ApplyResult.Undecided ignored -> "undecided";
+        };
+    }
+
+    /** What was wrong, in one line; empty if nothing was. */
+    static String detail(ApplyResult result) {
+        return switch (result) {
+            case ApplyResult.Accepted ignored -> "";
+            case ApplyResult.DryRun ignored -> "";
+            case ApplyResult.Unchanged ignored -> "";
+            case ApplyResult.Conflict(VersionId current, var objects) ->
+                "version " + current.number() + " was accepted first; both change "
+                        + objects.stream().map(Object::toString).collect(Collectors.joining(", "));
+            case ApplyResult.Rejected(var faults) ->
+                faults.getFirst() + (faults.size() > 1 ? " and " + (faults.size() - 1) + " more" : "");
+            case ApplyResult.Unavailable(String detail, long ignored) -> detail;
+            case ApplyResult.Undecided(String ignored, String detail) -> detail;
+        };
+    }
+
     private static Accepted accepted(VersionId version, String operationId, boolean repeated) {
         return Accepted.newBuilder()
                 .setVersion(version.number())
@@ -80,13 +115,17 @@
                 .build();
     }
 
-    static DaemonStatus status(Member member) {
-        return DaemonStatus.newBuilder()
-                .setInstance(member.instance())
-                .setAvailabilityZone(member.place().availabilityZone())
-                .setVersion(member.version())
-                .setInstalledAtEpochMs(member.installedAtEpochMillis())
-                .build();
+    static HistoryEntry history(AcceptedVersion version) {
+        AuditEntry audit = version.audit();
+        HistoryEntry.Builder entry = HistoryEntry.newBuilder()
+                .setVersion(version.id().number())
+                .setDigest(version.id().digest().hex())
+                .setOperationId(audit.operationId())
+                .setAuthor(audit.author())
+                .setSummary(audit.summary())
+                .setAcceptedAtEpochMs(audit.acceptedAtEpochMillis());
+        audit.changes().forEach(c -> entry.addChanges(change(c)));
+        return entry.build();
     }
 
     static MemberInfo member(Member member) {
--- a/org.berylwick.test/tst/org/berylwick/daemon/call/CallRig.java
+++ b/org.berylwick.test/tst/org/berylwick/daemon/call/CallRig.java
@@ -62,7 +62,8 @@
                     new DaemonSettings.Listen(any, any, any, Optional.empty()),
                     new DaemonSettings.BackendServer(service, backend, new Labels(Map.of())),
                     new DaemonSettings.Platform(URI.create("http://127.0.0.1:1")),
-                    new DaemonSettings.Spread(DaemonSettings.SpreadMode.WATCH, SpreadTuning.DEFAULT, 0, List.of()));
+                    new DaemonSettings.Spread(DaemonSettings.SpreadMode.WATCH, SpreadTuning.DEFAULT, 0, List.of()),
+                    new DaemonSettings.Admin(Optional.empty(), 1));
             calls = new CallPath(settings, installed, membership, () -> state, metrics, invariants, TIME);
             installed.install(version);
             callers = serve(calls.entry());
