--- a/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
@@ -1,8 +1,11 @@
 package org.berylwick.daemon;
 
 import com.codahale.metrics.MetricRegistry;
+import com.linecorp.armeria.server.Server;
 import java.util.Arrays;
 import java.util.Optional;
+import org.berylwick.daemon.admin.AdminContext;
+import org.berylwick.daemon.admin.AdminServer;
 import org.berylwick.daemon.admin.AdminService;
 import org.berylwick.daemon.call.CallPath;
 import org.berylwick.daemon.duty.BackendServerProbe;
@@ -51,7 +54,10 @@
         membership = kernel.register(new MembershipTable());
         self = kernel.register(new SelfAnnouncement(settings, installed, time));
         calls = kernel.register(new CallPath(settings, installed, membership, self::state, metrics, invariants, time));
-        AdminService admin = kernel.register(new AdminService(repository, installed, membership, time));
+        AdminContext context =
+                new AdminContext(settings.instance(), settings.place(), repository, installed, membership, self, time);
+        AdminService admin = kernel.register(new AdminService(context, metrics));
+        Server adminServer = AdminServer.create(settings.listen().admin(), settings.admin(), admin, metrics);
         Optional<SpreadDuties> spread = switch (settings.spread().mode()) {
             case WATCH -> Optional.empty();
             case SPREAD ->
@@ -61,7 +67,7 @@
                         time));
         };
         servers = kernel.register(new DaemonServers(
-                settings.listen(), calls, admin, spread.map(SpreadDuties::service), self::setAddress, metrics));
+                settings.listen(), calls, adminServer, spread.map(SpreadDuties::service), self::setAddress));
         if (spread.isPresent()) {
             kernel.register(spread.get());
         } else {
--- a/org.berylwick.daemon/src/org/berylwick/daemon/DaemonServers.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/DaemonServers.java
@@ -1,18 +1,13 @@
 package org.berylwick.daemon;
 
-import com.codahale.metrics.MetricRegistry;
-import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServerBuilder;
 import com.linecorp.armeria.server.grpc.GrpcService;
-import com.linecorp.armeria.server.healthcheck.HealthCheckService;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import org.berylwick.daemon.admin.AdminService;
-import org.berylwick.daemon.admin.MetricsService;
 import org.berylwick.daemon.call.CallPath;
 import org.berylwick.daemon.settings.DaemonSettings;
 import org.berylwick.internal.kernel.KernelService;
@@ -38,22 +33,16 @@
     public DaemonServers(
             DaemonSettings.Listen listen,
             CallPath calls,
-            AdminService adminService,
+            Server adminServer,
             Optional<SpreadService> spread,
-            Consumer<HostPort> onPeersListening,
-            MetricRegistry metrics) {
+            Consumer<HostPort> onPeersListening) {
         this.onPeersListening = onPeersListening;
         callers = builder(listen.callers()).serviceUnder("/", calls.entry()).build();
         ServerBuilder peersBuilder = builder(listen.peers()).serviceUnder("/", calls.owner());
         spread.ifPresent(
                 s -> peersBuilder.service(GrpcService.builder().addService(s).build()));
         peers = peersBuilder.build();
-        HttpService health = HealthCheckService.of();
-        admin = builder(listen.admin())
-                .service(GrpcService.builder().addService(adminService).build())
-                .service("/health/live", health)
-                .service("/metrics", new MetricsService(metrics))
-                .build();
+        admin = adminServer;
     }
 
     private static ServerBuilder builder(HostPort address) {
--- a/org.berylwick.daemon/src/org/berylwick/daemon/Main.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/Main.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -28,30 +29,42 @@
         PrintStream err = System.err;
         ArgumentParser parser =
                 ArgumentParsers.newFor("berylwickd").build().description("The daemon beside one backend server.");
-        parser.addArgument("--settings").required(true).help("the settings file, TOML");
+        parser.addArgument("--settings")
+                .required(true)
+                .metavar("FILE")
+                .help("the settings file, TOML; docs/berylwickd.sample.toml shows every key");
+        parser.addArgument("--check-settings")
+                .action(Arguments.storeTrue())
+                .help("only check the settings: tells every fault and exits with 0 or " + EXIT_BAD_INPUT);
         try {
             Namespace options = parser.parseArgs(args);
-            System.exit(run(Path.of(options.getString("settings")), err));
+            Path file = Path.of(options.getString("settings"));
+            System.exit(run(file, options.getBoolean("check_settings"), System.out, err));
         } catch (ArgumentParserException e) {
             parser.handleError(e);
             System.exit(EXIT_BAD_INPUT);
         }
     }
 
-    private static int run(Path file, PrintStream err) throws InterruptedException {
+    private static int run(Path file, boolean checkOnly, PrintStream out, PrintStream err) throws InterruptedException {
         String text;
         try {
             text = Files.readString(file, StandardCharsets.UTF_8);
         } catch (IOException e) {
-            err.println("berylwickd: cannot read " + file + ": " + e);
+            err.println("berylwickd: cannot read the settings file " + file + " (" + e + "); name one with --settings");
             return EXIT_BAD_INPUT;
         }
-        return switch (SettingsReader.read(file.toString(), text)) {
+        return switch (SettingsReader.read(file.toString(), text, System.getenv())) {
             case Result.Err<DaemonSettings, List<Fault>>(List<Fault> faults) -> {
                 faults.forEach(f -> err.println("berylwickd: " + f));
+                err.println("berylwickd: not started; mend the lines above and check with --check-settings");
                 yield EXIT_BAD_INPUT;
             }
             case Result.Ok<DaemonSettings, List<Fault>>(DaemonSettings settings) -> {
+                if (checkOnly) {
+                    out.println(file + ": every setting is valid");
+                    yield 0;
+                }
                 serve(settings);
                 yield 0;
             }
--- a/org.berylwick.daemon/src/org/berylwick/daemon/admin/AdminMessages.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/admin/AdminMessages.java
@@ -1,5 +1,6 @@
 package org.berylwick.daemon.admin;
 
+import java.util.stream.Collectors;
 import org.berylwick.api.ApplyResult;
 import org.berylwick.errors.Fault;
 import org.berylwick.lib.Member;
@@ -9,7 +10,7 @@
 import org.berylwick.proto.ApplyReply;
 import org.berylwick.proto.Change;
 import org.berylwick.proto.Conflict;
-import org.berylwick.proto.DaemonStatus;
+import org.berylwick.proto.DryRun;
 import org.berylwick.proto.MemberInfo;
 import org.berylwick.proto.Rejected;
 import org.berylwick.proto.Unavailable;
@@ -28,7 +29,7 @@
             }
             case ApplyResult.Unchanged(VersionId current) -> reply.setAccepted(accepted(current, operationId, false));
             case ApplyResult.DryRun(VersionId base, var changes) -> {
-                reply.setAccepted(accepted(base, "", false));
+                reply.setDryRun(DryRun.newBuilder().setBaseVersion(base.number()));
                 changes.forEach(c -> reply.addChanges(change(c)));
             }
             case ApplyResult.Conflict(VersionId current, var objects) -> {
@@ -49,6 +50,33 @@
         return reply.build();
     }
 
+    /** One word for the audit trail and the log. */
+    static String word(ApplyResult result) {
+        return switch (result) {
+            case ApplyResult.Accepted ignored -> "accepted";
+            case ApplyResult.DryRun ignored -> "dry-run";
+            case ApplyResult.Conflict ignored -> "conflict";
+            case ApplyResult.Rejected ignored -> "rejected";
+            case ApplyResult.Unavailable ignored -> "unavailable";
+            case ApplyResult.Undecided ignored -> "undecided";
+        };
+    }
+
+    /** What was wrong, in one line; empty if nothing was. */
+    static String detail(ApplyResult result) {
+        return switch (result) {
+            case ApplyResult.Accepted ignored -> "";
+            case ApplyResult.DryRun ignored -> "";
+            case ApplyResult.Conflict(VersionId current, var objects) ->
+                "version " + current.number() + " was accepted first; both change "
+                        + objects.stream().map(Object::toString).collect(Collectors.joining(", "));
+            case ApplyResult.Rejected(var faults) ->
+                faults.getFirst() + (faults.size() > 1 ? " and " + (faults.size() - 1) + " more" : "");
+            case ApplyResult.Unavailable(String detail, long ignored) -> detail;
+            case ApplyResult.Undecided(String ignored, String detail) -> detail;
+        };
+    }
+
     private static Accepted accepted(VersionId version, String operationId, boolean repeated) {
         return Accepted.newBuilder()
                 .setVersion(version.number())
@@ -80,15 +108,6 @@
                 .build();
     }
 
-    static DaemonStatus status(Member member) {
-        return DaemonStatus.newBuilder()
-                .setInstance(member.instance())
-                .setAvailabilityZone(member.place().availabilityZone())
-                .setVersion(member.version())
-                .setInstalledAtEpochMs(member.installedAtEpochMillis())
-                .build();
-    }
-
     static MemberInfo member(Member member) {
         return MemberInfo.newBuilder()
                 .setInstance(member.instance())
--- a/org.berylwick.daemon/src/org/berylwick/daemon/admin/AdminService.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/admin/AdminService.java
@@ -1,49 +1,54 @@
 package org.berylwick.daemon.admin;
 
+import com.codahale.metrics.MetricRegistry;
+import io.grpc.Status;
 import io.grpc.stub.StreamObserver;
+import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
-import java.util.UUID;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import org.berylwick.api.ApplyCommand;
-import org.berylwick.api.ApplyResult;
+import org.berylwick.daemon.duty.SelfAnnouncement;
+import org.berylwick.internal.config.ConfigurationCodec;
+import org.berylwick.internal.event.EventLog;
+import org.berylwick.internal.event.OperatorEvent;
 import org.berylwick.internal.kernel.KernelService;
-import org.berylwick.internal.membership.MembershipTable;
-import org.berylwick.internal.version.InstalledVersion;
-import org.berylwick.internal.version.VersionRepository;
-import org.berylwick.lib.Deadline;
 import org.berylwick.lib.Member;
 import org.berylwick.lib.Snapshot;
-import org.berylwick.lib.TimeSource;
 import org.berylwick.proto.AdminGrpc;
 import org.berylwick.proto.ApplyReply;
 import org.berylwick.proto.ApplyRequest;
+import org.berylwick.proto.ExplainRouteReply;
+import org.berylwick.proto.ExplainRouteRequest;
+import org.berylwick.proto.GetConfigurationReply;
+import org.berylwick.proto.GetConfigurationRequest;
 import org.berylwick.proto.GetStatusReply;
 import org.berylwick.proto.GetStatusRequest;
 import org.berylwick.proto.ListMembersReply;
 import org.berylwick.proto.ListMembersRequest;
+import org.berylwick.proto.SetDrainReply;
+import org.berylwick.proto.SetDrainRequest;
 
-/** The operators' service over gRPC; work that calls the store runs on the admin duty's own thread. */
+/**
+ * The operators' service over gRPC.
+ *
+ * <p>What is known in this process is answered at once; work that calls the store runs on the admin duty's own thread.
+ */
 public final class AdminService extends AdminGrpc.AdminImplBase implements KernelService {
     /** The name in the kernel. */
     public static final String NAME = "admin";
 
-    private static final long APPLY_MILLIS = 10_000;
+    private static final EventLog EVENTS = new EventLog(AdminService.class);
 
-    private final VersionRepository repository;
-    private final InstalledVersion installed;
-    private final MembershipTable membership;
-    private final TimeSource time;
-    private final ExecutorService duty = Executors.newSingleThreadExecutor(
-            Thread.ofPlatform().name(NAME).daemon(true).factory());
+    private final AdminContext context;
+    private final MetricRegistry metrics;
+    private final AttemptLog attempts;
+    private final ChangeCalls changes;
+    private AdminDuty duty;
 
     /** The service of one daemon. */
-    public AdminService(
-            VersionRepository repository, InstalledVersion installed, MembershipTable membership, TimeSource time) {
-        this.repository = repository;
-        this.installed = installed;
-        this.membership = membership;
-        this.time = time;
+    public AdminService(AdminContext context, MetricRegistry metrics) {
+        this.context = context;
+        this.metrics = metrics;
+        attempts = new AttemptLog(context.time());
+        changes = new ChangeCalls(context, attempts);
     }
 
     @Override
@@ -51,49 +56,88 @@
         return NAME;
     }
 
+    @Override
+    public void start() {
+        duty = new AdminDuty(metrics);
+    }
+
+    AdminContext context() {
+        return context;
+    }
+
+    AttemptLog attempts() {
+        return attempts;
+    }
+
     @Override
     public void apply(ApplyRequest request, StreamObserver<ApplyReply> observer) {
-        duty.execute(() -> reply(observer, apply(request)));
+        duty.answer(observer, () -> changes.apply(request));
     }
 
-    private ApplyReply apply(ApplyRequest request) {
-        String operationId =
-                request.getOperationId().isEmpty() ? UUID.randomUUID().toString() : request.getOperationId();
-        ApplyCommand command = new ApplyCommand(repository, time)
-                .setKnownParts(installed.inForce().parts())
-                .setOperationId(operationId)
-                .setAuthor(request.getAuthor())
-                .setSummary(request.getSummary())
-                .setBaseVersion(request.getBaseVersion())
-                .setDryRun(request.getDryRun())
-                .setInForce(installed.snapshot().id())
-                .setDeadline(Deadline.afterMillis(time, APPLY_MILLIS));
-        request.getDocumentsList().forEach(d -> command.addDocument(d.getName(), d.getText()));
-        ApplyResult result = command.call();
-        return AdminMessages.reply(result, operationId);
+    @Override
+    public void getConfiguration(GetConfigurationRequest request, StreamObserver<GetConfigurationReply> observer) {
+        Snapshot snapshot = context.installed().snapshot();
+        byte[] json = ConfigurationCodec.encode(snapshot.configuration());
+        GetConfigurationReply reply = GetConfigurationReply.newBuilder()
+                .setVersion(snapshot.id().number())
+                .setDigest(snapshot.id().digest().hex())
+                .setJson(new String(json, StandardCharsets.UTF_8))
+                .build();
+        reply(observer, reply);
     }
 
     @Override
     public void getStatus(GetStatusRequest request, StreamObserver<GetStatusReply> observer) {
-        Snapshot snapshot = installed.snapshot();
-        GetStatusReply.Builder status = GetStatusReply.newBuilder()
-                .setVersion(snapshot.id().number())
-                .setDigest(snapshot.id().digest().hex());
-        membership.view().all().stream()
-                .sorted(Comparator.comparing(Member::instance))
-                .forEach(m -> status.addDaemons(AdminMessages.status(m)));
-        reply(observer, status.build());
+        reply(observer, new StatusReport(context).build());
     }
 
     @Override
     public void listMembers(ListMembersRequest request, StreamObserver<ListMembersReply> observer) {
         ListMembersReply.Builder list = ListMembersReply.newBuilder();
-        membership.view().all().stream()
+        context.membership().view().all().stream()
                 .sorted(Comparator.comparing(Member::instance))
                 .forEach(m -> list.addMembers(AdminMessages.member(m)));
         reply(observer, list.build());
     }
 
+    @Override
+    public void explainRoute(ExplainRouteRequest request, StreamObserver<ExplainRouteReply> observer) {
+        RouteExplainer explainer = new RouteExplainer(
+                context.installed().snapshot(), context.membership().view(), context.place());
+        reply(observer, explainer.explain(request));
+    }
+
+    @Override
+    public void setDrain(SetDrainRequest request, StreamObserver<SetDrainReply> observer) {
+        String asked = request.getInstance();
+        String action = request.getDrain() ? "drain" : "undrain";
+        if (!asked.isEmpty() && !asked.equals(context.instance())) {
+            refuseDrain(action, request, "this daemon is " + context.instance() + ", not " + asked, observer);
+            return;
+        }
+        SelfAnnouncement self = context.self();
+        if (request.getDrain()) {
+            self.drain();
+        } else if (!self.undrain()) {
+            refuseDrain(action, request, "the daemon is stopping", observer);
+            return;
+        }
+        EVENTS.log(OperatorEvent.DRAIN, action, request.getAuthor(), self.state());
+        attempts.add(Attempt.of(context.time(), action, request.getAuthor(), "done", context.instance()));
+        reply(
+                observer,
+                SetDrainReply.newBuilder()
+                        .setState(self.state().name())
+                        .setInstance(context.instance())
+                        .build());
+    }
+
+    private void refuseDrain(
+            String action, SetDrainRequest request, String detail, StreamObserver<SetDrainReply> observer) {
+        attempts.add(Attempt.of(context.time(), action, request.getAuthor(), "refused", detail));
+        observer.onError(Status.FAILED_PRECONDITION.withDescription(detail).asRuntimeException());
+    }
+
     private static <T> void reply(StreamObserver<T> observer, T message) {
         observer.onNext(message);
         observer.onCompleted();
@@ -101,6 +145,6 @@
 
     @Override
     public void close() {
-        duty.shutdownNow();
+        duty.close();
     }
 }
--- a/org.berylwick.daemon/src/org/berylwick/daemon/admin/MetricsService.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/admin/MetricsService.java
@@ -13,13 +13,12 @@
 import java.util.concurrent.TimeUnit;
 
 /** Answers every metric as one JSON document; rates are a second, durations in milliseconds. */
-public final class MetricsService extends AbstractHttpService {
+final class MetricsService extends AbstractHttpService {
     private final MetricRegistry metrics;
     private final ObjectMapper mapper =
             new ObjectMapper().registerModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false));
 
-    /** Answers the metrics of {@code metrics}. */
-    public MetricsService(MetricRegistry metrics) {
+    MetricsService(MetricRegistry metrics) {
         this.metrics = metrics;
     }
 
--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/SelfAnnouncement.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/SelfAnnouncement.java
@@ -19,7 +19,9 @@
 
     private final DaemonSettings settings;
     private final InstalledVersion installed;
+    private final TimeSource time;
     private volatile long incarnation;
+    private volatile boolean drained;
     private volatile HostPort address;
     private volatile Member.State state = Member.State.STARTING;
 
@@ -29,6 +31,7 @@
         this.installed = installed;
         this.address = settings.listen().peers();
         // A replaced process remembers nothing; the clock alone makes its incarnation higher than the last one's.
+        this.time = time;
         this.incarnation = time.epochMillis();
     }
 
@@ -49,7 +52,30 @@
 
     /** Whether requests are taken. */
     public Member.State state() {
-        return state;
+        return drained ? Member.State.LEAVING : state;
+    }
+
+    /** Announces {@link Member.State#LEAVING} until {@link #undrain()}. */
+    public synchronized void drain() {
+        drained = true;
+    }
+
+    /**
+     * Takes the backend server back in, as {@link Member.State#STARTING} until it passes its health check again.
+     *
+     * @return false if the process itself is stopping, which nothing takes back
+     */
+    public synchronized boolean undrain() {
+        if (state == Member.State.LEAVING) {
+            return false;
+        }
+        if (drained) {
+            // Others hold LEAVING under the present incarnation and would take an earlier state for old news.
+            incarnation = Math.max(incarnation + 1, time.epochMillis());
+            state = Member.State.STARTING;
+            drained = false;
+        }
+        return true;
     }
 
     @Override
@@ -70,7 +96,7 @@
                 address,
                 settings.place(),
                 settings.backendServer().labels(),
-                state,
+                state(),
                 incarnation,
                 spec == null ? DEFAULT_SLOTS : spec.slots(),
                 inForce.snapshot().id().number(),
--- a/org.berylwick.daemon/src/org/berylwick/daemon/settings/DaemonSettings.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/settings/DaemonSettings.java
@@ -17,9 +17,16 @@
  * @param backendServer what it stands before
  * @param platform the platform's store
  * @param spread how versions and members reach this daemon
+ * @param admin who may change things, and how much they may send
  */
 public record DaemonSettings(
-        String instance, Place place, Listen listen, BackendServer backendServer, Platform platform, Spread spread) {
+        String instance,
+        Place place,
+        Listen listen,
+        BackendServer backendServer,
+        Platform platform,
+        Spread spread,
+        Admin admin) {
     /**
      * Addresses to listen on; port 0 takes a free one.
      *
@@ -61,6 +68,14 @@
         }
     }
 
+    /**
+     * The operators' service.
+     *
+     * @param token what calls that change anything must carry
+     * @param maxRequestBytes largest request taken
+     */
+    public record Admin(Optional<AdminToken> token, int maxRequestBytes) {}
+
     /** Whether daemons ask the store or each other. */
     public enum SpreadMode {
         /** Every daemon watches the store: the baseline. */
--- a/org.berylwick.daemon/src/org/berylwick/daemon/settings/SettingsReader.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/settings/SettingsReader.java
@@ -3,6 +3,8 @@
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import org.berylwick.daemon.settings.DaemonSettings.Admin;
 import org.berylwick.daemon.settings.DaemonSettings.BackendServer;
 import org.berylwick.daemon.settings.DaemonSettings.Listen;
 import org.berylwick.daemon.settings.DaemonSettings.Platform;
@@ -19,24 +21,36 @@
     private SettingsReader() {}
 
     /**
-     * Reads a settings document.
+     * Reads a settings document without looking at the environment.
      *
      * @param document its name, for faults
      */
     public static Result<DaemonSettings, List<Fault>> read(String document, String text) {
+        return read(document, text, Map.of());
+    }
+
+    /**
+     * Reads a settings document.
+     *
+     * @param document its name, for faults
+     * @param environment the variables of {@link EnvironmentOverrides} go before the document
+     */
+    public static Result<DaemonSettings, List<Fault>> read(
+            String document, String text, Map<String, String> environment) {
         List<Fault> faults = new ArrayList<>();
-        TableReader top = TableReader.parse(document, text, faults);
+        TableReader top = TableReader.parse(document, text, faults, EnvironmentOverrides.from(environment));
         String instance = top.requiredString("instance");
         Place place = new Place(top.requiredString("region"), top.requiredString("availability_zone"));
         Listen listen = readListen(top.child("listen"));
         BackendServer server = readBackendServer(top.child("backend_server"));
         Platform platform = readPlatform(top.child("platform"));
         Spread spread = SpreadSettingsReader.read(top.child("spread"));
+        Admin admin = AdminSettingsReader.read(top.child("admin"), environment);
         top.finish();
         if (!faults.isEmpty()) {
             return Result.err(faults);
         }
-        return Result.ok(new DaemonSettings(instance, place, listen, server, platform, spread));
+        return Result.ok(new DaemonSettings(instance, place, listen, server, platform, spread, admin));
     }
 
     private static Listen readListen(TableReader t) {
--- a/org.berylwick.pgm/src/org/berylwick/pgm/Apply.java
+++ b/org.berylwick.pgm/src/org/berylwick/pgm/Apply.java
@@ -68,8 +68,16 @@
                                 + String.join(", ", c.getBrandsList()) + ")"));
         return switch (reply.getResultCase()) {
             case ACCEPTED -> {
-                String verb = options.getBoolean("dry_run") ? "would change version " : "accepted version ";
-                terminal.out().println(verb + reply.getAccepted().getVersion());
+                terminal.out().println("accepted version " + reply.getAccepted().getVersion());
+                yield ExitCode.OK;
+            }
+            case DRY_RUN -> {
+                terminal.out()
+                        .println("would change version " + reply.getDryRun().getBaseVersion());
+                yield ExitCode.OK;
+            }
+            case UNCHANGED -> {
+                terminal.out().println("nothing to change");
                 yield ExitCode.OK;
             }
             case REJECTED -> {
--- a/org.berylwick.proto/src/org/berylwick/proto/AdminGrpc.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/AdminGrpc.java
@@ -109,6 +109,37 @@
     return getListHistoryMethod;
   }
 
+  private static volatile io.grpc.MethodDescriptor<org.berylwick.proto.DiffRequest,
+      org.berylwick.proto.DiffReply> getDiffMethod;
+
+  @io.grpc.stub.annotations.RpcMethod(
+      fullMethodName = SERVICE_NAME + '/' + "Diff",
+      requestType = org.berylwick.proto.DiffRequest.class,
+      responseType = org.berylwick.proto.DiffReply.class,
+      methodType = io.grpc.MethodDescriptor.MethodType.UNARY)
+  public static io.grpc.MethodDescriptor<org.berylwick.proto.DiffRequest,
+      org.berylwick.proto.DiffReply> getDiffMethod() {
+    io.grpc.MethodDescriptor<org.berylwick.proto.DiffRequest, org.berylwick.proto.DiffReply> getDiffMethod;
+    if ((getDiffMethod = AdminGrpc.getDiffMethod) == null) {
+      synchronized (AdminGrpc.class) {
+        if ((getDiffMethod = AdminGrpc.getDiffMethod) == null) {
+          AdminGrpc.getDiffMethod = getDiffMethod =
+              io.grpc.MethodDescriptor.<org.berylwick.proto.DiffRequest, org.berylwick.proto.DiffReply>newBuilder()
+              .setType(io.grpc.MethodDescriptor.MethodType.UNARY)
+              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "Diff"))
+              .setSampledToLocalTracing(true)
+              .setRequestMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  org.berylwick.proto.DiffRequest.getDefaultInstance()))
+              .setResponseMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  org.berylwick.proto.DiffReply.getDefaultInstance()))
+              .setSchemaDescriptor(new AdminMethodDescriptorSupplier("Diff"))
+              .build();
+        }
+      }
+    }
+    return getDiffMethod;
+  }
+
   private static volatile io.grpc.MethodDescriptor<org.berylwick.proto.RollbackRequest,
       org.berylwick.proto.ApplyReply> getRollbackMethod;
 
@@ -264,6 +295,37 @@
     return getSetDrainMethod;
   }
 
+  private static volatile io.grpc.MethodDescriptor<org.berylwick.proto.ListAuditRequest,
+      org.berylwick.proto.ListAuditReply> getListAuditMethod;
+
+  @io.grpc.stub.annotations.RpcMethod(
+      fullMethodName = SERVICE_NAME + '/' + "ListAudit",
+      requestType = org.berylwick.proto.ListAuditRequest.class,
+      responseType = org.berylwick.proto.ListAuditReply.class,
+      methodType = io.grpc.MethodDescriptor.MethodType.UNARY)
+  public static io.grpc.MethodDescriptor<org.berylwick.proto.ListAuditRequest,
+      org.berylwick.proto.ListAuditReply> getListAuditMethod() {
+    io.grpc.MethodDescriptor<org.berylwick.proto.ListAuditRequest, org.berylwick.proto.ListAuditReply> getListAuditMethod;
+    if ((getListAuditMethod = AdminGrpc.getListAuditMethod) == null) {
+      synchronized (AdminGrpc.class) {
+        if ((getListAuditMethod = AdminGrpc.getListAuditMethod) == null) {
+          AdminGrpc.getListAuditMethod = getListAuditMethod =
+              io.grpc.MethodDescriptor.<org.berylwick.proto.ListAuditRequest, org.berylwick.proto.ListAuditReply>newBuilder()
+              .setType(io.grpc.MethodDescriptor.MethodType.UNARY)
+              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "ListAudit"))
+              .setSampledToLocalTracing(true)
+              .setRequestMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  org.berylwick.proto.ListAuditRequest.getDefaultInstance()))
+              .setResponseMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  org.berylwick.proto.ListAuditReply.getDefaultInstance()))
+              .setSchemaDescriptor(new AdminMethodDescriptorSupplier("ListAudit"))
+              .build();
+        }
+      }
+    }
+    return getListAuditMethod;
+  }
+
   /**
    * Creates a new async stub that supports all call types for the service
    */
@@ -361,6 +423,16 @@
       io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getListHistoryMethod(), responseObserver);
     }
 
+    /**
+     * <pre>
+     * Compares two accepted versions object by object.
+     * </pre>
+     */
+    default void diff(org.berylwick.proto.DiffRequest request,
+        io.grpc.stub.StreamObserver<org.berylwick.proto.DiffReply> responseObserver) {
+      io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getDiffMethod(), responseObserver);
+    }
+
     /**
      * <pre>
      * Accepts the content of an older version as a new version.
@@ -403,13 +475,24 @@
 
     /**
      * <pre>
-     * Takes a backend server out of service, or back in.
+     * Takes the backend server beside this daemon out of service, or back in.
      * </pre>
      */
     default void setDrain(org.berylwick.proto.SetDrainRequest request,
         io.grpc.stub.StreamObserver<org.berylwick.proto.SetDrainReply> responseObserver) {
       io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getSetDrainMethod(), responseObserver);
     }
+
+    /**
+     * <pre>
+     * Lists who changed or tried to change what, newest first: accepted changes of the whole system,
+     * and the attempts that this daemon itself refused or could not complete since it started.
+     * </pre>
+     */
+    default void listAudit(org.berylwick.proto.ListAuditRequest request,
+        io.grpc.stub.StreamObserver<org.berylwick.proto.ListAuditReply> responseObserver) {
+      io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getListAuditMethod(), responseObserver);
+    }
   }
 
   /**
@@ -480,6 +563,17 @@
           getChannel().newCall(getListHistoryMethod(), getCallOptions()), request, responseObserver);
     }
 
+    /**
+     * <pre>
+     * Compares two accepted versions object by object.
+     * </pre>
+     */
+    public void diff(org.berylwick.proto.DiffRequest request,
+        io.grpc.stub.StreamObserver<org.berylwick.proto.DiffReply> responseObserver) {
+      io.grpc.stub.ClientCalls.asyncUnaryCall(
+          getChannel().newCall(getDiffMethod(), getCallOptions()), request, responseObserver);
+    }
+
     /**
      * <pre>
      * Accepts the content of an older version as a new version.
@@ -526,7 +620,7 @@
 
     /**
      * <pre>
-     * Takes a backend server out of service, or back in.
+     * Takes the backend server beside this daemon out of service, or back in.
      * </pre>
      */
     public void setDrain(org.berylwick.proto.SetDrainRequest request,
@@ -534,6 +628,18 @@
       io.grpc.stub.ClientCalls.asyncUnaryCall(
           getChannel().newCall(getSetDrainMethod(), getCallOptions()), request, responseObserver);
     }
+
+    /**
+     * <pre>
+     * Lists who changed or tried to change what, newest first: accepted changes of the whole system,
+     * and the attempts that this daemon itself refused or could not complete since it started.
+     * </pre>
+     */
+    public void listAudit(org.berylwick.proto.ListAuditRequest request,
+        io.grpc.stub.StreamObserver<org.berylwick.proto.ListAuditReply> responseObserver) {
+      io.grpc.stub.ClientCalls.asyncUnaryCall(
+          getChannel().newCall(getListAuditMethod(), getCallOptions()), request, responseObserver);
+    }
   }
 
   /**
@@ -586,6 +692,16 @@
           getChannel(), getListHistoryMethod(), getCallOptions(), request);
     }
 
+    /**
+     * <pre>
+     * Compares two accepted versions object by object.
+     * </pre>
+     */
+    public org.berylwick.proto.DiffReply diff(org.berylwick.proto.DiffRequest request) throws io.grpc.StatusException {
+      return io.grpc.stub.ClientCalls.blockingV2UnaryCall(
+          getChannel(), getDiffMethod(), getCallOptions(), request);
+    }
+
     /**
      * <pre>
      * Accepts the content of an older version as a new version.
@@ -628,13 +744,24 @@
 
     /**
      * <pre>
-     * Takes a backend server out of service, or back in.
+     * Takes the backend server beside this daemon out of service, or back in.
      * </pre>
      */
     public org.berylwick.proto.SetDrainReply setDrain(org.berylwick.proto.SetDrainRequest request) throws io.grpc.StatusException {
       return io.grpc.stub.ClientCalls.blockingV2UnaryCall(
           getChannel(), getSetDrainMethod(), getCallOptions(), request);
     }
+
+    /**
+     * <pre>
+     * Lists who changed or tried to change what, newest first: accepted changes of the whole system,
+     * and the attempts that this daemon itself refused or could not complete since it started.
+     * </pre>
+     */
+    public org.berylwick.proto.ListAuditReply listAudit(org.berylwick.proto.ListAuditRequest request) throws io.grpc.StatusException {
+      return io.grpc.stub.ClientCalls.blockingV2UnaryCall(
+          getChannel(), getListAuditMethod(), getCallOptions(), request);
+    }
   }
 
   /**
@@ -687,6 +814,16 @@
           getChannel(), getListHistoryMethod(), getCallOptions(), request);
     }
 
+    /**
+     * <pre>
+     * Compares two accepted versions object by object.
+     * </pre>
+     */
+    public org.berylwick.proto.DiffReply diff(org.berylwick.proto.DiffRequest request) {
+      return io.grpc.stub.ClientCalls.blockingUnaryCall(
+          getChannel(), getDiffMethod(), getCallOptions(), request);
+    }
+
     /**
      * <pre>
      * Accepts the content of an older version as a new version.
@@ -729,13 +866,24 @@
 
     /**
      * <pre>
-     * Takes a backend server out of service, or back in.
+     * Takes the backend server beside this daemon out of service, or back in.
      * </pre>
      */
     public org.berylwick.proto.SetDrainReply setDrain(org.berylwick.proto.SetDrainRequest request) {
       return io.grpc.stub.ClientCalls.blockingUnaryCall(
           getChannel(), getSetDrainMethod(), getCallOptions(), request);
     }
+
+    /**
+     * <pre>
+     * Lists who changed or tried to change what, newest first: accepted changes of the whole system,
+     * and the attempts that this daemon itself refused or could not complete since it started.
+     * </pre>
+     */
+    public org.berylwick.proto.ListAuditReply listAudit(org.berylwick.proto.ListAuditRequest request) {
+      return io.grpc.stub.ClientCalls.blockingUnaryCall(
+          getChannel(), getListAuditMethod(), getCallOptions(), request);
+    }
   }
 
   /**
@@ -791,6 +939,17 @@
           getChannel().newCall(getListHistoryMethod(), getCallOptions()), request);
     }
 
+    /**
+     * <pre>
+     * Compares two accepted versions object by object.
+     * </pre>
+     */
+    public com.google.common.util.concurrent.ListenableFuture<org.berylwick.proto.DiffReply> diff(
+        org.berylwick.proto.DiffRequest request) {
+      return io.grpc.stub.ClientCalls.futureUnaryCall(
+          getChannel().newCall(getDiffMethod(), getCallOptions()), request);
+    }
+
     /**
      * <pre>
      * Accepts the content of an older version as a new version.
@@ -837,7 +996,7 @@
 
     /**
      * <pre>
-     * Takes a backend server out of service, or back in.
+     * Takes the backend server beside this daemon out of service, or back in.
      * </pre>
      */
     public com.google.common.util.concurrent.ListenableFuture<org.berylwick.proto.SetDrainReply> setDrain(
@@ -845,16 +1004,30 @@
       return io.grpc.stub.ClientCalls.futureUnaryCall(
           getChannel().newCall(getSetDrainMethod(), getCallOptions()), request);
     }
+
+    /**
+     * <pre>
+     * Lists who changed or tried to change what, newest first: accepted changes of the whole system,
+     * and the attempts that this daemon itself refused or could not complete since it started.
+     * </pre>
+     */
+    public com.google.common.util.concurrent.ListenableFuture<org.berylwick.proto.ListAuditReply> listAudit(
+        org.berylwick.proto.ListAuditRequest request) {
+      return io.grpc.stub.ClientCalls.futureUnaryCall(
+          getChannel().newCall(getListAuditMethod(), getCallOptions()), request);
+    }
   }
 
   private static final int METHODID_APPLY = 0;
   private static final int METHODID_GET_CONFIGURATION = 1;
   private static final int METHODID_LIST_HISTORY = 2;
-  private static final int METHODID_ROLLBACK = 3;
-  private static final int METHODID_GET_STATUS = 4;
-  private static final int METHODID_LIST_MEMBERS = 5;
-  private static final int METHODID_EXPLAIN_ROUTE = 6;
-  private static final int METHODID_SET_DRAIN = 7;
+  private static final int METHODID_DIFF = 3;
+  private static final int METHODID_ROLLBACK = 4;
+  private static final int METHODID_GET_STATUS = 5;
+  private static final int METHODID_LIST_MEMBERS = 6;
+  private static final int METHODID_EXPLAIN_ROUTE = 7;
+  private static final int METHODID_SET_DRAIN = 8;
+  private static final int METHODID_LIST_AUDIT = 9;
 
   private static final class MethodHandlers<Req, Resp> implements
       io.grpc.stub.ServerCalls.UnaryMethod<Req, Resp>,
@@ -885,6 +1058,10 @@
           serviceImpl.listHistory((org.berylwick.proto.ListHistoryRequest) request,
               (io.grpc.stub.StreamObserver<org.berylwick.proto.ListHistoryReply>) responseObserver);
           break;
+        case METHODID_DIFF:
+          serviceImpl.diff((org.berylwick.proto.DiffRequest) request,
+              (io.grpc.stub.StreamObserver<org.berylwick.proto.DiffReply>) responseObserver);
+          break;
         case METHODID_ROLLBACK:
           serviceImpl.rollback((org.berylwick.proto.RollbackRequest) request,
               (io.grpc.stub.StreamObserver<org.berylwick.proto.ApplyReply>) responseObserver);
@@ -905,6 +1082,10 @@
           serviceImpl.setDrain((org.berylwick.proto.SetDrainRequest) request,
               (io.grpc.stub.StreamObserver<org.berylwick.proto.SetDrainReply>) responseObserver);
           break;
+        case METHODID_LIST_AUDIT:
+          serviceImpl.listAudit((org.berylwick.proto.ListAuditRequest) request,
+              (io.grpc.stub.StreamObserver<org.berylwick.proto.ListAuditReply>) responseObserver);
+          break;
         default:
           throw new AssertionError();
       }
@@ -944,6 +1125,13 @@
               org.berylwick.proto.ListHistoryRequest,
               org.berylwick.proto.ListHistoryReply>(
                 service, METHODID_LIST_HISTORY)))
+        .addMethod(
+          getDiffMethod(),
+          io.grpc.stub.ServerCalls.asyncUnaryCall(
+            new MethodHandlers<
+              org.berylwick.proto.DiffRequest,
+              org.berylwick.proto.DiffReply>(
+                service, METHODID_DIFF)))
         .addMethod(
           getRollbackMethod(),
           io.grpc.stub.ServerCalls.asyncUnaryCall(
@@ -979,6 +1167,13 @@
               org.berylwick.proto.SetDrainRequest,
               org.berylwick.proto.SetDrainReply>(
                 service, METHODID_SET_DRAIN)))
+        .addMethod(
+          getListAuditMethod(),
+          io.grpc.stub.ServerCalls.asyncUnaryCall(
+            new MethodHandlers<
+              org.berylwick.proto.ListAuditRequest,
+              org.berylwick.proto.ListAuditReply>(
+                service, METHODID_LIST_AUDIT)))
         .build();
   }
 
@@ -1030,11 +1225,13 @@
               .addMethod(getApplyMethod())
               .addMethod(getGetConfigurationMethod())
               .addMethod(getListHistoryMethod())
+              .addMethod(getDiffMethod())
               .addMethod(getRollbackMethod())
               .addMethod(getGetStatusMethod())
               .addMethod(getListMembersMethod())
               .addMethod(getExplainRouteMethod())
               .addMethod(getSetDrainMethod())
+              .addMethod(getListAuditMethod())
               .build();
         }
       }
--- a/org.berylwick.proto/src/org/berylwick/proto/AdminOuterClass.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/AdminOuterClass.java
@@ -60,6 +60,16 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_berylwick_v1_Unavailable_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_berylwick_v1_Unchanged_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_berylwick_v1_Unchanged_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_berylwick_v1_DryRun_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_berylwick_v1_DryRun_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_berylwick_v1_ApplyReply_descriptor;
   static final 
@@ -90,6 +100,16 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_berylwick_v1_ListHistoryReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_berylwick_v1_DiffRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_berylwick_v1_DiffRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_berylwick_v1_DiffReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_berylwick_v1_DiffReply_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_berylwick_v1_RollbackRequest_descriptor;
   static final 
@@ -135,6 +155,11 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_berylwick_v1_ExplainRouteRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_berylwick_v1_Candidate_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_berylwick_v1_Candidate_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_berylwick_v1_ExplainRouteReply_descriptor;
   static final 
@@ -150,6 +175,21 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_berylwick_v1_SetDrainReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_berylwick_v1_ListAuditRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_berylwick_v1_ListAuditRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_berylwick_v1_AuditRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_berylwick_v1_AuditRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_berylwick_v1_ListAuditReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_berylwick_v1_ListAuditReply_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -178,32 +218,42 @@
       "wick.v1.Fault\"1\n\tUndecided\022\024\n\014operation_" +
       "id\030\001 \001(\t\022\016\n\006detail\030\002 \001(\t\"5\n\013Unavailable\022" +
       "\016\n\006detail\030\001 \001(\t\022\026\n\016retry_after_ms\030\002 \001(\003\"" +
-      "\241\002\n\nApplyReply\022*\n\010accepted\030\001 \001(\0132\026.beryl" +
-      "wick.v1.AcceptedH\000\022*\n\010conflict\030\002 \001(\0132\026.b" +
-      "erylwick.v1.ConflictH\000\022*\n\010rejected\030\003 \001(\013" +
-      "2\026.berylwick.v1.RejectedH\000\022,\n\tundecided\030" +
-      "\004 \001(\0132\027.berylwick.v1.UndecidedH\000\0220\n\013unav" +
-      "ailable\030\005 \001(\0132\031.berylwick.v1.Unavailable" +
-      "H\000\022%\n\007changes\030\006 \003(\0132\024.berylwick.v1.Chang" +
-      "eB\010\n\006result\"*\n\027GetConfigurationRequest\022\017" +
-      "\n\007version\030\001 \001(\003\"F\n\025GetConfigurationReply" +
-      "\022\017\n\007version\030\001 \001(\003\022\016\n\006digest\030\002 \001(\t\022\014\n\004jso" +
-      "n\030\003 \001(\t\"#\n\022ListHistoryRequest\022\r\n\005limit\030\001" +
-      " \001(\005\"\253\001\n\014HistoryEntry\022\017\n\007version\030\001 \001(\003\022\016" +
-      "\n\006digest\030\002 \001(\t\022\024\n\014operation_id\030\003 \001(\t\022\016\n\006" +
-      "author\030\004 \001(\t\022\017\n\007summary\030\005 \001(\t\022\034\n\024accepte" +
-      "d_at_epoch_ms\030\006 \001(\003\022%\n\007changes\030\007 \003(\0132\024.b" +
-      "erylwick.v1.Change\"?\n\020ListHistoryReply\022+" +
-      "\n\007entries\030\001 \003(\0132\032.berylwick.v1.HistoryEn" +
-      "try\"K\n\017RollbackRequest\022\022\n\nto_version\030\001 \001" +
-      "(\003\022\024\n\014operation_id\030\002 \001(\t\022\016\n\006author\030\003 \001(\t" +
-      "\"\022\n\020GetStatusRequest\"\213\001\n\014DaemonStatus\022\020\n" +
-      "\010instance\030\001 \001(\t\022\031\n\021availability_zone\030\002 \001" +
-      "(\t\022\017\n\007version\030\003 \001(\003\022\035\n\025installed_at_epoc" +
-      "h_ms\030\004 \001(\003\022\036\n\026lagging_since_epoch_ms\030\005 \001" +
-      "(\003\"^\n\016GetStatusReply\022\017\n\007version\030\001 \001(\003\022\016\n" +
-      "\006digest\030\002 \001(\t\022+\n\007daemons\030\003 \003(\0132\032.berylwi" +
-      "ck.v1.DaemonStatus\"\024\n\022ListMembersRequest" +
+      "$\n\tUnchanged\022\027\n\017current_version\030\001 \001(\003\"\036\n" +
+      "\006DryRun\022\024\n\014base_version\030\001 \001(\003\"\370\002\n\nApplyR" +
+      "eply\022*\n\010accepted\030\001 \001(\0132\026.berylwick.v1.Ac" +
+      "ceptedH\000\022*\n\010conflict\030\002 \001(\0132\026.berylwick.v" +
+      "1.ConflictH\000\022*\n\010rejected\030\003 \001(\0132\026.berylwi" +
+      "ck.v1.RejectedH\000\022,\n\tundecided\030\004 \001(\0132\027.be" +
+      "rylwick.v1.UndecidedH\000\0220\n\013unavailable\030\005 " +
+      "\001(\0132\031.berylwick.v1.UnavailableH\000\022,\n\tunch" +
+      "anged\030\007 \001(\0132\027.berylwick.v1.UnchangedH\000\022\'" +
+      "\n\007dry_run\030\010 \001(\0132\024.berylwick.v1.DryRunH\000\022" +
+      "%\n\007changes\030\006 \003(\0132\024.berylwick.v1.ChangeB\010" +
+      "\n\006result\"*\n\027GetConfigurationRequest\022\017\n\007v" +
+      "ersion\030\001 \001(\003\"F\n\025GetConfigurationReply\022\017\n" +
+      "\007version\030\001 \001(\003\022\016\n\006digest\030\002 \001(\t\022\014\n\004json\030\003" +
+      " \001(\t\"#\n\022ListHistoryRequest\022\r\n\005limit\030\001 \001(" +
+      "\005\"\253\001\n\014HistoryEntry\022\017\n\007version\030\001 \001(\003\022\016\n\006d" +
+      "igest\030\002 \001(\t\022\024\n\014operation_id\030\003 \001(\t\022\016\n\006aut" +
+      "hor\030\004 \001(\t\022\017\n\007summary\030\005 \001(\t\022\034\n\024accepted_a" +
+      "t_epoch_ms\030\006 \001(\003\022%\n\007changes\030\007 \003(\0132\024.bery" +
+      "lwick.v1.Change\"?\n\020ListHistoryReply\022+\n\007e" +
+      "ntries\030\001 \003(\0132\032.berylwick.v1.HistoryEntry" +
+      "\"7\n\013DiffRequest\022\024\n\014from_version\030\001 \001(\003\022\022\n" +
+      "\nto_version\030\002 \001(\003\"\\\n\tDiffReply\022\024\n\014from_v" +
+      "ersion\030\001 \001(\003\022\022\n\nto_version\030\002 \001(\003\022%\n\007chan" +
+      "ges\030\003 \003(\0132\024.berylwick.v1.Change\"m\n\017Rollb" +
+      "ackRequest\022\022\n\nto_version\030\001 \001(\003\022\024\n\014operat" +
+      "ion_id\030\002 \001(\t\022\016\n\006author\030\003 \001(\t\022\017\n\007summary\030" +
+      "\004 \001(\t\022\017\n\007dry_run\030\005 \001(\010\"\022\n\020GetStatusReque" +
+      "st\"\232\001\n\014DaemonStatus\022\020\n\010instance\030\001 \001(\t\022\031\n" +
+      "\021availability_zone\030\002 \001(\t\022\017\n\007version\030\003 \001(" +
+      "\003\022\035\n\025installed_at_epoch_ms\030\004 \001(\003\022\036\n\026lagg" +
+      "ing_since_epoch_ms\030\005 \001(\003\022\r\n\005state\030\006 \001(\t\"" +
+      "\210\001\n\016GetStatusReply\022\017\n\007version\030\001 \001(\003\022\016\n\006d" +
+      "igest\030\002 \001(\t\022+\n\007daemons\030\003 \003(\0132\032.berylwick" +
+      ".v1.DaemonStatus\022\026\n\016newest_version\030\004 \001(\003" +
+      "\022\020\n\010instance\030\005 \001(\t\"\024\n\022ListMembersRequest" +
       "\"\364\001\n\nMemberInfo\022\020\n\010instance\030\001 \001(\t\022\017\n\007ser" +
       "vice\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\031\n\021availabil" +
       "ity_zone\030\004 \001(\t\022\016\n\006region\030\005 \001(\t\0224\n\006labels" +
@@ -213,29 +263,51 @@
       "\001(\t:\0028\001\"=\n\020ListMembersReply\022)\n\007members\030\001" +
       " \003(\0132\030.berylwick.v1.MemberInfo\"A\n\023Explai" +
       "nRouteRequest\022\016\n\006method\030\001 \001(\t\022\014\n\004host\030\002 " +
-      "\001(\t\022\014\n\004path\030\003 \001(\t\"\210\001\n\021ExplainRouteReply\022" +
-      "\017\n\007matched\030\001 \001(\010\022\r\n\005brand\030\002 \001(\t\022\r\n\005route" +
-      "\030\003 \001(\t\022\016\n\006policy\030\004 \001(\t\022\017\n\007service\030\005 \001(\t\022" +
-      "\022\n\ncandidates\030\006 \003(\t\022\017\n\007reasons\030\007 \003(\t\"2\n\017" +
-      "SetDrainRequest\022\020\n\010instance\030\001 \001(\t\022\r\n\005dra" +
-      "in\030\002 \001(\010\"\036\n\rSetDrainReply\022\r\n\005state\030\001 \001(\t" +
-      "2\364\004\n\005Admin\022=\n\005Apply\022\032.berylwick.v1.Apply" +
-      "Request\032\030.berylwick.v1.ApplyReply\022^\n\020Get" +
-      "Configuration\022%.berylwick.v1.GetConfigur" +
-      "ationRequest\032#.berylwick.v1.GetConfigura" +
-      "tionReply\022O\n\013ListHistory\022 .berylwick.v1." +
-      "ListHistoryRequest\032\036.berylwick.v1.ListHi" +
-      "storyReply\022C\n\010Rollback\022\035.berylwick.v1.Ro" +
-      "llbackRequest\032\030.berylwick.v1.ApplyReply\022" +
-      "I\n\tGetStatus\022\036.berylwick.v1.GetStatusReq" +
-      "uest\032\034.berylwick.v1.GetStatusReply\022O\n\013Li" +
-      "stMembers\022 .berylwick.v1.ListMembersRequ" +
-      "est\032\036.berylwick.v1.ListMembersReply\022R\n\014E" +
-      "xplainRoute\022!.berylwick.v1.ExplainRouteR" +
-      "equest\032\037.berylwick.v1.ExplainRouteReply\022" +
-      "F\n\010SetDrain\022\035.berylwick.v1.SetDrainReque" +
-      "st\032\033.berylwick.v1.SetDrainReplyB\027\n\023org.b" +
-      "erylwick.protoP\001b\006proto3"
+      "\001(\t\022\014\n\004path\030\003 \001(\t\"i\n\tCandidate\022\020\n\010instan" +
+      "ce\030\001 \001(\t\022\031\n\021availability_zone\030\002 \001(\t\022\r\n\005s" +
+      "tate\030\003 \001(\t\022\020\n\010eligible\030\004 \001(\010\022\016\n\006reason\030\005" +
+      " \001(\t\"\240\002\n\021ExplainRouteReply\022\017\n\007matched\030\001 " +
+      "\001(\010\022\r\n\005brand\030\002 \001(\t\022\r\n\005route\030\003 \001(\t\022\016\n\006pol" +
+      "icy\030\004 \001(\t\022\017\n\007service\030\005 \001(\t\022+\n\ncandidates" +
+      "\030\006 \003(\0132\027.berylwick.v1.Candidate\022\017\n\007reaso" +
+      "ns\030\007 \003(\t\022\017\n\007version\030\010 \001(\003\022\025\n\rtraffic_cla" +
+      "ss\030\t \001(\t\022\022\n\ntimeout_ms\030\n \001(\003\022\024\n\014max_atte" +
+      "mpts\030\013 \001(\005\022\022\n\nidempotent\030\014 \001(\010\022\027\n\017idempo" +
+      "tency_key\030\r \001(\t\"B\n\017SetDrainRequest\022\020\n\010in" +
+      "stance\030\001 \001(\t\022\r\n\005drain\030\002 \001(\010\022\016\n\006author\030\003 " +
+      "\001(\t\"0\n\rSetDrainReply\022\r\n\005state\030\001 \001(\t\022\020\n\010i" +
+      "nstance\030\002 \001(\t\"i\n\020ListAuditRequest\022\r\n\005lim" +
+      "it\030\001 \001(\005\022\016\n\006author\030\002 \001(\t\022\016\n\006object\030\003 \001(\t" +
+      "\022\016\n\006result\030\004 \001(\t\022\026\n\016since_epoch_ms\030\005 \001(\003" +
+      "\"\301\001\n\013AuditRecord\022\023\n\013at_epoch_ms\030\001 \001(\003\022\016\n" +
+      "\006author\030\002 \001(\t\022\016\n\006action\030\003 \001(\t\022\016\n\006result\030" +
+      "\004 \001(\t\022\024\n\014operation_id\030\005 \001(\t\022\017\n\007version\030\006" +
+      " \001(\003\022\017\n\007summary\030\007 \001(\t\022%\n\007changes\030\010 \003(\0132\024" +
+      ".berylwick.v1.Change\022\016\n\006detail\030\t \001(\t\"\210\001\n" +
+      "\016ListAuditReply\022*\n\007records\030\001 \003(\0132\031.beryl" +
+      "wick.v1.AuditRecord\022\020\n\010instance\030\002 \001(\t\022\037\n" +
+      "\027attempts_since_epoch_ms\030\003 \001(\003\022\027\n\017histor" +
+      "y_missing\030\004 \001(\t2\373\005\n\005Admin\022=\n\005Apply\022\032.ber" +
+      "ylwick.v1.ApplyRequest\032\030.berylwick.v1.Ap" +
+      "plyReply\022^\n\020GetConfiguration\022%.berylwick" +
+      ".v1.GetConfigurationRequest\032#.berylwick." +
+      "v1.GetConfigurationReply\022O\n\013ListHistory\022" +
+      " .berylwick.v1.ListHistoryRequest\032\036.bery" +
+      "lwick.v1.ListHistoryReply\022:\n\004Diff\022\031.bery" +
+      "lwick.v1.DiffRequest\032\027.berylwick.v1.Diff" +
+      "Reply\022C\n\010Rollback\022\035.berylwick.v1.Rollbac" +
+      "kRequest\032\030.berylwick.v1.ApplyReply\022I\n\tGe" +
+      "tStatus\022\036.berylwick.v1.GetStatusRequest\032" +
+      "\034.berylwick.v1.GetStatusReply\022O\n\013ListMem" +
+      "bers\022 .berylwick.v1.ListMembersRequest\032\036" +
+      ".berylwick.v1.ListMembersReply\022R\n\014Explai" +
+      "nRoute\022!.berylwick.v1.ExplainRouteReques" +
+      "t\032\037.berylwick.v1.ExplainRouteReply\022F\n\010Se" +
+      "tDrain\022\035.berylwick.v1.SetDrainRequest\032\033." +
+      "berylwick.v1.SetDrainReply\022I\n\tListAudit\022" +
+      "\036.berylwick.v1.ListAuditRequest\032\034.berylw" +
+      "ick.v1.ListAuditReplyB\027\n\023org.berylwick.p" +
+      "rotoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -295,74 +367,98 @@
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_Unavailable_descriptor,
         new java.lang.String[] { "Detail", "RetryAfterMs", });
-    internal_static_berylwick_v1_ApplyReply_descriptor =
+    internal_static_berylwick_v1_Unchanged_descriptor =
       getDescriptor().getMessageTypes().get(9);
+    internal_static_berylwick_v1_Unchanged_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_berylwick_v1_Unchanged_descriptor,
+        new java.lang.String[] { "CurrentVersion", });
+    internal_static_berylwick_v1_DryRun_descriptor =
+      getDescriptor().getMessageTypes().get(10);
+    internal_static_berylwick_v1_DryRun_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_berylwick_v1_DryRun_descriptor,
+        new java.lang.String[] { "BaseVersion", });
+    internal_static_berylwick_v1_ApplyReply_descriptor =
+      getDescriptor().getMessageTypes().get(11);
     internal_static_berylwick_v1_ApplyReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_ApplyReply_descriptor,
-        new java.lang.String[] { "Accepted", "Conflict", "Rejected", "Undecided", "Unavailable", "Changes", "Result", });
+        new java.lang.String[] { "Accepted", "Conflict", "Rejected", "Undecided", "Unavailable", "Unchanged", "DryRun", "Changes", "Result", });
     internal_static_berylwick_v1_GetConfigurationRequest_descriptor =
-      getDescriptor().getMessageTypes().get(10);
+      getDescriptor().getMessageTypes().get(12);
     internal_static_berylwick_v1_GetConfigurationRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_GetConfigurationRequest_descriptor,
         new java.lang.String[] { "Version", });
     internal_static_berylwick_v1_GetConfigurationReply_descriptor =
-      getDescriptor().getMessageTypes().get(11);
+      getDescriptor().getMessageTypes().get(13);
     internal_static_berylwick_v1_GetConfigurationReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_GetConfigurationReply_descriptor,
         new java.lang.String[] { "Version", "Digest", "Json", });
     internal_static_berylwick_v1_ListHistoryRequest_descriptor =
-      getDescriptor().getMessageTypes().get(12);
+      getDescriptor().getMessageTypes().get(14);
     internal_static_berylwick_v1_ListHistoryRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_ListHistoryRequest_descriptor,
         new java.lang.String[] { "Limit", });
     internal_static_berylwick_v1_HistoryEntry_descriptor =
-      getDescriptor().getMessageTypes().get(13);
+      getDescriptor().getMessageTypes().get(15);
     internal_static_berylwick_v1_HistoryEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_HistoryEntry_descriptor,
         new java.lang.String[] { "Version", "Digest", "OperationId", "Author", "Summary", "AcceptedAtEpochMs", "Changes", });
     internal_static_berylwick_v1_ListHistoryReply_descriptor =
-      getDescriptor().getMessageTypes().get(14);
+      getDescriptor().getMessageTypes().get(16);
     internal_static_berylwick_v1_ListHistoryReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_ListHistoryReply_descriptor,
         new java.lang.String[] { "Entries", });
+    internal_static_berylwick_v1_DiffRequest_descriptor =
+      getDescriptor().getMessageTypes().get(17);
+    internal_static_berylwick_v1_DiffRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_berylwick_v1_DiffRequest_descriptor,
+        new java.lang.String[] { "FromVersion", "ToVersion", });
+    internal_static_berylwick_v1_DiffReply_descriptor =
+      getDescriptor().getMessageTypes().get(18);
+    internal_static_berylwick_v1_DiffReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_berylwick_v1_DiffReply_descriptor,
+        new java.lang.String[] { "FromVersion", "ToVersion", "Changes", });
     internal_static_berylwick_v1_RollbackRequest_descriptor =
-      getDescriptor().getMessageTypes().get(15);
+      getDescriptor().getMessageTypes().get(19);
     internal_static_berylwick_v1_RollbackRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_RollbackRequest_descriptor,
-        new java.lang.String[] { "ToVersion", "OperationId", "Author", });
+        new java.lang.String[] { "ToVersion", "OperationId", "Author", "Summary", "DryRun", });
     internal_static_berylwick_v1_GetStatusRequest_descriptor =
-      getDescriptor().getMessageTypes().get(16);
+      getDescriptor().getMessageTypes().get(20);
     internal_static_berylwick_v1_GetStatusRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_GetStatusRequest_descriptor,
         new java.lang.String[] { });
     internal_static_berylwick_v1_DaemonStatus_descriptor =
-      getDescriptor().getMessageTypes().get(17);
+      getDescriptor().getMessageTypes().get(21);
     internal_static_berylwick_v1_DaemonStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_DaemonStatus_descriptor,
-        new java.lang.String[] { "Instance", "AvailabilityZone", "Version", "InstalledAtEpochMs", "LaggingSinceEpochMs", });
+        new java.lang.String[] { "Instance", "AvailabilityZone", "Version", "InstalledAtEpochMs", "LaggingSinceEpochMs", "State", });
     internal_static_berylwick_v1_GetStatusReply_descriptor =
-      getDescriptor().getMessageTypes().get(18);
+      getDescriptor().getMessageTypes().get(22);
     internal_static_berylwick_v1_GetStatusReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_GetStatusReply_descriptor,
-        new java.lang.String[] { "Version", "Digest", "Daemons", });
+        new java.lang.String[] { "Version", "Digest", "Daemons", "NewestVersion", "Instance", });
     internal_static_berylwick_v1_ListMembersRequest_descriptor =
-      getDescriptor().getMessageTypes().get(19);
+      getDescriptor().getMessageTypes().get(23);
     internal_static_berylwick_v1_ListMembersRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_ListMembersRequest_descriptor,
         new java.lang.String[] { });
     internal_static_berylwick_v1_MemberInfo_descriptor =
-      getDescriptor().getMessageTypes().get(20);
+      getDescriptor().getMessageTypes().get(24);
     internal_static_berylwick_v1_MemberInfo_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_MemberInfo_descriptor,
@@ -374,35 +470,59 @@
         internal_static_berylwick_v1_MemberInfo_LabelsEntry_descriptor,
         new java.lang.String[] { "Key", "Value", });
     internal_static_berylwick_v1_ListMembersReply_descriptor =
-      getDescriptor().getMessageTypes().get(21);
+      getDescriptor().getMessageTypes().get(25);
     internal_static_berylwick_v1_ListMembersReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_ListMembersReply_descriptor,
         new java.lang.String[] { "Members", });
     internal_static_berylwick_v1_ExplainRouteRequest_descriptor =
-      getDescriptor().getMessageTypes().get(22);
+      getDescriptor().getMessageTypes().get(26);
     internal_static_berylwick_v1_ExplainRouteRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_ExplainRouteRequest_descriptor,
         new java.lang.String[] { "Method", "Host", "Path", });
+    internal_static_berylwick_v1_Candidate_descriptor =
+      getDescriptor().getMessageTypes().get(27);
+    internal_static_berylwick_v1_Candidate_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_berylwick_v1_Candidate_descriptor,
+        new java.lang.String[] { "Instance", "AvailabilityZone", "State", "Eligible", "Reason", });
     internal_static_berylwick_v1_ExplainRouteReply_descriptor =
-      getDescriptor().getMessageTypes().get(23);
+      getDescriptor().getMessageTypes().get(28);
     internal_static_berylwick_v1_ExplainRouteReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_ExplainRouteReply_descriptor,
-        new java.lang.String[] { "Matched", "Brand", "Route", "Policy", "Service", "Candidates", "Reasons", });
+        new java.lang.String[] { "Matched", "Brand", "Route", "Policy", "Service", "Candidates", "Reasons", "Version", "TrafficClass", "TimeoutMs", "MaxAttempts", "Idempotent", "IdempotencyKey", });
     internal_static_berylwick_v1_SetDrainRequest_descriptor =
-      getDescriptor().getMessageTypes().get(24);
+      getDescriptor().getMessageTypes().get(29);
     internal_static_berylwick_v1_SetDrainRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_SetDrainRequest_descriptor,
-        new java.lang.String[] { "Instance", "Drain", });
+        new java.lang.String[] { "Instance", "Drain", "Author", });
     internal_static_berylwick_v1_SetDrainReply_descriptor =
-      getDescriptor().getMessageTypes().get(25);
+      getDescriptor().getMessageTypes().get(30);
     internal_static_berylwick_v1_SetDrainReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_berylwick_v1_SetDrainReply_descriptor,
-        new java.lang.String[] { "State", });
+        new java.lang.String[] { "State", "Instance", });
+    internal_static_berylwick_v1_ListAuditRequest_descriptor =
+      getDescriptor().getMessageTypes().get(31);
+    internal_static_berylwick_v1_ListAuditRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_berylwick_v1_ListAuditRequest_descriptor,
+        new java.lang.String[] { "Limit", "Author", "Object", "Result", "SinceEpochMs", });
+    internal_static_berylwick_v1_AuditRecord_descriptor =
+      getDescriptor().getMessageTypes().get(32);
+    internal_static_berylwick_v1_AuditRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_berylwick_v1_AuditRecord_descriptor,
+        new java.lang.String[] { "AtEpochMs", "Author", "Action", "Result", "OperationId", "Version", "Summary", "Changes", "Detail", });
+    internal_static_berylwick_v1_ListAuditReply_descriptor =
+      getDescriptor().getMessageTypes().get(33);
+    internal_static_berylwick_v1_ListAuditReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_berylwick_v1_ListAuditReply_descriptor,
+        new java.lang.String[] { "Records", "Instance", "AttemptsSinceEpochMs", "HistoryMissing", });
   }
 
   // @@protoc_insertion_point(outer_class_scope)
--- a/org.berylwick.proto/src/org/berylwick/proto/ApplyReply.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/ApplyReply.java
@@ -51,6 +51,8 @@
     REJECTED(3),
     UNDECIDED(4),
     UNAVAILABLE(5),
+    UNCHANGED(7),
+    DRY_RUN(8),
     RESULT_NOT_SET(0);
     private final int value;
     private ResultCase(int value) {
@@ -73,6 +75,8 @@
         case 3: return REJECTED;
         case 4: return UNDECIDED;
         case 5: return UNAVAILABLE;
+        case 7: return UNCHANGED;
+        case 8: return DRY_RUN;
         case 0: return RESULT_NOT_SET;
         default: return null;
       }
@@ -243,6 +247,68 @@
     return org.berylwick.proto.Unavailable.getDefaultInstance();
   }
 
+  public static final int UNCHANGED_FIELD_NUMBER = 7;
+  /**
+   * <code>.berylwick.v1.Unchanged unchanged = 7;</code>
+   * @return Whether the unchanged field is set.
+   */
+  @java.lang.Override
+  public boolean hasUnchanged() {
+    return resultCase_ == 7;
+  }
+  /**
+   * <code>.berylwick.v1.Unchanged unchanged = 7;</code>
+   * @return The unchanged.
+   */
+  @java.lang.Override
+  public org.berylwick.proto.Unchanged getUnchanged() {
+    if (resultCase_ == 7) {
+       return (org.berylwick.proto.Unchanged) result_;
+    }
+    return org.berylwick.proto.Unchanged.getDefaultInstance();
+  }
+  /**
+   * <code>.berylwick.v1.Unchanged unchanged = 7;</code>
+   */
+  @java.lang.Override
+  public org.berylwick.proto.UnchangedOrBuilder getUnchangedOrBuilder() {
+    if (resultCase_ == 7) {
+       return (org.berylwick.proto.Unchanged) result_;
+    }
+    return org.berylwick.proto.Unchanged.getDefaultInstance();
+  }
+
+  public static final int DRY_RUN_FIELD_NUMBER = 8;
+  /**
+   * <code>.berylwick.v1.DryRun dry_run = 8;</code>
+   * @return Whether the dryRun field is set.
+   */
+  @java.lang.Override
+  public boolean hasDryRun() {
+    return resultCase_ == 8;
+  }
+  /**
+   * <code>.berylwick.v1.DryRun dry_run = 8;</code>
+   * @return The dryRun.
+   */
+  @java.lang.Override
+  public org.berylwick.proto.DryRun getDryRun() {
+    if (resultCase_ == 8) {
+       return (org.berylwick.proto.DryRun) result_;
+    }
+    return org.berylwick.proto.DryRun.getDefaultInstance();
+  }
+  /**
+   * <code>.berylwick.v1.DryRun dry_run = 8;</code>
+   */
+  @java.lang.Override
+  public org.berylwick.proto.DryRunOrBuilder getDryRunOrBuilder() {
+    if (resultCase_ == 8) {
+       return (org.berylwick.proto.DryRun) result_;
+    }
+    return org.berylwick.proto.DryRun.getDefaultInstance();
+  }
+
   public static final int CHANGES_FIELD_NUMBER = 6;
   @SuppressWarnings("serial")
   private java.util.List<org.berylwick.proto.Change> changes_;
@@ -316,6 +382,12 @@
     for (int i = 0; i < changes_.size(); i++) {
       output.writeMessage(6, changes_.get(i));
     }
+    if (resultCase_ == 7) {
+      output.writeMessage(7, (org.berylwick.proto.Unchanged) result_);
+    }
+    if (resultCase_ == 8) {
+      output.writeMessage(8, (org.berylwick.proto.DryRun) result_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -349,6 +421,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(6, changes_.get(i));
     }
+    if (resultCase_ == 7) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(7, (org.berylwick.proto.Unchanged) result_);
+    }
+    if (resultCase_ == 8) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, (org.berylwick.proto.DryRun) result_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -388,6 +468,14 @@
         if (!getUnavailable()
             .equals(other.getUnavailable())) return false;
         break;
+      case 7:
+        if (!getUnchanged()
+            .equals(other.getUnchanged())) return false;
+        break;
+      case 8:
+        if (!getDryRun()
+            .equals(other.getDryRun())) return false;
+        break;
       case 0:
       default:
     }
@@ -427,6 +515,14 @@
         hash = (37 * hash) + UNAVAILABLE_FIELD_NUMBER;
         hash = (53 * hash) + getUnavailable().hashCode();
         break;
+      case 7:
+        hash = (37 * hash) + UNCHANGED_FIELD_NUMBER;
+        hash = (53 * hash) + getUnchanged().hashCode();
+        break;
+      case 8:
+        hash = (37 * hash) + DRY_RUN_FIELD_NUMBER;
+        hash = (53 * hash) + getDryRun().hashCode();
+        break;
       case 0:
       default:
     }
@@ -576,13 +672,19 @@
       if (unavailableBuilder_ != null) {
         unavailableBuilder_.clear();
       }
+      if (unchangedBuilder_ != null) {
+        unchangedBuilder_.clear();
+      }
+      if (dryRunBuilder_ != null) {
+        dryRunBuilder_.clear();
+      }
       if (changesBuilder_ == null) {
         changes_ = java.util.Collections.emptyList();
       } else {
         changes_ = null;
         changesBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000020);
+      bitField0_ = (bitField0_ & ~0x00000080);
       resultCase_ = 0;
       result_ = null;
       return this;
@@ -620,9 +722,9 @@
 
     private void buildPartialRepeatedFields(org.berylwick.proto.ApplyReply result) {
       if (changesBuilder_ == null) {
-        if (((bitField0_ & 0x00000020) != 0)) {
+        if (((bitField0_ & 0x00000080) != 0)) {
           changes_ = java.util.Collections.unmodifiableList(changes_);
-          bitField0_ = (bitField0_ & ~0x00000020);
+          bitField0_ = (bitField0_ & ~0x00000080);
         }
         result.changes_ = changes_;
       } else {
@@ -657,6 +759,14 @@
           unavailableBuilder_ != null) {
         result.result_ = unavailableBuilder_.build();
       }
+      if (resultCase_ == 7 &&
+          unchangedBuilder_ != null) {
+        result.result_ = unchangedBuilder_.build();
+      }
+      if (resultCase_ == 8 &&
+          dryRunBuilder_ != null) {
+        result.result_ = dryRunBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -707,7 +817,7 @@
         if (!other.changes_.isEmpty()) {
           if (changes_.isEmpty()) {
             changes_ = other.changes_;
-            bitField0_ = (bitField0_ & ~0x00000020);
+            bitField0_ = (bitField0_ & ~0x00000080);
           } else {
             ensureChangesIsMutable();
             changes_.addAll(other.changes_);
@@ -720,7 +830,7 @@
             changesBuilder_.dispose();
             changesBuilder_ = null;
             changes_ = other.changes_;
-            bitField0_ = (bitField0_ & ~0x00000020);
+            bitField0_ = (bitField0_ & ~0x00000080);
             changesBuilder_ = 
               com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
                  getChangesFieldBuilder() : null;
@@ -750,6 +860,14 @@
           mergeUnavailable(other.getUnavailable());
           break;
         }
+        case UNCHANGED: {
+          mergeUnchanged(other.getUnchanged());
+          break;
+        }
+        case DRY_RUN: {
+          mergeDryRun(other.getDryRun());
+          break;
+        }
         case RESULT_NOT_SET: {
           break;
         }
@@ -828,6 +946,20 @@
               }
               break;
             } // case 50
+            case 58: {
+              input.readMessage(
+                  getUnchangedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              resultCase_ = 7;
+              break;
+            } // case 58
+            case 66: {
+              input.readMessage(
+                  getDryRunFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              resultCase_ = 8;
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1570,12 +1702,296 @@
       return unavailableBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.berylwick.proto.Unchanged, org.berylwick.proto.Unchanged.Builder, org.berylwick.proto.UnchangedOrBuilder> unchangedBuilder_;
+    /**
+     * <code>.berylwick.v1.Unchanged unchanged = 7;</code>
+     * @return Whether the unchanged field is set.
+     */
+    @java.lang.Override
+    public boolean hasUnchanged() {
+      return resultCase_ == 7;
+    }
+    /**
+     * <code>.berylwick.v1.Unchanged unchanged = 7;</code>
+     * @return The unchanged.
+     */
+    @java.lang.Override
+    public org.berylwick.proto.Unchanged getUnchanged() {
+      if (unchangedBuilder_ == null) {
+        if (resultCase_ == 7) {
+          return (org.berylwick.proto.Unchanged) result_;
+        }
+        return org.berylwick.proto.Unchanged.getDefaultInstance();
+      } else {
+        if (resultCase_ == 7) {
+          return unchangedBuilder_.getMessage();
+        }
+        return org.berylwick.proto.Unchanged.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.berylwick.v1.Unchanged unchanged = 7;</code>
+     */
+    public Builder setUnchanged(org.berylwick.proto.Unchanged value) {
+      if (unchangedBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        result_ = value;
+        onChanged();
+      } else {
+        unchangedBuilder_.setMessage(value);
+      }
+      resultCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.berylwick.v1.Unchanged unchanged = 7;</code>
+     */
+    public Builder setUnchanged(
+        org.berylwick.proto.Unchanged.Builder builderForValue) {
+      if (unchangedBuilder_ == null) {
+        result_ = builderForValue.build();
+        onChanged();
+      } else {
+        unchangedBuilder_.setMessage(builderForValue.build());
+      }
+      resultCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.berylwick.v1.Unchanged unchanged = 7;</code>
+     */
+    public Builder mergeUnchanged(org.berylwick.proto.Unchanged value) {
+      if (unchangedBuilder_ == null) {
+        if (resultCase_ == 7 &&
+            result_ != org.berylwick.proto.Unchanged.getDefaultInstance()) {
+          result_ = org.berylwick.proto.Unchanged.newBuilder((org.berylwick.proto.Unchanged) result_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          result_ = value;
+        }
+        onChanged();
+      } else {
+        if (resultCase_ == 7) {
+          unchangedBuilder_.mergeFrom(value);
+        } else {
+          unchangedBuilder_.setMessage(value);
+        }
+      }
+      resultCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.berylwick.v1.Unchanged unchanged = 7;</code>
+     */
+    public Builder clearUnchanged() {
+      if (unchangedBuilder_ == null) {
+        if (resultCase_ == 7) {
+          resultCase_ = 0;
+          result_ = null;
+          onChanged();
+        }
+      } else {
+        if (resultCase_ == 7) {
+          resultCase_ = 0;
+          result_ = null;
+        }
+        unchangedBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.berylwick.v1.Unchanged unchanged = 7;</code>
+     */
+    public org.berylwick.proto.Unchanged.Builder getUnchangedBuilder() {
+      return getUnchangedFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.berylwick.v1.Unchanged unchanged = 7;</code>
+     */
+    @java.lang.Override
+    public org.berylwick.proto.UnchangedOrBuilder getUnchangedOrBuilder() {
+      if ((resultCase_ == 7) && (unchangedBuilder_ != null)) {
+        return unchangedBuilder_.getMessageOrBuilder();
+      } else {
+        if (resultCase_ == 7) {
+          return (org.berylwick.proto.Unchanged) result_;
+        }
+        return org.berylwick.proto.Unchanged.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.berylwick.v1.Unchanged unchanged = 7;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.berylwick.proto.Unchanged, org.berylwick.proto.Unchanged.Builder, org.berylwick.proto.UnchangedOrBuilder> 
+        getUnchangedFieldBuilder() {
+      if (unchangedBuilder_ == null) {
+        if (!(resultCase_ == 7)) {
+          result_ = org.berylwick.proto.Unchanged.getDefaultInstance();
+        }
+        unchangedBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
+            org.berylwick.proto.Unchanged, org.berylwick.proto.Unchanged.Builder, org.berylwick.proto.UnchangedOrBuilder>(
+                (org.berylwick.proto.Unchanged) result_,
+                getParentForChildren(),
+                isClean());
+        result_ = null;
+      }
+      resultCase_ = 7;
+      onChanged();
+      return unchangedBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.berylwick.proto.DryRun, org.berylwick.proto.DryRun.Builder, org.berylwick.proto.DryRunOrBuilder> dryRunBuilder_;
+    /**
+     * <code>.berylwick.v1.DryRun dry_run = 8;</code>
+     * @return Whether the dryRun field is set.
+     */
+    @java.lang.Override
+    public boolean hasDryRun() {
+      return resultCase_ == 8;
+    }
+    /**
+     * <code>.berylwick.v1.DryRun dry_run = 8;</code>
+     * @return The dryRun.
+     */
+    @java.lang.Override
+    public org.berylwick.proto.DryRun getDryRun() {
+      if (dryRunBuilder_ == null) {
+        if (resultCase_ == 8) {
+          return (org.berylwick.proto.DryRun) result_;
+        }
+        return org.berylwick.proto.DryRun.getDefaultInstance();
+      } else {
+        if (resultCase_ == 8) {
+          return dryRunBuilder_.getMessage();
+        }
+        return org.berylwick.proto.DryRun.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.berylwick.v1.DryRun dry_run = 8;</code>
+     */
+    public Builder setDryRun(org.berylwick.proto.DryRun value) {
+      if (dryRunBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        result_ = value;
+        onChanged();
+      } else {
+        dryRunBuilder_.setMessage(value);
+      }
+      resultCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.berylwick.v1.DryRun dry_run = 8;</code>
+     */
+    public Builder setDryRun(
+        org.berylwick.proto.DryRun.Builder builderForValue) {
+      if (dryRunBuilder_ == null) {
+        result_ = builderForValue.build();
+        onChanged();
+      } else {
+        dryRunBuilder_.setMessage(builderForValue.build());
+      }
+      resultCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.berylwick.v1.DryRun dry_run = 8;</code>
+     */
+    public Builder mergeDryRun(org.berylwick.proto.DryRun value) {
+      if (dryRunBuilder_ == null) {
+        if (resultCase_ == 8 &&
+            result_ != org.berylwick.proto.DryRun.getDefaultInstance()) {
+          result_ = org.berylwick.proto.DryRun.newBuilder((org.berylwick.proto.DryRun) result_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          result_ = value;
+        }
+        onChanged();
+      } else {
+        if (resultCase_ == 8) {
+          dryRunBuilder_.mergeFrom(value);
+        } else {
+          dryRunBuilder_.setMessage(value);
+        }
+      }
+      resultCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.berylwick.v1.DryRun dry_run = 8;</code>
+     */
+    public Builder clearDryRun() {
+      if (dryRunBuilder_ == null) {
+        if (resultCase_ == 8) {
+          resultCase_ = 0;
+          result_ = null;
+          onChanged();
+        }
+      } else {
+        if (resultCase_ == 8) {
+          resultCase_ = 0;
+          result_ = null;
+        }
+        dryRunBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.berylwick.v1.DryRun dry_run = 8;</code>
+     */
+    public org.berylwick.proto.DryRun.Builder getDryRunBuilder() {
+      return getDryRunFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.berylwick.v1.DryRun dry_run = 8;</code>
+     */
+    @java.lang.Override
+    public org.berylwick.proto.DryRunOrBuilder getDryRunOrBuilder() {
+      if ((resultCase_ == 8) && (dryRunBuilder_ != null)) {
+        return dryRunBuilder_.getMessageOrBuilder();
+      } else {
+        if (resultCase_ == 8) {
+          return (org.berylwick.proto.DryRun) result_;
+        }
+        return org.berylwick.proto.DryRun.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.berylwick.v1.DryRun dry_run = 8;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.berylwick.proto.DryRun, org.berylwick.proto.DryRun.Builder, org.berylwick.proto.DryRunOrBuilder> 
+        getDryRunFieldBuilder() {
+      if (dryRunBuilder_ == null) {
+        if (!(resultCase_ == 8)) {
+          result_ = org.berylwick.proto.DryRun.getDefaultInstance();
+        }
+        dryRunBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
+            org.berylwick.proto.DryRun, org.berylwick.proto.DryRun.Builder, org.berylwick.proto.DryRunOrBuilder>(
+                (org.berylwick.proto.DryRun) result_,
+                getParentForChildren(),
+                isClean());
+        result_ = null;
+      }
+      resultCase_ = 8;
+      onChanged();
+      return dryRunBuilder_;
+    }
+
     private java.util.List<org.berylwick.proto.Change> changes_ =
       java.util.Collections.emptyList();
     private void ensureChangesIsMutable() {
-      if (!((bitField0_ & 0x00000020) != 0)) {
+      if (!((bitField0_ & 0x00000080) != 0)) {
         changes_ = new java.util.ArrayList<org.berylwick.proto.Change>(changes_);
-        bitField0_ |= 0x00000020;
+        bitField0_ |= 0x00000080;
        }
     }
 
@@ -1725,7 +2141,7 @@
     public Builder clearChanges() {
       if (changesBuilder_ == null) {
         changes_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000020);
+        bitField0_ = (bitField0_ & ~0x00000080);
         onChanged();
       } else {
         changesBuilder_.clear();
@@ -1802,7 +2218,7 @@
         changesBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
             org.berylwick.proto.Change, org.berylwick.proto.Change.Builder, org.berylwick.proto.ChangeOrBuilder>(
                 changes_,
-                ((bitField0_ & 0x00000020) != 0),
+                ((bitField0_ & 0x00000080) != 0),
                 getParentForChildren(),
                 isClean());
         changes_ = null;
--- a/org.berylwick.proto/src/org/berylwick/proto/ApplyReplyOrBuilder.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/ApplyReplyOrBuilder.java
@@ -83,6 +83,36 @@
    */
   org.berylwick.proto.UnavailableOrBuilder getUnavailableOrBuilder();
 
+  /**
+   * <code>.berylwick.v1.Unchanged unchanged = 7;</code>
+   * @return Whether the unchanged field is set.
+   */
+  boolean hasUnchanged();
+  /**
+   * <code>.berylwick.v1.Unchanged unchanged = 7;</code>
+   * @return The unchanged.
+   */
+  org.berylwick.proto.Unchanged getUnchanged();
+  /**
+   * <code>.berylwick.v1.Unchanged unchanged = 7;</code>
+   */
+  org.berylwick.proto.UnchangedOrBuilder getUnchangedOrBuilder();
+
+  /**
+   * <code>.berylwick.v1.DryRun dry_run = 8;</code>
+   * @return Whether the dryRun field is set.
+   */
+  boolean hasDryRun();
+  /**
+   * <code>.berylwick.v1.DryRun dry_run = 8;</code>
+   * @return The dryRun.
+   */
+  org.berylwick.proto.DryRun getDryRun();
+  /**
+   * <code>.berylwick.v1.DryRun dry_run = 8;</code>
+   */
+  org.berylwick.proto.DryRunOrBuilder getDryRunOrBuilder();
+
   /**
    * <code>repeated .berylwick.v1.Change changes = 6;</code>
    */
--- a/org.berylwick.proto/src/org/berylwick/proto/DaemonStatus.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/DaemonStatus.java
@@ -19,6 +19,7 @@
   private DaemonStatus() {
     instance_ = "";
     availabilityZone_ = "";
+    state_ = "";
   }
 
   @java.lang.Override
@@ -145,7 +146,7 @@
   private long laggingSinceEpochMs_ = 0L;
   /**
    * <pre>
-   * 0 when the daemon is current.
+   * 0 when the daemon is current; else since when a newer version is known to be in force elsewhere.
    * </pre>
    *
    * <code>int64 lagging_since_epoch_ms = 5;</code>
@@ -156,6 +157,45 @@
     return laggingSinceEpochMs_;
   }
 
+  public static final int STATE_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object state_ = "";
+  /**
+   * <code>string state = 6;</code>
+   * @return The state.
+   */
+  @java.lang.Override
+  public java.lang.String getState() {
+    java.lang.Object ref = state_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      state_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string state = 6;</code>
+   * @return The bytes for state.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getStateBytes() {
+    java.lang.Object ref = state_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      state_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -185,6 +225,9 @@
     if (laggingSinceEpochMs_ != 0L) {
       output.writeInt64(5, laggingSinceEpochMs_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(state_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 6, state_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -212,6 +255,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(5, laggingSinceEpochMs_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(state_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(6, state_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -237,6 +283,8 @@
         != other.getInstalledAtEpochMs()) return false;
     if (getLaggingSinceEpochMs()
         != other.getLaggingSinceEpochMs()) return false;
+    if (!getState()
+        .equals(other.getState())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -261,6 +309,8 @@
     hash = (37 * hash) + LAGGING_SINCE_EPOCH_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getLaggingSinceEpochMs());
+    hash = (37 * hash) + STATE_FIELD_NUMBER;
+    hash = (53 * hash) + getState().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -397,6 +447,7 @@
       version_ = 0L;
       installedAtEpochMs_ = 0L;
       laggingSinceEpochMs_ = 0L;
+      state_ = "";
       return this;
     }
 
@@ -445,6 +496,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.laggingSinceEpochMs_ = laggingSinceEpochMs_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.state_ = state_;
+      }
     }
 
     @java.lang.Override
@@ -510,6 +564,11 @@
       if (other.getLaggingSinceEpochMs() != 0L) {
         setLaggingSinceEpochMs(other.getLaggingSinceEpochMs());
       }
+      if (!other.getState().isEmpty()) {
+        state_ = other.state_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -561,6 +620,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 50: {
+              state_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -789,7 +853,7 @@
     private long laggingSinceEpochMs_ ;
     /**
      * <pre>
-     * 0 when the daemon is current.
+     * 0 when the daemon is current; else since when a newer version is known to be in force elsewhere.
      * </pre>
      *
      * <code>int64 lagging_since_epoch_ms = 5;</code>
@@ -801,7 +865,7 @@
     }
     /**
      * <pre>
-     * 0 when the daemon is current.
+     * 0 when the daemon is current; else since when a newer version is known to be in force elsewhere.
      * </pre>
      *
      * <code>int64 lagging_since_epoch_ms = 5;</code>
@@ -817,7 +881,7 @@
     }
     /**
      * <pre>
-     * 0 when the daemon is current.
+     * 0 when the daemon is current; else since when a newer version is known to be in force elsewhere.
      * </pre>
      *
      * <code>int64 lagging_since_epoch_ms = 5;</code>
@@ -829,6 +893,78 @@
       onChanged();
       return this;
     }
+
+    private java.lang.Object state_ = "";
+    /**
+     * <code>string state = 6;</code>
+     * @return The state.
+     */
+    public java.lang.String getState() {
+      java.lang.Object ref = state_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        state_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string state = 6;</code>
+     * @return The bytes for state.
+     */
+    public com.google.protobuf.ByteString
+        getStateBytes() {
+      java.lang.Object ref = state_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        state_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string state = 6;</code>
+     * @param value The state to set.
+     * @return This builder for chaining.
+     */
+    public Builder setState(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      state_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string state = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearState() {
+      state_ = getDefaultInstance().getState();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string state = 6;</code>
+     * @param value The bytes for state to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStateBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      state_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.berylwick.proto/src/org/berylwick/proto/DaemonStatusOrBuilder.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/DaemonStatusOrBuilder.java
@@ -46,11 +46,23 @@
 
   /**
    * <pre>
-   * 0 when the daemon is current.
+   * 0 when the daemon is current; else since when a newer version is known to be in force elsewhere.
    * </pre>
    *
    * <code>int64 lagging_since_epoch_ms = 5;</code>
    * @return The laggingSinceEpochMs.
    */
   long getLaggingSinceEpochMs();
+
+  /**
+   * <code>string state = 6;</code>
+   * @return The state.
+   */
+  java.lang.String getState();
+  /**
+   * <code>string state = 6;</code>
+   * @return The bytes for state.
+   */
+  com.google.protobuf.ByteString
+      getStateBytes();
 }
--- a/org.berylwick.proto/src/org/berylwick/proto/ExplainRouteReply.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/ExplainRouteReply.java
@@ -21,10 +21,11 @@
     route_ = "";
     policy_ = "";
     service_ = "";
-    candidates_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
+    candidates_ = java.util.Collections.emptyList();
     reasons_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    trafficClass_ = "";
+    idempotencyKey_ = "";
   }
 
   @java.lang.Override
@@ -216,39 +217,43 @@
 
   public static final int CANDIDATES_FIELD_NUMBER = 6;
   @SuppressWarnings("serial")
-  private com.google.protobuf.LazyStringArrayList candidates_ =
-      com.google.protobuf.LazyStringArrayList.emptyList();
+  private java.util.List<org.berylwick.proto.Candidate> candidates_;
   /**
-   * <code>repeated string candidates = 6;</code>
-   * @return A list containing the candidates.
+   * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
    */
-  public com.google.protobuf.ProtocolStringList
-      getCandidatesList() {
+  @java.lang.Override
+  public java.util.List<org.berylwick.proto.Candidate> getCandidatesList() {
+    return candidates_;
+  }
+  /**
+   * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.berylwick.proto.CandidateOrBuilder> 
+      getCandidatesOrBuilderList() {
     return candidates_;
   }
   /**
-   * <code>repeated string candidates = 6;</code>
-   * @return The count of candidates.
+   * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
    */
+  @java.lang.Override
   public int getCandidatesCount() {
     return candidates_.size();
   }
   /**
-   * <code>repeated string candidates = 6;</code>
-   * @param index The index of the element to return.
-   * @return The candidates at the given index.
+   * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
    */
-  public java.lang.String getCandidates(int index) {
+  @java.lang.Override
+  public org.berylwick.proto.Candidate getCandidates(int index) {
     return candidates_.get(index);
   }
   /**
-   * <code>repeated string candidates = 6;</code>
-   * @param index The index of the value to return.
-   * @return The bytes of the candidates at the given index.
+   * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
    */
-  public com.google.protobuf.ByteString
-      getCandidatesBytes(int index) {
-    return candidates_.getByteString(index);
+  @java.lang.Override
+  public org.berylwick.proto.CandidateOrBuilder getCandidatesOrBuilder(
+      int index) {
+    return candidates_.get(index);
   }
 
   public static final int REASONS_FIELD_NUMBER = 7;
@@ -256,6 +261,10 @@
   private com.google.protobuf.LazyStringArrayList reasons_ =
       com.google.protobuf.LazyStringArrayList.emptyList();
   /**
+   * <pre>
+   * One line for each choice made on the way, in order.
+   * </pre>
+   *
    * <code>repeated string reasons = 7;</code>
    * @return A list containing the reasons.
    */
@@ -264,6 +273,10 @@
     return reasons_;
   }
   /**
+   * <pre>
+   * One line for each choice made on the way, in order.
+   * </pre>
+   *
    * <code>repeated string reasons = 7;</code>
    * @return The count of reasons.
    */
@@ -271,6 +284,10 @@
     return reasons_.size();
   }
   /**
+   * <pre>
+   * One line for each choice made on the way, in order.
+   * </pre>
+   *
    * <code>repeated string reasons = 7;</code>
    * @param index The index of the element to return.
    * @return The reasons at the given index.
@@ -279,6 +296,10 @@
     return reasons_.get(index);
   }
   /**
+   * <pre>
+   * One line for each choice made on the way, in order.
+   * </pre>
+   *
    * <code>repeated string reasons = 7;</code>
    * @param index The index of the value to return.
    * @return The bytes of the reasons at the given index.
@@ -288,6 +309,128 @@
     return reasons_.getByteString(index);
   }
 
+  public static final int VERSION_FIELD_NUMBER = 8;
+  private long version_ = 0L;
+  /**
+   * <code>int64 version = 8;</code>
+   * @return The version.
+   */
+  @java.lang.Override
+  public long getVersion() {
+    return version_;
+  }
+
+  public static final int TRAFFIC_CLASS_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object trafficClass_ = "";
+  /**
+   * <code>string traffic_class = 9;</code>
+   * @return The trafficClass.
+   */
+  @java.lang.Override
+  public java.lang.String getTrafficClass() {
+    java.lang.Object ref = trafficClass_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      trafficClass_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string traffic_class = 9;</code>
+   * @return The bytes for trafficClass.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getTrafficClassBytes() {
+    java.lang.Object ref = trafficClass_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      trafficClass_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int TIMEOUT_MS_FIELD_NUMBER = 10;
+  private long timeoutMs_ = 0L;
+  /**
+   * <code>int64 timeout_ms = 10;</code>
+   * @return The timeoutMs.
+   */
+  @java.lang.Override
+  public long getTimeoutMs() {
+    return timeoutMs_;
+  }
+
+  public static final int MAX_ATTEMPTS_FIELD_NUMBER = 11;
+  private int maxAttempts_ = 0;
+  /**
+   * <code>int32 max_attempts = 11;</code>
+   * @return The maxAttempts.
+   */
+  @java.lang.Override
+  public int getMaxAttempts() {
+    return maxAttempts_;
+  }
+
+  public static final int IDEMPOTENT_FIELD_NUMBER = 12;
+  private boolean idempotent_ = false;
+  /**
+   * <code>bool idempotent = 12;</code>
+   * @return The idempotent.
+   */
+  @java.lang.Override
+  public boolean getIdempotent() {
+    return idempotent_;
+  }
+
+  public static final int IDEMPOTENCY_KEY_FIELD_NUMBER = 13;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object idempotencyKey_ = "";
+  /**
+   * <code>string idempotency_key = 13;</code>
+   * @return The idempotencyKey.
+   */
+  @java.lang.Override
+  public java.lang.String getIdempotencyKey() {
+    java.lang.Object ref = idempotencyKey_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      idempotencyKey_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string idempotency_key = 13;</code>
+   * @return The bytes for idempotencyKey.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getIdempotencyKeyBytes() {
+    java.lang.Object ref = idempotencyKey_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      idempotencyKey_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -318,11 +461,29 @@
       com.google.protobuf.GeneratedMessageV3.writeString(output, 5, service_);
     }
     for (int i = 0; i < candidates_.size(); i++) {
-      com.google.protobuf.GeneratedMessageV3.writeString(output, 6, candidates_.getRaw(i));
+      output.writeMessage(6, candidates_.get(i));
     }
     for (int i = 0; i < reasons_.size(); i++) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 7, reasons_.getRaw(i));
     }
+    if (version_ != 0L) {
+      output.writeInt64(8, version_);
+    }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(trafficClass_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 9, trafficClass_);
+    }
+    if (timeoutMs_ != 0L) {
+      output.writeInt64(10, timeoutMs_);
+    }
+    if (maxAttempts_ != 0) {
+      output.writeInt32(11, maxAttempts_);
+    }
+    if (idempotent_ != false) {
+      output.writeBool(12, idempotent_);
+    }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(idempotencyKey_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 13, idempotencyKey_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -348,13 +509,9 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(service_)) {
       size += com.google.protobuf.GeneratedMessageV3.computeStringSize(5, service_);
     }
-    {
-      int dataSize = 0;
-      for (int i = 0; i < candidates_.size(); i++) {
-        dataSize += computeStringSizeNoTag(candidates_.getRaw(i));
-      }
-      size += dataSize;
-      size += 1 * getCandidatesList().size();
+    for (int i = 0; i < candidates_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, candidates_.get(i));
     }
     {
       int dataSize = 0;
@@ -364,6 +521,28 @@
       size += dataSize;
       size += 1 * getReasonsList().size();
     }
+    if (version_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(8, version_);
+    }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(trafficClass_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(9, trafficClass_);
+    }
+    if (timeoutMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(10, timeoutMs_);
+    }
+    if (maxAttempts_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(11, maxAttempts_);
+    }
+    if (idempotent_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(12, idempotent_);
+    }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(idempotencyKey_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(13, idempotencyKey_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -393,6 +572,18 @@
         .equals(other.getCandidatesList())) return false;
     if (!getReasonsList()
         .equals(other.getReasonsList())) return false;
+    if (getVersion()
+        != other.getVersion()) return false;
+    if (!getTrafficClass()
+        .equals(other.getTrafficClass())) return false;
+    if (getTimeoutMs()
+        != other.getTimeoutMs()) return false;
+    if (getMaxAttempts()
+        != other.getMaxAttempts()) return false;
+    if (getIdempotent()
+        != other.getIdempotent()) return false;
+    if (!getIdempotencyKey()
+        .equals(other.getIdempotencyKey())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -423,6 +614,21 @@
       hash = (37 * hash) + REASONS_FIELD_NUMBER;
       hash = (53 * hash) + getReasonsList().hashCode();
     }
+    hash = (37 * hash) + VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getVersion());
+    hash = (37 * hash) + TRAFFIC_CLASS_FIELD_NUMBER;
+    hash = (53 * hash) + getTrafficClass().hashCode();
+    hash = (37 * hash) + TIMEOUT_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getTimeoutMs());
+    hash = (37 * hash) + MAX_ATTEMPTS_FIELD_NUMBER;
+    hash = (53 * hash) + getMaxAttempts();
+    hash = (37 * hash) + IDEMPOTENT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getIdempotent());
+    hash = (37 * hash) + IDEMPOTENCY_KEY_FIELD_NUMBER;
+    hash = (53 * hash) + getIdempotencyKey().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -559,10 +765,21 @@
       route_ = "";
       policy_ = "";
       service_ = "";
-      candidates_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
+      if (candidatesBuilder_ == null) {
+        candidates_ = java.util.Collections.emptyList();
+      } else {
+        candidates_ = null;
+        candidatesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
       reasons_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      version_ = 0L;
+      trafficClass_ = "";
+      timeoutMs_ = 0L;
+      maxAttempts_ = 0;
+      idempotent_ = false;
+      idempotencyKey_ = "";
       return this;
     }
 
@@ -589,11 +806,24 @@
     @java.lang.Override
     public org.berylwick.proto.ExplainRouteReply buildPartial() {
       org.berylwick.proto.ExplainRouteReply result = new org.berylwick.proto.ExplainRouteReply(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(org.berylwick.proto.ExplainRouteReply result) {
+      if (candidatesBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          candidates_ = java.util.Collections.unmodifiableList(candidates_);
+          bitField0_ = (bitField0_ & ~0x00000020);
+        }
+        result.candidates_ = candidates_;
+      } else {
+        result.candidates_ = candidatesBuilder_.build();
+      }
+    }
+
     private void buildPartial0(org.berylwick.proto.ExplainRouteReply result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -611,14 +841,28 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.service_ = service_;
       }
-      if (((from_bitField0_ & 0x00000020) != 0)) {
-        candidates_.makeImmutable();
-        result.candidates_ = candidates_;
-      }
       if (((from_bitField0_ & 0x00000040) != 0)) {
         reasons_.makeImmutable();
         result.reasons_ = reasons_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.version_ = version_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.trafficClass_ = trafficClass_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.timeoutMs_ = timeoutMs_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.maxAttempts_ = maxAttempts_;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.idempotent_ = idempotent_;
+      }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.idempotencyKey_ = idempotencyKey_;
+      }
     }
 
     @java.lang.Override
@@ -688,15 +932,31 @@
         bitField0_ |= 0x00000010;
         onChanged();
       }
-      if (!other.candidates_.isEmpty()) {
-        if (candidates_.isEmpty()) {
-          candidates_ = other.candidates_;
-          bitField0_ |= 0x00000020;
-        } else {
-          ensureCandidatesIsMutable();
-          candidates_.addAll(other.candidates_);
+      if (candidatesBuilder_ == null) {
+        if (!other.candidates_.isEmpty()) {
+          if (candidates_.isEmpty()) {
+            candidates_ = other.candidates_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+          } else {
+            ensureCandidatesIsMutable();
+            candidates_.addAll(other.candidates_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.candidates_.isEmpty()) {
+          if (candidatesBuilder_.isEmpty()) {
+            candidatesBuilder_.dispose();
+            candidatesBuilder_ = null;
+            candidates_ = other.candidates_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            candidatesBuilder_ = 
+              com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
+                 getCandidatesFieldBuilder() : null;
+          } else {
+            candidatesBuilder_.addAllMessages(other.candidates_);
+          }
         }
-        onChanged();
       }
       if (!other.reasons_.isEmpty()) {
         if (reasons_.isEmpty()) {
@@ -708,6 +968,28 @@
         }
         onChanged();
       }
+      if (other.getVersion() != 0L) {
+        setVersion(other.getVersion());
+      }
+      if (!other.getTrafficClass().isEmpty()) {
+        trafficClass_ = other.trafficClass_;
+        bitField0_ |= 0x00000100;
+        onChanged();
+      }
+      if (other.getTimeoutMs() != 0L) {
+        setTimeoutMs(other.getTimeoutMs());
+      }
+      if (other.getMaxAttempts() != 0) {
+        setMaxAttempts(other.getMaxAttempts());
+      }
+      if (other.getIdempotent() != false) {
+        setIdempotent(other.getIdempotent());
+      }
+      if (!other.getIdempotencyKey().isEmpty()) {
+        idempotencyKey_ = other.idempotencyKey_;
+        bitField0_ |= 0x00001000;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -760,9 +1042,16 @@
               break;
             } // case 42
             case 50: {
-              java.lang.String s = input.readStringRequireUtf8();
-              ensureCandidatesIsMutable();
-              candidates_.add(s);
+              org.berylwick.proto.Candidate m =
+                  input.readMessage(
+                      org.berylwick.proto.Candidate.parser(),
+                      extensionRegistry);
+              if (candidatesBuilder_ == null) {
+                ensureCandidatesIsMutable();
+                candidates_.add(m);
+              } else {
+                candidatesBuilder_.addMessage(m);
+              }
               break;
             } // case 50
             case 58: {
@@ -771,6 +1060,36 @@
               reasons_.add(s);
               break;
             } // case 58
+            case 64: {
+              version_ = input.readInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
+            case 74: {
+              trafficClass_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 74
+            case 80: {
+              timeoutMs_ = input.readInt64();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
+            case 88: {
+              maxAttempts_ = input.readInt32();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
+            case 96: {
+              idempotent_ = input.readBool();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
+            case 106: {
+              idempotencyKey_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 106
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1108,116 +1427,245 @@
       return this;
     }
 
-    private com.google.protobuf.LazyStringArrayList candidates_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
+    private java.util.List<org.berylwick.proto.Candidate> candidates_ =
+      java.util.Collections.emptyList();
     private void ensureCandidatesIsMutable() {
-      if (!candidates_.isModifiable()) {
-        candidates_ = new com.google.protobuf.LazyStringArrayList(candidates_);
-      }
-      bitField0_ |= 0x00000020;
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        candidates_ = new java.util.ArrayList<org.berylwick.proto.Candidate>(candidates_);
+        bitField0_ |= 0x00000020;
+       }
     }
+
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.berylwick.proto.Candidate, org.berylwick.proto.Candidate.Builder, org.berylwick.proto.CandidateOrBuilder> candidatesBuilder_;
+
     /**
-     * <code>repeated string candidates = 6;</code>
-     * @return A list containing the candidates.
+     * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
      */
-    public com.google.protobuf.ProtocolStringList
-        getCandidatesList() {
-      candidates_.makeImmutable();
-      return candidates_;
+    public java.util.List<org.berylwick.proto.Candidate> getCandidatesList() {
+      if (candidatesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(candidates_);
+      } else {
+        return candidatesBuilder_.getMessageList();
+      }
     }
     /**
-     * <code>repeated string candidates = 6;</code>
-     * @return The count of candidates.
+     * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
      */
     public int getCandidatesCount() {
-      return candidates_.size();
+      if (candidatesBuilder_ == null) {
+        return candidates_.size();
+      } else {
+        return candidatesBuilder_.getCount();
+      }
     }
     /**
-     * <code>repeated string candidates = 6;</code>
-     * @param index The index of the element to return.
-     * @return The candidates at the given index.
+     * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
      */
-    public java.lang.String getCandidates(int index) {
-      return candidates_.get(index);
+    public org.berylwick.proto.Candidate getCandidates(int index) {
+      if (candidatesBuilder_ == null) {
+        return candidates_.get(index);
+      } else {
+        return candidatesBuilder_.getMessage(index);
+      }
     }
     /**
-     * <code>repeated string candidates = 6;</code>
-     * @param index The index of the value to return.
-     * @return The bytes of the candidates at the given index.
+     * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
      */
-    public com.google.protobuf.ByteString
-        getCandidatesBytes(int index) {
-      return candidates_.getByteString(index);
+    public Builder setCandidates(
+        int index, org.berylwick.proto.Candidate value) {
+      if (candidatesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCandidatesIsMutable();
+        candidates_.set(index, value);
+        onChanged();
+      } else {
+        candidatesBuilder_.setMessage(index, value);
+      }
+      return this;
     }
     /**
-     * <code>repeated string candidates = 6;</code>
-     * @param index The index to set the value at.
-     * @param value The candidates to set.
-     * @return This builder for chaining.
+     * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
      */
     public Builder setCandidates(
-        int index, java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      ensureCandidatesIsMutable();
-      candidates_.set(index, value);
-      bitField0_ |= 0x00000020;
-      onChanged();
+        int index, org.berylwick.proto.Candidate.Builder builderForValue) {
+      if (candidatesBuilder_ == null) {
+        ensureCandidatesIsMutable();
+        candidates_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        candidatesBuilder_.setMessage(index, builderForValue.build());
+      }
       return this;
     }
     /**
-     * <code>repeated string candidates = 6;</code>
-     * @param value The candidates to add.
-     * @return This builder for chaining.
+     * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
+     */
+    public Builder addCandidates(org.berylwick.proto.Candidate value) {
+      if (candidatesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCandidatesIsMutable();
+        candidates_.add(value);
+        onChanged();
+      } else {
+        candidatesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
      */
     public Builder addCandidates(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      ensureCandidatesIsMutable();
-      candidates_.add(value);
-      bitField0_ |= 0x00000020;
-      onChanged();
+        int index, org.berylwick.proto.Candidate value) {
+      if (candidatesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCandidatesIsMutable();
+        candidates_.add(index, value);
+        onChanged();
+      } else {
+        candidatesBuilder_.addMessage(index, value);
+      }
       return this;
     }
     /**
-     * <code>repeated string candidates = 6;</code>
-     * @param values The candidates to add.
-     * @return This builder for chaining.
+     * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
+     */
+    public Builder addCandidates(
+        org.berylwick.proto.Candidate.Builder builderForValue) {
+      if (candidatesBuilder_ == null) {
+        ensureCandidatesIsMutable();
+        candidates_.add(builderForValue.build());
+        onChanged();
+      } else {
+        candidatesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
+     */
+    public Builder addCandidates(
+        int index, org.berylwick.proto.Candidate.Builder builderForValue) {
+      if (candidatesBuilder_ == null) {
+        ensureCandidatesIsMutable();
+        candidates_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        candidatesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
      */
     public Builder addAllCandidates(
-        java.lang.Iterable<java.lang.String> values) {
-      ensureCandidatesIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, candidates_);
-      bitField0_ |= 0x00000020;
-      onChanged();
+        java.lang.Iterable<? extends org.berylwick.proto.Candidate> values) {
+      if (candidatesBuilder_ == null) {
+        ensureCandidatesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, candidates_);
+        onChanged();
+      } else {
+        candidatesBuilder_.addAllMessages(values);
+      }
       return this;
     }
     /**
-     * <code>repeated string candidates = 6;</code>
-     * @return This builder for chaining.
+     * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
      */
     public Builder clearCandidates() {
-      candidates_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
-      bitField0_ = (bitField0_ & ~0x00000020);;
-      onChanged();
+      if (candidatesBuilder_ == null) {
+        candidates_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        candidatesBuilder_.clear();
+      }
       return this;
     }
     /**
-     * <code>repeated string candidates = 6;</code>
-     * @param value The bytes of the candidates to add.
-     * @return This builder for chaining.
+     * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
      */
-    public Builder addCandidatesBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      ensureCandidatesIsMutable();
-      candidates_.add(value);
-      bitField0_ |= 0x00000020;
-      onChanged();
+    public Builder removeCandidates(int index) {
+      if (candidatesBuilder_ == null) {
+        ensureCandidatesIsMutable();
+        candidates_.remove(index);
+        onChanged();
+      } else {
+        candidatesBuilder_.remove(index);
+      }
       return this;
     }
+    /**
+     * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
+     */
+    public org.berylwick.proto.Candidate.Builder getCandidatesBuilder(
+        int index) {
+      return getCandidatesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
+     */
+    public org.berylwick.proto.CandidateOrBuilder getCandidatesOrBuilder(
+        int index) {
+      if (candidatesBuilder_ == null) {
+        return candidates_.get(index);  } else {
+        return candidatesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
+     */
+    public java.util.List<? extends org.berylwick.proto.CandidateOrBuilder> 
+         getCandidatesOrBuilderList() {
+      if (candidatesBuilder_ != null) {
+        return candidatesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(candidates_);
+      }
+    }
+    /**
+     * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
+     */
+    public org.berylwick.proto.Candidate.Builder addCandidatesBuilder() {
+      return getCandidatesFieldBuilder().addBuilder(
+          org.berylwick.proto.Candidate.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
+     */
+    public org.berylwick.proto.Candidate.Builder addCandidatesBuilder(
+        int index) {
+      return getCandidatesFieldBuilder().addBuilder(
+          index, org.berylwick.proto.Candidate.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
+     */
+    public java.util.List<org.berylwick.proto.Candidate.Builder> 
+         getCandidatesBuilderList() {
+      return getCandidatesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.berylwick.proto.Candidate, org.berylwick.proto.Candidate.Builder, org.berylwick.proto.CandidateOrBuilder> 
+        getCandidatesFieldBuilder() {
+      if (candidatesBuilder_ == null) {
+        candidatesBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
+            org.berylwick.proto.Candidate, org.berylwick.proto.Candidate.Builder, org.berylwick.proto.CandidateOrBuilder>(
+                candidates_,
+                ((bitField0_ & 0x00000020) != 0),
+                getParentForChildren(),
+                isClean());
+        candidates_ = null;
+      }
+      return candidatesBuilder_;
+    }
 
     private com.google.protobuf.LazyStringArrayList reasons_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
@@ -1228,6 +1676,10 @@
       bitField0_ |= 0x00000040;
     }
     /**
+     * <pre>
+     * One line for each choice made on the way, in order.
+     * </pre>
+     *
      * <code>repeated string reasons = 7;</code>
      * @return A list containing the reasons.
      */
@@ -1237,6 +1689,10 @@
       return reasons_;
     }
     /**
+     * <pre>
+     * One line for each choice made on the way, in order.
+     * </pre>
+     *
      * <code>repeated string reasons = 7;</code>
      * @return The count of reasons.
      */
@@ -1244,6 +1700,10 @@
       return reasons_.size();
     }
     /**
+     * <pre>
+     * One line for each choice made on the way, in order.
+     * </pre>
+     *
      * <code>repeated string reasons = 7;</code>
      * @param index The index of the element to return.
      * @return The reasons at the given index.
@@ -1252,6 +1712,10 @@
       return reasons_.get(index);
     }
     /**
+     * <pre>
+     * One line for each choice made on the way, in order.
+     * </pre>
+     *
      * <code>repeated string reasons = 7;</code>
      * @param index The index of the value to return.
      * @return The bytes of the reasons at the given index.
@@ -1261,6 +1725,10 @@
       return reasons_.getByteString(index);
     }
     /**
+     * <pre>
+     * One line for each choice made on the way, in order.
+     * </pre>
+     *
      * <code>repeated string reasons = 7;</code>
      * @param index The index to set the value at.
      * @param value The reasons to set.
@@ -1276,6 +1744,10 @@
       return this;
     }
     /**
+     * <pre>
+     * One line for each choice made on the way, in order.
+     * </pre>
+     *
      * <code>repeated string reasons = 7;</code>
      * @param value The reasons to add.
      * @return This builder for chaining.
@@ -1290,6 +1762,10 @@
       return this;
     }
     /**
+     * <pre>
+     * One line for each choice made on the way, in order.
+     * </pre>
+     *
      * <code>repeated string reasons = 7;</code>
      * @param values The reasons to add.
      * @return This builder for chaining.
@@ -1304,6 +1780,10 @@
       return this;
     }
     /**
+     * <pre>
+     * One line for each choice made on the way, in order.
+     * </pre>
+     *
      * <code>repeated string reasons = 7;</code>
      * @return This builder for chaining.
      */
@@ -1315,6 +1795,10 @@
       return this;
     }
     /**
+     * <pre>
+     * One line for each choice made on the way, in order.
+     * </pre>
+     *
      * <code>repeated string reasons = 7;</code>
      * @param value The bytes of the reasons to add.
      * @return This builder for chaining.
@@ -1329,6 +1813,278 @@
       onChanged();
       return this;
     }
+
+    private long version_ ;
+    /**
+     * <code>int64 version = 8;</code>
+     * @return The version.
+     */
+    @java.lang.Override
+    public long getVersion() {
+      return version_;
+    }
+    /**
+     * <code>int64 version = 8;</code>
+     * @param value The version to set.
+     * @return This builder for chaining.
+     */
+    public Builder setVersion(long value) {
+
+      version_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 version = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearVersion() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      version_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object trafficClass_ = "";
+    /**
+     * <code>string traffic_class = 9;</code>
+     * @return The trafficClass.
+     */
+    public java.lang.String getTrafficClass() {
+      java.lang.Object ref = trafficClass_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        trafficClass_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string traffic_class = 9;</code>
+     * @return The bytes for trafficClass.
+     */
+    public com.google.protobuf.ByteString
+        getTrafficClassBytes() {
+      java.lang.Object ref = trafficClass_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        trafficClass_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string traffic_class = 9;</code>
+     * @param value The trafficClass to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTrafficClass(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      trafficClass_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string traffic_class = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTrafficClass() {
+      trafficClass_ = getDefaultInstance().getTrafficClass();
+      bitField0_ = (bitField0_ & ~0x00000100);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string traffic_class = 9;</code>
+     * @param value The bytes for trafficClass to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTrafficClassBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      trafficClass_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+
+    private long timeoutMs_ ;
+    /**
+     * <code>int64 timeout_ms = 10;</code>
+     * @return The timeoutMs.
+     */
+    @java.lang.Override
+    public long getTimeoutMs() {
+      return timeoutMs_;
+    }
+    /**
+     * <code>int64 timeout_ms = 10;</code>
+     * @param value The timeoutMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTimeoutMs(long value) {
+
+      timeoutMs_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 timeout_ms = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTimeoutMs() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      timeoutMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private int maxAttempts_ ;
+    /**
+     * <code>int32 max_attempts = 11;</code>
+     * @return The maxAttempts.
+     */
+    @java.lang.Override
+    public int getMaxAttempts() {
+      return maxAttempts_;
+    }
+    /**
+     * <code>int32 max_attempts = 11;</code>
+     * @param value The maxAttempts to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMaxAttempts(int value) {
+
+      maxAttempts_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int32 max_attempts = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMaxAttempts() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      maxAttempts_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private boolean idempotent_ ;
+    /**
+     * <code>bool idempotent = 12;</code>
+     * @return The idempotent.
+     */
+    @java.lang.Override
+    public boolean getIdempotent() {
+      return idempotent_;
+    }
+    /**
+     * <code>bool idempotent = 12;</code>
+     * @param value The idempotent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIdempotent(boolean value) {
+
+      idempotent_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool idempotent = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIdempotent() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      idempotent_ = false;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object idempotencyKey_ = "";
+    /**
+     * <code>string idempotency_key = 13;</code>
+     * @return The idempotencyKey.
+     */
+    public java.lang.String getIdempotencyKey() {
+      java.lang.Object ref = idempotencyKey_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        idempotencyKey_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string idempotency_key = 13;</code>
+     * @return The bytes for idempotencyKey.
+     */
+    public com.google.protobuf.ByteString
+        getIdempotencyKeyBytes() {
+      java.lang.Object ref = idempotencyKey_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        idempotencyKey_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string idempotency_key = 13;</code>
+     * @param value The idempotencyKey to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIdempotencyKey(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      idempotencyKey_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string idempotency_key = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIdempotencyKey() {
+      idempotencyKey_ = getDefaultInstance().getIdempotencyKey();
+      bitField0_ = (bitField0_ & ~0x00001000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string idempotency_key = 13;</code>
+     * @param value The bytes for idempotencyKey to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIdempotencyKeyBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      idempotencyKey_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.berylwick.proto/src/org/berylwick/proto/ExplainRouteReplyOrBuilder.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/ExplainRouteReplyOrBuilder.java
@@ -63,52 +63,115 @@
       getServiceBytes();
 
   /**
-   * <code>repeated string candidates = 6;</code>
-   * @return A list containing the candidates.
+   * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
    */
-  java.util.List<java.lang.String>
+  java.util.List<org.berylwick.proto.Candidate> 
       getCandidatesList();
   /**
-   * <code>repeated string candidates = 6;</code>
-   * @return The count of candidates.
+   * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
+   */
+  org.berylwick.proto.Candidate getCandidates(int index);
+  /**
+   * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
    */
   int getCandidatesCount();
   /**
-   * <code>repeated string candidates = 6;</code>
-   * @param index The index of the element to return.
-   * @return The candidates at the given index.
+   * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
    */
-  java.lang.String getCandidates(int index);
+  java.util.List<? extends org.berylwick.proto.CandidateOrBuilder> 
+      getCandidatesOrBuilderList();
   /**
-   * <code>repeated string candidates = 6;</code>
-   * @param index The index of the value to return.
-   * @return The bytes of the candidates at the given index.
+   * <code>repeated .berylwick.v1.Candidate candidates = 6;</code>
    */
-  com.google.protobuf.ByteString
-      getCandidatesBytes(int index);
+  org.berylwick.proto.CandidateOrBuilder getCandidatesOrBuilder(
+      int index);
 
   /**
+   * <pre>
+   * One line for each choice made on the way, in order.
+   * </pre>
+   *
    * <code>repeated string reasons = 7;</code>
    * @return A list containing the reasons.
    */
   java.util.List<java.lang.String>
       getReasonsList();
   /**
+   * <pre>
+   * One line for each choice made on the way, in order.
+   * </pre>
+   *
    * <code>repeated string reasons = 7;</code>
    * @return The count of reasons.
    */
   int getReasonsCount();
   /**
+   * <pre>
+   * One line for each choice made on the way, in order.
+   * </pre>
+   *
    * <code>repeated string reasons = 7;</code>
    * @param index The index of the element to return.
    * @return The reasons at the given index.
    */
   java.lang.String getReasons(int index);
   /**
+   * <pre>
+   * One line for each choice made on the way, in order.
+   * </pre>
+   *
    * <code>repeated string reasons = 7;</code>
    * @param index The index of the value to return.
    * @return The bytes of the reasons at the given index.
    */
   com.google.protobuf.ByteString
       getReasonsBytes(int index);
+
+  /**
+   * <code>int64 version = 8;</code>
+   * @return The version.
+   */
+  long getVersion();
+
+  /**
+   * <code>string traffic_class = 9;</code>
+   * @return The trafficClass.
+   */
+  java.lang.String getTrafficClass();
+  /**
+   * <code>string traffic_class = 9;</code>
+   * @return The bytes for trafficClass.
+   */
+  com.google.protobuf.ByteString
+      getTrafficClassBytes();
+
+  /**
+   * <code>int64 timeout_ms = 10;</code>
+   * @return The timeoutMs.
+   */
+  long getTimeoutMs();
+
+  /**
+   * <code>int32 max_attempts = 11;</code>
+   * @return The maxAttempts.
+   */
+  int getMaxAttempts();
+
+  /**
+   * <code>bool idempotent = 12;</code>
+   * @return The idempotent.
+   */
+  boolean getIdempotent();
+
+  /**
+   * <code>string idempotency_key = 13;</code>
+   * @return The idempotencyKey.
+   */
+  java.lang.String getIdempotencyKey();
+  /**
+   * <code>string idempotency_key = 13;</code>
+   * @return The bytes for idempotencyKey.
+   */
+  com.google.protobuf.ByteString
+      getIdempotencyKeyBytes();
 }
--- a/org.berylwick.proto/src/org/berylwick/proto/GetStatusReply.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/GetStatusReply.java
@@ -19,6 +19,7 @@
   private GetStatusReply() {
     digest_ = "";
     daemons_ = java.util.Collections.emptyList();
+    instance_ = "";
   }
 
   @java.lang.Override
@@ -44,6 +45,10 @@
   public static final int VERSION_FIELD_NUMBER = 1;
   private long version_ = 0L;
   /**
+   * <pre>
+   * In force on the daemon that was asked.
+   * </pre>
+   *
    * <code>int64 version = 1;</code>
    * @return The version.
    */
@@ -132,6 +137,68 @@
     return daemons_.get(index);
   }
 
+  public static final int NEWEST_VERSION_FIELD_NUMBER = 4;
+  private long newestVersion_ = 0L;
+  /**
+   * <pre>
+   * The newest version that is in force on any daemon known to the asked one.
+   * </pre>
+   *
+   * <code>int64 newest_version = 4;</code>
+   * @return The newestVersion.
+   */
+  @java.lang.Override
+  public long getNewestVersion() {
+    return newestVersion_;
+  }
+
+  public static final int INSTANCE_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object instance_ = "";
+  /**
+   * <pre>
+   * The daemon that was asked.
+   * </pre>
+   *
+   * <code>string instance = 5;</code>
+   * @return The instance.
+   */
+  @java.lang.Override
+  public java.lang.String getInstance() {
+    java.lang.Object ref = instance_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      instance_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The daemon that was asked.
+   * </pre>
+   *
+   * <code>string instance = 5;</code>
+   * @return The bytes for instance.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getInstanceBytes() {
+    java.lang.Object ref = instance_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      instance_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -155,6 +222,12 @@
     for (int i = 0; i < daemons_.size(); i++) {
       output.writeMessage(3, daemons_.get(i));
     }
+    if (newestVersion_ != 0L) {
+      output.writeInt64(4, newestVersion_);
+    }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(instance_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 5, instance_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -175,6 +248,13 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(3, daemons_.get(i));
     }
+    if (newestVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, newestVersion_);
+    }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(instance_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(5, instance_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -196,6 +276,10 @@
         .equals(other.getDigest())) return false;
     if (!getDaemonsList()
         .equals(other.getDaemonsList())) return false;
+    if (getNewestVersion()
+        != other.getNewestVersion()) return false;
+    if (!getInstance()
+        .equals(other.getInstance())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -216,6 +300,11 @@
       hash = (37 * hash) + DAEMONS_FIELD_NUMBER;
       hash = (53 * hash) + getDaemonsList().hashCode();
     }
+    hash = (37 * hash) + NEWEST_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getNewestVersion());
+    hash = (37 * hash) + INSTANCE_FIELD_NUMBER;
+    hash = (53 * hash) + getInstance().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -356,6 +445,8 @@
         daemonsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000004);
+      newestVersion_ = 0L;
+      instance_ = "";
       return this;
     }
 
@@ -408,6 +499,12 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.digest_ = digest_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.newestVersion_ = newestVersion_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.instance_ = instance_;
+      }
     }
 
     @java.lang.Override
@@ -488,6 +585,14 @@
           }
         }
       }
+      if (other.getNewestVersion() != 0L) {
+        setNewestVersion(other.getNewestVersion());
+      }
+      if (!other.getInstance().isEmpty()) {
+        instance_ = other.instance_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -537,6 +642,16 @@
               }
               break;
             } // case 26
+            case 32: {
+              newestVersion_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            case 42: {
+              instance_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -556,6 +671,10 @@
 
     private long version_ ;
     /**
+     * <pre>
+     * In force on the daemon that was asked.
+     * </pre>
+     *
      * <code>int64 version = 1;</code>
      * @return The version.
      */
@@ -564,6 +683,10 @@
       return version_;
     }
     /**
+     * <pre>
+     * In force on the daemon that was asked.
+     * </pre>
+     *
      * <code>int64 version = 1;</code>
      * @param value The version to set.
      * @return This builder for chaining.
@@ -576,6 +699,10 @@
       return this;
     }
     /**
+     * <pre>
+     * In force on the daemon that was asked.
+     * </pre>
+     *
      * <code>int64 version = 1;</code>
      * @return This builder for chaining.
      */
@@ -897,6 +1024,142 @@
       }
       return daemonsBuilder_;
     }
+
+    private long newestVersion_ ;
+    /**
+     * <pre>
+     * The newest version that is in force on any daemon known to the asked one.
+     * </pre>
+     *
+     * <code>int64 newest_version = 4;</code>
+     * @return The newestVersion.
+     */
+    @java.lang.Override
+    public long getNewestVersion() {
+      return newestVersion_;
+    }
+    /**
+     * <pre>
+     * The newest version that is in force on any daemon known to the asked one.
+     * </pre>
+     *
+     * <code>int64 newest_version = 4;</code>
+     * @param value The newestVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNewestVersion(long value) {
+
+      newestVersion_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest version that is in force on any daemon known to the asked one.
+     * </pre>
+     *
+     * <code>int64 newest_version = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNewestVersion() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      newestVersion_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object instance_ = "";
+    /**
+     * <pre>
+     * The daemon that was asked.
+     * </pre>
+     *
+     * <code>string instance = 5;</code>
+     * @return The instance.
+     */
+    public java.lang.String getInstance() {
+      java.lang.Object ref = instance_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        instance_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The daemon that was asked.
+     * </pre>
+     *
+     * <code>string instance = 5;</code>
+     * @return The bytes for instance.
+     */
+    public com.google.protobuf.ByteString
+        getInstanceBytes() {
+      java.lang.Object ref = instance_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        instance_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The daemon that was asked.
+     * </pre>
+     *
+     * <code>string instance = 5;</code>
+     * @param value The instance to set.
+     * @return This builder for chaining.
+     */
+    public Builder setInstance(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      instance_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The daemon that was asked.
+     * </pre>
+     *
+     * <code>string instance = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearInstance() {
+      instance_ = getDefaultInstance().getInstance();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The daemon that was asked.
+     * </pre>
+     *
+     * <code>string instance = 5;</code>
+     * @param value The bytes for instance to set.
+     * @return This builder for chaining.
+     */
+    public Builder setInstanceBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      instance_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.berylwick.proto/src/org/berylwick/proto/GetStatusReplyOrBuilder.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/GetStatusReplyOrBuilder.java
@@ -9,6 +9,10 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
+   * <pre>
+   * In force on the daemon that was asked.
+   * </pre>
+   *
    * <code>int64 version = 1;</code>
    * @return The version.
    */
@@ -49,4 +53,34 @@
    */
   org.berylwick.proto.DaemonStatusOrBuilder getDaemonsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The newest version that is in force on any daemon known to the asked one.
+   * </pre>
+   *
+   * <code>int64 newest_version = 4;</code>
+   * @return The newestVersion.
+   */
+  long getNewestVersion();
+
+  /**
+   * <pre>
+   * The daemon that was asked.
+   * </pre>
+   *
+   * <code>string instance = 5;</code>
+   * @return The instance.
+   */
+  java.lang.String getInstance();
+  /**
+   * <pre>
+   * The daemon that was asked.
+   * </pre>
+   *
+   * <code>string instance = 5;</code>
+   * @return The bytes for instance.
+   */
+  com.google.protobuf.ByteString
+      getInstanceBytes();
 }
--- a/org.berylwick.proto/src/org/berylwick/proto/ListHistoryRequest.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/ListHistoryRequest.java
@@ -42,6 +42,10 @@
   public static final int LIMIT_FIELD_NUMBER = 1;
   private int limit_ = 0;
   /**
+   * <pre>
+   * 0 for 20.
+   * </pre>
+   *
    * <code>int32 limit = 1;</code>
    * @return The limit.
    */
@@ -377,6 +381,10 @@
 
     private int limit_ ;
     /**
+     * <pre>
+     * 0 for 20.
+     * </pre>
+     *
      * <code>int32 limit = 1;</code>
      * @return The limit.
      */
@@ -385,6 +393,10 @@
       return limit_;
     }
     /**
+     * <pre>
+     * 0 for 20.
+     * </pre>
+     *
      * <code>int32 limit = 1;</code>
      * @param value The limit to set.
      * @return This builder for chaining.
@@ -397,6 +409,10 @@
       return this;
     }
     /**
+     * <pre>
+     * 0 for 20.
+     * </pre>
+     *
      * <code>int32 limit = 1;</code>
      * @return This builder for chaining.
      */
--- a/org.berylwick.proto/src/org/berylwick/proto/ListHistoryRequestOrBuilder.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/ListHistoryRequestOrBuilder.java
@@ -9,6 +9,10 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
+   * <pre>
+   * 0 for 20.
+   * </pre>
+   *
    * <code>int32 limit = 1;</code>
    * @return The limit.
    */
--- a/org.berylwick.proto/src/org/berylwick/proto/RollbackRequest.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/RollbackRequest.java
@@ -19,6 +19,7 @@
   private RollbackRequest() {
     operationId_ = "";
     author_ = "";
+    summary_ = "";
   }
 
   @java.lang.Override
@@ -130,6 +131,56 @@
     }
   }
 
+  public static final int SUMMARY_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object summary_ = "";
+  /**
+   * <code>string summary = 4;</code>
+   * @return The summary.
+   */
+  @java.lang.Override
+  public java.lang.String getSummary() {
+    java.lang.Object ref = summary_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      summary_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string summary = 4;</code>
+   * @return The bytes for summary.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getSummaryBytes() {
+    java.lang.Object ref = summary_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      summary_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int DRY_RUN_FIELD_NUMBER = 5;
+  private boolean dryRun_ = false;
+  /**
+   * <code>bool dry_run = 5;</code>
+   * @return The dryRun.
+   */
+  @java.lang.Override
+  public boolean getDryRun() {
+    return dryRun_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -153,6 +204,12 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(author_)) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 3, author_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(summary_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 4, summary_);
+    }
+    if (dryRun_ != false) {
+      output.writeBool(5, dryRun_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -172,6 +229,13 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(author_)) {
       size += com.google.protobuf.GeneratedMessageV3.computeStringSize(3, author_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(summary_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(4, summary_);
+    }
+    if (dryRun_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, dryRun_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -193,6 +257,10 @@
         .equals(other.getOperationId())) return false;
     if (!getAuthor()
         .equals(other.getAuthor())) return false;
+    if (!getSummary()
+        .equals(other.getSummary())) return false;
+    if (getDryRun()
+        != other.getDryRun()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -211,6 +279,11 @@
     hash = (53 * hash) + getOperationId().hashCode();
     hash = (37 * hash) + AUTHOR_FIELD_NUMBER;
     hash = (53 * hash) + getAuthor().hashCode();
+    hash = (37 * hash) + SUMMARY_FIELD_NUMBER;
+    hash = (53 * hash) + getSummary().hashCode();
+    hash = (37 * hash) + DRY_RUN_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getDryRun());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -345,6 +418,8 @@
       toVersion_ = 0L;
       operationId_ = "";
       author_ = "";
+      summary_ = "";
+      dryRun_ = false;
       return this;
     }
 
@@ -387,6 +462,12 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.author_ = author_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.summary_ = summary_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.dryRun_ = dryRun_;
+      }
     }
 
     @java.lang.Override
@@ -446,6 +527,14 @@
         bitField0_ |= 0x00000004;
         onChanged();
       }
+      if (!other.getSummary().isEmpty()) {
+        summary_ = other.summary_;
+        bitField0_ |= 0x00000008;
+        onChanged();
+      }
+      if (other.getDryRun() != false) {
+        setDryRun(other.getDryRun());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -487,6 +576,16 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 34: {
+              summary_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
+            case 40: {
+              dryRun_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -679,6 +778,110 @@
       onChanged();
       return this;
     }
+
+    private java.lang.Object summary_ = "";
+    /**
+     * <code>string summary = 4;</code>
+     * @return The summary.
+     */
+    public java.lang.String getSummary() {
+      java.lang.Object ref = summary_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        summary_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string summary = 4;</code>
+     * @return The bytes for summary.
+     */
+    public com.google.protobuf.ByteString
+        getSummaryBytes() {
+      java.lang.Object ref = summary_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        summary_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string summary = 4;</code>
+     * @param value The summary to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSummary(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      summary_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string summary = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSummary() {
+      summary_ = getDefaultInstance().getSummary();
+      bitField0_ = (bitField0_ & ~0x00000008);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string summary = 4;</code>
+     * @param value The bytes for summary to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSummaryBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      summary_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
+    private boolean dryRun_ ;
+    /**
+     * <code>bool dry_run = 5;</code>
+     * @return The dryRun.
+     */
+    @java.lang.Override
+    public boolean getDryRun() {
+      return dryRun_;
+    }
+    /**
+     * <code>bool dry_run = 5;</code>
+     * @param value The dryRun to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDryRun(boolean value) {
+
+      dryRun_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool dry_run = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDryRun() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      dryRun_ = false;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.berylwick.proto/src/org/berylwick/proto/RollbackRequestOrBuilder.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/RollbackRequestOrBuilder.java
@@ -37,4 +37,22 @@
    */
   com.google.protobuf.ByteString
       getAuthorBytes();
+
+  /**
+   * <code>string summary = 4;</code>
+   * @return The summary.
+   */
+  java.lang.String getSummary();
+  /**
+   * <code>string summary = 4;</code>
+   * @return The bytes for summary.
+   */
+  com.google.protobuf.ByteString
+      getSummaryBytes();
+
+  /**
+   * <code>bool dry_run = 5;</code>
+   * @return The dryRun.
+   */
+  boolean getDryRun();
 }
--- a/org.berylwick.proto/src/org/berylwick/proto/SetDrainReply.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/SetDrainReply.java
@@ -18,6 +18,7 @@
   }
   private SetDrainReply() {
     state_ = "";
+    instance_ = "";
   }
 
   @java.lang.Override
@@ -79,6 +80,45 @@
     }
   }
 
+  public static final int INSTANCE_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object instance_ = "";
+  /**
+   * <code>string instance = 2;</code>
+   * @return The instance.
+   */
+  @java.lang.Override
+  public java.lang.String getInstance() {
+    java.lang.Object ref = instance_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      instance_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string instance = 2;</code>
+   * @return The bytes for instance.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getInstanceBytes() {
+    java.lang.Object ref = instance_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      instance_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -96,6 +136,9 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(state_)) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 1, state_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(instance_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 2, instance_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -108,6 +151,9 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(state_)) {
       size += com.google.protobuf.GeneratedMessageV3.computeStringSize(1, state_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(instance_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(2, instance_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -125,6 +171,8 @@
 
     if (!getState()
         .equals(other.getState())) return false;
+    if (!getInstance()
+        .equals(other.getInstance())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -138,6 +186,8 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + STATE_FIELD_NUMBER;
     hash = (53 * hash) + getState().hashCode();
+    hash = (37 * hash) + INSTANCE_FIELD_NUMBER;
+    hash = (53 * hash) + getInstance().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -270,6 +320,7 @@
       super.clear();
       bitField0_ = 0;
       state_ = "";
+      instance_ = "";
       return this;
     }
 
@@ -306,6 +357,9 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.state_ = state_;
       }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.instance_ = instance_;
+      }
     }
 
     @java.lang.Override
@@ -357,6 +411,11 @@
         bitField0_ |= 0x00000001;
         onChanged();
       }
+      if (!other.getInstance().isEmpty()) {
+        instance_ = other.instance_;
+        bitField0_ |= 0x00000002;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -388,6 +447,11 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
+            case 18: {
+              instance_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 18
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -476,6 +540,78 @@
       onChanged();
       return this;
     }
+
+    private java.lang.Object instance_ = "";
+    /**
+     * <code>string instance = 2;</code>
+     * @return The instance.
+     */
+    public java.lang.String getInstance() {
+      java.lang.Object ref = instance_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        instance_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string instance = 2;</code>
+     * @return The bytes for instance.
+     */
+    public com.google.protobuf.ByteString
+        getInstanceBytes() {
+      java.lang.Object ref = instance_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        instance_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string instance = 2;</code>
+     * @param value The instance to set.
+     * @return This builder for chaining.
+     */
+    public Builder setInstance(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      instance_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string instance = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearInstance() {
+      instance_ = getDefaultInstance().getInstance();
+      bitField0_ = (bitField0_ & ~0x00000002);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string instance = 2;</code>
+     * @param value The bytes for instance to set.
+     * @return This builder for chaining.
+     */
+    public Builder setInstanceBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      instance_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.berylwick.proto/src/org/berylwick/proto/SetDrainReplyOrBuilder.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/SetDrainReplyOrBuilder.java
@@ -19,4 +19,16 @@
    */
   com.google.protobuf.ByteString
       getStateBytes();
+
+  /**
+   * <code>string instance = 2;</code>
+   * @return The instance.
+   */
+  java.lang.String getInstance();
+  /**
+   * <code>string instance = 2;</code>
+   * @return The bytes for instance.
+   */
+  com.google.protobuf.ByteString
+      getInstanceBytes();
 }
--- a/org.berylwick.proto/src/org/berylwick/proto/SetDrainRequest.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/SetDrainRequest.java
@@ -18,6 +18,7 @@
   }
   private SetDrainRequest() {
     instance_ = "";
+    author_ = "";
   }
 
   @java.lang.Override
@@ -45,7 +46,7 @@
   private volatile java.lang.Object instance_ = "";
   /**
    * <pre>
-   * Empty for the daemon that is asked.
+   * Must name the daemon that is asked, or be empty for it.
    * </pre>
    *
    * <code>string instance = 1;</code>
@@ -66,7 +67,7 @@
   }
   /**
    * <pre>
-   * Empty for the daemon that is asked.
+   * Must name the daemon that is asked, or be empty for it.
    * </pre>
    *
    * <code>string instance = 1;</code>
@@ -98,6 +99,45 @@
     return drain_;
   }
 
+  public static final int AUTHOR_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object author_ = "";
+  /**
+   * <code>string author = 3;</code>
+   * @return The author.
+   */
+  @java.lang.Override
+  public java.lang.String getAuthor() {
+    java.lang.Object ref = author_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      author_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string author = 3;</code>
+   * @return The bytes for author.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getAuthorBytes() {
+    java.lang.Object ref = author_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      author_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -118,6 +158,9 @@
     if (drain_ != false) {
       output.writeBool(2, drain_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(author_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 3, author_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -134,6 +177,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(2, drain_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(author_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(3, author_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -153,6 +199,8 @@
         .equals(other.getInstance())) return false;
     if (getDrain()
         != other.getDrain()) return false;
+    if (!getAuthor()
+        .equals(other.getAuthor())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -169,6 +217,8 @@
     hash = (37 * hash) + DRAIN_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getDrain());
+    hash = (37 * hash) + AUTHOR_FIELD_NUMBER;
+    hash = (53 * hash) + getAuthor().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -302,6 +352,7 @@
       bitField0_ = 0;
       instance_ = "";
       drain_ = false;
+      author_ = "";
       return this;
     }
 
@@ -341,6 +392,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.drain_ = drain_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.author_ = author_;
+      }
     }
 
     @java.lang.Override
@@ -395,6 +449,11 @@
       if (other.getDrain() != false) {
         setDrain(other.getDrain());
       }
+      if (!other.getAuthor().isEmpty()) {
+        author_ = other.author_;
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -431,6 +490,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 26: {
+              author_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -451,7 +515,7 @@
     private java.lang.Object instance_ = "";
     /**
      * <pre>
-     * Empty for the daemon that is asked.
+     * Must name the daemon that is asked, or be empty for it.
      * </pre>
      *
      * <code>string instance = 1;</code>
@@ -471,7 +535,7 @@
     }
     /**
      * <pre>
-     * Empty for the daemon that is asked.
+     * Must name the daemon that is asked, or be empty for it.
      * </pre>
      *
      * <code>string instance = 1;</code>
@@ -492,7 +556,7 @@
     }
     /**
      * <pre>
-     * Empty for the daemon that is asked.
+     * Must name the daemon that is asked, or be empty for it.
      * </pre>
      *
      * <code>string instance = 1;</code>
@@ -509,7 +573,7 @@
     }
     /**
      * <pre>
-     * Empty for the daemon that is asked.
+     * Must name the daemon that is asked, or be empty for it.
      * </pre>
      *
      * <code>string instance = 1;</code>
@@ -523,7 +587,7 @@
     }
     /**
      * <pre>
-     * Empty for the daemon that is asked.
+     * Must name the daemon that is asked, or be empty for it.
      * </pre>
      *
      * <code>string instance = 1;</code>
@@ -571,6 +635,78 @@
       onChanged();
       return this;
     }
+
+    private java.lang.Object author_ = "";
+    /**
+     * <code>string author = 3;</code>
+     * @return The author.
+     */
+    public java.lang.String getAuthor() {
+      java.lang.Object ref = author_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        author_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string author = 3;</code>
+     * @return The bytes for author.
+     */
+    public com.google.protobuf.ByteString
+        getAuthorBytes() {
+      java.lang.Object ref = author_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        author_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string author = 3;</code>
+     * @param value The author to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAuthor(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      author_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string author = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAuthor() {
+      author_ = getDefaultInstance().getAuthor();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string author = 3;</code>
+     * @param value The bytes for author to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAuthorBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      author_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.berylwick.proto/src/org/berylwick/proto/SetDrainRequestOrBuilder.java
+++ b/org.berylwick.proto/src/org/berylwick/proto/SetDrainRequestOrBuilder.java
@@ -10,7 +10,7 @@
 
   /**
    * <pre>
-   * Empty for the daemon that is asked.
+   * Must name the daemon that is asked, or be empty for it.
    * </pre>
    *
    * <code>string instance = 1;</code>
@@ -19,7 +19,7 @@
   java.lang.String getInstance();
   /**
    * <pre>
-   * Empty for the daemon that is asked.
+   * Must name the daemon that is asked, or be empty for it.
    * </pre>
    *
    * <code>string instance = 1;</code>
@@ -33,4 +33,16 @@
    * @return The drain.
    */
   boolean getDrain();
+
+  /**
+   * <code>string author = 3;</code>
+   * @return The author.
+   */
+  java.lang.String getAuthor();
+  /**
+   * <code>string author = 3;</code>
+   * @return The bytes for author.
+   */
+  com.google.protobuf.ByteString
+      getAuthorBytes();
 }
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/daemon/admin/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the operators' service. */
+package org.berylwick.daemon.admin;
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the daemon's settings. */
+package org.berylwick.daemon.settings;
--- a/org.berylwick/src/org/berylwick/internal/routing/RoutingTable.java
+++ b/org.berylwick/src/org/berylwick/internal/routing/RoutingTable.java
@@ -86,11 +86,13 @@
         return byHost.containsKey(host.toLowerCase(Locale.ROOT));
     }
 
-    private static boolean takes(Route route, String method) {
+    /** Tells whether a route takes the request method. */
+    public static boolean takes(Route route, String method) {
         return route.methods().isEmpty() || route.methods().contains(method);
     }
 
-    private static boolean isUnder(String prefix, String path) {
+    /** Tells whether {@code path} is {@code prefix} or lies below it, by whole segments. */
+    public static boolean isUnder(String prefix, String path) {
         if (!path.startsWith(prefix)) {
             return false;
         }
--- a/org.berylwick/src/org/berylwick/internal/toml/TableReader.java
+++ b/org.berylwick/src/org/berylwick/internal/toml/TableReader.java
@@ -28,18 +28,34 @@
  */
 public final class TableReader {
     private static final Pattern DURATION = Pattern.compile("(\\d{1,9})(ms|s|m|h)");
+    private static final Pattern SIZE = Pattern.compile("(\\d{1,9})(B|KiB|MiB)");
 
     private final String document;
     private final String prefix;
     private final TomlTable table;
     private final List<Fault> faults;
+    private final Map<String, Replacement> replacements;
     private final Set<String> asked = new HashSet<>();
 
-    private TableReader(String document, String prefix, TomlTable table, List<Fault> faults) {
+    /**
+     * A text that replaces what a document says.
+     *
+     * @param variable the environment variable that it comes from, for faults
+     * @param value the text
+     */
+    public record Replacement(String variable, String value) {}
+
+    private TableReader(
+            String document,
+            String prefix,
+            TomlTable table,
+            List<Fault> faults,
+            Map<String, Replacement> replacements) {
         this.document = document;
         this.prefix = prefix;
         this.table = table;
         this.faults = faults;
+        this.replacements = replacements;
     }
 
     /**
@@ -50,16 +66,31 @@
      * @return a reader of the top table; of an empty table if the text is not TOML
      */
     public static TableReader parse(String document, String text, List<Fault> faults) {
+        return parse(document, text, faults, Map.of());
+    }
+
+    /**
+     * Parses a document, some of whose texts the environment replaces.
+     *
+     * @param replacements by the key's path, such as {@code listen.admin}
+     */
+    public static TableReader parse(
+            String document, String text, List<Fault> faults, Map<String, Replacement> replacements) {
         TomlParseResult parsed = Toml.parse(text);
         for (TomlParseError e : parsed.errors()) {
             faults.add(new Fault(document, e.position().line(), "(syntax)", e.getMessage()));
         }
         TomlTable table = parsed.hasErrors() ? Toml.parse("") : parsed;
-        return new TableReader(document, "", table, faults);
+        return new TableReader(document, "", table, faults, replacements);
     }
 
     /** Adds a fault to {@code key} of this table. */
     public void fault(String key, String rule) {
+        Replacement replacement = replacements.get(prefix + key);
+        if (replacement != null) {
+            faults.add(new Fault("environment", 0, replacement.variable(), rule));
+            return;
+        }
         faults.add(new Fault(document, lineOf(key), prefix + key, rule));
     }
 
@@ -74,7 +105,7 @@
 
     /** Tells whether the table has the key. */
     public boolean has(String key) {
-        return table.contains(List.of(key));
+        return replacements.containsKey(prefix + key) || table.contains(List.of(key));
     }
 
     /** A table inside this one; empty if absent. */
@@ -82,12 +113,12 @@
         asked.add(key);
         Object value = table.get(List.of(key));
         if (value instanceof TomlTable child) {
-            return new TableReader(document, prefix + key + ".", child, faults);
+            return new TableReader(document, prefix + key + ".", child, faults, replacements);
         }
         if (value != null) {
             fault(key, "must be a table");
         }
-        return new TableReader(document, prefix + key + ".", Toml.parse(""), faults);
+        return new TableReader(document, prefix + key + ".", Toml.parse(""), faults, replacements);
     }
 
     /** The tables of an array of tables, {@code [[key]]}; none if absent. */
@@ -106,7 +137,7 @@
             TomlTable child = array.getTable(i);
             Object name = child.get(List.of("name"));
             String label = name instanceof String s ? s : "#" + (i + 1);
-            readers.add(new TableReader(document, prefix + key + "[" + label + "].", child, faults));
+            readers.add(new TableReader(document, prefix + key + "[" + label + "].", child, faults, replacements));
         }
         return readers;
     }
@@ -189,6 +220,32 @@
         };
     }
 
+    /** A size with its unit, such as {@code "64KiB"} or {@code "4MiB"}; in bytes. */
+    public int sizeBytes(String key, int min, int max, int absent) {
+        Optional<Long> value = parsed(key, TableReader::parseSize);
+        if (value.isEmpty()) {
+            return absent;
+        }
+        if (value.get() < min || value.get() > max) {
+            fault(key, "must be from " + min + "B to " + max + "B, is " + value.get() + "B");
+            return absent;
+        }
+        return value.get().intValue();
+    }
+
+    private static long parseSize(String text) {
+        Matcher m = SIZE.matcher(text);
+        if (!m.matches()) {
+            throw new IllegalArgumentException("must be a number with a unit B, KiB or MiB, such as \"4MiB\"");
+        }
+        long number = Long.parseLong(m.group(1));
+        return switch (m.group(2)) {
+            case "B" -> number;
+            case "KiB" -> number << 10;
+            default -> number << 20;
+        };
+    }
+
     /** One of an enum's constants, written in lower case with hyphens. */
     public <T extends Enum<T>> T choice(String key, Class<T> type, T absent) {
         Optional<String> text = optionalString(key);
@@ -242,7 +299,8 @@
 
     private <T> Optional<T> value(String key, Class<T> type, String rule) {
         asked.add(key);
-        Object value = table.get(List.of(key));
+        Replacement replacement = replacements.get(prefix + key);
+        Object value = replacement == null ? table.get(List.of(key)) : replacement.value();
         if (value == null) {
             return Optional.empty();
         }
