Give operators a whole command line

Cause: of the commands only apply, status and members existed; errors ended in stack traces, and an answer lost on the way read as a failure.

The operation id is made on the operator's side, so that a change whose answer was lost can be repeated without making it twice. The daemon answers history, differences, older versions, rollbacks and the audit trail; what it refused or could not complete is kept in two bounded rings in memory, and audit says so.

Ruled out: the parser library's epilog for examples, which fills lines like a paragraph; draining another daemon through the asked one, since members announce no admin address: the call is refused and says whom it reached.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/admin/AdminMessages.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/admin/AdminMessages.java
@@ -2,7 +2,9 @@
 
 import java.util.stream.Collectors;
 import org.berylwick.api.ApplyResult;
+import org.berylwick.api.HistoryResult.AcceptedVersion;
 import org.berylwick.errors.Fault;
+import org.berylwick.lib.AuditEntry;
 import org.berylwick.lib.Member;
 import org.berylwick.lib.ObjectChange;
 import org.berylwick.lib.VersionId;
@@ -11,9 +13,11 @@
 import org.berylwick.proto.Change;
 import org.berylwick.proto.Conflict;
 import org.berylwick.proto.DryRun;
+import org.berylwick.proto.HistoryEntry;
 import org.berylwick.proto.MemberInfo;
 import org.berylwick.proto.Rejected;
 import org.berylwick.proto.Unavailable;
+import org.berylwick.proto.Unchanged;
 import org.berylwick.proto.Undecided;
 
 /** Turns the domain's records into messages of the operators' service. */
@@ -27,11 +31,12 @@
                 reply.setAccepted(accepted(version, operationId, repeated));
                 changes.forEach(c -> reply.addChanges(change(c)));
             }
-            case ApplyResult.Unchanged(VersionId current) -> reply.setAccepted(accepted(current, operationId, false));
             case ApplyResult.DryRun(VersionId base, var changes) -> {
                 reply.setDryRun(DryRun.newBuilder().setBaseVersion(base.number()));
                 changes.forEach(c -> reply.addChanges(change(c)));
             }
+            case ApplyResult.Unchanged(VersionId current) ->
+                reply.setUnchanged(Unchanged.newBuilder().setCurrentVersion(current.number()));
             case ApplyResult.Conflict(VersionId current, var objects) -> {
                 Conflict.Builder conflict = Conflict.newBuilder().setCurrentVersion(current.number());
                 objects.forEach(o -> conflict.addObjects(o.toString()));
@@ -55,6 +60,7 @@
         return switch (result) {
             case ApplyResult.Accepted ignored -> "accepted";
             case ApplyResult.DryRun ignored -> "dry-run";
+            case ApplyResult.Unchanged ignored -> "unchanged";
             case ApplyResult.Conflict ignored -> "conflict";
             case ApplyResult.Rejected ignored -> "rejected";
             case ApplyResult.Unavailable ignored -> "unavailable";
@@ -67,6 +73,7 @@
         return switch (result) {
             case ApplyResult.Accepted ignored -> "";
             case ApplyResult.DryRun ignored -> "";
+            case ApplyResult.Unchanged ignored -> "";
             case ApplyResult.Conflict(VersionId current, var objects) ->
                 "version " + current.number() + " was accepted first; both change "
                         + objects.stream().map(Object::toString).collect(Collectors.joining(", "));
@@ -108,6 +115,19 @@
                 .build();
     }
 
+    static HistoryEntry history(AcceptedVersion version) {
+        AuditEntry audit = version.audit();
+        HistoryEntry.Builder entry = HistoryEntry.newBuilder()
+                .setVersion(version.id().number())
+                .setDigest(version.id().digest().hex())
+                .setOperationId(audit.operationId())
+                .setAuthor(audit.author())
+                .setSummary(audit.summary())
+                .setAcceptedAtEpochMs(audit.acceptedAtEpochMillis());
+        audit.changes().forEach(c -> entry.addChanges(change(c)));
+        return entry.build();
+    }
+
     static MemberInfo member(Member member) {
         return MemberInfo.newBuilder()
                 .setInstance(member.instance())
--- a/org.berylwick.daemon/src/org/berylwick/daemon/admin/AdminService.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/admin/AdminService.java
@@ -3,26 +3,31 @@
 import com.codahale.metrics.MetricRegistry;
 import io.grpc.Status;
 import io.grpc.stub.StreamObserver;
-import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import org.berylwick.daemon.duty.SelfAnnouncement;
-import org.berylwick.internal.config.ConfigurationCodec;
 import org.berylwick.internal.event.EventLog;
 import org.berylwick.internal.event.OperatorEvent;
 import org.berylwick.internal.kernel.KernelService;
 import org.berylwick.lib.Member;
-import org.berylwick.lib.Snapshot;
+import org.berylwick.lib.ObjectRef;
 import org.berylwick.proto.AdminGrpc;
 import org.berylwick.proto.ApplyReply;
 import org.berylwick.proto.ApplyRequest;
+import org.berylwick.proto.DiffReply;
+import org.berylwick.proto.DiffRequest;
 import org.berylwick.proto.ExplainRouteReply;
 import org.berylwick.proto.ExplainRouteRequest;
 import org.berylwick.proto.GetConfigurationReply;
 import org.berylwick.proto.GetConfigurationRequest;
 import org.berylwick.proto.GetStatusReply;
 import org.berylwick.proto.GetStatusRequest;
+import org.berylwick.proto.ListAuditReply;
+import org.berylwick.proto.ListAuditRequest;
+import org.berylwick.proto.ListHistoryReply;
+import org.berylwick.proto.ListHistoryRequest;
 import org.berylwick.proto.ListMembersReply;
 import org.berylwick.proto.ListMembersRequest;
+import org.berylwick.proto.RollbackRequest;
 import org.berylwick.proto.SetDrainReply;
 import org.berylwick.proto.SetDrainRequest;
 
@@ -41,6 +46,8 @@
     private final MetricRegistry metrics;
     private final AttemptLog attempts;
     private final ChangeCalls changes;
+    private final VersionCalls versions;
+    private final AuditCalls audit;
     private AdminDuty duty;
 
     /** The service of one daemon. */
@@ -49,6 +56,8 @@
         this.metrics = metrics;
         attempts = new AttemptLog(context.time());
         changes = new ChangeCalls(context, attempts);
+        versions = new VersionCalls(context);
+        audit = new AuditCalls(context, attempts);
     }
 
     @Override
@@ -76,14 +85,45 @@
 
     @Override
     public void getConfiguration(GetConfigurationRequest request, StreamObserver<GetConfigurationReply> observer) {
-        Snapshot snapshot = context.installed().snapshot();
-        byte[] json = ConfigurationCodec.encode(snapshot.configuration());
-        GetConfigurationReply reply = GetConfigurationReply.newBuilder()
-                .setVersion(snapshot.id().number())
-                .setDigest(snapshot.id().digest().hex())
-                .setJson(new String(json, StandardCharsets.UTF_8))
-                .build();
-        reply(observer, reply);
+        if (request.getVersion() == 0) {
+            reply(observer, VersionCalls.configuration(context.installed().snapshot()));
+            return;
+        }
+        duty.answer(observer, () -> versions.configuration(request.getVersion()));
+    }
+
+    @Override
+    public void listHistory(ListHistoryRequest request, StreamObserver<ListHistoryReply> observer) {
+        duty.answer(observer, () -> versions.history(request));
+    }
+
+    @Override
+    public void diff(DiffRequest request, StreamObserver<DiffReply> observer) {
+        duty.answer(observer, () -> versions.diff(request));
+    }
+
+    @Override
+    public void rollback(RollbackRequest request, StreamObserver<ApplyReply> observer) {
+        duty.answer(observer, () -> changes.rollback(request));
+    }
+
+    @Override
+    public void listAudit(ListAuditRequest request, StreamObserver<ListAuditReply> observer) {
+        if (!isObject(request.getObject())) {
+            observer.onError(Status.INVALID_ARGUMENT
+                    .withDescription("not an object: " + request.getObject())
+                    .asRuntimeException());
+            return;
+        }
+        duty.answer(observer, () -> audit.list(request));
+    }
+
+    private static boolean isObject(String text) {
+        try {
+            return text.isEmpty() || !ObjectRef.fromString(text).name().isEmpty();
+        } catch (IllegalArgumentException e) {
+            return false;
+        }
     }
 
     @Override
--- a/org.berylwick.daemon/src/org/berylwick/daemon/admin/ChangeCalls.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/admin/ChangeCalls.java
@@ -3,12 +3,14 @@
 import java.util.UUID;
 import org.berylwick.api.ApplyCommand;
 import org.berylwick.api.ApplyResult;
+import org.berylwick.api.RollbackCommand;
 import org.berylwick.internal.event.EventLog;
 import org.berylwick.internal.event.OperatorEvent;
 import org.berylwick.lib.Deadline;
 import org.berylwick.lib.TimeSource;
 import org.berylwick.proto.ApplyReply;
 import org.berylwick.proto.ApplyRequest;
+import org.berylwick.proto.RollbackRequest;
 
 /** Operators' calls that have a version accepted; for the admin duty's thread. */
 final class ChangeCalls {
@@ -33,6 +35,7 @@
                 .setSummary(request.getSummary())
                 .setBaseVersion(request.getBaseVersion())
                 .setDryRun(request.getDryRun())
+                .setInForce(context.installed().snapshot().id())
                 .setDeadline(Deadline.afterMillis(time, APPLY_MILLIS));
         request.getDocumentsList().forEach(d -> command.addDocument(d.getName(), d.getText()));
         ApplyResult result = command.call();
@@ -42,6 +45,24 @@
         return AdminMessages.reply(result, operationId);
     }
 
+    ApplyReply rollback(RollbackRequest request) {
+        String operationId = operationId(request.getOperationId());
+        TimeSource time = context.time();
+        ApplyResult result = new RollbackCommand(context.repository(), time)
+                .setToVersion(request.getToVersion())
+                .setKnownParts(context.installed().inForce().parts())
+                .setOperationId(operationId)
+                .setAuthor(request.getAuthor())
+                .setSummary(request.getSummary())
+                .setDryRun(request.getDryRun())
+                .setInForce(context.installed().snapshot().id())
+                .setDeadline(Deadline.afterMillis(time, APPLY_MILLIS))
+                .call();
+        EVENTS.log(OperatorEvent.ROLLBACK, request.getAuthor(), operationId, AdminMessages.word(result));
+        note("rollback", request.getAuthor(), operationId, request.getSummary(), result);
+        return AdminMessages.reply(result, operationId);
+    }
+
     private static String operationId(String given) {
         return given.isEmpty() ? UUID.randomUUID().toString() : given;
     }
@@ -51,6 +72,9 @@
             case ApplyResult.Accepted ignored -> {
                 // It is in the history of every daemon.
             }
+            case ApplyResult.Unchanged ignored -> {
+                // Nothing became different.
+            }
             case ApplyResult.DryRun ignored -> {
                 // It attempted nothing.
             }
--- a/org.berylwick.pgm/src/org/berylwick/pgm/ExitCode.java
+++ b/org.berylwick.pgm/src/org/berylwick/pgm/ExitCode.java
@@ -12,10 +12,12 @@
     CONFLICT(3),
     /** The daemon refused. */
     REFUSED(4),
-    /** No answer from the daemon, or from the store behind it. */
+    /** No answer from the daemon, or from the store behind it; nothing changed. */
     UNREACHABLE(5),
     /** It is not known whether the change was accepted. */
-    UNDECIDED(6);
+    UNDECIDED(6),
+    /** The change is accepted, and it was not in force everywhere in the time given to wait. */
+    LAGGING(7);
 
     private final int status;
 
--- a/org.berylwick.pgm/src/org/berylwick/pgm/Main.java
+++ b/org.berylwick.pgm/src/org/berylwick/pgm/Main.java
@@ -2,46 +2,49 @@
 
 import io.grpc.StatusRuntimeException;
 import java.io.PrintStream;
+import java.io.PrintWriter;
 import java.util.List;
-import net.sourceforge.argparse4j.ArgumentParsers;
+import java.util.Map;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
-import net.sourceforge.argparse4j.inf.Subparsers;
 
 /** Finds the command and runs it. */
 public final class Main {
-    private static final List<Command> COMMANDS = List.of(new Apply(), new Status(), new Members());
-
     private Main() {}
 
     /** The entry point of {@code berylwick}. */
     public static void main(String[] args) {
-        System.exit(run(args, System.out, System.err));
+        System.exit(run(args, Terminal.ofProcess()).status());
     }
 
     /** Runs one command line and gives the exit status. */
-    public static int run(String[] args, PrintStream out, PrintStream err) {
-        ArgumentParser parser = ArgumentParsers.newFor("berylwick")
-                .build()
-                .description("Declares the configuration of the mesh and reads back what is in force.");
-        AdminConnection.declare(parser);
-        Subparsers commands = parser.addSubparsers().dest("command").metavar("COMMAND");
-        COMMANDS.forEach(c -> c.declare(commands.addParser(c.name())));
-        Terminal terminal = new Terminal(out, err);
+    public static int run(String[] args, PrintStream out, PrintStream err, Map<String, String> environment) {
+        return run(args, new Terminal(out, err, environment, false)).status();
+    }
+
+    private static ExitCode run(String[] args, Terminal terminal) {
+        CommandLine commandLine = CommandLine.create();
+        ArgumentParser parser = commandLine.parser();
+        Namespace options;
         try {
-            Namespace options = parser.parseArgs(args);
-            return find(options.getString("command")).run(options, terminal).status();
+            options = parser.parseArgs(args);
+        } catch (HelpScreenException e) {
+            commandLine.printHelp(e.getParser(), List.of(args), terminal);
+            return ExitCode.OK;
         } catch (ArgumentParserException e) {
-            parser.handleError(e, new java.io.PrintWriter(err, true));
-            return ExitCode.BAD_INPUT.status();
+            e.getParser().handleError(e, new PrintWriter(terminal.err(), true));
+            terminal.tell(Message.SEE_HELP);
+            return ExitCode.BAD_INPUT;
+        }
+        try {
+            return Commands.find(options.getString("command")).run(options, terminal);
+        } catch (BadInputException e) {
+            terminal.err().println(Messages.text(Message.PREFIX, e.getMessage()));
+            return ExitCode.BAD_INPUT;
         } catch (StatusRuntimeException e) {
-            err.println("berylwick: the daemon did not answer: " + e.getStatus());
-            return ExitCode.UNREACHABLE.status();
+            return Failures.tell(e, AdminConnection.address(options, terminal), terminal);
         }
     }
-
-    private static Command find(String name) {
-        return COMMANDS.stream().filter(c -> c.name().equals(name)).findFirst().orElseThrow();
-    }
 }
--- a/org.berylwick.pgm/src/org/berylwick/pgm/Members.java
+++ b/org.berylwick.pgm/src/org/berylwick/pgm/Members.java
@@ -1,7 +1,8 @@
 package org.berylwick.pgm;
 
+import java.util.List;
 import net.sourceforge.argparse4j.inf.Namespace;
-import net.sourceforge.argparse4j.inf.Subparser;
+import org.berylwick.proto.ListMembersReply;
 import org.berylwick.proto.ListMembersRequest;
 import org.berylwick.proto.MemberInfo;
 
@@ -13,20 +14,55 @@
     }
 
     @Override
-    public void declare(Subparser parser) {
-        parser.help("the members that the daemon knows");
+    public Message help() {
+        return Message.MEMBERS_HELP;
+    }
+
+    @Override
+    public Message examples() {
+        return Message.MEMBERS_EXAMPLES;
+    }
+
+    @Override
+    public void declare(Options options) {
+        options.add(Message.OPTION_SERVICE, "--service").metavar("NAME");
+        AdminConnection.declare(options);
     }
 
     @Override
     public ExitCode run(Namespace options, Terminal terminal) {
-        for (MemberInfo m : AdminConnection.open(options)
-                .listMembers(ListMembersRequest.getDefaultInstance())
-                .getMembersList()) {
-            terminal.out()
-                    .printf(
-                            "%-24s %-12s %-12s %-9s %s%n",
-                            m.getInstance(), m.getService(), m.getAvailabilityZone(), m.getState(), m.getAddress());
+        String service = options.getString("service");
+        List<MemberInfo> members =
+                AdminConnection.open(options, terminal)
+                        .listMembers(ListMembersRequest.getDefaultInstance())
+                        .getMembersList()
+                        .stream()
+                        .filter(m -> service == null || m.getService().equals(service))
+                        .toList();
+        if (Output.isJson(options)) {
+            Output.json(
+                    terminal,
+                    ListMembersReply.newBuilder().addAllMembers(members).build());
+            return ExitCode.OK;
+        }
+        Table table = new Table("INSTANCE", "SERVICE", "REGION", "ZONE", "STATE", "ADDRESS", "LABELS");
+        for (MemberInfo m : members) {
+            String labels = String.join(
+                    ",",
+                    m.getLabelsMap().entrySet().stream()
+                            .map(e -> e.getKey() + "=" + e.getValue())
+                            .sorted()
+                            .toList());
+            table.add(
+                    m.getInstance(),
+                    m.getService(),
+                    m.getRegion(),
+                    m.getAvailabilityZone(),
+                    m.getState(),
+                    m.getAddress(),
+                    labels);
         }
+        table.print(terminal);
         return ExitCode.OK;
     }
 }
--- a/org.berylwick.test/tst/org/berylwick/daemon/settings/SettingsReaderTest.java
+++ b/org.berylwick.test/tst/org/berylwick/daemon/settings/SettingsReaderTest.java
@@ -117,6 +117,9 @@
         Path sample = Path.of("..", "docs", "berylwickd.sample.toml");
         String text = Files.readString(sample);
         assertEquals(read(LEAST, Map.of()), read(text, Map.of()));
+        // The token has no default; every other key that is commented out shows the one that the reader has.
+        String spelledOut = text.replaceAll("(?m)^# (?!token_file)([a-z_]+ = .*)$", "$1");
+        assertEquals(read(LEAST, Map.of()), read(spelledOut, Map.of()));
     }
 
     @Test
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/pgm/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the command line. */
+package org.berylwick.pgm;
