--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/docs/package-info.java
@@ -0,0 +1,2 @@
+/** Holds the pages of the documentation against the code. */
+package org.berylwick.docs;
