Show that answers are whole, own, or visibly cut

A cut was counted as a caller's leave, because the caller's connection is closed for the cut before the response completes.

Change: the guard of a body tells of its error before the caller's connection is closed.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/AnswerDelivery.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/AnswerDelivery.java
@@ -5,6 +5,7 @@
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import com.linecorp.armeria.common.stream.CancelledSubscriptionException;
 import java.util.OptionalLong;
 import org.berylwick.internal.event.CallEvent;
 import org.berylwick.internal.event.EventLog;
@@ -33,18 +34,12 @@
         ResponseHeaders headers = builder.build();
         Answer whole = ResumableAnswer.of(forwarder, call, answer, from);
         OptionalLong length = bodyLength(headers);
-        AnswerGuard body = new AnswerGuard(call.requestId(), whole.body(), length, forwarder.invariants());
-        HttpResponse response = whole.withHeaders(headers).withBody(body).toResponse();
-        response.whenComplete().whenComplete((done, failure) -> {
-            if (failure != null) {
-                ended(body, failure);
-            }
-        });
-        return response;
+        AnswerGuard body = new AnswerGuard(call.requestId(), whole.body(), length, forwarder.invariants(), this::ended);
+        return whole.withHeaders(headers).withBody(body).toResponse();
     }
 
-    private void ended(AnswerGuard body, Throwable failure) {
-        if (call.isCallerGone()) {
+    private void ended(long passed, Throwable failure) {
+        if (failure instanceof CancelledSubscriptionException || call.isCallerGone()) {
             forwarder.metrics().countCancelled();
             return;
         }
@@ -52,7 +47,7 @@
         EVENTS.log(
                 CallEvent.ANSWER_CUT,
                 call.requestId(),
-                body.passed(),
+                passed,
                 failure.getClass().getSimpleName());
     }
 
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/AnswerGuard.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/AnswerGuard.java
@@ -1,6 +1,7 @@
 package org.berylwick.daemon.call;
 
 import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.stream.CancelledSubscriptionException;
 import com.linecorp.armeria.common.stream.FilteredStreamMessage;
 import com.linecorp.armeria.common.stream.StreamMessage;
 import java.util.OptionalLong;
@@ -15,34 +16,55 @@
  * with an error, which the caller sees as a reset.
  */
 final class AnswerGuard extends FilteredStreamMessage<HttpData, HttpData> {
+    /** Hears of a body that ended in error. */
+    @FunctionalInterface
+    interface ErrorListener {
+        /** The body ended after {@code passed} bytes. */
+        void ended(long passed, Throwable failure);
+    }
+
     private final String requestId;
     private final OptionalLong expected;
     private final Invariants invariants;
+    private final ErrorListener onError;
     private long passed;
 
     /**
      * Guards a body.
      *
      * @param expected its length in bytes, if its head announced one
+     * @param onError is told of an error before the caller's connection is closed for it
      */
-    AnswerGuard(String requestId, StreamMessage<HttpData> body, OptionalLong expected, Invariants invariants) {
+    AnswerGuard(
+            String requestId,
+            StreamMessage<HttpData> body,
+            OptionalLong expected,
+            Invariants invariants,
+            ErrorListener onError) {
         super(body, true);
+        this.onError = onError;
         this.requestId = requestId;
         this.expected = expected;
         this.invariants = invariants;
     }
 
-    /** Bytes that went by. */
-    long passed() {
-        return passed;
-    }
-
     @Override
     protected HttpData filter(HttpData data) {
         passed += data.length();
         return data;
     }
 
+    @Override
+    protected Throwable beforeError(Subscriber<? super HttpData> subscriber, Throwable cause) {
+        onError.ended(passed, cause);
+        return cause;
+    }
+
+    @Override
+    protected void onCancellation(Subscriber<? super HttpData> subscriber) {
+        onError.ended(passed, CancelledSubscriptionException.get());
+    }
+
     @Override
     protected void beforeComplete(Subscriber<? super HttpData> subscriber) {
         boolean whole = expected.isEmpty() || expected.getAsLong() == passed;
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/daemon/call/AnswerGuardTest.java
@@ -0,0 +1,44 @@
+package org.berylwick.daemon.call;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.codahale.metrics.MetricRegistry;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.stream.StreamMessage;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.berylwick.internal.invariant.Invariant;
+import org.berylwick.internal.invariant.Invariants;
+import org.junit.jupiter.api.Test;
+
+/** A body whose length is not what its head announced does not end cleanly. */
+class AnswerGuardTest {
+    private final Invariants invariants = new Invariants(new MetricRegistry());
+
+    private final AtomicInteger errors = new AtomicInteger();
+
+    private AnswerGuard guard(OptionalLong expected) {
+        StreamMessage<HttpData> body = StreamMessage.of(HttpData.ofUtf8("abc"), HttpData.ofUtf8("de"));
+        return new AnswerGuard("r-1", body, expected, invariants, (passed, failure) -> errors.incrementAndGet());
+    }
+
+    @Test
+    void wholeBodyPasses() {
+        assertEquals(2, guard(OptionalLong.of(5)).collect().join().size());
+        assertEquals(2, guard(OptionalLong.empty()).collect().join().size());
+        assertEquals(0, invariants.breaches(Invariant.OWN_WHOLE_ANSWER));
+    }
+
+    @Test
+    void shortAndLongBodiesEndInError() {
+        assertThrows(
+                CompletionException.class,
+                () -> guard(OptionalLong.of(6)).collect().join());
+        assertThrows(
+                CompletionException.class,
+                () -> guard(OptionalLong.of(4)).collect().join());
+        assertEquals(2, invariants.breaches(Invariant.OWN_WHOLE_ANSWER));
+    }
+}
--- a/org.berylwick.test/tst/org/berylwick/daemon/call/CallRig.java
+++ b/org.berylwick.test/tst/org/berylwick/daemon/call/CallRig.java
@@ -131,6 +131,25 @@
         return daemon;
     }
 
+    /** Moves a known daemon to another address, as its next incarnation. */
+    void announceAgain(String instance, HostPort address) {
+        daemons.values()
+                .forEach(d -> d.membership
+                        .view()
+                        .find(instance)
+                        .ifPresent(m -> d.membership.merge(new Member(
+                                instance,
+                                m.service(),
+                                address,
+                                m.place(),
+                                m.labels(),
+                                Member.State.UP,
+                                m.incarnation() + 1,
+                                m.slots(),
+                                m.version(),
+                                m.installedAtEpochMillis()))));
+    }
+
     /** Makes a daemon known to all daemons as a member that is up at {@code address}. */
     void announce(String instance, String service, HostPort address) {
         Member member =
