Run a request with an Idempotency-Key once in all

Cause: two requests with one key, by whichever daemons, each ran.

Change: KeyedForwarder stands before Forwarder. Nothing is sent before the store holds the claim; a repeat gets the first's answer, or a 409 that says that the first is under way, ran, or may have run; another request under the key a 422; a store that does not decide a true 503 with Retry-After. The answer streams to the caller while up to 8 KiB of it are kept. A keyed call is not run again after an unknown outcome even where its policy is idempotent. One store call gets 500 ms, so that one without an answer leaves time to settle it.

Checked: IdempotencyKeyTest (two daemons, store out, answers of the store and of the backend server lost), IdempotencyKeyKillTest (the entry daemon killed while the request runs), KeyDutyTest, with the backend servers' ledgers as judges.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
@@ -13,6 +13,7 @@
 import org.berylwick.daemon.settings.DaemonSettings;
 import org.berylwick.internal.event.EventLog;
 import org.berylwick.internal.event.ProcessEvent;
+import org.berylwick.internal.idempotency.KeyDuty;
 import org.berylwick.internal.invariant.Invariant;
 import org.berylwick.internal.invariant.Invariants;
 import org.berylwick.internal.kernel.Kernel;
@@ -50,7 +51,9 @@
         installed = kernel.register(new InstalledVersion(time));
         membership = kernel.register(new MembershipTable());
         self = kernel.register(new SelfAnnouncement(settings, installed, time));
-        calls = kernel.register(new CallPath(settings, installed, membership, self::state, metrics, invariants, time));
+        KeyDuty keys = kernel.register(new KeyDuty(store, settings.instance(), invariants, metrics, time));
+        calls = kernel.register(
+                new CallPath(settings, installed, membership, keys, self::state, metrics, invariants, time));
         AdminService admin = kernel.register(new AdminService(repository, installed, membership, time));
         Optional<SpreadDuties> spread = switch (settings.spread().mode()) {
             case WATCH -> Optional.empty();
--- /dev/null
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/AnswerRecorder.java
@@ -0,0 +1,159 @@
+package org.berylwick.daemon.call;
+
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import com.linecorp.armeria.common.SplitHttpResponse;
+import com.linecorp.armeria.common.stream.StreamMessage;
+import io.netty.util.AsciiString;
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.berylwick.internal.idempotency.KeyState;
+import org.berylwick.internal.idempotency.Settlement;
+import org.berylwick.internal.idempotency.StoredAnswer;
+import org.reactivestreams.Subscriber;
+import org.reactivestreams.Subscription;
+
+/**
+ * Watches the final answer of one keyed request go by and settles its claim when the answer has ended.
+ *
+ * <p>At most {@link #MAX_KEPT_BYTES} are gathered; the answer itself streams on untouched.
+ */
+final class AnswerRecorder {
+    /** Largest body, and largest sum of headers, that is kept for repeats, in bytes each. */
+    static final int MAX_KEPT_BYTES = 8 << 10;
+
+    /** Headers that belong to one request or one connection. */
+    private static final Set<AsciiString> NOT_KEPT = Set.of(
+            HttpHeaderNames.STATUS,
+            HttpHeaderNames.DATE,
+            HttpHeaderNames.SERVER,
+            HttpHeaderNames.CONTENT_LENGTH,
+            CallHeaders.REQUEST_ID);
+
+    private final Consumer<Settlement> settle;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private volatile ResponseHeaders headers;
+    private boolean tooLarge;
+
+    /** @param settle told once how the request ended */
+    AnswerRecorder(Consumer<Settlement> settle) {
+        this.settle = settle;
+    }
+
+    /** The same answer, watched. */
+    HttpResponse record(HttpResponse answer) {
+        SplitHttpResponse split = answer.split();
+        CompletableFuture<HttpResponse> head = new CompletableFuture<>();
+        HttpResponse toCaller = HttpResponse.of(head);
+        split.headers().handle((received, failure) -> {
+            if (failure != null) {
+                settle.accept(new Settlement.Keep(new KeyState.Unknown()));
+                head.completeExceptionally(failure);
+                return null;
+            }
+            headers = received;
+            StreamMessage<HttpData> watched = split.body().peek(this::take);
+            watched.whenComplete().handle((done, cut) -> {
+                settle.accept(settlement(cut == null));
+                return null;
+            });
+            if (toCaller.whenComplete().isDone()) {
+                // The caller left while its request ran. Its repeat is given the answer, so that is read all the same.
+                watched.subscribe(new BoundedDrain());
+            } else {
+                head.complete(new Answer(received, watched, split.trailers()).toResponse());
+            }
+            return null;
+        });
+        return toCaller;
+    }
+
+    /** Reads an answer that nobody waits for, until it is larger than what is kept. */
+    private final class BoundedDrain implements Subscriber<HttpData> {
+        private Subscription subscription;
+
+        @Override
+        public void onSubscribe(Subscription s) {
+            subscription = s;
+            s.request(Long.MAX_VALUE);
+        }
+
+        @Override
+        public void onNext(HttpData data) {
+            if (isTooLarge()) {
+                subscription.cancel();
+            }
+        }
+
+        @Override
+        public void onError(Throwable cause) {
+            // The end of the stream is watched already.
+        }
+
+        @Override
+        public void onComplete() {
+            // The end of the stream is watched already.
+        }
+    }
+
+    private synchronized boolean isTooLarge() {
+        return tooLarge;
+    }
+
+    private synchronized void take(HttpData data) {
+        if (tooLarge || body.size() + data.length() > MAX_KEPT_BYTES) {
+            tooLarge = true;
+            return;
+        }
+        body.writeBytes(data.array());
+    }
+
+    private synchronized Settlement settlement(boolean whole) {
+        // Only a daemon's own refusals carry this header: it is removed from what backend servers answer.
+        switch (headers.get(CallHeaders.OUTCOME, "")) {
+            case CallHeaders.OUTCOME_NOT_RUN -> {
+                return new Settlement.Release();
+            }
+            case CallHeaders.OUTCOME_UNKNOWN -> {
+                return new Settlement.Keep(new KeyState.Unknown());
+            }
+            default -> {}
+        }
+        int status = headers.status().code();
+        List<StoredAnswer.Header> kept = keptHeaders();
+        int headerBytes = kept.stream()
+                .mapToInt(h -> h.name().length() + h.value().length())
+                .sum();
+        if (!whole || tooLarge || headerBytes > MAX_KEPT_BYTES) {
+            return new Settlement.Keep(new KeyState.Ran(status));
+        }
+        return new Settlement.Keep(new KeyState.Answered(new StoredAnswer(status, kept, body.toByteArray())));
+    }
+
+    private List<StoredAnswer.Header> keptHeaders() {
+        List<StoredAnswer.Header> kept = new ArrayList<>();
+        headers.forEach((name, value) -> {
+            if (!NOT_KEPT.contains(name)) {
+                kept.add(new StoredAnswer.Header(name.toString(), value));
+            }
+        });
+        return kept;
+    }
+
+    /** A kept answer, given to a repeat. */
+    static HttpResponse replay(String requestId, StoredAnswer answer) {
+        ResponseHeadersBuilder headers = ResponseHeaders.builder(HttpStatus.valueOf(answer.status()));
+        answer.headers().forEach(h -> headers.add(h.name(), h.value()));
+        headers.set(CallHeaders.REQUEST_ID, requestId);
+        headers.set(CallHeaders.IDEMPOTENCY_REPLAYED, "true");
+        return HttpResponse.of(headers.build(), HttpData.wrap(answer.body()));
+    }
+}
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/Call.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/Call.java
@@ -40,6 +40,11 @@
         };
     }
 
+    /** This call under another policy. */
+    Call withMatch(RouteMatch newMatch) {
+        return new Call(requestId, newMatch, members, deadline, limit, headers, body, context);
+    }
+
     /** This call with other headers. */
     Call withHeaders(RequestHeaders newHeaders) {
         return new Call(requestId, match, members, deadline, limit, newHeaders, body, context);
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/CallHeaders.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/CallHeaders.java
@@ -50,6 +50,12 @@
     /** Request, to the backend server: the brand that the request carries. */
     static final AsciiString BRAND = AsciiString.cached("x-brand");
 
+    /** Request: names a request of the caller's that must run once in all, however often it is sent. */
+    static final AsciiString IDEMPOTENCY_KEY = AsciiString.cached("idempotency-key");
+
+    /** Response: {@code true} on an answer that was given before to a request with the same key. */
+    static final AsciiString IDEMPOTENCY_REPLAYED = AsciiString.cached("idempotency-replayed");
+
     /** Response of a backend server that shed a request without running it. */
     static final AsciiString SHED = AsciiString.cached("x-shed");
 
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/CallPath.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/CallPath.java
@@ -7,6 +7,7 @@
 import org.berylwick.daemon.settings.DaemonSettings;
 import org.berylwick.internal.event.CallEvent;
 import org.berylwick.internal.event.EventLog;
+import org.berylwick.internal.idempotency.KeyDuty;
 import org.berylwick.internal.invariant.Invariant;
 import org.berylwick.internal.invariant.Invariants;
 import org.berylwick.internal.kernel.KernelService;
@@ -47,12 +48,14 @@
     /**
      * The call path of one daemon.
      *
+     * @param keys decides which request runs under an idempotency key
      * @param state whether the own backend server takes requests
      */
     public CallPath(
             DaemonSettings settings,
             InstalledVersion installed,
             MembershipTable membership,
+            KeyDuty keys,
             Supplier<Member.State> state,
             MetricRegistry registry,
             Invariants invariants,
@@ -77,7 +80,7 @@
         PeerSender sender = new PeerSender(peers, loads, time);
         Forwarder forwarder =
                 new Forwarder(instance, ownServer, sender, chooser, membership, metrics, invariants, time);
-        entry = new EntryService(installed, membership, forwarder, metrics, time);
+        entry = new EntryService(installed, membership, new KeyedForwarder(forwarder, keys, time), metrics, time);
         owner = new OwnerService(instance, ownServer, time);
         String service = settings.backendServer().service();
         installed.addListener(v -> {
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/EntryService.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/EntryService.java
@@ -26,7 +26,7 @@
 
     private final InstalledVersion installed;
     private final MembershipTable membership;
-    private final Forwarder forwarder;
+    private final KeyedForwarder forwarder;
     private final CallMetrics metrics;
     private final TimeSource time;
     private volatile boolean draining;
@@ -34,7 +34,7 @@
     EntryService(
             InstalledVersion installed,
             MembershipTable membership,
-            Forwarder forwarder,
+            KeyedForwarder forwarder,
             CallMetrics metrics,
             TimeSource time) {
         this.installed = installed;
--- /dev/null
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/KeyedForwarder.java
@@ -0,0 +1,179 @@
+package org.berylwick.daemon.call;
+
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.RequestHeaders;
+import java.util.List;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.berylwick.errors.ClaimError;
+import org.berylwick.internal.idempotency.ClaimOutcome;
+import org.berylwick.internal.idempotency.KeyClaim;
+import org.berylwick.internal.idempotency.KeyDuty;
+import org.berylwick.internal.idempotency.KeyId;
+import org.berylwick.internal.idempotency.KeyRecord;
+import org.berylwick.internal.idempotency.KeyRequest;
+import org.berylwick.internal.idempotency.KeyState;
+import org.berylwick.internal.idempotency.RequestFingerprint;
+import org.berylwick.internal.idempotency.Settlement;
+import org.berylwick.internal.routing.RouteMatch;
+import org.berylwick.lib.Digest;
+import org.berylwick.lib.Policy;
+import org.berylwick.lib.RefusalReason;
+import org.berylwick.lib.TimeSource;
+
+/**
+ * Lets a request whose policy asks for an idempotency key run only as the first with its key, and answers the repeats.
+ *
+ * <p>Nothing is sent before the store holds the claim. The answer goes to the caller while it is recorded, not after. A
+ * caller that leaves before its answer begins does not cancel the request: its repeat will ask for the answer.
+ */
+final class KeyedForwarder {
+    private static final Pattern VALID_KEY = Pattern.compile("[\\x21-\\x7E]{1,255}");
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+    private static final byte[] NO_BODY = new byte[0];
+
+    private final Forwarder forwarder;
+    private final KeyDuty keys;
+    private final TimeSource time;
+
+    KeyedForwarder(Forwarder forwarder, KeyDuty keys, TimeSource time) {
+        this.forwarder = forwarder;
+        this.keys = keys;
+        this.time = time;
+    }
+
+    /** Runs the call, or answers it without running it; the response is the final answer. */
+    HttpResponse forward(Call call) {
+        Policy.KeyRule rule = call.match().policy().idempotencyKey();
+        if (rule == Policy.KeyRule.IGNORED) {
+            return forwarder.forward(call);
+        }
+        List<String> values = call.headers().getAll(CallHeaders.IDEMPOTENCY_KEY);
+        if (values.isEmpty()) {
+            return rule == Policy.KeyRule.OPTIONAL
+                    ? forwarder.forward(call)
+                    : Problem.badRequest(
+                            call.requestId(),
+                            "policy " + call.match().policy().name() + " requires the header Idempotency-Key");
+        }
+        if (values.size() > 1 || !VALID_KEY.matcher(values.getFirst()).matches()) {
+            return Problem.badRequest(
+                    call.requestId(), "Idempotency-Key must be given once, as 1 to 255 visible ASCII characters");
+        }
+        KeyId key = KeyId.of(call.match().brand().name(), call.match().route().name(), values.getFirst());
+        return claim(call, key, fingerprint(call));
+    }
+
+    /** A streamed body is not known yet; of it, the declared length alone counts. */
+    private static Digest fingerprint(Call call) {
+        byte[] body = call.body() instanceof CallBody.Held(HttpData content) ? content.array() : NO_BODY;
+        RequestHeaders headers = call.headers();
+        return RequestFingerprint.of(
+                headers.method().name(),
+                headers.path(),
+                headers.get(HttpHeaderNames.AUTHORIZATION, ""),
+                headers.contentLength(),
+                body);
+    }
+
+    private HttpResponse claim(Call call, KeyId key, Digest fingerprint) {
+        long untilMillis = time.epochMillis() + call.deadline().remainingMillis(time);
+        KeyRequest request = new KeyRequest(key, fingerprint, untilMillis);
+        return HttpResponse.of(keys.claim(request, call.deadline())
+                .thenApplyAsync(
+                        outcome -> switch (outcome) {
+                            case ClaimOutcome.Granted(KeyClaim claim) -> run(call, claim);
+                            case ClaimOutcome.Taken(KeyRecord existing) -> repeat(call, fingerprint, existing);
+                            case ClaimOutcome.Refused(ClaimError error, var ignored) -> refuse(call, error);
+                        },
+                        call.context().eventLoop()));
+    }
+
+    private HttpResponse run(Call call, KeyClaim claim) {
+        if (call.deadline().isPast(time)) {
+            keys.settle(claim, new Settlement.Release());
+            return Problem.notRun(call.requestId(), RefusalReason.DEADLINE, Optional.empty());
+        }
+        AnswerRecorder recorder = new AnswerRecorder(settlement -> keys.settle(claim, settlement));
+        try {
+            return recorder.record(forwarder.forward(runOnce(call)));
+        } catch (RuntimeException e) {
+            // What was sent before the exception is not known here.
+            keys.settle(claim, new Settlement.Keep(new KeyState.Unknown()));
+            throw e;
+        }
+    }
+
+    /**
+     * The call under a policy that is not idempotent: a caller that names a key asks for one run, also where the policy
+     * says that a second one does no harm.
+     */
+    private static Call runOnce(Call call) {
+        RouteMatch match = call.match();
+        Policy p = match.policy();
+        Policy once = new Policy(
+                p.name(),
+                p.priority(),
+                p.routes(),
+                p.brands(),
+                p.trafficClass(),
+                p.timeoutMillis(),
+                p.maxAttempts(),
+                false,
+                p.idempotencyKey());
+        return call.withMatch(new RouteMatch(match.brand(), match.route(), once, match.service()));
+    }
+
+    private HttpResponse repeat(Call call, Digest fingerprint, KeyRecord existing) {
+        String id = call.requestId();
+        if (!existing.fingerprint().equals(fingerprint.hex())) {
+            return Problem.keyReused(id, "this Idempotency-Key was used with another request");
+        }
+        return switch (existing.run()) {
+            case KeyState.Answered(var answer) -> AnswerRecorder.replay(id, answer);
+            case KeyState.Ran(int status) ->
+                Problem.keyConflict(
+                        id,
+                        "key-already-run",
+                        "the first request with this Idempotency-Key ran and was answered " + status
+                                + "; its answer was not kept",
+                        Optional.empty());
+            case KeyState.Claimed(long untilMillis)
+            when time.epochMillis() < untilMillis ->
+                Problem.keyConflict(
+                        id,
+                        "key-in-progress",
+                        "the first request with this Idempotency-Key has no recorded outcome yet",
+                        Optional.of(RETRY_AFTER_MILLIS));
+            case KeyState.Claimed ignored -> unknown(id);
+            case KeyState.Unknown() -> unknown(id);
+        };
+    }
+
+    private static HttpResponse unknown(String requestId) {
+        return Problem.keyConflict(
+                requestId,
+                "key-outcome-unknown",
+                "the first request with this Idempotency-Key may have run; it is not run again",
+                Optional.empty());
+    }
+
+    private HttpResponse refuse(Call call, ClaimError error) {
+        return switch (error) {
+            case ClaimError.TooManyClaims() ->
+                Problem.notRun(call.requestId(), RefusalReason.OVERLOADED, Optional.of(RETRY_AFTER_MILLIS));
+            case ClaimError.StoreBusy(long retryAfterMillis) ->
+                Problem.notRun(call.requestId(), RefusalReason.STORE_UNAVAILABLE, Optional.of(retryAfterMillis));
+            case ClaimError.StoreUnavailable ignored -> storeUnavailable(call);
+            case ClaimError.Undecided ignored -> storeUnavailable(call);
+            case ClaimError.Unreadable ignored -> storeUnavailable(call);
+            case ClaimError.SlotFull ignored -> storeUnavailable(call);
+        };
+    }
+
+    private static HttpResponse storeUnavailable(Call call) {
+        return Problem.notRun(call.requestId(), RefusalReason.STORE_UNAVAILABLE, Optional.of(RETRY_AFTER_MILLIS));
+    }
+}
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/Problem.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/Problem.java
@@ -32,7 +32,9 @@
 
     /** The request was not run; {@code Retry-After} says when to come back. */
     static HttpResponse notRun(String requestId, RefusalReason reason, Optional<Long> retryAfterMillis) {
-        return of(HttpStatus.SERVICE_UNAVAILABLE, "not-run", reason.word(), requestId, retryAfterMillis);
+        HttpResponse problem =
+                of(HttpStatus.SERVICE_UNAVAILABLE, "not-run", reason.word(), requestId, retryAfterMillis);
+        return withOutcome(problem, CallHeaders.OUTCOME_NOT_RUN);
     }
 
     /** The request's headers or body did not arrive in time. */
@@ -49,7 +51,24 @@
     static HttpResponse unknown(String requestId, boolean timedOut, boolean harmless, String detail) {
         HttpStatus status = timedOut ? HttpStatus.GATEWAY_TIMEOUT : HttpStatus.BAD_GATEWAY;
         Optional<Long> retryAfter = harmless ? Optional.of(MILLIS_PER_SECOND) : Optional.empty();
-        return of(status, "outcome-unknown", detail, requestId, retryAfter);
+        HttpResponse problem = of(status, "outcome-unknown", detail, requestId, retryAfter);
+        return withOutcome(problem, CallHeaders.OUTCOME_UNKNOWN);
+    }
+
+    /** The request was not run, because its key is taken; {@code Retry-After} says when an answer may be there. */
+    static HttpResponse keyConflict(String requestId, String type, String detail, Optional<Long> retryAfterMillis) {
+        return of(HttpStatus.CONFLICT, type, detail, requestId, retryAfterMillis);
+    }
+
+    /** The request was not run, because another request has used its key. */
+    static HttpResponse keyReused(String requestId, String detail) {
+        return of(HttpStatus.UNPROCESSABLE_ENTITY, "key-reused", detail, requestId, Optional.empty());
+    }
+
+    /** Says in a header what a daemon knows, for the stage that records it; backend servers cannot set it. */
+    private static HttpResponse withOutcome(HttpResponse problem, String outcome) {
+        return problem.mapHeaders(
+                h -> h.toBuilder().set(CallHeaders.OUTCOME, outcome).build());
     }
 
     private static HttpResponse of(
--- a/org.berylwick.test/tst/org/berylwick/daemon/call/CallRig.java
+++ b/org.berylwick.test/tst/org/berylwick/daemon/call/CallRig.java
@@ -14,6 +14,7 @@
 import org.berylwick.api.ApplyResult;
 import org.berylwick.daemon.settings.DaemonSettings;
 import org.berylwick.errors.VersionError;
+import org.berylwick.internal.idempotency.KeyDuty;
 import org.berylwick.internal.invariant.Invariant;
 import org.berylwick.internal.invariant.Invariants;
 import org.berylwick.internal.membership.MembershipTable;
@@ -63,7 +64,8 @@
                     new DaemonSettings.BackendServer(service, backend, new Labels(Map.of())),
                     new DaemonSettings.Platform(URI.create("http://127.0.0.1:1")),
                     new DaemonSettings.Spread(DaemonSettings.SpreadMode.WATCH, SpreadTuning.DEFAULT, 0, List.of()));
-            calls = new CallPath(settings, installed, membership, () -> state, metrics, invariants, TIME);
+            KeyDuty keys = new KeyDuty(new MemoryStore(TIME), instance, invariants, metrics, TIME);
+            calls = new CallPath(settings, installed, membership, keys, () -> state, metrics, invariants, TIME);
             installed.install(version);
             callers = serve(calls.entry());
             peers = serve(calls.owner());
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/daemon/call/IdempotencyKeyKillTest.java
@@ -0,0 +1,152 @@
+package org.berylwick.daemon.call;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.regex.Pattern;
+import org.berylwick.bench.fleet.ChildProcess;
+import org.berylwick.bench.fleet.FleetPlan.Instance;
+import org.berylwick.bench.fleet.LocalFleet;
+import org.berylwick.lib.HostPort;
+import org.berylwick.lib.Place;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The daemon by which a keyed request entered is killed while the request runs. */
+class IdempotencyKeyKillTest {
+    private static final Pattern LISTENING = Pattern.compile("listening callers=(\\S+) ");
+    private static final Duration START_TIMEOUT = Duration.ofSeconds(60);
+    private static final String DECLARATIONS = """
+            [[brand]]
+            name = "kapitolyo"
+            hosts = ["127.0.0.1"]
+
+            [[service]]
+            name = "bookings"
+
+            [[service]]
+            name = "edge"
+
+            [[route]]
+            name = "placements"
+            path = "/placements"
+            service = "bookings"
+
+            [[policy]]
+            name = "confirmations"
+            class = "confirmation"
+            timeout = "3s"
+            idempotency_key = "required"
+            """;
+    private static final String SETTINGS = """
+            instance = "edge-1"
+            region = "ncr"
+            availability_zone = "makati"
+
+            [listen]
+            callers = "127.0.0.1:0"
+            peers = "127.0.0.1:0"
+            admin = "127.0.0.1:0"
+
+            [backend_server]
+            service = "edge"
+            address = "127.0.0.1:9"
+
+            [platform]
+            uri = "http://%s"
+            """;
+
+    private final HttpClient http = HttpClient.newHttpClient();
+
+    @TempDir
+    Path folder;
+
+    private ChildProcess startEntry(HostPort platform) throws IOException {
+        Path settings = folder.resolve("edge-1.toml");
+        Files.writeString(settings, SETTINGS.formatted(platform));
+        List<String> command = List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+PerfDisableSharedMem",
+                "-Xmx128m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "org.berylwick.daemon.Main",
+                "--settings",
+                settings.toString());
+        return ChildProcess.start("edge-1", Map.of(), command);
+    }
+
+    private static HttpRequest keyed(String callers, String path, String key) {
+        return HttpRequest.newBuilder(URI.create("http://" + callers + path))
+                .header("idempotency-key", key)
+                .timeout(Duration.ofSeconds(30))
+                .POST(BodyPublishers.ofString("{}"))
+                .build();
+    }
+
+    private String send(HttpRequest request) {
+        try {
+            HttpResponse<String> response = http.send(request, BodyHandlers.ofString());
+            return response.statusCode() + " " + response.body();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /**
+     * A sponsor's confirmation runs when the daemon by which it entered is killed; the caller's connection breaks, and
+     * it sends the request again through another daemon. That one finds the claim of the dead daemon. It must not run
+     * the request, neither at once nor after the claim's time has passed: nobody can tell that the first did not run.
+     */
+    @Test
+    void aRepeatAfterTheEntryDaemonWasKilledIsNotRun() throws Exception {
+        try (LocalFleet fleet = new LocalFleet()) {
+            fleet.add(new Instance("b-1", "bookings", new Place("ncr", "quezon")));
+            fleet.awaitAllUp(fleet.apply(DECLARATIONS));
+            String other = fleet.daemon("b-1").callersAddress().toString();
+            ChildProcess entry = startEntry(fleet.platform().address());
+            try {
+                String callers = entry.awaitLine(LISTENING, START_TIMEOUT).group(1);
+                LocalFleet.await(
+                        "the entry daemon serves",
+                        () -> send(keyed(callers, "/placements", "first-" + System.nanoTime()))
+                                .startsWith("200"));
+                CompletableFuture<HttpResponse<String>> first = http.sendAsync(
+                        keyed(callers, "/placements?service_ms=1500", "killed"), BodyHandlers.ofString());
+                LocalFleet.await("the request runs", () -> runs(fleet) == 1);
+                entry.process().destroyForcibly().waitFor();
+                assertTrue(first.handle((answer, failure) -> failure != null).join(), "the caller's connection breaks");
+            } finally {
+                entry.close();
+            }
+            HttpRequest repeat = keyed(other, "/placements?service_ms=1500", "killed");
+            assertTrue(send(repeat).startsWith("409"));
+            LocalFleet.await("the claim's time has passed", () -> send(repeat).contains("key-outcome-unknown"));
+            assertTrue(send(repeat).startsWith("409"));
+            assertEquals(1, runs(fleet));
+            assertEquals(0, fleet.daemon("b-1").invariantBreaches());
+        } finally {
+            http.close();
+        }
+    }
+
+    private static long runs(LocalFleet fleet) {
+        return fleet.backend("b-1").ledger().runsOfKey("killed");
+    }
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/daemon/call/IdempotencyKeyTest.java
@@ -0,0 +1,352 @@
+package org.berylwick.daemon.call;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.berylwick.bench.fleet.FleetPlan.Instance;
+import org.berylwick.bench.fleet.LocalFleet;
+import org.berylwick.lib.Place;
+import org.berylwick.standin.backend.AnswerFault;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** Requests with an {@code Idempotency-Key} through two daemons, with the backend servers' ledgers as judges. */
+class IdempotencyKeyTest {
+    private static final List<String> INSTANCES = List.of("b-1", "b-2");
+    private static final int SENDERS = 12;
+    private static final int KEYS = 10;
+    private static final int LARGE_BYTES = 20_000;
+    private static final String DECLARATIONS = """
+            [[brand]]
+            name = "kapitolyo"
+            hosts = ["127.0.0.1"]
+
+            [[brand]]
+            name = "poblacion"
+            hosts = ["localhost"]
+
+            [[service]]
+            name = "bookings"
+
+            [[route]]
+            name = "placements"
+            labels = { kind = "confirmation" }
+            path = "/placements"
+            service = "bookings"
+
+            [[route]]
+            name = "refunds"
+            labels = { kind = "refund" }
+            path = "/refunds"
+            service = "bookings"
+
+            [[policy]]
+            name = "confirmations"
+            routes = "kind = confirmation"
+            class = "confirmation"
+            timeout = "10s"
+            max_attempts = 2
+            idempotency_key = "optional"
+
+            [[route]]
+            name = "extensions"
+            labels = { kind = "extension" }
+            path = "/extensions"
+            service = "bookings"
+
+            [[policy]]
+            name = "extensions"
+            routes = "kind = extension"
+            class = "confirmation"
+            timeout = "10s"
+            max_attempts = 3
+            idempotent = true
+            idempotency_key = "optional"
+
+            [[policy]]
+            name = "refunds"
+            routes = "kind = refund"
+            class = "confirmation"
+            timeout = "10s"
+            idempotency_key = "required"
+            """;
+
+    private static LocalFleet fleet;
+    private static HttpClient http;
+
+    @BeforeAll
+    static void startFleet() {
+        fleet = new LocalFleet();
+        http = HttpClient.newHttpClient();
+        for (String name : INSTANCES) {
+            fleet.add(new Instance(name, "bookings", new Place("ncr", "quezon")));
+        }
+        fleet.awaitAllUp(fleet.apply(DECLARATIONS));
+    }
+
+    @AfterAll
+    static void stopFleet() {
+        http.close();
+        fleet.close();
+    }
+
+    @AfterEach
+    void clearFaults() {
+        fleet.platform().faults().clear();
+        INSTANCES.forEach(i -> fleet.backend(i).faults().setShedding(false));
+        long breaches = INSTANCES.stream()
+                .mapToLong(i -> fleet.daemon(i).invariantBreaches())
+                .sum();
+        assertEquals(0, breaches, "invariants broken inside the daemons");
+    }
+
+    private static HttpRequest.Builder request(String host, int daemon, String path) {
+        int port = fleet.daemon(INSTANCES.get(daemon)).callersAddress().port();
+        return HttpRequest.newBuilder(URI.create("http://" + host + ":" + port + path))
+                .timeout(Duration.ofSeconds(30));
+    }
+
+    private static HttpRequest keyed(int daemon, String path, String key, String body) {
+        return request("127.0.0.1", daemon, path)
+                .header("idempotency-key", key)
+                .POST(BodyPublishers.ofString(body))
+                .build();
+    }
+
+    private static HttpResponse<String> send(HttpRequest request) throws IOException, InterruptedException {
+        return http.send(request, BodyHandlers.ofString());
+    }
+
+    /** Sends until the outcome of the first request is recorded. */
+    private static HttpResponse<String> sendUntilRecorded(HttpRequest request) {
+        List<HttpResponse<String>> last = new ArrayList<>();
+        LocalFleet.await("the outcome of the first request is recorded", () -> {
+            try {
+                last.add(send(request));
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+            return !last.getLast().body().contains("key-in-progress");
+        });
+        return last.getLast();
+    }
+
+    private static long runs(String key) {
+        return INSTANCES.stream()
+                .mapToLong(i -> fleet.backend(i).ledger().runsOfKey(key))
+                .sum();
+    }
+
+    private static long writesOfKeys() {
+        return fleet.platform().counter().counts().bySegment().getOrDefault("write keys", 0L);
+    }
+
+    private static Optional<String> header(HttpResponse<String> response, String name) {
+        return response.headers().firstValue(name);
+    }
+
+    @Test
+    void aRepeatThroughAnotherDaemonGetsTheFirstAnswer() throws Exception {
+        HttpResponse<String> first = send(keyed(0, "/placements", "repeat", "{}"));
+        HttpResponse<String> second = sendUntilRecorded(keyed(1, "/placements", "repeat", "{}"));
+        assertEquals(200, first.statusCode(), first.body());
+        assertEquals(200, second.statusCode(), second.body());
+        assertEquals(first.body(), second.body());
+        assertEquals(Optional.of("true"), header(second, "idempotency-replayed"));
+        assertEquals(Optional.empty(), header(first, "idempotency-replayed"));
+        assertEquals(1, runs("repeat"));
+    }
+
+    /**
+     * A caller's connection stalls and it sends its request again and again, through both daemons at once. Each sees
+     * the key unclaimed at the same time, and without the store's condition each would have it run.
+     */
+    @Test
+    void requestsWithOneKeyThroughBothDaemonsAtOnceRunOnce() {
+        for (int k = 0; k < KEYS; k++) {
+            String key = "race-" + k;
+            List<CompletableFuture<HttpResponse<String>>> sent = new ArrayList<>();
+            for (int i = 0; i < SENDERS; i++) {
+                sent.add(http.sendAsync(keyed(i % 2, "/placements", key, "{}"), BodyHandlers.ofString()));
+            }
+            for (CompletableFuture<HttpResponse<String>> answer : sent) {
+                int status = answer.join().statusCode();
+                assertTrue(status == 200 || status == 409, answer.join().body());
+            }
+            assertEquals(1, runs(key), key);
+        }
+    }
+
+    @Test
+    void anotherRequestUnderAUsedKeyIsRefused() throws Exception {
+        send(keyed(0, "/placements", "reused", "{\"panel\": 1}"));
+        HttpResponse<String> other = send(keyed(1, "/placements", "reused", "{\"panel\": 2}"));
+        assertEquals(422, other.statusCode(), other.body());
+        assertEquals(1, runs("reused"));
+    }
+
+    @Test
+    void aKeyOfOneBrandSaysNothingAboutAnother() throws Exception {
+        send(keyed(0, "/placements", "brands", "{}"));
+        HttpResponse<String> other = send(request("localhost", 0, "/placements")
+                .header("idempotency-key", "brands")
+                .POST(BodyPublishers.ofString("{}"))
+                .build());
+        assertEquals(200, other.statusCode(), other.body());
+        assertEquals(Optional.empty(), header(other, "idempotency-replayed"));
+        assertEquals(2, runs("brands"));
+    }
+
+    @Test
+    void aRouteThatRequiresAKeyRefusesRequestsWithoutOneAndWithABadOne() throws Exception {
+        HttpResponse<String> without = send(request("127.0.0.1", 0, "/refunds")
+                .POST(BodyPublishers.noBody())
+                .build());
+        assertEquals(400, without.statusCode());
+        assertTrue(without.body().contains("policy refunds requires the header Idempotency-Key"), without.body());
+        assertEquals(400, send(keyed(0, "/refunds", "x".repeat(300), "")).statusCode());
+        HttpRequest twice = request("127.0.0.1", 0, "/refunds")
+                .header("idempotency-key", "a")
+                .header("idempotency-key", "b")
+                .POST(BodyPublishers.noBody())
+                .build();
+        assertEquals(400, send(twice).statusCode());
+        HttpResponse<String> optional = send(request("127.0.0.1", 0, "/placements")
+                .POST(BodyPublishers.noBody())
+                .build());
+        assertEquals(200, optional.statusCode());
+    }
+
+    /**
+     * The store is out when a confirmation arrives. Whether its key was used before cannot be known, so the caller is
+     * told that it was not run and when to come back; once the store is back, the same request runs.
+     */
+    @Test
+    void whileTheStoreIsOutARequestIsRefusedAsNotRun() throws Exception {
+        fleet.platform().faults().startOutage(Duration.ofMinutes(1));
+        HttpResponse<String> refused = send(keyed(0, "/placements", "outage", "{}"));
+        assertEquals(503, refused.statusCode());
+        assertTrue(refused.body().contains("store-unavailable"), refused.body());
+        assertTrue(header(refused, "retry-after").isPresent());
+        assertEquals(0, runs("outage"));
+        fleet.platform().faults().endOutage();
+        assertEquals(200, send(keyed(1, "/placements", "outage", "{}")).statusCode());
+        assertEquals(1, runs("outage"));
+    }
+
+    /**
+     * The store takes the claim and loses its answer, and the same happens to the record of the outcome. The daemon
+     * reads the slot, knows its own claim again and lets the request run; the caller notices nothing.
+     */
+    @Test
+    void lostAnswersOfTheStoreAreSettledByReading() throws Exception {
+        fleet.platform().faults().loseAnswers(2, false);
+        HttpResponse<String> first = send(keyed(0, "/placements", "lost", "{}"));
+        assertEquals(200, first.statusCode(), first.body());
+        HttpResponse<String> second = sendUntilRecorded(keyed(1, "/placements", "lost", "{}"));
+        assertEquals(first.body(), second.body());
+        assertEquals(1, runs("lost"));
+    }
+
+    /**
+     * The backend server runs the request and its answer is lost. The first caller is told that the outcome is unknown;
+     * a repeat must not run it again, and is told the same as a conflict.
+     */
+    @Test
+    void aRepeatAfterAnUnknownOutcomeIsNotRun() throws Exception {
+        INSTANCES.forEach(i -> fleet.backend(i).faults().spoilNext(AnswerFault.LOST, 1));
+        HttpResponse<String> first = send(keyed(0, "/placements", "unknown", "{}"));
+        assertEquals(502, first.statusCode(), first.body());
+        INSTANCES.forEach(i -> fleet.backend(i).faults().spoilNext(AnswerFault.LOST, 0));
+        HttpResponse<String> second = sendUntilRecorded(keyed(1, "/placements", "unknown", "{}"));
+        assertEquals(409, second.statusCode());
+        assertTrue(second.body().contains("key-outcome-unknown"), second.body());
+        assertEquals(1, runs("unknown"));
+    }
+
+    /**
+     * The route's requests may be run twice without harm, says its policy, and the daemon would send one again whose
+     * answer was lost. A caller that names a key asks for one run all the same.
+     */
+    @Test
+    void aKeyedRequestRunsOnceAlsoUnderAnIdempotentPolicy() throws Exception {
+        INSTANCES.forEach(i -> fleet.backend(i).faults().spoilNext(AnswerFault.LOST, 1));
+        HttpResponse<String> first = send(keyed(0, "/extensions", "idempotent", "{}"));
+        INSTANCES.forEach(i -> fleet.backend(i).faults().spoilNext(AnswerFault.LOST, 0));
+        assertEquals(502, first.statusCode(), first.body());
+        assertEquals(1, runs("idempotent"));
+    }
+
+    /**
+     * The caller's connection breaks while its request runs, and it sends the request again. The first goes on running
+     * and its answer is kept: cancelling it would leave the caller with an outcome that nobody knows.
+     */
+    @Test
+    void aRepeatAfterTheCallerLeftGetsTheFirstAnswer() throws Exception {
+        String path = "/placements?service_ms=800";
+        try (HttpClient leaving = HttpClient.newHttpClient()) {
+            leaving.sendAsync(keyed(0, path, "left", "{}"), BodyHandlers.ofString());
+            LocalFleet.await("the request runs", () -> runs("left") == 1);
+            leaving.shutdownNow();
+        }
+        HttpResponse<String> second = sendUntilRecorded(keyed(1, path, "left", "{}"));
+        assertEquals(200, second.statusCode(), second.body());
+        assertEquals(Optional.of("true"), header(second, "idempotency-replayed"));
+        assertEquals(1, runs("left"));
+    }
+
+    @Test
+    void aRequestThatWasNotRunLeavesItsKeyFree() throws Exception {
+        INSTANCES.forEach(i -> fleet.backend(i).faults().setShedding(true));
+        HttpResponse<String> first = send(keyed(0, "/placements", "shed", "{}"));
+        assertEquals(503, first.statusCode(), first.body());
+        INSTANCES.forEach(i -> fleet.backend(i).faults().setShedding(false));
+        HttpResponse<String> second = sendUntilRecorded(keyed(1, "/placements", "shed", "{}"));
+        assertEquals(200, second.statusCode(), second.body());
+        assertEquals(1, runs("shed"));
+    }
+
+    @Test
+    void aLargeAnswerIsDeliveredWholeAndItsRepeatIsToldThatItRan() throws Exception {
+        String path = "/placements?bytes=" + LARGE_BYTES;
+        HttpResponse<byte[]> first = http.send(keyed(0, path, "large", "{}"), BodyHandlers.ofByteArray());
+        assertEquals(LARGE_BYTES, first.body().length);
+        HttpResponse<String> second = sendUntilRecorded(keyed(1, path, "large", "{}"));
+        assertEquals(409, second.statusCode());
+        assertTrue(second.body().contains("key-already-run"), second.body());
+        assertEquals(1, runs("large"));
+    }
+
+    /**
+     * The entry daemon cannot record the outcome, because the store is out by then. The caller has its answer all the
+     * same; a repeat is told that the first is under way, until the record reaches the store.
+     */
+    @Test
+    void anAnswerIsDeliveredThoughItCannotBeRecordedYet() throws Exception {
+        CompletableFuture<HttpResponse<String>> first =
+                http.sendAsync(keyed(0, "/placements?service_ms=500", "late-record", "{}"), BodyHandlers.ofString());
+        LocalFleet.await("the request runs", () -> runs("late-record") == 1);
+        long before = writesOfKeys();
+        fleet.platform().faults().startOutage(Duration.ofMinutes(1));
+        assertEquals(200, first.join().statusCode(), first.join().body());
+        LocalFleet.await("the record meets the outage", () -> writesOfKeys() > before);
+        fleet.platform().faults().endOutage();
+        HttpResponse<String> second = sendUntilRecorded(keyed(1, "/placements?service_ms=500", "late-record", "{}"));
+        assertEquals(first.join().body(), second.body());
+        assertEquals(1, runs("late-record"));
+    }
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/idempotency/KeyDutyTest.java
@@ -0,0 +1,158 @@
+package org.berylwick.internal.idempotency;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import org.berylwick.bench.fleet.LocalFleet;
+import org.berylwick.errors.ClaimError;
+import org.berylwick.errors.StoreError;
+import org.berylwick.internal.invariant.Invariant;
+import org.berylwick.internal.invariant.Invariants;
+import org.berylwick.lib.Deadline;
+import org.berylwick.lib.Digest;
+import org.berylwick.lib.TimeSource;
+import org.berylwick.transport.MemoryStore;
+import org.berylwick.transport.ObjectKey;
+import org.berylwick.transport.Precondition;
+import org.berylwick.transport.StoreCall;
+import org.berylwick.transport.StoreInterceptor;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What callers of the duty see while the store is slow, out, or loses their claim. */
+class KeyDutyTest {
+    private static final TimeSource TIME = TimeSource.SYSTEM;
+    private static final Digest FINGERPRINT = Digest.of(new byte[0]);
+
+    private final AtomicReference<StoreInterceptor> faults = new AtomicReference<>(StoreInterceptor.NONE);
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final Invariants invariants = new Invariants(metrics);
+    private final MemoryStore store = new MemoryStore(TIME, new StoreInterceptor() {
+        @Override
+        public Optional<StoreError> before(StoreCall call) {
+            return faults.get().before(call);
+        }
+    });
+    private final KeyDuty duty = new KeyDuty(store, "daemon", invariants, metrics, TIME);
+
+    @BeforeEach
+    void start() {
+        duty.start();
+    }
+
+    @AfterEach
+    void close() {
+        faults.set(StoreInterceptor.NONE);
+        duty.close();
+    }
+
+    private CompletableFuture<ClaimOutcome> claim(String key) {
+        KeyRequest request = new KeyRequest(KeyId.of("brand", "route", key), FINGERPRINT, TIME.epochMillis() + 60_000);
+        return duty.claim(request, Deadline.afterMillis(TIME, 60_000));
+    }
+
+    private static StoreInterceptor refusing(AtomicInteger seen) {
+        return new StoreInterceptor() {
+            @Override
+            public Optional<StoreError> before(StoreCall call) {
+                seen.incrementAndGet();
+                return Optional.of(new StoreError.Unavailable("out"));
+            }
+        };
+    }
+
+    /**
+     * The store hangs, and more keyed requests arrive than may be under way. Those over the bound are refused at once
+     * as not run, none waits for a place; and the settlements of those under way are not refused.
+     */
+    @Test
+    void claimsOverTheBoundAreRefusedAtOnce() {
+        CountDownLatch hanging = new CountDownLatch(1);
+        faults.set(new StoreInterceptor() {
+            @Override
+            public Optional<StoreError> before(StoreCall call) {
+                try {
+                    hanging.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                return Optional.empty();
+            }
+        });
+        List<CompletableFuture<ClaimOutcome>> admitted = new ArrayList<>();
+        for (int i = 0; i < KeyDuty.MAX_OUTSTANDING; i++) {
+            admitted.add(claim("key-" + i));
+        }
+        ClaimOutcome over = claim("one-more").getNow(null);
+        assertEquals(new ClaimOutcome.Refused(new ClaimError.TooManyClaims(), Optional.empty()), over);
+        hanging.countDown();
+        for (CompletableFuture<ClaimOutcome> outcome : admitted) {
+            if (outcome.join() instanceof ClaimOutcome.Granted(KeyClaim claim)) {
+                duty.settle(claim, new Settlement.Keep(new KeyState.Unknown()));
+            }
+        }
+        LocalFleet.await("every claim is settled", () -> duty.outstanding() == 0);
+        assertEquals(0, metrics.counter(KeyMetrics.NOT_SETTLED).getCount());
+    }
+
+    /**
+     * The request has run and the store goes out before its outcome is recorded. The record is tried again until the
+     * store is back; a repeat then gets the answer.
+     */
+    @Test
+    void anOutcomeIsRecordedOnceTheStoreIsBack() {
+        KeyClaim claim = assertInstanceOf(
+                        ClaimOutcome.Granted.class, claim("later").join())
+                .claim();
+        AtomicInteger refusedCalls = new AtomicInteger();
+        faults.set(refusing(refusedCalls));
+        KeyState answered = new KeyState.Answered(new StoredAnswer(200, List.of(), new byte[] {7}));
+        duty.settle(claim, new Settlement.Keep(answered));
+        LocalFleet.await("the record is tried again", () -> refusedCalls.get() >= 2);
+        faults.set(StoreInterceptor.NONE);
+        LocalFleet.await("every claim is settled", () -> duty.outstanding() == 0);
+        ClaimOutcome.Taken taken =
+                assertInstanceOf(ClaimOutcome.Taken.class, claim("later").join());
+        assertEquals(answered, taken.existing().run());
+        assertEquals(1, invariants.checks(Invariant.AT_MOST_ONCE));
+        assertEquals(0, invariants.breaches(Invariant.AT_MOST_ONCE));
+    }
+
+    /**
+     * Somebody deletes the slot object while the request runs. The key is free then, and another request with it could
+     * run too; the daemon that finds its claim gone says so.
+     */
+    @Test
+    void aClaimThatVanishedIsABreach() {
+        KeyClaim claim = assertInstanceOf(
+                        ClaimOutcome.Granted.class, claim("gone").join())
+                .claim();
+        ObjectKey slot = claim.key().slot();
+        store.delete(slot, new Precondition.None(), Deadline.afterMillis(TIME, 1_000));
+        duty.settle(claim, new Settlement.Keep(new KeyState.Unknown()));
+        LocalFleet.await("every claim is settled", () -> duty.outstanding() == 0);
+        assertEquals(1, invariants.breaches(Invariant.AT_MOST_ONCE));
+    }
+
+    /** An exception in the store's client must neither leave the caller waiting nor use up a place for good. */
+    @Test
+    void anExceptionInTheStoresClientIsARefusal() {
+        faults.set(new StoreInterceptor() {
+            @Override
+            public Optional<StoreError> before(StoreCall call) {
+                throw new IllegalStateException("closed");
+            }
+        });
+        assertInstanceOf(ClaimOutcome.Refused.class, claim("thrown").join());
+        LocalFleet.await("every claim is settled", () -> duty.outstanding() == 0);
+    }
+}
--- a/org.berylwick/src/org/berylwick/internal/idempotency/KeyClaims.java
+++ b/org.berylwick/src/org/berylwick/internal/idempotency/KeyClaims.java
@@ -24,6 +24,8 @@
  */
 public final class KeyClaims {
     private static final int MAX_ROUNDS = 16;
+    // One call that goes unanswered must leave time for the read that settles it.
+    private static final long CALL_MILLIS = 500;
     private static final int MAX_SLOT_BYTES = PlatformStore.MAX_VALUE_BYTES / 2;
     private static final int MAX_IMAGE_BYTES = 16 << 10;
 
@@ -155,7 +157,9 @@
     }
 
     private Result<SlotImage, ClaimError> read(KeyId key, Deadline deadline) {
-        return store.get(key.slot(), deadline).mapError(ClaimError::of).flatMap(KeyClaims::decode);
+        return store.get(key.slot(), callDeadline(deadline))
+                .mapError(ClaimError::of)
+                .flatMap(KeyClaims::decode);
     }
 
     private static Result<SlotImage, ClaimError> decode(Optional<StoredObject> found) {
@@ -177,7 +181,11 @@
         Precondition precondition =
                 version == 0 ? new Precondition.MustBeAbsent() : new Precondition.MustHaveVersion(version);
         boolean small = bytes.get().length <= MAX_IMAGE_BYTES;
-        return store.put(key.slot(), bytes.get(), precondition, deadline)
+        return store.put(key.slot(), bytes.get(), precondition, callDeadline(deadline))
                 .map(v -> small ? Optional.of(new SlotImage(v, slot)) : Optional.empty());
     }
+
+    private Deadline callDeadline(Deadline deadline) {
+        return deadline.earlier(Deadline.afterMillis(time, CALL_MILLIS));
+    }
 }
