--- a/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
@@ -16,6 +16,7 @@
 import org.berylwick.daemon.settings.DaemonSettings;
 import org.berylwick.internal.event.EventLog;
 import org.berylwick.internal.event.ProcessEvent;
+import org.berylwick.internal.idempotency.KeyDuty;
 import org.berylwick.internal.invariant.Invariant;
 import org.berylwick.internal.invariant.Invariants;
 import org.berylwick.internal.kernel.Kernel;
@@ -53,7 +54,9 @@
         installed = kernel.register(new InstalledVersion(time));
         membership = kernel.register(new MembershipTable());
         self = kernel.register(new SelfAnnouncement(settings, installed, time));
-        calls = kernel.register(new CallPath(settings, installed, membership, self::state, metrics, invariants, time));
+        KeyDuty keys = kernel.register(new KeyDuty(store, settings.instance(), invariants, metrics, time));
+        calls = kernel.register(
+                new CallPath(settings, installed, membership, keys, self::state, metrics, invariants, time));
         AdminContext context =
                 new AdminContext(settings.instance(), settings.place(), repository, installed, membership, self, time);
         AdminService admin = kernel.register(new AdminService(context, metrics));
