Run a fleet for long under a seeded schedule of faults, and judge it

The runs that backend servers counted are held against what callers were told; versions in force and the history against what operators were told. A kind that never struck is named.

Daemons may be reached through an advertised address; three-argument Listen stays for tests that need none.

--- a/org.berylwick.bench/src/org/berylwick/bench/Measure.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/Measure.java
@@ -9,10 +9,12 @@
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.berylwick.bench.call.CallMeasurement;
 import org.berylwick.bench.call.ColdMeasurement;
+import org.berylwick.bench.soak.SoakMeasurement;
 
 /** Runs one measurement by name and prints its figures as {@code key: value} lines. */
 public final class Measure {
-    private static final List<Measurement> MEASUREMENTS = List.of(new CallMeasurement(), new ColdMeasurement());
+    private static final List<Measurement> MEASUREMENTS =
+            List.of(new CallMeasurement(), new ColdMeasurement(), new SoakMeasurement());
     private static final int EXIT_BAD_INPUT = 2;
 
     private Measure() {}
--- a/org.berylwick.bench/src/org/berylwick/bench/fleet/ChildProcess.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/fleet/ChildProcess.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -23,6 +24,7 @@
     private final Process process;
     private final List<String> lines = new ArrayList<>();
     private final List<Awaited> awaited = new ArrayList<>();
+    private Consumer<String> listener = line -> {};
 
     private record Awaited(Pattern pattern, CompletableFuture<Matcher> future) {}
 
@@ -62,6 +64,7 @@
             lines.removeFirst();
         }
         lines.add(line);
+        listener.accept(line);
         awaited.removeIf(a -> {
             Matcher m = a.pattern.matcher(line);
             return m.find() && a.future.complete(m);
@@ -93,6 +96,12 @@
         }
     }
 
+    /** Has every line of output, those kept so far included, passed to {@code consumer}, which must not block. */
+    public synchronized void onLine(Consumer<String> consumer) {
+        lines.forEach(consumer);
+        listener = consumer;
+    }
+
     /** The last lines of output. */
     public synchronized String output() {
         return String.join("\n", lines);
--- a/org.berylwick.bench/src/org/berylwick/bench/fleet/Fleet.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/fleet/Fleet.java
@@ -6,9 +6,11 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -22,8 +24,8 @@
 
     private final Path top;
     private final Path folder;
-    private final Map<String, ChildProcess> daemons = new LinkedHashMap<>();
-    private final Map<String, DaemonAddresses> addresses = new LinkedHashMap<>();
+    private final Map<String, ChildProcess> daemons = Collections.synchronizedMap(new LinkedHashMap<>());
+    private final Map<String, DaemonAddresses> addresses = new ConcurrentHashMap<>();
     private final Map<String, HostPort> backends = new LinkedHashMap<>();
     private final List<ChildProcess> standins = new ArrayList<>();
     private HostPort platform;
--- a/org.berylwick.daemon/src/org/berylwick/daemon/settings/DaemonSettings.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/settings/DaemonSettings.java
@@ -28,7 +28,12 @@
      * @param admin for operators, metrics and health
      * @param advertised where other daemons are told to connect, if not to {@code peers} itself
      */
-    public record Listen(HostPort callers, HostPort peers, HostPort admin, Optional<HostPort> advertised) {}
+    public record Listen(HostPort callers, HostPort peers, HostPort admin, Optional<HostPort> advertised) {
+        /** Advertises the address that is listened on. */
+        public Listen(HostPort callers, HostPort peers, HostPort admin) {
+            this(callers, peers, admin, Optional.empty());
+        }
+    }
 
     /**
      * The backend server in the same VM.
--- a/org.berylwick.standin/src/org/berylwick/standin/backend/BackendFaults.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/backend/BackendFaults.java
@@ -11,6 +11,7 @@
 /** What is wrong with a backend server at the moment, and how often each fault struck; any thread may use it. */
 public final class BackendFaults {
     private static final Duration LATE_START_GRACE = Duration.ofSeconds(3);
+    private static final Duration NEVER = Duration.ofDays(365);
 
     private final TimeSource time;
     private final Map<AnswerFault, AtomicLong> next = new EnumMap<>(AnswerFault.class);
@@ -73,6 +74,12 @@
         lateFrom = draining ? Optional.of(Deadline.after(time, healthLag.plus(LATE_START_GRACE))) : Optional.empty();
     }
 
+    /** Counts runs that begin late from now on, or stops to, though the backend server itself does not drain. */
+    public void setLeaving(boolean leaving) {
+        setDraining(leaving);
+        drainSeen = Deadline.after(time, NEVER);
+    }
+
     /** Spoils the next {@code count} answers. */
     public void spoilNext(AnswerFault fault, long count) {
         next.get(fault).set(count);
--- a/org.berylwick.standin/src/org/berylwick/standin/backend/RunLedger.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/backend/RunLedger.java
@@ -110,6 +110,11 @@
         return count == null ? 0 : count.sum();
     }
 
+    /** Runs begun more than the grace time after draining began. */
+    public long lateStarts() {
+        return lateStarts.sum();
+    }
+
     /** The sums. */
     public Totals totals() {
         return new Totals(
--- a/org.berylwick.standin/src/org/berylwick/standin/platform/PlatformControl.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/platform/PlatformControl.java
@@ -22,7 +22,7 @@
  *   <li>{@code /control/outage?refuse=true}: 503 on every call, or connections refused if {@code refuse}
  *   <li>{@code /control/slow?min_ms=50&max_ms=500}: each call delayed
  *   <li>{@code /control/lose-answers?count=1&silent=false}: writes applied, the answer never sent
- *   <li>{@code /control/stale?key=head&back=1}: reads served as of the time when {@code key} had the value of
+ *   <li>{@code /control/stale?key=config/head&back=1}: reads served as of the time when {@code key} had the value of
  *       {@code back} writes ago
  *   <li>{@code /control/rates?reads=2000&writes=400}: calls a second, 0 for no limit
  *   <li>{@code /control/clear}: ends all faults
@@ -32,7 +32,7 @@
  */
 final class PlatformControl implements HttpService {
     private static final long DEFAULT_MILLIS = 10_000;
-    private static final String DEFAULT_STALE_KEY = "head";
+    private static final String DEFAULT_STALE_KEY = "config/head";
 
     private final PlatformServer server;
 
