Name conflicts truly and refuse bad input whole, with every fault at once

Cause: a change on an older base was a conflict whatever others had changed; removing what is not there passed; a change of nothing made a version; faults of single fields hid dangling references until the next try; header names, hosts, labels and paths were hardly checked; a version over a megabyte came back as "store unavailable"; the table of contents carried the names of all brands that each change reaches, so that ten routes for all of 5,000 brands alone would pass a megabyte.

Change: - Conflicts are the objects that differ between the tables of contents of the base and the accepted version and that the change touches. Who names no base has the version accepted as the command began for base: a race lost to a change of the same object is a conflict, not a silent overwrite. - A removal of what is not there is a fault at its line; a change of nothing answers Unchanged. - Faults of fields, of names and of removals are told together. Rules for hosts, header names and values (hop-by-hop, x-brand, berylwick-* and the like are refused), labels, paths and methods are in FieldRules. - Of two objects that clash the one that the change declares is blamed. - A part or table over a megabyte is a fault that says what takes the space; an audit entry names 16 brands for a change and counts the rest (ObjectChange.brandCount). - Comparing configurations and finding clashes no longer takes the square of the brands. - A manifest names up to 64 versions before it, for the next commit.

--- a/org.berylwick/src/org/berylwick/api/ApplyCommand.java
+++ b/org.berylwick/src/org/berylwick/api/ApplyCommand.java
@@ -6,14 +6,12 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.UUID;
-import org.berylwick.errors.Fault;
 import org.berylwick.internal.config.DeclarationReader.Document;
 import org.berylwick.internal.config.ProposedChange;
 import org.berylwick.internal.version.VersionReader;
 import org.berylwick.internal.version.VersionRepository;
 import org.berylwick.lib.Deadline;
 import org.berylwick.lib.Digest;
-import org.berylwick.lib.Result;
 import org.berylwick.lib.TimeSource;
 import org.berylwick.lib.VersionId;
 
@@ -98,16 +96,14 @@
 
     /** Runs the command. */
     public ApplyResult call() {
-        return switch (ProposedChange.read(documents)) {
-            case Result.Err<ProposedChange, List<Fault>>(List<Fault> faults) -> new ApplyResult.Rejected(faults);
-            case Result.Ok<ProposedChange, List<Fault>>(ProposedChange change) -> accept(change);
-        };
-    }
-
-    private ApplyResult accept(ProposedChange change) {
+        ProposedChange change = ProposedChange.read(documents);
         VersionReader reader = new VersionReader(repository, known, deadline);
         ChangeAcceptance.Request request =
                 new ChangeAcceptance.Request(change, operationId, author, summary, baseVersion, dryRun, inForce);
-        return new ChangeAcceptance(repository, reader, time, deadline).accept(request);
+        ApplyResult result = new ChangeAcceptance(repository, reader, time, deadline).accept(request);
+        boolean faulty = !change.ownFaults().isEmpty();
+        return faulty && result instanceof ApplyResult.Unavailable
+                ? new ApplyResult.Rejected(change.ownFaults())
+                : result;
     }
 }
--- a/org.berylwick/src/org/berylwick/api/ChangeAcceptance.java
+++ b/org.berylwick/src/org/berylwick/api/ChangeAcceptance.java
@@ -1,12 +1,16 @@
 package org.berylwick.api;
 
 import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.berylwick.errors.Fault;
 import org.berylwick.errors.VersionError;
 import org.berylwick.internal.config.ConfigurationDiff;
 import org.berylwick.internal.config.ProposedChange;
+import org.berylwick.internal.version.ContentLimits;
 import org.berylwick.internal.version.Manifest;
 import org.berylwick.internal.version.VersionContent;
 import org.berylwick.internal.version.VersionReader;
@@ -19,11 +23,10 @@
 import org.berylwick.lib.ObjectChange;
 import org.berylwick.lib.ObjectRef;
 import org.berylwick.lib.Result;
-import org.berylwick.lib.Snapshot;
 import org.berylwick.lib.TimeSource;
 import org.berylwick.lib.VersionId;
 
-/** Has one proposed change accepted, again on the newest version each time another operator was first. */
+/** Has one proposed change accepted, again on the newest version each time another operator was first; one use. */
 final class ChangeAcceptance {
     private static final int MAX_RACES = 5;
 
@@ -31,6 +34,7 @@
     private final VersionReader reader;
     private final TimeSource time;
     private final Deadline deadline;
+    private OptionalLong base = OptionalLong.empty();
 
     /**
      * What is asked for.
@@ -56,6 +60,7 @@
     }
 
     ApplyResult accept(Request request) {
+        base = request.baseVersion() == 0 ? OptionalLong.empty() : OptionalLong.of(request.baseVersion());
         for (int race = 0; race < MAX_RACES; race++) {
             switch (attempt(request)) {
                 case Result.Ok<ApplyResult, VersionError>(ApplyResult result) -> {
@@ -89,6 +94,11 @@
                         "the store shows version " + head.id() + " but " + request.inForce() + " is in force here",
                         VersionError.DEFAULT_RETRY_MILLIS));
             }
+            if (base.isEmpty()) {
+                // Whoever names no base wrote against what is accepted as the command begins; an operator who
+                // changes the same object while this one is merged must not be overwritten unseen.
+                base = OptionalLong.of(head.id().number());
+            }
             return repository
                     .findAccepted(head, request.operationId(), request.baseVersion(), deadline)
                     .flatMap(earlier -> earlier.isPresent()
@@ -102,57 +112,82 @@
     }
 
     private ApplyResult repeated(VersionId id) {
-        Result<Manifest, VersionError> manifest = repository
-                .readManifest(id.digest(), deadline)
-                .flatMap(bytes -> VersionContent.readManifest(id, bytes).mapError(VersionError.Damaged::new));
-        List<ObjectChange> changes = manifest instanceof Result.Ok<Manifest, VersionError>(Manifest m)
-                ? m.audit().changes()
-                : List.of();
+        List<ObjectChange> changes =
+                repository.readTable(id, deadline) instanceof Result.Ok<Manifest, VersionError>(Manifest m)
+                        ? m.audit().changes()
+                        : List.of();
         return new ApplyResult.Accepted(id, changes, true);
     }
 
     private Result<ApplyResult, VersionError> mergeOn(AcceptedHead head, Whole current, Request request) {
-        List<ObjectRef> conflicts = conflicts(current.snapshot(), request);
-        if (!conflicts.isEmpty()) {
-            return Result.ok(new ApplyResult.Conflict(head.id(), conflicts));
-        }
-        return switch (request.change().mergeOn(current.snapshot().configuration())) {
+        Configuration before = current.snapshot().configuration();
+        return switch (request.change().mergeOn(before)) {
+            case Result.Ok<Configuration, List<Fault>>(Configuration merged) -> {
+                List<ObjectChange> changes = ConfigurationDiff.between(before, merged);
+                Set<ObjectRef> touched =
+                        changes.stream().map(ObjectChange::object).collect(Collectors.toSet());
+                yield refuseConflicts(head, current, touched, request)
+                        .flatMap(refusal -> refusal.isPresent()
+                                ? Result.ok(refusal.get())
+                                : accept(head, current, merged, changes, request));
+            }
             case Result.Err<Configuration, List<Fault>>(List<Fault> faults) ->
-                Result.ok(new ApplyResult.Rejected(faults));
-            case Result.Ok<Configuration, List<Fault>>(Configuration merged) -> accept(head, current, merged, request);
+                refuseConflicts(head, current, request.change().removals(), request)
+                        .map(refusal -> refusal.orElseGet(() -> new ApplyResult.Rejected(faults)));
         };
     }
 
+    /** A refusal if others changed any of {@code touched} since the base. */
+    private Result<Optional<ApplyResult>, VersionError> refuseConflicts(
+            AcceptedHead head, Whole current, Set<ObjectRef> touched, Request request) {
+        long from = base.orElseThrow();
+        if (from == head.id().number()) {
+            return Result.ok(Optional.empty());
+        }
+        return repository.find(head, from, deadline).flatMap(id -> {
+            if (id.isEmpty()) {
+                String rule = "no version " + from + " is kept; the newest is "
+                        + head.id().number();
+                return Result.ok(Optional.of(
+                        new ApplyResult.Rejected(List.of(new Fault("(request)", 0, "base_version", rule)))));
+            }
+            return repository.readTable(id.get(), deadline).map(then -> {
+                List<ObjectRef> conflicts = touched.stream()
+                        .filter(o -> !Objects.equals(
+                                then.parts().get(o.toString()),
+                                current.content().manifest().parts().get(o.toString())))
+                        .sorted()
+                        .toList();
+                return conflicts.isEmpty()
+                        ? Optional.empty()
+                        : Optional.of(new ApplyResult.Conflict(head.id(), conflicts));
+            });
+        });
+    }
+
     private Result<ApplyResult, VersionError> accept(
-            AcceptedHead head, Whole current, Configuration merged, Request request) {
-        List<ObjectChange> changes =
-                ConfigurationDiff.between(current.snapshot().configuration(), merged);
+            AcceptedHead head, Whole current, Configuration merged, List<ObjectChange> changes, Request request) {
         if (changes.isEmpty()) {
             return Result.ok(new ApplyResult.Unchanged(head.id()));
         }
+        VersionContent content = encode(current, merged, changes, request);
+        List<Fault> oversized = ContentLimits.check(content, request.change().places());
+        if (!oversized.isEmpty()) {
+            return Result.ok(new ApplyResult.Rejected(oversized));
+        }
         if (request.dryRun()) {
             return Result.ok(new ApplyResult.DryRun(head.id(), changes));
         }
-        AuditEntry audit =
-                new AuditEntry(request.operationId(), request.author(), request.summary(), time.epochMillis(), changes);
-        VersionContent content = VersionContent.encode(head.id(), audit, merged);
         return repository
                 .accept(head, current.content(), content, deadline)
                 .map(a -> a.earlier() ? repeated(a.id()) : new ApplyResult.Accepted(a.id(), changes, false));
     }
 
-    private static List<ObjectRef> conflicts(Snapshot current, Request request) {
-        if (request.baseVersion() == 0 || request.baseVersion() >= current.id().number()) {
-            return List.of();
-        }
-        if (!(request.change() instanceof ProposedChange.Merge(var declarations))) {
-            return List.of();
-        }
-        Configuration merged = declarations.changes().applyTo(current.configuration());
-        Set<ObjectRef> mine = ConfigurationDiff.between(current.configuration(), merged).stream()
-                .map(ObjectChange::object)
-                .collect(Collectors.toSet());
-        // Until versions between the base and the current one are compared, any change that differs counts.
-        return mine.stream().sorted().toList();
+    private VersionContent encode(Whole current, Configuration merged, List<ObjectChange> changes, Request request) {
+        List<ObjectChange> abridged =
+                changes.stream().map(ObjectChange::abridged).toList();
+        AuditEntry audit = new AuditEntry(
+                request.operationId(), request.author(), request.summary(), time.epochMillis(), abridged);
+        return VersionContent.encodeAfter(current.content(), audit, merged);
     }
 }
--- a/org.berylwick/src/org/berylwick/internal/config/ConfigurationDiff.java
+++ b/org.berylwick/src/org/berylwick/internal/config/ConfigurationDiff.java
@@ -5,13 +5,13 @@
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeSet;
-import java.util.function.BiPredicate;
+import java.util.function.BiFunction;
 import org.berylwick.lib.Brand;
 import org.berylwick.lib.Configuration;
 import org.berylwick.lib.ObjectChange;
 import org.berylwick.lib.ObjectRef;
-import org.berylwick.lib.Policy;
 import org.berylwick.lib.Route;
+import org.berylwick.lib.Selector;
 import org.berylwick.lib.ServiceSpec;
 
 /** Compares two configurations object by object, and tells whose traffic each difference reaches. */
@@ -31,10 +31,25 @@
 
     private List<ObjectChange> changes() {
         List<ObjectChange> changes = new ArrayList<>();
-        collect(changes, ObjectRef.Kind.BRAND, older.brands(), newer.brands(), (brand, b) -> brand.equals(b));
-        collect(changes, ObjectRef.Kind.POLICY, older.policies(), newer.policies(), ConfigurationDiff::reaches);
-        collect(changes, ObjectRef.Kind.ROUTE, older.routes(), newer.routes(), ConfigurationDiff::reaches);
-        collect(changes, ObjectRef.Kind.SERVICE, older.services(), newer.services(), this::reaches);
+        collect(changes, ObjectRef.Kind.BRAND, older.brands(), newer.brands(), (side, brand) -> Set.of(brand.name()));
+        collect(
+                changes,
+                ObjectRef.Kind.POLICY,
+                older.policies(),
+                newer.policies(),
+                (side, policy) -> brandsOf(side, policy.brands()));
+        collect(
+                changes,
+                ObjectRef.Kind.ROUTE,
+                older.routes(),
+                newer.routes(),
+                (side, route) -> brandsOf(side, route.brands()));
+        collect(
+                changes,
+                ObjectRef.Kind.SERVICE,
+                older.services(),
+                newer.services(),
+                (side, service) -> brandsOf(service));
         return changes;
     }
 
@@ -43,20 +58,20 @@
             ObjectRef.Kind kind,
             SortedMap<String, T> before,
             SortedMap<String, T> after,
-            BiPredicate<T, Brand> reaches) {
+            BiFunction<Configuration, T, Set<String>> brands) {
         Set<String> names = new TreeSet<>(before.keySet());
         names.addAll(after.keySet());
         for (String name : names) {
             T old = before.get(name);
             T now = after.get(name);
             if (old == null) {
-                into.add(change(ObjectChange.Kind.ADDED, kind, name, brandsOf(newer, now, reaches)));
+                into.add(change(ObjectChange.Kind.ADDED, kind, name, brands.apply(newer, now)));
             } else if (now == null) {
-                into.add(change(ObjectChange.Kind.REMOVED, kind, name, brandsOf(older, old, reaches)));
+                into.add(change(ObjectChange.Kind.REMOVED, kind, name, brands.apply(older, old)));
             } else if (!old.equals(now)) {
-                Set<String> brands = brandsOf(older, old, reaches);
-                brands.addAll(brandsOf(newer, now, reaches));
-                into.add(change(ObjectChange.Kind.CHANGED, kind, name, brands));
+                Set<String> both = new TreeSet<>(brands.apply(older, old));
+                both.addAll(brands.apply(newer, now));
+                into.add(change(ObjectChange.Kind.CHANGED, kind, name, both));
             }
         }
     }
@@ -65,29 +80,26 @@
         return new ObjectChange(change, new ObjectRef(kind, name), List.copyOf(brands));
     }
 
-    private static <T> Set<String> brandsOf(Configuration side, T object, BiPredicate<T, Brand> reaches) {
+    private static Set<String> brandsOf(Configuration side, Selector selector) {
         Set<String> names = new TreeSet<>();
         for (Brand brand : side.brands().values()) {
-            if (reaches.test(object, brand)) {
+            if (selector.matches(brand.labels())) {
                 names.add(brand.name());
             }
         }
         return names;
     }
 
-    private static boolean reaches(Policy policy, Brand brand) {
-        return policy.brands().matches(brand.labels());
-    }
-
-    private static boolean reaches(Route route, Brand brand) {
-        return route.brands().matches(brand.labels());
-    }
-
-    private boolean reaches(ServiceSpec service, Brand brand) {
-        return routesTo(older, service, brand) || routesTo(newer, service, brand);
-    }
-
-    private static boolean routesTo(Configuration side, ServiceSpec service, Brand brand) {
-        return side.routes().values().stream().anyMatch(r -> r.service().equals(service.name()) && reaches(r, brand));
+    /** The brands with a route to the service in either configuration. */
+    private Set<String> brandsOf(ServiceSpec service) {
+        Set<String> names = new TreeSet<>();
+        for (Configuration side : List.of(older, newer)) {
+            for (Route route : side.routes().values()) {
+                if (route.service().equals(service.name())) {
+                    names.addAll(brandsOf(side, route.brands()));
+                }
+            }
+        }
+        return names;
     }
 }
--- a/org.berylwick/src/org/berylwick/internal/config/ConfigurationValidator.java
+++ b/org.berylwick/src/org/berylwick/internal/config/ConfigurationValidator.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.berylwick.errors.Fault;
 import org.berylwick.internal.config.DeclarationReader.DeclaredAt;
 import org.berylwick.lib.Brand;
@@ -40,12 +41,21 @@
     public static List<Fault> validate(Configuration configuration, Map<ObjectRef, DeclaredAt> places) {
         ConfigurationValidator validator = new ConfigurationValidator(configuration, places);
         validator.checkHosts();
-        validator.checkRoutes();
+        validator.checkServices();
+        validator.checkRouteSelectors();
         validator.checkPolicies();
         validator.checkEachBrand();
         return List.copyOf(validator.faults);
     }
 
+    /** Finds the faults that depend on names alone: hosts of two brands, and routes to services not declared. */
+    public static List<Fault> validateNames(Configuration configuration, Map<ObjectRef, DeclaredAt> places) {
+        ConfigurationValidator validator = new ConfigurationValidator(configuration, places);
+        validator.checkHosts();
+        validator.checkServices();
+        return List.copyOf(validator.faults);
+    }
+
     private void fault(ObjectRef.Kind kind, String name, String field, String rule) {
         ObjectRef ref = new ObjectRef(kind, name);
         DeclaredAt at = places.getOrDefault(ref, new DeclaredAt(ref + " (in force)", 0));
@@ -58,19 +68,33 @@
             for (String host : brand.hosts()) {
                 String owner = owners.putIfAbsent(host.toLowerCase(Locale.ROOT), brand.name());
                 if (owner != null) {
-                    fault(ObjectRef.Kind.BRAND, brand.name(), "hosts", "host " + host + " is brand " + owner + "'s");
+                    String blamed = declaredHere(ObjectRef.Kind.BRAND, brand.name(), owner);
+                    String other = blamed.equals(owner) ? brand.name() : owner;
+                    fault(ObjectRef.Kind.BRAND, blamed, "hosts", "host " + host + " is brand " + other + "'s");
                 }
             }
         }
     }
 
-    private void checkRoutes() {
+    /** The one of two objects to blame for a clash: the one that the change declares, or else the first. */
+    private String declaredHere(ObjectRef.Kind kind, String first, String second) {
+        boolean secondAlone =
+                !places.containsKey(new ObjectRef(kind, first)) && places.containsKey(new ObjectRef(kind, second));
+        return secondAlone ? second : first;
+    }
+
+    private void checkServices() {
         for (Route route : configuration.routes().values()) {
-            if (!configuration.services().containsKey(route.service())) {
+            if (!route.service().isBlank() && !configuration.services().containsKey(route.service())) {
                 String rule = "no service '" + route.service() + "' is declared; declared: "
                         + String.join(", ", configuration.services().keySet());
                 fault(ObjectRef.Kind.ROUTE, route.name(), "service", rule);
             }
+        }
+    }
+
+    private void checkRouteSelectors() {
+        for (Route route : configuration.routes().values()) {
             if (!matchesBrand(route.brands())) {
                 fault(ObjectRef.Kind.ROUTE, route.name(), "brands", "selects no brand: " + route.brands());
             }
@@ -96,43 +120,59 @@
 
     private void checkEachBrand() {
         Set<String> reported = new HashSet<>();
+        Map<String, List<Policy>> policiesOf = policiesByRoute();
         for (Brand brand : configuration.brands().values()) {
             List<Route> routes = configuration.routes().values().stream()
                     .filter(r -> r.brands().matches(brand.labels()))
                     .toList();
             checkRouteClashes(brand, routes, reported);
-            routes.forEach(r -> checkPolicyOf(brand, r));
+            routes.forEach(r -> checkPolicyOf(brand, r, policiesOf.get(r.name())));
+        }
+    }
+
+    private Map<String, List<Policy>> policiesByRoute() {
+        Map<String, List<Policy>> byRoute = new HashMap<>();
+        for (Route route : configuration.routes().values()) {
+            byRoute.put(
+                    route.name(),
+                    configuration.policies().values().stream()
+                            .filter(p -> p.routes().matches(route.labels()))
+                            .toList());
         }
+        return byRoute;
     }
 
     private void checkRouteClashes(Brand brand, List<Route> routes, Set<String> reported) {
-        for (int i = 0; i < routes.size(); i++) {
-            for (int j = i + 1; j < routes.size(); j++) {
-                Route a = routes.get(i);
-                Route b = routes.get(j);
-                if (clash(a, b) && reported.add(a.name() + " " + b.name())) {
-                    String rule = "clashes with route '" + a.name() + "': same path and methods for brand '"
-                            + brand.name() + "'";
-                    fault(ObjectRef.Kind.ROUTE, b.name(), "path", rule);
+        Map<String, List<Route>> byPath = routes.stream().collect(Collectors.groupingBy(Route::path));
+        for (List<Route> same : byPath.values()) {
+            for (int i = 0; i < same.size(); i++) {
+                for (int j = i + 1; j < same.size(); j++) {
+                    checkClash(brand, same.get(i), same.get(j), reported);
                 }
             }
         }
     }
 
-    private static boolean clash(Route a, Route b) {
-        if (!a.path().equals(b.path())) {
-            return false;
+    private void checkClash(Brand brand, Route a, Route b, Set<String> reported) {
+        if (!haveCommonMethod(a, b) || !reported.add(a.name() + " " + b.name())) {
+            return;
         }
+        String blamed = declaredHere(ObjectRef.Kind.ROUTE, b.name(), a.name());
+        String other = blamed.equals(a.name()) ? b.name() : a.name();
+        String rule = "clashes with route '" + other + "': same path and methods for brand '" + brand.name() + "'";
+        fault(ObjectRef.Kind.ROUTE, blamed, "path", rule);
+    }
+
+    private static boolean haveCommonMethod(Route a, Route b) {
         if (a.methods().isEmpty() || b.methods().isEmpty()) {
             return a.methods().isEmpty() && b.methods().isEmpty();
         }
         return a.methods().stream().anyMatch(b.methods()::contains);
     }
 
-    private void checkPolicyOf(Brand brand, Route route) {
-        List<Policy> matching = configuration.policies().values().stream()
-                .filter(p -> p.routes().matches(route.labels()) && p.brands().matches(brand.labels()))
-                .toList();
+    private void checkPolicyOf(Brand brand, Route route, List<Policy> ofRoute) {
+        List<Policy> matching =
+                ofRoute.stream().filter(p -> p.brands().matches(brand.labels())).toList();
         if (matching.isEmpty()) {
             String rule = "no policy selects it for brand '" + brand.name() + "'";
             fault(ObjectRef.Kind.ROUTE, route.name(), "labels", rule);
@@ -146,7 +186,8 @@
         if (top.size() > 1) {
             String rule = "policies " + String.join(" and ", top) + " have the same priority for route '" + route.name()
                     + "' of brand '" + brand.name() + "'";
-            fault(ObjectRef.Kind.POLICY, top.getLast(), "priority", rule);
+            String blamed = declaredHere(ObjectRef.Kind.POLICY, top.getLast(), top.getFirst());
+            fault(ObjectRef.Kind.POLICY, blamed, "priority", rule);
         }
     }
 }
--- a/org.berylwick/src/org/berylwick/internal/config/DeclarationReader.java
+++ b/org.berylwick/src/org/berylwick/internal/config/DeclarationReader.java
@@ -14,7 +14,6 @@
 import org.berylwick.lib.Labels;
 import org.berylwick.lib.ObjectRef;
 import org.berylwick.lib.Policy;
-import org.berylwick.lib.Result;
 import org.berylwick.lib.Route;
 import org.berylwick.lib.Selector;
 import org.berylwick.lib.ServiceSpec;
@@ -28,7 +27,6 @@
  */
 public final class DeclarationReader {
     private static final Pattern NAME = Pattern.compile("[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?");
-    private static final Pattern PATH = Pattern.compile("/[A-Za-z0-9._~/-]*");
     private static final Pattern METHOD = Pattern.compile("[A-Z]+");
     private static final int MAX_SLOTS = 10_000;
     private static final long MAX_TIMEOUT_MILLIS = 3_600_000;
@@ -61,32 +59,44 @@
     /**
      * What documents declare.
      *
-     * @param changes the objects to add, replace and remove
+     * @param changes the objects to add, replace and remove; only good for finding further faults if there are any
      * @param places where each object stands, for faults found later
+     * @param faults all that is wrong with the documents themselves
+     * @param readable whether every document is TOML, so that no object is missing from the changes
      */
-    public record Declarations(ChangeSet changes, Map<ObjectRef, DeclaredAt> places) {}
+    public record Declarations(
+            ChangeSet changes, Map<ObjectRef, DeclaredAt> places, List<Fault> faults, boolean readable) {}
 
     private DeclarationReader() {}
 
-    /** Reads all documents, or tells every fault in them. */
-    public static Result<Declarations, List<Fault>> read(List<Document> documents) {
+    /** Reads all documents and finds every fault in them. */
+    public static Declarations read(List<Document> documents) {
         DeclarationReader reader = new DeclarationReader();
-        documents.forEach(reader::readDocument);
-        if (!reader.faults.isEmpty()) {
-            return Result.err(List.copyOf(reader.faults));
+        boolean readable = true;
+        for (Document d : documents) {
+            readable &= reader.readDocument(d);
         }
         Configuration upserts = new Configuration(reader.brands, reader.routes, reader.policies, reader.services);
-        return Result.ok(new Declarations(new ChangeSet(upserts, reader.removals), Map.copyOf(reader.places)));
+        return new Declarations(
+                new ChangeSet(upserts, reader.removals),
+                Map.copyOf(reader.places),
+                List.copyOf(reader.faults),
+                readable);
     }
 
-    private void readDocument(Document document) {
+    private boolean readDocument(Document document) {
+        int before = faults.size();
         TableReader top = TableReader.parse(document.name(), document.text(), faults);
+        if (faults.size() > before) {
+            return false;
+        }
         top.children("brand").forEach(t -> readBrand(document, t));
         top.children("route").forEach(t -> readRoute(document, t));
         top.children("policy").forEach(t -> readPolicy(document, t));
         top.children("service").forEach(t -> readService(document, t));
         top.children("remove").forEach(t -> readRemoval(document, t));
         top.finish();
+        return true;
     }
 
     private void readBrand(Document document, TableReader t) {
@@ -95,25 +105,40 @@
         if (hosts.isEmpty()) {
             t.fault("hosts", "must name at least one host");
         }
-        brands.put(name, new Brand(name, hosts, new Labels(t.stringMap("labels")), t.stringMap("headers")));
+        for (String host : hosts) {
+            FieldRules.hostFault(host).ifPresent(rule -> t.fault("hosts", rule));
+        }
+        Map<String, String> headers = t.stringMap("headers");
+        headers.forEach((k, v) -> FieldRules.headerFault(k, v).ifPresent(rule -> t.fault("headers", rule)));
+        FieldRules.repeatedHeaderFault(headers.keySet()).ifPresent(rule -> t.fault("headers", rule));
+        brands.put(name, new Brand(name, hosts, labels(t), headers));
         t.finish();
     }
 
+    private static Labels labels(TableReader t) {
+        Map<String, String> labels = t.stringMap("labels");
+        labels.forEach((k, v) -> FieldRules.labelFault(k, v).ifPresent(rule -> t.fault("labels", rule)));
+        return new Labels(labels);
+    }
+
     private void readRoute(Document document, TableReader t) {
         String name = name(document, t, ObjectRef.Kind.ROUTE);
         String path = t.requiredString("path");
-        if (!path.isEmpty() && !PATH.matcher(path).matches()) {
-            t.fault("path", "must begin with '/' and hold only letters, digits and . _ ~ / -");
+        if (!path.isBlank()) {
+            FieldRules.pathFault(path).ifPresent(rule -> t.fault("path", rule));
         }
         List<String> methods = t.strings("methods");
         if (!methods.stream().allMatch(m -> METHOD.matcher(m).matches())) {
             t.fault("methods", "must be request methods in capitals");
         }
+        if (methods.stream().distinct().count() < methods.size()) {
+            t.fault("methods", "names a method twice");
+        }
         routes.put(
                 name,
                 new Route(
                         name,
-                        new Labels(t.stringMap("labels")),
+                        labels(t),
                         selector(t, "brands"),
                         path,
                         methods,
@@ -147,7 +172,7 @@
             t.fault("connections", "must be at least slots (" + slots + ")");
         }
         int queueLimit = t.integer("queue_limit", 0, MAX_SLOTS, 4 * slots);
-        services.put(name, new ServiceSpec(name, new Labels(t.stringMap("labels")), slots, connections, queueLimit));
+        services.put(name, new ServiceSpec(name, labels(t), slots, connections, queueLimit));
         t.finish();
     }
 
--- a/org.berylwick/src/org/berylwick/internal/config/ProposedChange.java
+++ b/org.berylwick/src/org/berylwick/internal/config/ProposedChange.java
@@ -1,7 +1,9 @@
 package org.berylwick.internal.config;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.berylwick.errors.Fault;
 import org.berylwick.internal.config.DeclarationReader.Declarations;
 import org.berylwick.internal.config.DeclarationReader.DeclaredAt;
@@ -34,18 +36,66 @@
         };
     }
 
-    /** Reads documents into a change, or tells every fault in them. */
-    static Result<ProposedChange, List<Fault>> read(List<Document> documents) {
-        return DeclarationReader.read(documents).map(Merge::new);
+    /** Reads documents into a change, whose faults are told by {@link #mergeOn}. */
+    static ProposedChange read(List<Document> documents) {
+        return new Merge(DeclarationReader.read(documents));
+    }
+
+    /** The objects that the change removes by name. */
+    default Set<ObjectRef> removals() {
+        return switch (this) {
+            case Merge(Declarations declarations) ->
+                Set.copyOf(declarations.changes().removals());
+            case Restore ignored -> Set.of();
+        };
+    }
+
+    /** What is wrong with the change itself, whatever it is merged on. */
+    default List<Fault> ownFaults() {
+        return switch (this) {
+            case Merge(Declarations declarations) -> declarations.faults();
+            case Restore ignored -> List.of();
+        };
     }
 
     /** The whole configuration that this change makes of {@code base}, or every rule that it would break. */
     default Result<Configuration, List<Fault>> mergeOn(Configuration base) {
-        Configuration merged = switch (this) {
-            case Merge(Declarations declarations) -> declarations.changes().applyTo(base);
-            case Restore(Configuration configuration) -> configuration;
+        return switch (this) {
+            case Merge(Declarations declarations) -> merge(declarations, base);
+            case Restore(Configuration configuration) ->
+                orFaults(configuration, ConfigurationValidator.validate(configuration, Map.of()));
         };
-        List<Fault> faults = ConfigurationValidator.validate(merged, places());
-        return faults.isEmpty() ? Result.ok(merged) : Result.err(faults);
+    }
+
+    private static Result<Configuration, List<Fault>> merge(Declarations declarations, Configuration base) {
+        Configuration merged = declarations.changes().applyTo(base);
+        List<Fault> faults = new ArrayList<>(declarations.faults());
+        if (!declarations.readable()) {
+            return Result.err(faults);
+        }
+        faults.addAll(absentRemovals(declarations, base));
+        // A field that could not be read was replaced by a default, so that what depends on its value would be
+        // reported for a value that nobody wrote; names and references are as written.
+        faults.addAll(
+                declarations.faults().isEmpty()
+                        ? ConfigurationValidator.validate(merged, declarations.places())
+                        : ConfigurationValidator.validateNames(merged, declarations.places()));
+        return orFaults(merged, faults);
+    }
+
+    private static Result<Configuration, List<Fault>> orFaults(Configuration merged, List<Fault> faults) {
+        return faults.isEmpty() ? Result.ok(merged) : Result.err(List.copyOf(faults));
+    }
+
+    private static List<Fault> absentRemovals(Declarations declarations, Configuration base) {
+        List<Fault> faults = new ArrayList<>();
+        for (ObjectRef ref : declarations.changes().removals()) {
+            if (!base.has(ref)) {
+                DeclaredAt at = declarations.places().getOrDefault(ref, new DeclaredAt("(change)", 0));
+                String rule = "there is no " + ref.kind().word() + " '" + ref.name() + "' to remove";
+                faults.add(new Fault(at.document(), at.line(), "remove[" + ref.name() + "].name", rule));
+            }
+        }
+        return faults;
     }
 }
--- a/org.berylwick/src/org/berylwick/internal/spread/ManifestDelta.java
+++ b/org.berylwick/src/org/berylwick/internal/spread/ManifestDelta.java
@@ -1,5 +1,6 @@
 package org.berylwick.internal.spread;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.SortedMap;
@@ -12,12 +13,20 @@
  *
  * @param number of the later version
  * @param previousDigest of the later manifest
+ * @param ancestors of the later manifest, without those that it shares with the earlier one
+ * @param inherited how many ancestors of the earlier manifest follow
  * @param audit of the later version
  * @param set parts added or changed, hexadecimal digest by object reference
  * @param removed object references that the later version lacks
  */
 record ManifestDelta(
-        long number, String previousDigest, AuditEntry audit, SortedMap<String, String> set, List<String> removed) {
+        long number,
+        String previousDigest,
+        List<String> ancestors,
+        int inherited,
+        AuditEntry audit,
+        SortedMap<String, String> set,
+        List<String> removed) {
     /** The difference from {@code base} to {@code target}. */
     static ManifestDelta between(Manifest base, Manifest target) {
         SortedMap<String, String> set = new TreeMap<>();
@@ -29,7 +38,23 @@
         List<String> removed = base.parts().keySet().stream()
                 .filter(k -> !target.parts().containsKey(k))
                 .toList();
-        return new ManifestDelta(target.number(), target.previousDigest(), target.audit(), set, removed);
+        int inherited = inherited(base, target);
+        List<String> ancestors =
+                target.ancestors().subList(0, target.ancestors().size() - inherited);
+        return new ManifestDelta(
+                target.number(), target.previousDigest(), ancestors, inherited, target.audit(), set, removed);
+    }
+
+    private static int inherited(Manifest base, Manifest target) {
+        long passed = target.number() - base.number();
+        int rest = (int) Math.max(0, target.ancestors().size() - passed);
+        boolean shared = rest <= base.ancestors().size()
+                && target.ancestors()
+                        .subList(
+                                target.ancestors().size() - rest,
+                                target.ancestors().size())
+                        .equals(base.ancestors().subList(0, rest));
+        return shared ? rest : 0;
     }
 
     /** The later manifest, given the earlier one. */
@@ -37,6 +62,8 @@
         SortedMap<String, String> parts = new TreeMap<>(base.parts());
         removed.forEach(parts::remove);
         parts.putAll(set);
-        return new Manifest(number, previousDigest, audit, parts);
+        List<String> all = new ArrayList<>(ancestors);
+        base.ancestors().stream().limit(inherited).forEach(all::add);
+        return new Manifest(number, previousDigest, all, audit, parts);
     }
 }
--- a/org.berylwick/src/org/berylwick/internal/version/VersionContent.java
+++ b/org.berylwick/src/org/berylwick/internal/version/VersionContent.java
@@ -1,6 +1,8 @@
 package org.berylwick.internal.version;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -30,7 +32,7 @@
     /** Before the first version. */
     public static final VersionContent NONE = new VersionContent(
             VersionId.NONE,
-            new Manifest(0, VersionId.NONE.digest().hex(), Snapshot.NONE.audit(), new TreeMap<>()),
+            new Manifest(0, VersionId.NONE.digest().hex(), List.of(), Snapshot.NONE.audit(), new TreeMap<>()),
             new byte[0],
             Map.of());
 
@@ -39,8 +41,21 @@
         parts = Map.copyOf(parts);
     }
 
-    /** Encodes a configuration as the version after {@code previous}. */
+    /** Encodes a configuration as the version after {@code previous}, of which no older version is known. */
     public static VersionContent encode(VersionId previous, AuditEntry audit, Configuration configuration) {
+        return encode(previous, List.of(previous.digest().abbreviated()), audit, configuration);
+    }
+
+    /** Encodes a configuration as the version after {@code base}. */
+    public static VersionContent encodeAfter(VersionContent base, AuditEntry audit, Configuration configuration) {
+        List<String> ancestors = new ArrayList<>();
+        ancestors.add(base.id().digest().abbreviated());
+        base.manifest().ancestors().stream().limit(Manifest.MAX_ANCESTORS - 1).forEach(ancestors::add);
+        return encode(base.id(), ancestors, audit, configuration);
+    }
+
+    private static VersionContent encode(
+            VersionId previous, List<String> ancestors, AuditEntry audit, Configuration configuration) {
         SortedMap<String, String> index = new TreeMap<>();
         Map<Digest, byte[]> parts = new HashMap<>();
         configuration.brands().values().forEach(o -> add(index, parts, ObjectRef.Kind.BRAND, o.name(), o));
@@ -48,7 +63,7 @@
         configuration.policies().values().forEach(o -> add(index, parts, ObjectRef.Kind.POLICY, o.name(), o));
         configuration.services().values().forEach(o -> add(index, parts, ObjectRef.Kind.SERVICE, o.name(), o));
         Manifest manifest =
-                new Manifest(previous.number() + 1, previous.digest().hex(), audit, index);
+                new Manifest(previous.number() + 1, previous.digest().hex(), ancestors, audit, index);
         byte[] bytes = ConfigurationCodec.encode(manifest);
         return new VersionContent(new VersionId(manifest.number(), Digest.of(bytes)), manifest, bytes, parts);
     }
--- a/org.berylwick/src/org/berylwick/internal/version/VersionRepository.java
+++ b/org.berylwick/src/org/berylwick/internal/version/VersionRepository.java
@@ -120,11 +120,14 @@
                 .mapError(VersionError.Damaged::new);
     }
 
-    /** Finds the version with a number in the history of {@code head}; empty if there is none. */
+    /** Finds the version with a number in the history of {@code head}, 0 being the empty one; empty if not kept. */
     public Result<Optional<VersionId>, VersionError> find(AcceptedHead head, long number, Deadline deadline) {
-        if (number <= 0 || number > head.id().number()) {
+        if (number < 0 || number > head.id().number()) {
             return Result.ok(Optional.empty());
         }
+        if (number == 0) {
+            return Result.ok(Optional.of(VersionId.NONE));
+        }
         if (number == head.id().number()) {
             return Result.ok(Optional.of(head.id()));
         }
@@ -159,6 +162,15 @@
         return contents.read(MANIFESTS, digest, deadline);
     }
 
+    /** Reads the table of contents of a version. */
+    public Result<Manifest, VersionError> readTable(VersionId id, Deadline deadline) {
+        if (id.number() == 0) {
+            return Result.ok(VersionContent.NONE.manifest());
+        }
+        return readManifest(id.digest(), deadline)
+                .flatMap(bytes -> VersionContent.readManifest(id, bytes).mapError(VersionError.Damaged::new));
+    }
+
     /**
      * Reads a whole version, taking from the store only what {@code known} lacks.
      *
--- a/org.berylwick/src/org/berylwick/lib/Configuration.java
+++ b/org.berylwick/src/org/berylwick/lib/Configuration.java
@@ -28,4 +28,24 @@
         policies = Collections.unmodifiableSortedMap(new TreeMap<>(policies));
         services = Collections.unmodifiableSortedMap(new TreeMap<>(services));
     }
+
+    /** Tells whether the object is declared. */
+    public boolean has(ObjectRef ref) {
+        return of(ref.kind()).containsKey(ref.name());
+    }
+
+    /** All objects of one kind, by name. */
+    public SortedMap<String, ?> of(ObjectRef.Kind kind) {
+        return switch (kind) {
+            case BRAND -> brands;
+            case ROUTE -> routes;
+            case POLICY -> policies;
+            case SERVICE -> services;
+        };
+    }
+
+    /** How many objects of all kinds are declared. */
+    public int size() {
+        return brands.size() + routes.size() + policies.size() + services.size();
+    }
 }
--- a/org.berylwick/src/org/berylwick/lib/ObjectChange.java
+++ b/org.berylwick/src/org/berylwick/lib/ObjectChange.java
@@ -7,9 +7,13 @@
  *
  * @param kind what happened to it
  * @param object which one
- * @param brands names of the brands whose traffic it reaches, sorted
+ * @param brands names of the brands whose traffic it reaches, sorted; the first of them alone in an audit entry
+ * @param brandCount how many brands it reaches
  */
-public record ObjectChange(Kind kind, ObjectRef object, List<String> brands) {
+public record ObjectChange(Kind kind, ObjectRef object, List<String> brands, int brandCount) {
+    /** Brands named in an audit entry; each change of what all brands share would otherwise carry all their names. */
+    public static final int AUDITED_BRANDS = 16;
+
     /** What happened. */
     public enum Kind {
         /** Only the newer version has it. */
@@ -24,4 +28,16 @@
     public ObjectChange {
         brands = List.copyOf(brands);
     }
+
+    /** A change with all its brands. */
+    public ObjectChange(Kind kind, ObjectRef object, List<String> brands) {
+        this(kind, object, brands, brands.size());
+    }
+
+    /** The change as an audit entry keeps it: with {@link #AUDITED_BRANDS} brands at most. */
+    public ObjectChange abridged() {
+        return brands.size() <= AUDITED_BRANDS
+                ? this
+                : new ObjectChange(kind, object, brands.subList(0, AUDITED_BRANDS), brandCount);
+    }
 }
