--- a/org.berylwick.daemon/src/org/berylwick/daemon/settings/EnvironmentOverrides.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/settings/EnvironmentOverrides.java
@@ -14,6 +14,7 @@
             "listen.callers", "BERYLWICK_LISTEN_CALLERS",
             "listen.peers", "BERYLWICK_LISTEN_PEERS",
             "listen.admin", "BERYLWICK_LISTEN_ADMIN",
+            "listen.advertised", "BERYLWICK_LISTEN_ADVERTISED",
             "backend_server.address", "BERYLWICK_BACKEND_SERVER_ADDRESS",
             "platform.uri", "BERYLWICK_PLATFORM_URI");
 
