--- a/org.berylwick.bench/src/org/berylwick/bench/Quickstart.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/Quickstart.java
@@ -205,6 +205,9 @@
     private void keep() throws InterruptedException {
         plan.instances().forEach(i -> out.println(i.name() + " " + fleet.addresses(i.name())));
         out.println("platform " + fleet.platform());
+        FleetPlan.Instance first = plan.instances().getFirst();
+        out.println("export BERYLWICK_ADMIN=" + fleet.addresses(first.name()).admin());
+        out.println("export CALLERS=" + fleet.addresses(first.name()).callers());
         out.println("running; interrupt to stop");
         new java.util.concurrent.CountDownLatch(1).await();
     }
