--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/CallPath.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/CallPath.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.common.CommonPools;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.berylwick.daemon.settings.DaemonSettings;
@@ -15,6 +16,7 @@
 import org.berylwick.internal.limit.SlotLimits;
 import org.berylwick.internal.membership.MembershipTable;
 import org.berylwick.internal.routing.MemberChooser;
+import org.berylwick.internal.routing.PeerLoads;
 import org.berylwick.internal.version.InstalledVersion;
 import org.berylwick.lib.Configuration;
 import org.berylwick.lib.Deadline;
@@ -74,12 +76,13 @@
                 registry,
                 invariants,
                 SlotLimits.ofAllClasses(DEFAULT_SLOTS, DEFAULT_QUEUE));
-        PeerLoads loads = new PeerLoads();
-        MemberChooser chooser = new MemberChooser(settings.place(), loads::load);
+        PeerLoads loads =
+                new PeerLoads(membership::view, new PeerLoads.OwnLoad(instance, limiter::load), time, registry);
+        MemberChooser chooser = new MemberChooser(settings.place(), loads, time, registry, ThreadLocalRandom::current);
         Owner ownServer = new Owner(limiter, server, state, metrics, invariants, time);
-        PeerSender sender = new PeerSender(peers, loads, time);
+        PeerSender sender = new PeerSender(peers, time);
         Forwarder forwarder =
-                new Forwarder(instance, ownServer, sender, chooser, membership, metrics, invariants, time);
+                new Forwarder(instance, ownServer, sender, chooser, loads, membership, metrics, invariants, time);
         entry = new EntryService(installed, membership, new KeyedForwarder(forwarder, keys, time), metrics, time);
         owner = new OwnerService(instance, ownServer, time);
         String service = settings.backendServer().service();
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/Forwarder.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/Forwarder.java
@@ -1,17 +1,25 @@
 package org.berylwick.daemon.call;
 
 import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.berylwick.internal.invariant.Invariants;
 import org.berylwick.internal.membership.MembershipTable;
 import org.berylwick.internal.retry.RetryBudget;
 import org.berylwick.internal.retry.RetryBudgets;
+import org.berylwick.internal.routing.Choice;
 import org.berylwick.internal.routing.MemberChooser;
+import org.berylwick.internal.routing.PeerLoads;
 import org.berylwick.lib.Deadline;
 import org.berylwick.lib.Member;
 import org.berylwick.lib.MembershipView;
+import org.berylwick.lib.Outcome;
+import org.berylwick.lib.RefusalReason;
 import org.berylwick.lib.TimeSource;
+import org.berylwick.lib.TrafficClass;
 
 /** Sends calls to members until each is answered or must be given up. */
 final class Forwarder {
@@ -19,6 +27,7 @@
     private final Owner owner;
     private final PeerSender peers;
     private final MemberChooser chooser;
+    private final PeerLoads loads;
     private final MembershipTable membership;
     private final RetryBudgets budgets;
     private final CallMetrics metrics;
@@ -35,6 +44,7 @@
             Owner owner,
             PeerSender peers,
             MemberChooser chooser,
+            PeerLoads loads,
             MembershipTable membership,
             CallMetrics metrics,
             Invariants invariants,
@@ -43,6 +53,7 @@
         this.owner = owner;
         this.peers = peers;
         this.chooser = chooser;
+        this.loads = loads;
         this.membership = membership;
         this.budgets = new RetryBudgets(time);
         this.metrics = metrics;
@@ -57,20 +68,57 @@
 
     /** Sends one attempt to a member, over the network unless it is this daemon's own. */
     Attempt send(Call call, Member member, long attemptMillis) {
-        if (!member.instance().equals(instance)) {
-            return peers.send(call, member, attemptMillis);
-        }
+        AtomicBoolean givenUp = new AtomicBoolean();
+        PeerLoads.Attempt load = loads.begin(member);
+        Attempt begun = member.instance().equals(instance)
+                ? runHere(call, load, attemptMillis)
+                : peers.send(call, member, load, attemptMillis);
+        CompletableFuture<Outcome<Answer>> outcome = begun.outcome().thenApply(o -> {
+            // A request that its caller gave up tells nothing about the member.
+            if (!givenUp.get()) {
+                learn(call, load, o, attemptMillis);
+            }
+            return o;
+        });
+        return new Attempt(outcome, () -> {
+            givenUp.set(true);
+            begun.cancel().run();
+        });
+    }
+
+    private Attempt runHere(Call call, PeerLoads.Attempt load, long attemptMillis) {
         Deadline by = Deadline.afterMillis(time, attemptMillis);
-        return owner.run(new OwnedRequest(
+        Attempt begun = owner.run(new OwnedRequest(
                 call.requestId(),
                 call.match().policy().trafficClass(),
                 by,
                 call.limit(),
                 call.newRequest(call.headers())));
+        begun.outcome().thenRun(load::close);
+        return begun;
+    }
+
+    private static void learn(Call call, PeerLoads.Attempt load, Outcome<Answer> outcome, long attemptMillis) {
+        switch (outcome) {
+            case Outcome.Answered<Answer>(Answer answer) -> {
+                HttpStatus status = answer.headers().status();
+                if (status.isServerError()) {
+                    load.failed("status " + status.code());
+                } else {
+                    load.answered(call.match().policy().trafficClass() != TrafficClass.BULK);
+                }
+            }
+            case Outcome.RefusedNotRun<Answer>(RefusalReason reason, Optional<Long> retryAfter) -> {
+                if (reason == RefusalReason.DAEMON_UNREACHABLE || reason == RefusalReason.SERVER_UNREACHABLE) {
+                    load.failed(reason.word());
+                }
+            }
+            case Outcome.Unknown<Answer>(String detail) -> load.unknown(detail, attemptMillis);
+        }
     }
 
     /** Picks a member that was not tried yet. */
-    Optional<Member> choose(MembershipView members, Call call, Set<String> tried) {
+    Choice choose(MembershipView members, Call call, Set<String> tried) {
         return chooser.choose(members, call.match(), tried);
     }
 
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/Forwarding.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/Forwarding.java
@@ -14,6 +14,7 @@
 import org.berylwick.internal.retry.Backoff;
 import org.berylwick.internal.retry.RetryRule;
 import org.berylwick.internal.retry.RetryRule.Verdict;
+import org.berylwick.internal.routing.Choice;
 import org.berylwick.lib.Member;
 import org.berylwick.lib.MembershipView;
 import org.berylwick.lib.Outcome;
@@ -26,6 +27,7 @@
  */
 final class Forwarding {
     private static final EventLog EVENTS = new EventLog(Forwarding.class);
+    private static final long NO_MEMBER_RETRY_AFTER_MILLIS = 1_000;
     private static final Backoff SAME_MEMBER = new Backoff(10, 200);
 
     private final Forwarder forwarder;
@@ -78,12 +80,20 @@
     }
 
     private void attempt(MembershipView members) {
-        Optional<Member> chosen = forwarder.choose(members, call, tried);
-        if (chosen.isEmpty()) {
-            noMemberLeft();
-            return;
+        switch (forwarder.choose(members, call, tried)) {
+            case Choice.Chosen(Member member) -> attempt(member);
+            case Choice.AllTried(Member member) -> noMemberLeft();
+            case Choice.NoMember(RefusalReason reason) -> {
+                if (log.attempts() > 0) {
+                    noMemberLeft();
+                } else {
+                    giveUp(new Outcome.RefusedNotRun<>(reason, Optional.of(NO_MEMBER_RETRY_AFTER_MILLIS)));
+                }
+            }
         }
-        Member member = chosen.get();
+    }
+
+    private void attempt(Member member) {
         boolean mayRun = !log.maybeRan() || call.match().policy().idempotent();
         forwarder
                 .invariants()
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/Owner.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/Owner.java
@@ -54,9 +54,9 @@
         return new Attempt(run.outcome(), run::cancel);
     }
 
-    /** Requests that hold a slot or wait for one. */
+    /** How loaded the backend server is, see {@link SlotLimiter#load()}. */
     int load() {
-        return limiter.inUse() + limiter.waiting();
+        return limiter.load();
     }
 
     /** Why no request may be sent now, if so. */
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerRun.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerRun.java
@@ -79,7 +79,7 @@
         Optional<RefusalReason> refusal =
                 cancelled ? Optional.of(RefusalReason.DEADLINE) : owner.refusal(owned.deadline());
         if (refusal.isPresent()) {
-            permit.close();
+            permit.unused();
             refuse(refusal.get());
             return;
         }
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/PeerSender.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/PeerSender.java
@@ -8,6 +8,7 @@
 import com.linecorp.armeria.common.SplitHttpResponse;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.berylwick.internal.routing.PeerLoads;
 import org.berylwick.lib.Deadline;
 import org.berylwick.lib.Member;
 import org.berylwick.lib.Outcome;
@@ -25,17 +26,20 @@
     private static final int HOP_SHARE = 10;
 
     private final PeerClients peers;
-    private final PeerLoads loads;
     private final TimeSource time;
 
-    PeerSender(PeerClients peers, PeerLoads loads, TimeSource time) {
+    PeerSender(PeerClients peers, TimeSource time) {
         this.peers = peers;
-        this.loads = loads;
         this.time = time;
     }
 
-    /** Sends one attempt; the head of its answer must be there within {@code attemptMillis}. */
-    Attempt send(Call call, Member member, long attemptMillis) {
+    /**
+     * Sends one attempt.
+     *
+     * @param load takes in what the reply reports, and the end of the response
+     * @param attemptMillis within which the head of the answer must be there
+     */
+    Attempt send(Call call, Member member, PeerLoads.Attempt load, long attemptMillis) {
         RequestHeadersBuilder headers = call.headers().toBuilder();
         headers.set(CallHeaders.INSTANCE, member.instance());
         headers.set(
@@ -54,12 +58,11 @@
         Exchange exchange =
                 peers.execute(member.address(), pace.watch(call.newRequest(headers.build())), attemptMillis);
         pace.begin(exchange);
-        loads.begin(member);
-        exchange.response().whenComplete().whenComplete((done, failure) -> loads.end(member));
+        exchange.response().whenComplete().whenComplete((done, failure) -> load.close());
         SplitHttpResponse split = exchange.response().split();
         CompletableFuture<Outcome<Answer>> outcome = split.headers()
                 .handle((answer, failure) ->
-                        failure == null ? outcomeOf(call, member, answer, split, exchange, pace) : outcomeOf(failure));
+                        failure == null ? outcomeOf(call, load, answer, split, exchange, pace) : outcomeOf(failure));
         return new Attempt(outcome, () -> {
             if (!outcome.isDone()) {
                 exchange.response().abort();
@@ -68,8 +71,13 @@
     }
 
     private Outcome<Answer> outcomeOf(
-            Call call, Member member, ResponseHeaders received, SplitHttpResponse split, Exchange exchange, Pace pace) {
-        loads.report(member, received.getInt(CallHeaders.LOAD, 0));
+            Call call,
+            PeerLoads.Attempt load,
+            ResponseHeaders received,
+            SplitHttpResponse split,
+            Exchange exchange,
+            Pace pace) {
+        load.report(received.getInt(CallHeaders.LOAD, 0));
         String answered = received.get(CallHeaders.REQUEST_ID, "");
         if (!answered.equals(call.requestId()) && received.contains(CallHeaders.OUTCOME)) {
             split.body().abort();
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/ResumableAnswer.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/ResumableAnswer.java
@@ -15,6 +15,7 @@
 import org.berylwick.internal.retry.AttemptLog;
 import org.berylwick.internal.retry.RetryRule;
 import org.berylwick.internal.retry.RetryRule.Verdict;
+import org.berylwick.internal.routing.Choice;
 import org.berylwick.lib.Deadline;
 import org.berylwick.lib.Member;
 import org.berylwick.lib.Outcome;
@@ -128,9 +129,11 @@
     }
 
     private Optional<Member> otherMember() {
-        return forwarder
-                .choose(forwarder.currentMembers(), call, Set.of(from.instance()))
-                .or(() -> forwarder.choose(forwarder.currentMembers(), call, Set.of()));
+        return switch (forwarder.choose(forwarder.currentMembers(), call, Set.of(from.instance()))) {
+            case Choice.Chosen(Member member) -> Optional.of(member);
+            case Choice.AllTried(Member member) -> Optional.of(member);
+            case Choice.NoMember none -> Optional.empty();
+        };
     }
 
     private Deadline headBy() {
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/routing/ChoiceFixture.java
@@ -0,0 +1,125 @@
+package org.berylwick.internal.routing;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.berylwick.lib.Brand;
+import org.berylwick.lib.HostPort;
+import org.berylwick.lib.Labels;
+import org.berylwick.lib.Member;
+import org.berylwick.lib.MembershipView;
+import org.berylwick.lib.Place;
+import org.berylwick.lib.Policy;
+import org.berylwick.lib.Route;
+import org.berylwick.lib.Selector;
+import org.berylwick.lib.ServiceSpec;
+import org.berylwick.lib.TrafficClass;
+import org.berylwick.testing.ManualTimeSource;
+
+/** A chooser in makati with members that a test puts where it likes. */
+final class ChoiceFixture {
+    static final Place MAKATI = new Place("ncr", "makati");
+    static final Place PASIG = new Place("ncr", "pasig");
+    static final Place CEBU = new Place("visayas", "cebu");
+    static final int SLOTS = 12;
+
+    private static final String SERVICE = "slotboard";
+
+    final ManualTimeSource time = new ManualTimeSource();
+    final MetricRegistry metrics = new MetricRegistry();
+    final List<Member> members = new ArrayList<>();
+    final PeerLoads loads;
+    final MemberChooser chooser;
+    private MembershipView view = MembershipView.EMPTY;
+
+    ChoiceFixture() {
+        this(7);
+    }
+
+    ChoiceFixture(long seed) {
+        Random random = new Random(seed);
+        loads = new PeerLoads(() -> view, PeerLoads.OwnLoad.NONE, time, metrics);
+        chooser = new MemberChooser(MAKATI, loads, time, metrics, () -> random);
+    }
+
+    Member add(String instance, Place place) {
+        return add(instance, place, Member.State.UP, 1);
+    }
+
+    /** Adds a member, or replaces the one of that name. */
+    Member add(String instance, Place place, Member.State state, long incarnation) {
+        Member m = new Member(
+                instance,
+                SERVICE,
+                new HostPort("10.0.0.1", 7000),
+                place,
+                Labels.EMPTY,
+                state,
+                incarnation,
+                SLOTS,
+                1,
+                0);
+        members.removeIf(o -> o.instance().equals(instance));
+        members.add(m);
+        view = new MembershipView(members);
+        return m;
+    }
+
+    void remove(Member m) {
+        members.remove(m);
+        view = new MembershipView(members);
+    }
+
+    Choice choose(boolean idempotent, Set<String> tried) {
+        return chooser.choose(view, match(idempotent), tried);
+    }
+
+    /** The chosen member, which there must be. */
+    Member chosen(boolean idempotent) {
+        return ((Choice.Chosen) choose(idempotent, Set.of())).member();
+    }
+
+    /** How often each instance is chosen. */
+    Map<String, Integer> draw(int times) {
+        Map<String, Integer> drawn = new HashMap<>();
+        for (int i = 0; i < times; i++) {
+            drawn.merge(chosen(false).instance(), 1, Integer::sum);
+        }
+        return drawn;
+    }
+
+    /** Requests begin at a member and stay there. */
+    void occupy(Member m, int requests) {
+        for (int i = 0; i < requests; i++) {
+            loads.begin(m);
+        }
+    }
+
+    void fail(Member m, int times) {
+        for (int i = 0; i < times; i++) {
+            try (PeerLoads.Attempt a = loads.begin(m)) {
+                a.failed("refused");
+            }
+        }
+    }
+
+    private static RouteMatch match(boolean idempotent) {
+        Brand brand = new Brand("b", List.of("b.example"), Labels.EMPTY, Map.of());
+        Route route = new Route("r", Labels.EMPTY, Selector.parse(""), "/", List.of(), SERVICE, Selector.parse(""));
+        Policy policy = new Policy(
+                "p",
+                0,
+                Selector.parse(""),
+                Selector.parse(""),
+                TrafficClass.READ,
+                1_000,
+                3,
+                idempotent,
+                Policy.KeyRule.IGNORED);
+        return new RouteMatch(brand, route, policy, new ServiceSpec(SERVICE, Labels.EMPTY, SLOTS, 110, 48));
+    }
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/routing/MemberChooserPropertyTest.java
@@ -0,0 +1,122 @@
+package org.berylwick.internal.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.berylwick.internal.routing.Tiers.Distance;
+import org.berylwick.internal.routing.Tiers.Tier;
+import org.berylwick.lib.Member;
+import org.berylwick.lib.Member.State;
+import org.berylwick.lib.Place;
+import org.berylwick.lib.RefusalReason;
+
+/** What holds for the choice of a member whatever is known of them. */
+class MemberChooserPropertyTest {
+    private static final Place[] PLACES = {ChoiceFixture.MAKATI, ChoiceFixture.PASIG, ChoiceFixture.CEBU};
+
+    @Property(seed = "20271", tries = 300)
+    void theBestKindOfMemberLeftIsUsed(@ForAll long seed, @ForAll @IntRange(max = 9) int count) {
+        // Members in any state, some of which failed or refused the request. One that is up is preferred to one that
+        // is suspect; one that starts, leaves or is gone never gets the request.
+        Random random = new Random(seed);
+        ChoiceFixture f = new ChoiceFixture(seed);
+        Set<String> tried = new HashSet<>();
+        for (int i = 0; i < count; i++) {
+            State state = State.values()[random.nextInt(State.values().length)];
+            Member m = f.add("m" + i, PLACES[random.nextInt(3)], state, 1);
+            f.occupy(m, random.nextInt(20));
+            f.fail(m, random.nextInt(8));
+            if (random.nextInt(4) == 0) {
+                tried.add(m.instance());
+            }
+        }
+        f.time.advance(Duration.ofMillis(random.nextInt(3_000)));
+        List<Member> left =
+                f.members.stream().filter(m -> !tried.contains(m.instance())).toList();
+        boolean upLeft = left.stream().anyMatch(m -> m.state() == State.UP);
+        boolean suspectLeft = left.stream().anyMatch(m -> m.state() == State.SUSPECT);
+        boolean usable = f.members.stream().anyMatch(m -> m.state() == State.UP || m.state() == State.SUSPECT);
+        for (int i = 0; i < 20; i++) {
+            switch (f.choose(random.nextBoolean(), tried)) {
+                case Choice.Chosen(Member m) -> {
+                    assertFalse(tried.contains(m.instance()));
+                    assertEquals(upLeft ? State.UP : State.SUSPECT, m.state());
+                }
+                case Choice.AllTried(Member m) -> {
+                    assertFalse(upLeft || suspectLeft);
+                    assertTrue(tried.contains(m.instance()));
+                }
+                case Choice.NoMember(RefusalReason reason) -> {
+                    assertFalse(usable);
+                    boolean starting = f.members.stream().anyMatch(m -> m.state() == State.STARTING);
+                    assertEquals(starting, reason == RefusalReason.STARTING);
+                }
+            }
+        }
+    }
+
+    @Property(seed = "20272", tries = 150)
+    void aWrongSignalLeavesAtLeastHalfOfAServiceInUse(
+            @ForAll long seed, @ForAll @IntRange(min = 1, max = 12) int count) {
+        // This process itself is in trouble, so that requests to any member fail. However many it takes for broken, at
+        // least half of them keep getting requests, or the service would be gone for this process's callers.
+        Random random = new Random(seed);
+        ChoiceFixture f = new ChoiceFixture(seed);
+        for (int i = 0; i < count; i++) {
+            Member m = f.add("m" + i, ChoiceFixture.MAKATI);
+            f.fail(m, random.nextInt(3) == 0 ? 0 : 30);
+        }
+        assertTrue(f.draw(600).size() >= count - count / 2);
+    }
+
+    @Property(seed = "20273", tries = 500)
+    void spillGrowsSteadilyAndNeverTakesAll(
+            @ForAll @DoubleRange(max = 40) double here,
+            @ForAll @DoubleRange(max = 40) double beyond,
+            @ForAll @IntRange(min = 1, max = 40) int beyondSlots) {
+        double capacity = 12;
+        double stay = stay(here, capacity, beyond, beyondSlots);
+        double stayMore = stay(here + 0.1, capacity, beyond, beyondSlots);
+        assertTrue(stay >= capacity / (capacity + beyondSlots) - 1e-9 && stay <= 1);
+        assertTrue(stayMore <= stay + 1e-9);
+        assertTrue(stay - stayMore < 0.08);
+        assertTrue(here / capacity > Tiers.SPILL_FROM || stay == 1);
+        assertTrue(here / capacity > beyond / beyondSlots || stay == 1);
+    }
+
+    @Property(seed = "20274", tries = 150)
+    void requestsInFlightAreCountedExactly(@ForAll long seed) {
+        Random random = new Random(seed);
+        ChoiceFixture f = new ChoiceFixture(seed);
+        Member m = f.add("m", ChoiceFixture.MAKATI);
+        List<PeerLoads.Attempt> open = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            if (open.isEmpty() || random.nextBoolean()) {
+                open.add(f.loads.begin(m));
+            } else {
+                PeerLoads.Attempt a = open.remove(random.nextInt(open.size()));
+                a.report(random.nextInt(30));
+                a.close();
+                a.close();
+            }
+            assertEquals(open.size(), f.loads.record(m).inFlight());
+            assertTrue(f.loads.record(m).load(f.time.nanoTime()) >= open.size());
+        }
+    }
+
+    private static double stay(double load, double capacity, double beyond, double beyondCapacity) {
+        Tier here = new Tier(Distance.ZONE, List.of(), load, capacity);
+        return Tiers.stayShare(here, List.of(new Tier(Distance.REGION, List.of(), beyond, beyondCapacity)));
+    }
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/routing/MemberChooserTest.java
@@ -0,0 +1,234 @@
+package org.berylwick.internal.routing;
+
+import static org.berylwick.internal.routing.ChoiceFixture.CEBU;
+import static org.berylwick.internal.routing.ChoiceFixture.MAKATI;
+import static org.berylwick.internal.routing.ChoiceFixture.PASIG;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Set;
+import org.berylwick.lib.Member;
+import org.berylwick.lib.RefusalReason;
+import org.junit.jupiter.api.Test;
+
+/** Which member a request goes to: near, not loaded, not failing. */
+class MemberChooserTest {
+    private static final int DRAWS = 1_000;
+
+    private final ChoiceFixture f = new ChoiceFixture();
+
+    @Test
+    void theOwnZoneIsUsedWhileItHasRoom() {
+        f.add("near", MAKATI);
+        f.add("far", PASIG);
+        assertEquals(Map.of("near", DRAWS), f.draw(DRAWS));
+    }
+
+    @Test
+    void aFillingZonePassesSomeRequestsOnBeforeItIsFull() {
+        // A crowd in Makati fills the one member there. Before it is full some requests go to the next zone, and even
+        // when it is full some stay: had all of them gone over at once, the next zone would have been swamped.
+        Member near = f.add("near", MAKATI);
+        f.add("there", PASIG);
+        f.occupy(near, 10);
+        int spilled = f.draw(DRAWS).getOrDefault("there", 0);
+        assertTrue(spilled > DRAWS / 10 && spilled < DRAWS / 2, "spilled " + spilled);
+        f.occupy(near, 4);
+        int more = f.draw(DRAWS).getOrDefault("there", 0);
+        assertTrue(more > spilled && more < DRAWS * 6 / 10, "spilled " + more);
+    }
+
+    @Test
+    void aFullZoneKeepsItsRequestsWhenTheOthersAreAsFull() {
+        Member near = f.add("near", MAKATI);
+        Member there = f.add("there", PASIG);
+        f.occupy(near, 12);
+        f.occupy(there, 12);
+        assertEquals(Map.of("near", DRAWS), f.draw(DRAWS));
+    }
+
+    @Test
+    void anotherRegionComesAfterTheOwnOne() {
+        Member near = f.add("near", MAKATI);
+        f.add("region", PASIG);
+        f.add("far", CEBU);
+        f.occupy(near, 12);
+        assertFalse(f.draw(DRAWS).containsKey("far"));
+    }
+
+    @Test
+    void aReportedLoadFadesWithTime() {
+        // Another daemon's requests filled one member when it last replied. That was long ago: it may be idle by now,
+        // and unless some request goes there nobody will ever know.
+        Member a = f.add("a", MAKATI);
+        f.add("b", MAKATI);
+        f.loads.begin(a).report(12);
+        assertTrue(f.draw(DRAWS).getOrDefault("a", 0) == 0);
+        f.time.advance(MemberRecord.REPORT_LIFE);
+        Member b = f.members.get(1);
+        f.occupy(b, 2);
+        assertTrue(f.draw(DRAWS).getOrDefault("a", 0) > DRAWS / 2);
+    }
+
+    @Test
+    void ownRequestsAreNotCountedTwiceWhenTheyAreReported() {
+        Member a = f.add("a", MAKATI);
+        f.occupy(a, 4);
+        f.loads.begin(a).report(5);
+        assertEquals(5, f.loads.record(a).load(f.time.nanoTime()));
+    }
+
+    @Test
+    void aMemberThatFailsIsLeftOutAndAskedBackByOneRequestAtATime() {
+        // A backend server fails every request it gets, at once, so it always looks idle and draws ever more of them.
+        // After five it gets none. A second later one idempotent request at a time tries it; three good answers bring
+        // it back, and one bad one keeps it out for twice as long.
+        Member bad = f.add("bad", MAKATI);
+        f.add("good", MAKATI);
+        f.fail(bad, Ejection.FAILURES_TO_EJECT);
+        assertEquals(Map.of("good", DRAWS), f.draw(DRAWS));
+        f.time.advance(Ejection.FIRST_BACKOFF);
+        assertEquals(Map.of("good", DRAWS), f.draw(DRAWS));
+        assertEquals("bad", f.chosen(true).instance());
+        try (PeerLoads.Attempt probe = f.loads.begin(bad)) {
+            assertEquals("good", f.chosen(true).instance());
+            probe.failed("again");
+        }
+        f.time.advance(Ejection.FIRST_BACKOFF.multipliedBy(2).minusMillis(1));
+        assertEquals("good", f.chosen(true).instance());
+        f.time.advance(Duration.ofMillis(1));
+        for (int i = 0; i < Ejection.SUCCESSES_TO_RETURN; i++) {
+            assertEquals("bad", f.chosen(true).instance());
+            answer(bad, Duration.ZERO);
+        }
+        assertTrue(f.draw(DRAWS).containsKey("bad"));
+    }
+
+    @Test
+    void aServiceWithoutIdempotentRequestsGetsItsMembersBackToo() {
+        // Placement confirmations must not be used to try a doubtful member. Where nothing else is ever asked, the
+        // member would stay out for good; so its probation ends by itself.
+        Member bad = f.add("bad", MAKATI);
+        f.add("good", MAKATI);
+        f.fail(bad, Ejection.FAILURES_TO_EJECT);
+        f.time.advance(Ejection.FIRST_BACKOFF.plus(Ejection.LONGEST_PROBATION));
+        assertTrue(f.draw(DRAWS).containsKey("bad"));
+    }
+
+    @Test
+    void callersInAHurryDoNotEjectAnyone() {
+        Member a = f.add("a", MAKATI);
+        f.add("b", MAKATI);
+        for (int i = 0; i < DRAWS; i++) {
+            try (PeerLoads.Attempt attempt = f.loads.begin(a)) {
+                attempt.unknown("no answer in time", 5);
+            }
+        }
+        assertEquals(Ejection.Standing.WELL, f.loads.record(a).standing(f.time.nanoTime()));
+    }
+
+    @Test
+    void aMemberMuchSlowerThanTheOthersIsLeftOut() {
+        // One of four answers each request, but after two seconds. Nothing fails, so only the time tells.
+        Member slow = f.add("slow", MAKATI);
+        f.add("b", MAKATI);
+        f.add("c", MAKATI);
+        f.add("d", MAKATI);
+        for (int i = 0; i < 40; i++) {
+            f.members.forEach(m -> answer(m, Duration.ofMillis(m == slow ? 2_000 : 20)));
+        }
+        assertFalse(f.draw(DRAWS).containsKey("slow"));
+    }
+
+    @Test
+    void aDistantMemberIsNotCalledSlow() {
+        Member far = f.add("far", CEBU);
+        f.add("b", MAKATI);
+        f.add("c", MAKATI);
+        f.add("d", MAKATI);
+        for (int i = 0; i < 40; i++) {
+            f.members.forEach(m -> answer(m, Duration.ofMillis(m == far ? 200 : 1)));
+        }
+        assertEquals(Ejection.Standing.WELL, f.loads.record(far).standing(f.time.nanoTime()));
+    }
+
+    @Test
+    void aNewIncarnationGetsItsShareLittleByLittle() {
+        for (String name : new String[] {"a", "b", "c", "d"}) {
+            f.add(name, MAKATI);
+        }
+        f.draw(1);
+        f.add("d", MAKATI, Member.State.UP, 60_000);
+        int cold = f.draw(DRAWS).getOrDefault("d", 0);
+        f.time.advance(MemberRecord.SLOW_START.dividedBy(2));
+        int warmer = f.draw(DRAWS).getOrDefault("d", 0);
+        f.time.advance(MemberRecord.SLOW_START);
+        int warm = f.draw(DRAWS).getOrDefault("d", 0);
+        assertTrue(cold > 0 && cold < DRAWS / 8, "cold " + cold);
+        assertTrue(warmer > cold && warm > warmer, cold + " " + warmer + " " + warm);
+    }
+
+    @Test
+    void aRefutedSuspicionIsNotAStart() {
+        // The network splits and heals. Every member was suspected, refutes it with the next incarnation, and is the
+        // same as before: what runs there and what failed there must not be forgotten.
+        Member a = f.add("a", MAKATI);
+        f.add("b", MAKATI);
+        f.draw(1);
+        f.occupy(a, 3);
+        f.fail(a, Ejection.FAILURES_TO_EJECT);
+        Member refuted = f.add("a", MAKATI, Member.State.UP, 2);
+        f.draw(1);
+        assertEquals(3, f.loads.record(refuted).inFlight());
+        assertEquals(Ejection.Standing.EJECTED, f.loads.record(refuted).standing(f.time.nanoTime()));
+    }
+
+    @Test
+    void aNewProcessDoesNotTakeEverybodyElseForNew() {
+        Member a = f.add("a", MAKATI);
+        f.draw(1);
+        assertEquals(1, f.loads.record(a).weight(f.time.nanoTime()));
+    }
+
+    @Test
+    void whoIsGoneIsForgotten() {
+        Member a = f.add("a", MAKATI);
+        f.add("b", MAKATI);
+        f.draw(1);
+        assertEquals(2, f.loads.size());
+        f.remove(a);
+        f.draw(1);
+        assertEquals(1, f.loads.size());
+    }
+
+    @Test
+    void aServiceOfStartingMembersSaysSo() {
+        f.add("a", MAKATI, Member.State.STARTING, 1);
+        f.add("b", PASIG, Member.State.STARTING, 1);
+        assertEquals(new Choice.NoMember(RefusalReason.STARTING), f.choose(true, Set.of()));
+    }
+
+    @Test
+    void aMemberThatRefusedIsAskedAgainOnlyAfterAllOthers() {
+        f.add("a", MAKATI);
+        f.add("b", PASIG);
+        f.add("c", CEBU);
+        assertNotEquals(
+                "a", ((Choice.Chosen) f.choose(true, Set.of("a"))).member().instance());
+        assertEquals(
+                "c", ((Choice.Chosen) f.choose(true, Set.of("a", "b"))).member().instance());
+        assertInstanceOf(Choice.AllTried.class, f.choose(true, Set.of("a", "b", "c")));
+    }
+
+    private void answer(Member m, Duration after) {
+        try (PeerLoads.Attempt a = f.loads.begin(m)) {
+            f.time.advance(after);
+            a.answered(true);
+        }
+    }
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of how requests find a member. */
+package org.berylwick.internal.routing;
--- a/org.berylwick/src/org/berylwick/internal/limit/SlotLimiter.java
+++ b/org.berylwick/src/org/berylwick/internal/limit/SlotLimiter.java
@@ -89,7 +89,8 @@
             }
         }
 
-        private void unused() {
+        /** Frees the slot of a request that was not sent after all; it tells nothing of the pace. */
+        public void unused() {
             if (held.compareAndSet(true, false)) {
                 release(trafficClass, Optional.empty());
             }
@@ -161,6 +162,16 @@
         return inUse;
     }
 
+    /**
+     * How loaded the backend server is, to tell others: requests that hold slots or wait, scaled so that it reaches the
+     * declared slots when the usable ones are taken.
+     *
+     * <p>A backend server that sheds holds few requests; unscaled, that would draw more of them to it.
+     */
+    public synchronized int load() {
+        return (inUse + waiting) * usable.declared() / usable.usable();
+    }
+
     /** Slots held now by one class. */
     public synchronized int inUse(TrafficClass trafficClass) {
         return classes.get(trafficClass).inUse();
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/routing/Ejection.java
@@ -0,0 +1,99 @@
+package org.berylwick.internal.routing;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.berylwick.lib.Deadline;
+
+/**
+ * Whether one member is kept from requests because those sent there failed.
+ *
+ * <p>Ejected for a backoff that doubles each time, then on probation: one idempotent request at a time shows whether it
+ * is well again. Not safe for use by several threads.
+ */
+final class Ejection {
+    /** Failures in a row after which a member is ejected. */
+    static final int FAILURES_TO_EJECT = 5;
+
+    /** Good answers in a row that end a probation. */
+    static final int SUCCESSES_TO_RETURN = 3;
+
+    static final Duration FIRST_BACKOFF = Duration.ofSeconds(1);
+    static final Duration LONGEST_BACKOFF = Duration.ofSeconds(60);
+
+    /** A probation that no idempotent request came to end in that time ends by itself. */
+    static final Duration LONGEST_PROBATION = Duration.ofSeconds(10);
+
+    /** Time without ejection after which the next one starts at the first backoff again. */
+    static final Duration FORGIVEN_AFTER = Duration.ofMinutes(5);
+
+    /** Whether a member may be chosen. */
+    enum Standing {
+        /** Like any other. */
+        WELL,
+        /** For one idempotent request at a time. */
+        PROBATION,
+        /** Only if nobody else is left. */
+        EJECTED
+    }
+
+    private int failures;
+    private int successes;
+    private int times;
+    private Optional<Deadline> until = Optional.empty();
+    private long returnedAtNanos;
+
+    /** How it stands now. */
+    Standing standing(long nowNanos) {
+        if (until.isEmpty()) {
+            return Standing.WELL;
+        }
+        long over = nowNanos - until.get().atNanos();
+        if (over < 0) {
+            return Standing.EJECTED;
+        }
+        // Some services get no idempotent requests at all; without an end their members would never come back.
+        return over < LONGEST_PROBATION.toNanos() ? Standing.PROBATION : Standing.WELL;
+    }
+
+    /** Notes a good answer; tells whether the member came back by it. */
+    boolean succeeded(long nowNanos) {
+        failures = 0;
+        if (until.isEmpty() || standing(nowNanos) == Standing.EJECTED) {
+            return false;
+        }
+        successes++;
+        if (successes < SUCCESSES_TO_RETURN) {
+            return false;
+        }
+        until = Optional.empty();
+        returnedAtNanos = nowNanos;
+        return true;
+    }
+
+    /** Notes a failure; gives the backoff if the member is ejected by it. */
+    Optional<Duration> failed(long nowNanos) {
+        Standing now = standing(nowNanos);
+        if (now == Standing.EJECTED) {
+            return Optional.empty();
+        }
+        failures++;
+        // Once ejected it has to prove itself: on probation a single failure is enough.
+        if (now == Standing.WELL && failures < FAILURES_TO_EJECT) {
+            return Optional.empty();
+        }
+        return Optional.of(eject(nowNanos));
+    }
+
+    /** Ejects it; gives the backoff. */
+    Duration eject(long nowNanos) {
+        if (until.isEmpty() && times > 0 && nowNanos - returnedAtNanos > FORGIVEN_AFTER.toNanos()) {
+            times = 0;
+        }
+        long nanos = Math.min(LONGEST_BACKOFF.toNanos(), FIRST_BACKOFF.toNanos() << Math.min(times, 10));
+        times++;
+        failures = 0;
+        successes = 0;
+        until = Optional.of(new Deadline(nowNanos + nanos));
+        return Duration.ofNanos(nanos);
+    }
+}
--- a/org.berylwick/src/org/berylwick/internal/routing/MemberChooser.java
+++ b/org.berylwick/src/org/berylwick/internal/routing/MemberChooser.java
@@ -1,29 +1,60 @@
 package org.berylwick.internal.routing;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
-import java.util.function.ToIntFunction;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.berylwick.internal.routing.Ejection.Standing;
+import org.berylwick.internal.routing.Tiers.Distance;
+import org.berylwick.internal.routing.Tiers.Tier;
 import org.berylwick.lib.Member;
 import org.berylwick.lib.MembershipView;
 import org.berylwick.lib.Place;
+import org.berylwick.lib.RefusalReason;
+import org.berylwick.lib.TimeSource;
 
-/** Picks the member that a request goes to: the less loaded of two random ones, nearest place first. */
+/**
+ * Picks the member that a request goes to: the less loaded of two random ones, nearest place first.
+ *
+ * <p>Members that failed requests are left out for a while, but never more than half of a service. Those that didn't
+ * answer the membership's probes are used when no other is left, those that start or leave never. Any thread may
+ * choose.
+ */
 public final class MemberChooser {
     private final Place own;
-    private final ToIntFunction<Member> load;
+    private final PeerLoads loads;
+    private final TimeSource time;
+    private final Supplier<RandomGenerator> random;
+    private final Map<Distance, Counter> chosen = new EnumMap<>(Distance.class);
+    private final Counter probes;
+    private final Counter lastResort;
 
     /**
      * A chooser.
      *
      * @param own where this process runs
-     * @param load requests in flight or waiting at a member, as far as known here
+     * @param random asked for a source at each choice, on the thread that chooses
      */
-    public MemberChooser(Place own, ToIntFunction<Member> load) {
+    public MemberChooser(
+            Place own, PeerLoads loads, TimeSource time, MetricRegistry metrics, Supplier<RandomGenerator> random) {
         this.own = own;
-        this.load = load;
+        this.loads = loads;
+        this.time = time;
+        this.random = random;
+        for (Distance d : Distance.values()) {
+            chosen.put(d, metrics.counter(ChoiceMetrics.CHOSEN + d));
+        }
+        probes = metrics.counter(ChoiceMetrics.PROBES);
+        lastResort = metrics.counter(ChoiceMetrics.LAST_RESORT);
     }
 
     /**
@@ -31,28 +62,142 @@
      *
      * @param tried instances that refused this request already
      */
-    public Optional<Member> choose(MembershipView members, RouteMatch match, Set<String> tried) {
-        List<Member> candidates = new ArrayList<>();
-        for (Member m : members.ofService(match.route().service())) {
-            if (m.state() == Member.State.UP
-                    && !tried.contains(m.instance())
-                    && match.route().servers().matches(m.labels())) {
-                candidates.add(m);
+    public Choice choose(MembershipView members, RouteMatch match, Set<String> tried) {
+        loads.follow();
+        long now = time.nanoTime();
+        List<Member> selected = members.ofService(match.route().service()).stream()
+                .filter(m -> match.route().servers().matches(m.labels()))
+                .toList();
+        List<Member> up = inState(selected, Member.State.UP);
+        List<Member> fresh = without(up, tried);
+        if (match.policy().idempotent()) {
+            Optional<Member> probe =
+                    fresh.stream().filter(m -> awaitsProbe(m, now)).findFirst();
+            if (probe.isPresent()) {
+                probes.inc();
+                return choice(probe.get());
+            }
+        }
+        List<Member> well = without(fresh, leftOut(up, now));
+        if (!well.isEmpty()) {
+            return choice(nearest(well, now));
+        }
+        List<Member> suspects = inState(selected, Member.State.SUSPECT);
+        for (List<Member> rest : List.of(fresh, without(suspects, tried))) {
+            if (!rest.isEmpty()) {
+                lastResort.inc();
+                return choice(lessLoadedOfTwo(rest, now));
             }
         }
-        List<Member> near = candidates.stream()
-                .filter(m -> m.place().equals(own) && load.applyAsInt(m) < m.slots())
+        for (List<Member> again : List.of(up, suspects)) {
+            if (!again.isEmpty()) {
+                return new Choice.AllTried(lessLoadedOfTwo(again, now));
+            }
+        }
+        return new Choice.NoMember(reasonFor(selected));
+    }
+
+    private Choice choice(Member m) {
+        chosen.get(Tiers.distance(own, m.place())).inc();
+        return new Choice.Chosen(m);
+    }
+
+    private boolean awaitsProbe(Member m, long now) {
+        MemberRecord r = loads.record(m);
+        return r.standing(now) == Standing.PROBATION && r.inFlight() == 0;
+    }
+
+    /**
+     * The instances that are not to be used now.
+     *
+     * <p>What looks like failing members may be this process's own trouble. At most half of a service, and of its
+     * members in an availability zone the larger half, is left out, so that a wrong signal can't empty it.
+     */
+    private Set<String> leftOut(List<Member> up, long now) {
+        List<Member> failing = up.stream()
+                .filter(m -> loads.record(m).standing(now) != Standing.WELL)
+                .sorted(Comparator.<Member, Standing>comparing(
+                                m -> loads.record(m).standing(now))
+                        .reversed()
+                        .thenComparing(Member::instance))
                 .toList();
-        return lessLoadedOfTwo(near.isEmpty() ? candidates : near);
+        if (failing.isEmpty()) {
+            return Set.of();
+        }
+        Set<String> out = new HashSet<>();
+        Map<Place, Integer> outByPlace = new HashMap<>();
+        for (Member m : failing) {
+            long inPlace = up.stream().filter(o -> o.place().equals(m.place())).count();
+            int outThere = outByPlace.getOrDefault(m.place(), 0);
+            if (out.size() < up.size() / 2 && outThere < (inPlace + 1) / 2) {
+                out.add(m.instance());
+                outByPlace.put(m.place(), outThere + 1);
+            }
+        }
+        return out;
+    }
+
+    private Member nearest(List<Member> members, long now) {
+        List<Tier> tiers = Tiers.of(own, members, loads, now);
+        for (int i = 0; i < tiers.size() - 1; i++) {
+            double stay = Tiers.stayShare(tiers.get(i), tiers.subList(i + 1, tiers.size()));
+            if (stay >= 1 || random.get().nextDouble() < stay) {
+                return lessLoadedOfTwo(tiers.get(i).members(), now);
+            }
+        }
+        return lessLoadedOfTwo(tiers.getLast().members(), now);
+    }
+
+    private Member lessLoadedOfTwo(List<Member> members, long now) {
+        if (members.size() == 1) {
+            return members.getFirst();
+        }
+        Member a = byWeight(members, now);
+        Member b = byWeight(members.stream().filter(m -> m != a).toList(), now);
+        return fullness(a, now) <= fullness(b, now) ? a : b;
+    }
+
+    /** A new member's caches are cold; it is drawn less often until it had time to warm up. */
+    private Member byWeight(List<Member> members, long now) {
+        double total = 0;
+        for (Member m : members) {
+            total += weight(m, now);
+        }
+        double at = random.get().nextDouble() * total;
+        for (Member m : members) {
+            at -= weight(m, now);
+            if (at < 0) {
+                return m;
+            }
+        }
+        return members.getLast();
+    }
+
+    private double weight(Member m, long now) {
+        return Math.max(1, m.slots()) * loads.record(m).weight(now);
+    }
+
+    private double fullness(Member m, long now) {
+        return (loads.record(m).load(now) + 1) / Math.max(1, m.slots());
+    }
+
+    private static List<Member> inState(List<Member> members, Member.State state) {
+        return members.stream().filter(m -> m.state() == state).toList();
+    }
+
+    private static List<Member> without(List<Member> members, Set<String> instances) {
+        if (instances.isEmpty()) {
+            return members;
+        }
+        return members.stream().filter(m -> !instances.contains(m.instance())).toList();
     }
 
-    private Optional<Member> lessLoadedOfTwo(List<Member> candidates) {
-        if (candidates.isEmpty()) {
-            return Optional.empty();
+    private static RefusalReason reasonFor(List<Member> members) {
+        List<Member.State> states = new ArrayList<>();
+        members.forEach(m -> states.add(m.state()));
+        if (states.contains(Member.State.STARTING)) {
+            return RefusalReason.STARTING;
         }
-        ThreadLocalRandom random = ThreadLocalRandom.current();
-        Member a = candidates.get(random.nextInt(candidates.size()));
-        Member b = candidates.get(random.nextInt(candidates.size()));
-        return Optional.of(load.applyAsInt(a) <= load.applyAsInt(b) ? a : b);
+        return states.contains(Member.State.LEAVING) ? RefusalReason.LEAVING : RefusalReason.NO_MEMBER;
     }
 }
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/routing/MemberRecord.java
@@ -0,0 +1,130 @@
+package org.berylwick.internal.routing;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.IntSupplier;
+import org.berylwick.lib.Member;
+
+/**
+ * What requests sent to one member since its start taught this process.
+ *
+ * <p>Safe for use from any thread; readers may see a value a moment old.
+ */
+final class MemberRecord {
+    /** A reported load counts for nothing after that time. */
+    static final Duration REPORT_LIFE = Duration.ofSeconds(2);
+
+    /** Time over which a new member's share rises to that of the others. */
+    static final Duration SLOW_START = Duration.ofSeconds(10);
+
+    /**
+     * Incarnations closer than this are of one start: a start takes its incarnation from the clock in milliseconds, and
+     * a refutation of a false suspicion adds one to it.
+     */
+    private static final long REFUTATIONS = 1_000;
+
+    private static final double FIRST_WEIGHT = 0.1;
+    private static final double NEW_LATENCY_WEIGHT = 0.1;
+
+    private final Member member;
+    private final Ejection ejection = new Ejection();
+    private final Optional<Long> coldSinceNanos;
+    private final Optional<IntSupplier> exactLoad;
+    private int inFlight;
+    private int elsewhere;
+    private long reportedAtNanos;
+    private double latencyNanos;
+    private int latencies;
+
+    /**
+     * A record without requests.
+     *
+     * @param coldSinceNanos when the member appeared, if it did so while this process was looking on
+     * @param exactLoad counts the member's requests, if it is this process's own
+     */
+    MemberRecord(Member member, Optional<Long> coldSinceNanos, Optional<IntSupplier> exactLoad) {
+        this.member = member;
+        this.coldSinceNanos = coldSinceNanos;
+        this.exactLoad = exactLoad;
+    }
+
+    Member member() {
+        return member;
+    }
+
+    /**
+     * Tells whether what was learnt holds for {@code other} too.
+     *
+     * <p>A refutation must not count as a start: after a network split everybody refutes, and all that is known of load
+     * and failures would be lost when it is needed most.
+     */
+    boolean isOf(Member other) {
+        return Math.abs(member.incarnation() - other.incarnation()) < REFUTATIONS;
+    }
+
+    synchronized void begin() {
+        inFlight++;
+    }
+
+    synchronized void end() {
+        inFlight--;
+    }
+
+    synchronized int inFlight() {
+        return inFlight;
+    }
+
+    /** Takes in the load that the owner counted, own requests among it. */
+    synchronized void report(int load, long nowNanos) {
+        // Own requests are counted here and need no report. What remains is what others send there.
+        elsewhere = Math.max(0, load - inFlight);
+        reportedAtNanos = nowNanos;
+    }
+
+    /** Requests at the member: own ones in flight, and those of others as last reported, fading with age. */
+    double load(long nowNanos) {
+        return exactLoad.isPresent() ? exactLoad.get().getAsInt() : estimatedLoad(nowNanos);
+    }
+
+    private synchronized double estimatedLoad(long nowNanos) {
+        double age = (double) (nowNanos - reportedAtNanos) / REPORT_LIFE.toNanos();
+        return inFlight + elsewhere * Math.max(0, 1 - age);
+    }
+
+    /** Share of its slots that a new member gets requests for, rising to 1. */
+    double weight(long nowNanos) {
+        if (coldSinceNanos.isEmpty()) {
+            return 1;
+        }
+        double age = (double) (nowNanos - coldSinceNanos.get()) / SLOW_START.toNanos();
+        return Math.clamp(age, FIRST_WEIGHT, 1);
+    }
+
+    synchronized Ejection.Standing standing(long nowNanos) {
+        return ejection.standing(nowNanos);
+    }
+
+    synchronized boolean succeeded(long nowNanos) {
+        return ejection.succeeded(nowNanos);
+    }
+
+    synchronized Optional<Duration> failed(long nowNanos) {
+        return ejection.failed(nowNanos);
+    }
+
+    synchronized Duration eject(long nowNanos) {
+        latencies = 0;
+        return ejection.eject(nowNanos);
+    }
+
+    /** Takes in how long an answer took to begin; gives how many were taken in since the last ejection. */
+    synchronized int latency(long nanos) {
+        latencyNanos = latencies == 0 ? nanos : latencyNanos + NEW_LATENCY_WEIGHT * (nanos - latencyNanos);
+        return ++latencies;
+    }
+
+    /** The mean time to an answer, if enough answers are known to tell. */
+    synchronized Optional<Double> latencyNanos(int needed) {
+        return latencies >= needed ? Optional.of(latencyNanos) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/org.berylwick/src/org/berylwick/internal/routing/PeerLoads.java
@@ -0,0 +1,223 @@
+package org.berylwick.internal.routing;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+import org.berylwick.internal.event.CallEvent;
+import org.berylwick.internal.event.EventLog;
+import org.berylwick.lib.Member;
+import org.berylwick.lib.MembershipView;
+import org.berylwick.lib.TimeSource;
+
+/**
+ * What this process knows of each member from the requests that it sent there: how loaded, how quick, how reliable.
+ *
+ * <p>No health or load endpoint is asked: those lag and mislead, and a request's own fate doesn't. Any thread may use
+ * it.
+ */
+public final class PeerLoads {
+    private static final EventLog EVENTS = new EventLog(PeerLoads.class);
+
+    /** Answers needed before a mean time is judged, and between two judgements. */
+    private static final int LATENCIES_TO_JUDGE = 20;
+
+    private static final int MEMBERS_TO_COMPARE = 3;
+    private static final double SLOW_FACTOR = 5;
+
+    /** A mean this much above the others' is never an outlier: scheduling and distance do that. */
+    private static final Duration SLOW_MARGIN = Duration.ofMillis(100);
+
+    private static final Duration FAIR_TIME = Duration.ofMillis(100);
+
+    private final TimeSource time;
+    private final Map<String, MemberRecord> records = new ConcurrentHashMap<>();
+    private final Set<String> knownServices = ConcurrentHashMap.newKeySet();
+    private final Counter ejections;
+    private final Counter returns;
+    private final Supplier<MembershipView> members;
+    private final OwnLoad own;
+    private volatile MembershipView followed = MembershipView.EMPTY;
+
+    /**
+     * The load of the backend server in the same VM, which needs no report.
+     *
+     * @param instance the own instance
+     * @param load requests there now
+     */
+    public record OwnLoad(String instance, IntSupplier load) {
+        /** Of a process without a backend server. */
+        public static final OwnLoad NONE = new OwnLoad("", () -> 0);
+    }
+
+    /**
+     * Knows nothing yet.
+     *
+     * @param members the view as of now
+     */
+    public PeerLoads(Supplier<MembershipView> members, OwnLoad own, TimeSource time, MetricRegistry metrics) {
+        this.own = own;
+        this.members = members;
+        this.time = time;
+        ejections = metrics.counter(ChoiceMetrics.EJECTIONS);
+        returns = metrics.counter(ChoiceMetrics.RETURNS);
+    }
+
+    /** A request goes out; the returned attempt takes in what becomes of it. */
+    public Attempt begin(Member member) {
+        MemberRecord record = record(member);
+        record.begin();
+        return new Attempt(record, time.nanoTime());
+    }
+
+    /** Requests at a member, as far as known here. */
+    public double load(Member member) {
+        return record(member).load(time.nanoTime());
+    }
+
+    /** One request sent to a member; safe to end more than once. */
+    public final class Attempt implements AutoCloseable {
+        private final MemberRecord record;
+        private final long sinceNanos;
+        private boolean ended;
+
+        private Attempt(MemberRecord record, long sinceNanos) {
+            this.record = record;
+            this.sinceNanos = sinceNanos;
+        }
+
+        /** The reply carried the load at its owner. */
+        public void report(int load) {
+            record.report(load, time.nanoTime());
+        }
+
+        /** The answer began; a class whose answers differ widely in time doesn't count for speed. */
+        public void answered(boolean comparable) {
+            if (record.succeeded(time.nanoTime())) {
+                returns.inc();
+                EVENTS.log(
+                        CallEvent.MEMBER_RETURNED,
+                        record.member().instance(),
+                        record.member().service());
+            }
+            if (comparable && record.latency(time.nanoTime() - sinceNanos) % LATENCIES_TO_JUDGE == 0) {
+                judge(record);
+            }
+        }
+
+        /** The member could not be reached, or answered with an error of its own. */
+        public void failed(String detail) {
+            record.failed(time.nanoTime()).ifPresent(backoff -> noteEjection(record, backoff, detail));
+        }
+
+        /**
+         * What became of the request is unknown, as no answer began in time or its connection was lost.
+         *
+         * <p>Counts as a failure only if the member had a fair time: callers with very short deadlines would otherwise
+         * have every member ejected.
+         *
+         * @param allowedMillis by which the answer had to begin
+         */
+        public void unknown(String detail, long allowedMillis) {
+            if (allowedMillis >= FAIR_TIME.toMillis()) {
+                failed(detail);
+            }
+        }
+
+        /** The request is over, its answer's end included. */
+        @Override
+        public synchronized void close() {
+            if (!ended) {
+                ended = true;
+                record.end();
+            }
+        }
+    }
+
+    /** What is known of a member; a record is made where there is none. */
+    MemberRecord record(Member member) {
+        MemberRecord known = records.get(member.instance());
+        if (known != null && known.isOf(member)) {
+            return known;
+        }
+        boolean appeared = knownServices.contains(member.service());
+        return records.compute(member.instance(), (instance, old) -> {
+            // A request that pinned an older view may name an incarnation that was replaced since.
+            if (old != null && old.member().incarnation() >= member.incarnation()) {
+                return old;
+            }
+            Optional<Long> coldSince = appeared ? Optional.of(time.nanoTime()) : Optional.empty();
+            Optional<IntSupplier> exactLoad =
+                    own.instance().equals(instance) ? Optional.of(own.load()) : Optional.empty();
+            return new MemberRecord(member, coldSince, exactLoad);
+        });
+    }
+
+    /**
+     * Takes over the membership as of now: forgets who is gone, and notes who is new.
+     *
+     * <p>Members that were there when this process first heard of their service count as warm: it is this process that
+     * is new, not they.
+     */
+    void follow() {
+        if (members.get() != followed) {
+            catchUp();
+        }
+    }
+
+    private synchronized void catchUp() {
+        MembershipView view = members.get();
+        if (view == followed) {
+            return;
+        }
+        followed = view;
+        records.keySet().removeIf(instance -> view.find(instance).isEmpty());
+        for (Member m : view.all()) {
+            if (m.state() == Member.State.UP) {
+                record(m);
+            }
+        }
+        view.all().forEach(m -> knownServices.add(m.service()));
+    }
+
+    /** Members that something is known of. */
+    int size() {
+        return records.size();
+    }
+
+    private void judge(MemberRecord suspect) {
+        Member m = suspect.member();
+        List<Double> others = records.values().stream()
+                .filter(r -> r != suspect
+                        && r.member().service().equals(m.service())
+                        && r.member().place().region().equals(m.place().region()))
+                .flatMap(r -> r.latencyNanos(LATENCIES_TO_JUDGE).stream())
+                .sorted()
+                .toList();
+        if (others.size() < MEMBERS_TO_COMPARE - 1) {
+            return;
+        }
+        double median = others.get(others.size() / 2);
+        double mean = suspect.latencyNanos(LATENCIES_TO_JUDGE).orElse(0.0);
+        if (mean > SLOW_FACTOR * median
+                && mean > median + SLOW_MARGIN.toNanos()
+                && suspect.standing(time.nanoTime()) != Ejection.Standing.EJECTED) {
+            String detail =
+                    "answers begin after " + Duration.ofNanos((long) mean).toMillis() + " ms, those of others "
+                            + "after " + Duration.ofNanos((long) median).toMillis();
+            noteEjection(suspect, suspect.eject(time.nanoTime()), detail);
+        }
+    }
+
+    private void noteEjection(MemberRecord record, Duration backoff, String detail) {
+        ejections.inc();
+        Member m = record.member();
+        EVENTS.log(CallEvent.MEMBER_EJECTED, m.instance(), m.service(), backoff.toMillis(), detail);
+    }
+}
