Measure admission and choice of member against simpler ways

./measure limits drives the real SlotLimiter and MemberChooser in one loop on a clock of its own, beside first come first served, priority only and a fixed partition, and beside random, round robin, own zone only and two choices.

--- a/org.berylwick.bench/src/org/berylwick/bench/Measure.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/Measure.java
@@ -10,11 +10,12 @@
 import org.berylwick.bench.call.CallMeasurement;
 import org.berylwick.bench.call.ColdMeasurement;
 import org.berylwick.bench.control.Convergence;
+import org.berylwick.bench.limits.LimitsMeasurement;
 
 /** Runs one measurement by name and prints its figures as {@code key: value} lines. */
 public final class Measure {
     private static final List<Measurement> MEASUREMENTS =
-            List.of(new CallMeasurement(), new ColdMeasurement(), new Convergence());
+            List.of(new CallMeasurement(), new ColdMeasurement(), new Convergence(), new LimitsMeasurement());
     private static final int EXIT_BAD_INPUT = 2;
 
     private Measure() {}
