--- a/org.berylwick.bench/src/org/berylwick/bench/soak/SoakOperator.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/soak/SoakOperator.java
@@ -123,7 +123,7 @@
                 note(new Accepted(reply.getAccepted().getVersion(), brand.name(), theme));
                 yield true;
             }
-            case CONFLICT, REJECTED -> {
+            case CONFLICT, REJECTED, UNCHANGED, DRY_RUN -> {
                 countRefused();
                 yield true;
             }
