Free a reader's place on a planned stop, and try spreading under failures

A daemon that stopped kept its place as a reader until the lease lapsed, so with one reader a zone a version accepted meanwhile waited for it. Its close now takes it out of the lease.

A daemon that was refused by the one address it knew never tried again: found by 80 newcomers that know one seed (SpreaderTest). While it has no stream it now tries the addresses it was told of, each after its own backoff.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/ReaderRole.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/ReaderRole.java
@@ -33,7 +33,9 @@
     private static final String NAME = "reader-role";
     private static final String READERS = "readers/";
     private static final long TICK_MILLIS = 100;
+    private static final long LOOK_MILLIS = 500;
     private static final long CALL_MILLIS = 2_000;
+    private static final long RELEASE_MILLIS = 500;
     private static final long LEASE_MILLIS = 15_000;
     private static final long RENEW_MILLIS = 7_000;
     private static final long STALE_MILLIS = 15_000;
@@ -109,8 +111,11 @@
             // Nobody is there yet, so somebody must be the first.
             aloneUntil = aloneUntil.earlier(Deadline.afterMillis(time, random.nextLong(TICK_MILLIS * 10)));
         }
-        if (nextLease.isPast(time) && isCandidate(alone)) {
-            renew();
+        if (nextLease.isPast(time)) {
+            nextLease = Deadline.afterMillis(time, LOOK_MILLIS);
+            if (isCandidate(alone)) {
+                renew();
+            }
         }
         if (slot().filter(s -> s == 0).isPresent()) {
             directory.keep();
@@ -142,8 +147,7 @@
             return;
         }
         nextLease = Deadline.afterMillis(time, RENEW_MILLIS - random.nextLong(JITTER_MILLIS));
-        Place place = settings.place();
-        ObjectKey key = new ObjectKey(READERS + place.region() + "/" + place.availabilityZone());
+        ObjectKey key = leaseKey();
         Deadline deadline = Deadline.afterMillis(time, CALL_MILLIS);
         Result<Optional<StoredObject>, StoreError> found = store.get(key, deadline);
         if (!(found instanceof Result.Ok<Optional<StoredObject>, StoreError>(Optional<StoredObject> object))) {
@@ -191,8 +195,31 @@
         slot = Optional.empty();
     }
 
+    /** Frees the place, so that the next daemon need not wait for the lease to lapse. */
+    private void release() {
+        ObjectKey key = leaseKey();
+        Deadline deadline = Deadline.afterMillis(time, RELEASE_MILLIS);
+        if (store.get(key, deadline) instanceof Result.Ok<Optional<StoredObject>, StoreError>(var found)
+                && found.isPresent()) {
+            ReaderLease next = decode(found.get()).without(settings.instance());
+            store.put(
+                    key,
+                    ConfigurationCodec.encode(next),
+                    new Precondition.MustHaveVersion(found.get().version()),
+                    deadline);
+        }
+    }
+
+    private ObjectKey leaseKey() {
+        Place place = settings.place();
+        return new ObjectKey(READERS + place.region() + "/" + place.availabilityZone());
+    }
+
     @Override
     public void close() {
         duty.close();
+        if (slot().isPresent()) {
+            release();
+        }
     }
 }
--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/SpreadDuties.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/SpreadDuties.java
@@ -103,6 +103,11 @@
         return NAME;
     }
 
+    /** Whether this daemon reads the store for its zone now. */
+    public boolean isReader() {
+        return role.slot().isPresent();
+    }
+
     /** What serves other daemons. */
     public SpreadService service() {
         return service;
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/membership/FailureDetectorTest.java
@@ -0,0 +1,138 @@
+package org.berylwick.internal.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.berylwick.lib.Member;
+import org.berylwick.testing.ManualTimeSource;
+import org.junit.jupiter.api.Test;
+
+/** When members are suspected, given up and forgotten. */
+class FailureDetectorTest {
+    private static final long SUSPICION_MILLIS = 5_000;
+    private static final long TOMBSTONE_MILLIS = 60_000;
+
+    private final ManualTimeSource time = new ManualTimeSource();
+    private final FailureDetector detector = new FailureDetector(time, SUSPICION_MILLIS, TOMBSTONE_MILLIS);
+    private final MembershipTable table = new MembershipTable();
+
+    @Provide
+    Arbitrary<Member> records() {
+        return Records.any();
+    }
+
+    private void merge(Member record) {
+        table.mergeAll(List.of(record)).forEach(detector::changed);
+    }
+
+    private void membersUp(String... instances) {
+        for (String i : instances) {
+            merge(Records.record(i, Member.State.UP, 1, 1));
+        }
+    }
+
+    private void unreachable(String instance) {
+        detector.unreachable(table.view().find(instance).orElseThrow()).ifPresent(this::merge);
+    }
+
+    private Member.State state(String instance) {
+        return table.view().find(instance).orElseThrow().state();
+    }
+
+    private void pass(long millis) {
+        time.advance(Duration.ofMillis(millis));
+        detector.expired(table.view()).forEach(this::merge);
+    }
+
+    @Test
+    void unreachableMemberIsSuspectedFirstAndGoneAfterTheTimeout() {
+        membersUp("a", "b", "c");
+        unreachable("a");
+        assertEquals(Member.State.SUSPECT, state("a"));
+        pass(SUSPICION_MILLIS - 1);
+        assertEquals(Member.State.SUSPECT, state("a"));
+        pass(1);
+        assertEquals(Member.State.GONE, state("a"));
+        pass(TOMBSTONE_MILLIS);
+        assertEquals(List.of("a"), detector.forgettable());
+    }
+
+    @Test
+    void refutedSuspicionGivesNobodyUp() {
+        membersUp("a", "b", "c");
+        unreachable("a");
+        merge(Records.record("a", Member.State.UP, 2, 1));
+        pass(SUSPICION_MILLIS * 2);
+        assertEquals(Member.State.UP, state("a"));
+    }
+
+    // A switch fails between this daemon and all others: every probe fails, while the others are well and callers
+    // still come in here. Given up, they would be no candidates any more and each request would be refused.
+    @Test
+    void daemonThatReachesNobodyGivesNobodyUp() {
+        membersUp("self", "a", "b", "c");
+        List.of("a", "b", "c").forEach(this::unreachable);
+        pass(SUSPICION_MILLIS * 10);
+        List.of("a", "b", "c").forEach(i -> assertEquals(Member.State.SUSPECT, state(i)));
+    }
+
+    // A daemon announces its leave, finishes and stops. Nobody suspects it, as it takes no work; its record must
+    // end all the same, or the table would keep every VM that was ever replaced.
+    @Test
+    void memberThatLeftIsGoneAfterTheTimeout() {
+        membersUp("a", "b", "c");
+        merge(Records.record("a", Member.State.LEAVING, 1, 1));
+        unreachable("a");
+        assertEquals(Member.State.LEAVING, state("a"));
+        pass(SUSPICION_MILLIS);
+        assertEquals(Member.State.GONE, state("a"));
+    }
+
+    @Property(seed = "5")
+    void refutationGoesBeforeTheClaimAndNeedsNoSecondOne(
+            @ForAll("records") Member self, @ForAll("records") Member claim) {
+        Optional<Member> refuted = refuted(self, claim);
+        if (refuted.isEmpty()) {
+            return;
+        }
+        Member joined = MemberMerge.join(refuted.get(), claim);
+        assertEquals(refuted.get(), joined);
+        assertEquals(OptionalLong.empty(), FailureDetector.refute(refuted.get(), claim));
+    }
+
+    @Property(seed = "5")
+    void claimThatIsNotRefutedSaysNothingWorseOfTheMember(
+            @ForAll("records") Member self, @ForAll("records") Member claim) {
+        if (refuted(self, claim).isPresent() || claim.incarnation() < self.incarnation()) {
+            return;
+        }
+        boolean worse = claim.state().compareTo(self.state()) > 0
+                && (claim.state() == Member.State.SUSPECT || claim.state() == Member.State.GONE);
+        assertTrue(!worse, () -> claim + " stands against " + self);
+    }
+
+    private static Optional<Member> refuted(Member self, Member claim) {
+        OptionalLong incarnation = FailureDetector.refute(self, claim);
+        return incarnation.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new Member(
+                        claim.instance(),
+                        self.service(),
+                        self.address(),
+                        self.place(),
+                        self.labels(),
+                        self.state(),
+                        incarnation.getAsLong(),
+                        self.slots(),
+                        self.version(),
+                        self.installedAtEpochMillis()));
+    }
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/membership/MembershipMergeTest.java
@@ -0,0 +1,110 @@
+package org.berylwick.internal.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.berylwick.lib.Member;
+import org.junit.jupiter.api.Test;
+
+/** Late, crossed and repeated records lead all daemons to one table. */
+class MembershipMergeTest {
+    @Provide
+    Arbitrary<Member> records() {
+        return Records.any();
+    }
+
+    @Provide
+    Arbitrary<List<Member>> lists() {
+        return Records.lists();
+    }
+
+    private static Member sameInstance(Member m) {
+        return new Member(
+                "a",
+                m.service(),
+                m.address(),
+                m.place(),
+                m.labels(),
+                m.state(),
+                m.incarnation(),
+                m.slots(),
+                m.version(),
+                m.installedAtEpochMillis());
+    }
+
+    @Property(seed = "5")
+    void joinIsCommutativeAssociativeAndIdempotent(
+            @ForAll("records") Member x, @ForAll("records") Member y, @ForAll("records") Member z) {
+        Member a = sameInstance(x);
+        Member b = sameInstance(y);
+        Member c = sameInstance(z);
+        assertEquals(MemberMerge.join(a, b), MemberMerge.join(b, a));
+        assertEquals(MemberMerge.join(MemberMerge.join(a, b), c), MemberMerge.join(a, MemberMerge.join(b, c)));
+        assertEquals(a, MemberMerge.join(a, a));
+    }
+
+    @Property(seed = "5")
+    void tablesThatSawTheSameRecordsInAnyOrderAreEqualAndHashAlike(
+            @ForAll("lists") List<Member> records, @ForAll Random random) {
+        List<Member> first = List.of(
+                Records.record("a", Member.State.STARTING, 1, 0),
+                Records.record("b", Member.State.STARTING, 1, 0),
+                Records.record("c", Member.State.STARTING, 1, 0));
+        List<Member> shuffled = new ArrayList<>(records);
+        shuffled.addAll(records);
+        Collections.shuffle(shuffled, random);
+        MembershipTable one = new MembershipTable();
+        MembershipTable other = new MembershipTable();
+        one.mergeAll(first);
+        other.mergeAll(first);
+        one.mergeAll(records);
+        shuffled.forEach(other::merge);
+        assertEquals(new HashSet<>(one.view().all()), new HashSet<>(other.view().all()));
+        assertEquals(one.hashes(), other.hashes());
+    }
+
+    // Seen with records ordered by state and then version: a suspicion that crossed a version report took the
+    // report back on daemons that heard of the suspicion last, and the two sides never agreed again.
+    @Test
+    void suspicionAndVersionReportThatCrossBothCount() {
+        Member suspected = Records.record("a", Member.State.SUSPECT, 1, 3);
+        Member reported = Records.record("a", Member.State.UP, 1, 4);
+        MembershipTable table = new MembershipTable();
+        table.merge(reported);
+        table.merge(suspected);
+        Member joined = table.view().find("a").orElseThrow();
+        assertEquals(Member.State.SUSPECT, joined.state());
+        assertEquals(4, joined.version());
+    }
+
+    // A backend server that announced its leave must get no new work, however late an older word comes in: the
+    // record of its being up was sent before, crosses the announcement, and arrives after it.
+    @Test
+    void leavingMemberComesBackOnlyWithANewIncarnation() {
+        MembershipTable table = new MembershipTable();
+        table.merge(Records.record("a", Member.State.LEAVING, 7, 3));
+        table.merge(Records.record("a", Member.State.UP, 7, 4));
+        assertEquals(Member.State.LEAVING, table.view().find("a").orElseThrow().state());
+        table.merge(Records.record("a", Member.State.SUSPECT, 7, 4));
+        assertEquals(Member.State.LEAVING, table.view().find("a").orElseThrow().state());
+        table.merge(Records.record("a", Member.State.UP, 8, 0));
+        assertEquals(Member.State.UP, table.view().find("a").orElseThrow().state());
+    }
+
+    // Daemons drop the tombstone of a member at different times. One that still has it must not hand it back to
+    // those that dropped it, or it would go round for good.
+    @Test
+    void tombstoneOfAnUnknownMemberIsNotTakenIn() {
+        MembershipTable table = new MembershipTable();
+        table.merge(Records.record("a", Member.State.GONE, 1, 0));
+        assertEquals(List.of(), List.copyOf(table.view().all()));
+    }
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/membership/Records.java
@@ -0,0 +1,57 @@
+package org.berylwick.internal.membership;
+
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import org.berylwick.lib.HostPort;
+import org.berylwick.lib.Labels;
+import org.berylwick.lib.Member;
+import org.berylwick.lib.Place;
+
+/** Records of members for tests. */
+final class Records {
+    private Records() {}
+
+    static Member record(String instance, Member.State state, long incarnation, long version) {
+        return new Member(
+                instance,
+                "web",
+                HostPort.fromString("10.0.0.1:80"),
+                new Place("r", "z"),
+                Labels.EMPTY,
+                state,
+                incarnation,
+                12,
+                version,
+                version);
+    }
+
+    /** Any record of one of three instances, few enough values that equal and crossed ones are common. */
+    static Arbitrary<Member> any() {
+        return Combinators.combine(
+                        Arbitraries.of("a", "b", "c"),
+                        Arbitraries.of(Member.State.class),
+                        Arbitraries.longs().between(1, 3),
+                        Arbitraries.longs().between(0, 3),
+                        Arbitraries.integers().between(1, 2))
+                .as((i, s, n, v, slots) -> {
+                    Member m = record(i, s, n, v);
+                    return new Member(
+                            i,
+                            m.service(),
+                            m.address(),
+                            m.place(),
+                            m.labels(),
+                            s,
+                            n,
+                            slots,
+                            v,
+                            m.installedAtEpochMillis());
+                });
+    }
+
+    static Arbitrary<List<Member>> lists() {
+        return any().list().ofMaxSize(12);
+    }
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/spread/MemoryNetwork.java
@@ -0,0 +1,221 @@
+package org.berylwick.internal.spread;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.berylwick.internal.kernel.Ring;
+import org.berylwick.internal.membership.MembershipTable;
+import org.berylwick.internal.version.InstalledVersion;
+import org.berylwick.internal.version.VersionContent;
+import org.berylwick.lib.Deadline;
+import org.berylwick.lib.HostPort;
+import org.berylwick.lib.Labels;
+import org.berylwick.lib.Member;
+import org.berylwick.lib.Place;
+import org.berylwick.lib.Result;
+import org.berylwick.proto.PeerMessage;
+import org.berylwick.proto.ProbeReply;
+import org.berylwick.testing.ManualTimeSource;
+import org.berylwick.transport.PeerCalls;
+import org.berylwick.transport.PeerStream;
+
+/** Spreaders joined by streams in memory, on one thread and a clock that the test moves; each direction can be cut. */
+final class MemoryNetwork {
+    private static final Duration STEP = Duration.ofMillis(50);
+
+    private final ManualTimeSource time = new ManualTimeSource();
+    private final Map<HostPort, Node> nodes = new LinkedHashMap<>();
+    private final Set<Direction> cuts = new HashSet<>();
+
+    private record Direction(HostPort from, HostPort to) {}
+
+    /** One daemon's spreader with what belongs to it. */
+    final class Node implements SelfMember, PeerCalls {
+        final InstalledVersion installed = new InstalledVersion(time);
+        final MembershipTable table = new MembershipTable();
+        final Spreader spreader;
+        Member.State state = Member.State.UP;
+        boolean runs = true;
+        private final String instance;
+        private final Place place;
+        private final HostPort address;
+        private final VersionServer versions = new VersionServer(installed);
+        private long incarnation = 1;
+
+        private Node(int i, int zones) {
+            instance = "daemon-" + i;
+            place = new Place("region", "zone-" + i % zones);
+            address = new HostPort("10.0.0.1", i + 1);
+            spreader = new Spreader(
+                    new Spreader.Parts(
+                            SpreadTuning.DEFAULT,
+                            this,
+                            table,
+                            installed,
+                            new StoreFreshness(time),
+                            this::pull,
+                            this,
+                            new Ring<>(4096),
+                            new SpreadMetrics(new com.codahale.metrics.MetricRegistry())),
+                    time,
+                    new Random(i));
+        }
+
+        @Override
+        public Member current() {
+            return new Member(
+                    instance,
+                    "web",
+                    address,
+                    place,
+                    Labels.EMPTY,
+                    state,
+                    incarnation,
+                    12,
+                    installed.snapshot().id().number(),
+                    installed.inForce().sinceEpochMillis());
+        }
+
+        @Override
+        public void refute(long higher) {
+            incarnation = higher;
+        }
+
+        private void pull(HostPort from, long number) {
+            if (!passes(address, from) || !passes(from, address)) {
+                return;
+            }
+            byte[] gzip = nodes.get(from)
+                    .versions
+                    .encode(installed.snapshot().id().number())
+                    .orElseThrow();
+            if (ReceivedVersion.decode(gzip, installed.inForce())
+                    instanceof Result.Ok<VersionContent, String>(VersionContent content)) {
+                installed.install(content);
+            }
+        }
+
+        @Override
+        public PeerStream open(HostPort to, PeerStream.Listener listener) {
+            End here = new End(address, to, listener);
+            if (!passes(address, to) || !passes(to, address)) {
+                listener.closed(here, "cannot connect");
+                return here;
+            }
+            End there = new End(to, address, nodes.get(to).spreader);
+            here.other = there;
+            there.other = here;
+            return here;
+        }
+
+        @Override
+        public CompletableFuture<Optional<ProbeReply>> probe(HostPort to, Deadline deadline) {
+            boolean answers = passes(address, to) && passes(to, address);
+            return CompletableFuture.completedFuture(
+                    answers
+                            ? Optional.of(ProbeReply.newBuilder()
+                                    .setInstance(nodes.get(to).instance)
+                                    .build())
+                            : Optional.empty());
+        }
+
+        @Override
+        public CompletableFuture<Optional<ProbeReply>> probeThrough(HostPort via, HostPort target, Deadline deadline) {
+            boolean answers = passes(address, via) && passes(via, address);
+            return answers
+                    ? nodes.get(via).probe(target, deadline)
+                    : CompletableFuture.completedFuture(Optional.empty());
+        }
+    }
+
+    private final class End implements PeerStream {
+        private final HostPort from;
+        private final HostPort to;
+        private final Listener listener;
+        private End other;
+        private boolean ended;
+
+        private End(HostPort from, HostPort to, Listener listener) {
+            this.from = from;
+            this.to = to;
+            this.listener = listener;
+        }
+
+        @Override
+        public boolean isReady() {
+            return true;
+        }
+
+        @Override
+        public void send(PeerMessage message) {
+            if (!ended && other != null && passes(from, to)) {
+                other.listener.received(other, message);
+            }
+        }
+
+        @Override
+        public void close() {
+            if (!ended && other != null && passes(from, to)) {
+                other.ended = true;
+                other.listener.closed(other, "closed by the peer");
+            }
+            ended = true;
+        }
+    }
+
+    /** Adds daemons over {@code zones} zones; the first one's address is known to all. */
+    List<Node> add(int count, int zones) {
+        List<Node> added = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            Node node = new Node(nodes.size(), zones);
+            nodes.put(node.address, node);
+            added.add(node);
+        }
+        HostPort seed = nodes.keySet().iterator().next();
+        added.forEach(n -> n.spreader.tell(new SpreadEvent.Found(List.of(seed))));
+        return added;
+    }
+
+    private boolean passes(HostPort from, HostPort to) {
+        return nodes.get(from).runs && nodes.get(to).runs && !cuts.contains(new Direction(from, to));
+    }
+
+    /** Loses from now on all that goes from one daemon to another, silently. */
+    void cut(Node from, Node to) {
+        cuts.add(new Direction(from.address, to.address));
+    }
+
+    /** Cuts a daemon off from all others, or group from group. */
+    void cutBetween(List<Node> some, List<Node> others) {
+        for (Node a : some) {
+            for (Node b : others) {
+                cut(a, b);
+                cut(b, a);
+            }
+        }
+    }
+
+    void healAll() {
+        cuts.clear();
+    }
+
+    /** Lets time pass. */
+    void pass(Duration duration) {
+        for (long left = duration.toMillis(); left > 0; left -= STEP.toMillis()) {
+            time.advance(STEP);
+            nodes.values().stream().filter(n -> n.runs).forEach(n -> n.spreader.work());
+        }
+    }
+
+    /** Which state a daemon holds another in. */
+    static Member.State state(Node at, Node of) {
+        return at.table.view().find(of.instance).map(Member::state).orElse(Member.State.GONE);
+    }
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/spread/PeerChooserTest.java
@@ -0,0 +1,107 @@
+package org.berylwick.internal.spread;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.berylwick.lib.HostPort;
+import org.berylwick.lib.Labels;
+import org.berylwick.lib.Member;
+import org.berylwick.lib.Place;
+import org.junit.jupiter.api.Test;
+
+/** The graph of streams that daemons choose. */
+class PeerChooserTest {
+    private static Member member(int i, int zones) {
+        int zone = i % zones;
+        return new Member(
+                "daemon-" + i,
+                "web",
+                HostPort.fromString("10.0.0.1:" + (i + 1)),
+                new Place("region-" + zone / 2, "zone-" + zone),
+                Labels.EMPTY,
+                Member.State.UP,
+                1,
+                12,
+                0,
+                0);
+    }
+
+    private static List<Member> members(int count, int zones) {
+        List<Member> members = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            members.add(member(i, zones));
+        }
+        return members;
+    }
+
+    /** How many steps the farthest daemon is away from the first; -1 if some cannot be reached. */
+    private static int eccentricity(List<Member> members, int fanOut) {
+        Map<String, Set<String>> edges = new HashMap<>();
+        members.forEach(m -> edges.put(m.instance(), new HashSet<>()));
+        for (Member m : members) {
+            for (Member p : PeerChooser.choose(m, members, fanOut)) {
+                edges.get(m.instance()).add(p.instance());
+                edges.get(p.instance()).add(m.instance());
+            }
+        }
+        Map<String, Integer> steps = new HashMap<>();
+        Deque<String> next = new ArrayDeque<>();
+        steps.put(members.getFirst().instance(), 0);
+        next.add(members.getFirst().instance());
+        int far = 0;
+        while (!next.isEmpty()) {
+            String at = next.poll();
+            far = Math.max(far, steps.get(at));
+            for (String to : edges.get(at)) {
+                if (steps.putIfAbsent(to, steps.get(at) + 1) == null) {
+                    next.add(to);
+                }
+            }
+        }
+        return steps.size() == members.size() ? far : -1;
+    }
+
+    @Property(seed = "5", tries = 100)
+    void graphIsConnectedAndNobodyOpensMoreThanItsShare(
+            @ForAll @IntRange(min = 1, max = 60) int count,
+            @ForAll @IntRange(min = 1, max = 6) int zones,
+            @ForAll @IntRange(min = 1, max = 5) int fanOut) {
+        List<Member> members = members(count, zones);
+        assertTrue(eccentricity(members, fanOut) >= 0);
+        for (Member m : members) {
+            List<Member> chosen = PeerChooser.choose(m, members, fanOut);
+            assertEquals(Math.min(fanOut, count - 1), chosen.size());
+            assertTrue(chosen.stream().noneMatch(c -> c.instance().equals(m.instance())));
+        }
+    }
+
+    @Test
+    void farthestOfTheFleetToDesignForIsFewStepsAway() {
+        int far = eccentricity(members(480, 6), 3);
+        assertTrue(far > 0 && far <= 7, "eccentricity " + far);
+    }
+
+    @Test
+    void membersThatAreSuspectedOrLeavingAreNotChosen() {
+        List<Member> members = members(6, 2);
+        members.set(1, members.get(1).withState(Member.State.SUSPECT));
+        members.set(2, members.get(2).withState(Member.State.LEAVING));
+        members.set(3, members.get(3).withState(Member.State.GONE));
+        List<String> chosen = PeerChooser.choose(members.getFirst(), members, 5).stream()
+                .map(Member::instance)
+                .sorted()
+                .toList();
+        assertEquals(List.of("daemon-4", "daemon-5"), chosen);
+    }
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/spread/RateTest.java
@@ -0,0 +1,57 @@
+package org.berylwick.internal.spread;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.berylwick.testing.ManualTimeSource;
+import org.junit.jupiter.api.Test;
+
+/** Bounded rates and waits between tries. */
+class RateTest {
+    @Property(seed = "5")
+    void bucketNeverLetsThroughMoreThanBurstAndRate(
+            @ForAll @Size(max = 200) List<@IntRange(min = 0, max = 300) Integer> pausesMillis) {
+        ManualTimeSource time = new ManualTimeSource();
+        TokenBucket bucket = new TokenBucket(time, 10, 5);
+        long taken = 0;
+        long passedMillis = 0;
+        for (int pause : pausesMillis) {
+            time.advance(Duration.ofMillis(pause));
+            passedMillis += pause;
+            taken += bucket.tryTake() ? 1 : 0;
+            assertTrue(taken <= 5 + passedMillis / 100.0 + 1e-6, taken + " in " + passedMillis + " ms");
+        }
+    }
+
+    // After each daemon's first version was charged to the bucket that also pays for the lease, no reader could
+    // renew its lease for minutes, so nobody read the store and no change came into force anywhere.
+    @Test
+    void chargeIsPaidBackAtTheRate() {
+        ManualTimeSource time = new ManualTimeSource();
+        TokenBucket bucket = new TokenBucket(time, 10, 5);
+        bucket.charge(15);
+        assertFalse(bucket.tryTake());
+        assertEquals(1_100, bucket.waitMillis());
+        time.advance(Duration.ofMillis(1_100));
+        assertTrue(bucket.tryTake());
+    }
+
+    @Property(seed = "5")
+    void waitsAreJitteredOverTheWholeBoundAndBounded(@ForAll @IntRange(min = 1, max = 40) int failures) {
+        Backoff backoff = new Backoff(new Random(failures), 200, 5_000);
+        long bound = 200;
+        for (int i = 0; i < failures; i++) {
+            long wait = backoff.nextMillis();
+            assertTrue(wait >= 0 && wait <= bound, wait + " after " + i + " failures");
+            bound = Math.min(5_000, bound * 2);
+        }
+    }
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/spread/ReaderLeaseTest.java
@@ -0,0 +1,62 @@
+package org.berylwick.internal.spread;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** How the places of readers are taken, held and freed. */
+class ReaderLeaseTest {
+    private static final int PLACES = 2;
+    private static final long LEASE = 10;
+
+    /** Daemon {@code who} looks at the lease at each step and writes what it decides. */
+    @Property(seed = "5")
+    void neverMoreHoldersThanPlacesWhoeverComesWhen(
+            @ForAll @Size(max = 60) List<@IntRange(min = 0, max = 5) Integer> who) {
+        ReaderLease lease = ReaderLease.NONE;
+        Map<String, Long> heldUntil = new HashMap<>();
+        for (int now = 0; now < who.size(); now++) {
+            String instance = "d" + who.get(now);
+            if (lease.decide(instance, now, PLACES, now + LEASE)
+                    instanceof ReaderLease.Decision.Write(ReaderLease next, int slot)) {
+                assertTrue(slot < PLACES);
+                lease = next;
+                heldUntil.put(instance, now + LEASE);
+            }
+            long at = now;
+            assertTrue(heldUntil.values().stream().filter(t -> t > at).count() <= PLACES, lease::toString);
+            assertTrue(lease.holders().size() <= PLACES);
+        }
+    }
+
+    @Test
+    void placeOfADaemonThatDiedIsTakenOnceItLapsed() {
+        ReaderLease full = new ReaderLease(List.of(new ReaderLease.Holder("a", 10), new ReaderLease.Holder("b", 20)));
+        assertInstanceOf(ReaderLease.Decision.Full.class, full.decide("c", 9, PLACES, 19));
+        ReaderLease.Decision.Write taken =
+                assertInstanceOf(ReaderLease.Decision.Write.class, full.decide("c", 10, PLACES, 20));
+        assertEquals(1, taken.slot());
+        assertEquals(
+                List.of("b", "c"),
+                taken.next().holders().stream()
+                        .map(ReaderLease.Holder::instance)
+                        .toList());
+    }
+
+    // A holder is paused past its lease, another takes its place, and the first wakes up and renews. It must find
+    // the places taken rather than push the other out or make a third.
+    @Test
+    void holderThatSleptPastItsLeaseFindsThePlacesTaken() {
+        ReaderLease others = new ReaderLease(List.of(new ReaderLease.Holder("b", 30), new ReaderLease.Holder("c", 30)));
+        assertInstanceOf(ReaderLease.Decision.Full.class, others.decide("a", 25, PLACES, 35));
+    }
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/spread/SpreaderTest.java
@@ -0,0 +1,187 @@
+package org.berylwick.internal.spread;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.berylwick.internal.spread.MemoryNetwork.Node;
+import org.berylwick.internal.version.VersionContent;
+import org.berylwick.lib.AuditEntry;
+import org.berylwick.lib.Brand;
+import org.berylwick.lib.Configuration;
+import org.berylwick.lib.Labels;
+import org.berylwick.lib.Member;
+import org.berylwick.lib.VersionId;
+import org.junit.jupiter.api.Test;
+
+/** What spreading does when daemons, streams and directions fail. */
+class SpreaderTest {
+    private static final Duration JOIN = Duration.ofSeconds(10);
+    private static final Duration SECONDS = Duration.ofSeconds(15);
+    private static final Duration MINUTES = Duration.ofMinutes(3);
+
+    private final MemoryNetwork network = new MemoryNetwork();
+
+    private List<Node> joined(int count) {
+        List<Node> nodes = network.add(count, 3);
+        network.pass(JOIN);
+        assertAllHold(nodes, nodes, Member.State.UP);
+        return nodes;
+    }
+
+    private static void assertAllHold(List<Node> at, List<Node> of, Member.State state) {
+        for (Node a : at) {
+            of.forEach(o -> assertEquals(state, MemoryNetwork.state(a, o)));
+        }
+    }
+
+    private static VersionContent version(VersionId previous) {
+        Brand brand = new Brand("one", List.of("one.example"), Labels.EMPTY, Map.of("x-mark", "" + previous.number()));
+        Configuration configuration = new Configuration(
+                new TreeMap<>(Map.of("one", brand)), new TreeMap<>(), new TreeMap<>(), new TreeMap<>());
+        return VersionContent.encode(previous, new AuditEntry("op", "test", "", 0, List.of()), configuration);
+    }
+
+    private static VersionId install(Node at) {
+        VersionContent content = version(at.installed.snapshot().id());
+        at.installed.install(content);
+        return content.id();
+    }
+
+    private static void assertInForce(List<Node> nodes, VersionId id) {
+        nodes.forEach(n -> assertEquals(id, n.installed.snapshot().id()));
+    }
+
+    @Test
+    void versionAndReportsOfItReachAll() {
+        List<Node> nodes = joined(20);
+        VersionId id = install(nodes.get(7));
+        network.pass(SECONDS);
+        assertInForce(nodes, id);
+        for (Node n : nodes) {
+            assertTrue(n.table.view().all().stream().allMatch(m -> m.version() == id.number()));
+            assertEquals(nodes.getFirst().table.hashes(), n.table.hashes());
+        }
+    }
+
+    // One of two daemons no longer hears the other, while everything else passes: the stream between them falls
+    // silent on one side. Versions must come another way, and neither may be taken out of service, as each still
+    // answers everybody else.
+    @Test
+    void oneWayCutDelaysNoVersionAndGivesNobodyUp() {
+        List<Node> nodes = joined(12);
+        network.cut(nodes.get(3), nodes.get(4));
+        network.cut(nodes.get(0), nodes.get(5));
+        VersionId id = install(nodes.get(3));
+        network.pass(SECONDS);
+        assertInForce(nodes, id);
+        network.pass(MINUTES);
+        assertAllHold(nodes, nodes, Member.State.UP);
+    }
+
+    // A process dies without a word. Callers are sent there until others notice; all must know within seconds,
+    // also those with no stream to it.
+    @Test
+    void daemonThatDiedIsKnownToAll() {
+        List<Node> nodes = joined(12);
+        Node dead = nodes.get(5);
+        dead.runs = false;
+        network.pass(SECONDS);
+        List<Node> others = nodes.stream().filter(n -> n != dead).toList();
+        assertAllHold(others, List.of(dead), Member.State.GONE);
+        assertAllHold(others, others, Member.State.UP);
+    }
+
+    // A daemon is paused for longer than the suspicion lasts, is given up by all, and goes on. It must come back
+    // with a new incarnation by itself, since nobody else may vouch for it.
+    @Test
+    void daemonThatWasPausedComesBack() {
+        List<Node> nodes = joined(12);
+        Node paused = nodes.get(5);
+        paused.runs = false;
+        network.pass(SECONDS);
+        paused.runs = true;
+        VersionId id = install(nodes.get(1));
+        network.pass(MINUTES);
+        assertAllHold(nodes, nodes, Member.State.UP);
+        assertInForce(nodes, id);
+    }
+
+    // Half of all daemons die at one moment, among them the neighbours that would have noticed each other's death.
+    @Test
+    void halfOfAllDyingAtOnceIsKnownToTheRest() {
+        List<Node> nodes = joined(20);
+        List<Node> dead = nodes.stream().filter(n -> nodes.indexOf(n) % 2 == 1).toList();
+        List<Node> others =
+                nodes.stream().filter(n -> nodes.indexOf(n) % 2 == 0).toList();
+        dead.forEach(n -> n.runs = false);
+        VersionId id = install(others.getFirst());
+        network.pass(MINUTES);
+        assertAllHold(others, dead, Member.State.GONE);
+        assertAllHold(others, others, Member.State.UP);
+        assertInForce(others, id);
+    }
+
+    // A backend server leaves. Requests sent to it after a few seconds would be refused one by one, so every daemon
+    // must know, and must keep knowing when its process is gone.
+    @Test
+    void leaveIsKnownToAll() {
+        List<Node> nodes = joined(12);
+        Node leaving = nodes.get(4);
+        leaving.state = Member.State.LEAVING;
+        network.pass(Duration.ofSeconds(2));
+        assertAllHold(nodes, List.of(leaving), Member.State.LEAVING);
+        leaving.spreader.close();
+        leaving.runs = false;
+        network.pass(MINUTES);
+        List<Node> others = nodes.stream().filter(n -> n != leaving).toList();
+        assertAllHold(others, List.of(leaving), Member.State.GONE);
+    }
+
+    // Two regions lose each other for minutes and each accepts that the other is out of reach. When they meet again
+    // the first word each hears of its own daemons is the other's suspicion: none may be out of use on its own side.
+    @Test
+    void partsThatMeetAgainTakeNobodyOutOfUse() {
+        List<Node> nodes = joined(16);
+        List<Node> some = nodes.subList(0, 11);
+        List<Node> others = nodes.subList(11, 16);
+        network.cutBetween(some, others);
+        VersionId id = install(some.getFirst());
+        network.pass(MINUTES);
+        assertAllHold(some, others, Member.State.GONE);
+        network.healAll();
+        for (int i = 0; i < 600; i++) {
+            network.pass(Duration.ofMillis(100));
+            for (Node a : others) {
+                others.forEach(b -> assertTrue(MemoryNetwork.state(a, b) != Member.State.GONE));
+            }
+        }
+        network.pass(MINUTES);
+        assertAllHold(nodes, nodes, Member.State.UP);
+        assertInForce(nodes, id);
+    }
+
+    // All streams lose everything for a while just as a version is accepted, so every push of it is lost. Heartbeats
+    // must bring it once they pass again, without any daemon asking the store.
+    @Test
+    void versionWhosePushWasLostIsMadeGood() {
+        List<Node> nodes = joined(8);
+        network.cutBetween(nodes, nodes);
+        VersionId id = install(nodes.getFirst());
+        network.pass(Duration.ofSeconds(2));
+        network.healAll();
+        network.pass(SECONDS);
+        assertInForce(nodes, id);
+    }
+
+    // A herd of newcomers knows one address. The daemon there admits some at once and the others later.
+    @Test
+    void herdOfNewcomersIsAdmittedInTime() {
+        List<Node> nodes = network.add(80, 6);
+        network.pass(Duration.ofSeconds(60));
+        assertAllHold(nodes, nodes, Member.State.UP);
+    }
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/spread/VersionTransferTest.java
@@ -0,0 +1,125 @@
+package org.berylwick.internal.spread;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.From;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.berylwick.internal.version.InstalledVersion;
+import org.berylwick.internal.version.VersionContent;
+import org.berylwick.lib.AuditEntry;
+import org.berylwick.lib.Brand;
+import org.berylwick.lib.Configuration;
+import org.berylwick.lib.Labels;
+import org.berylwick.lib.Result;
+import org.berylwick.lib.VersionId;
+import org.berylwick.testing.ManualTimeSource;
+import org.junit.jupiter.api.Test;
+
+/** A version that a peer sends is the one that was accepted, or nothing. */
+class VersionTransferTest {
+    private final ManualTimeSource time = new ManualTimeSource();
+
+    @Provide
+    Arbitrary<Map<String, Integer>> brands() {
+        return Arbitraries.maps(
+                        Arbitraries.of("a", "b", "c", "d", "e", "f"),
+                        Arbitraries.integers().between(0, 2))
+                .ofMaxSize(6);
+    }
+
+    private static VersionContent content(VersionId previous, Map<String, Integer> marks) {
+        SortedMap<String, Brand> brands = new TreeMap<>();
+        marks.forEach((name, mark) -> brands.put(
+                name, new Brand(name, List.of(name + ".example"), Labels.EMPTY, Map.of("x-mark", "" + mark))));
+        Configuration configuration = new Configuration(brands, new TreeMap<>(), new TreeMap<>(), new TreeMap<>());
+        return VersionContent.encode(
+                previous, new AuditEntry("op-" + previous.number(), "test", "", 0, List.of()), configuration);
+    }
+
+    private InstalledVersion holding(VersionContent... versions) {
+        InstalledVersion installed = new InstalledVersion(time);
+        for (VersionContent v : versions) {
+            assertInstanceOf(InstalledVersion.Install.Installed.class, installed.install(v));
+        }
+        return installed;
+    }
+
+    @Property(seed = "5", tries = 200)
+    void peerBehindByAnyNumberOfVersionsGetsTheVersionInForce(
+            @ForAll @Size(min = 1, max = 12) List<@From("brands") Map<String, Integer>> history,
+            @ForAll @IntRange(min = 0, max = 12) int behind) {
+        InstalledVersion ahead = new InstalledVersion(time);
+        InstalledVersion late = new InstalledVersion(time);
+        VersionServer server = new VersionServer(ahead);
+        VersionId previous = VersionId.NONE;
+        for (int i = 0; i < history.size(); i++) {
+            VersionContent content = content(previous, history.get(i));
+            ahead.install(content);
+            if (i < history.size() - behind) {
+                late.install(content);
+            }
+            previous = content.id();
+        }
+        byte[] gzip = server.encode(late.snapshot().id().number()).orElseThrow();
+        VersionContent received = decoded(ReceivedVersion.decode(gzip, late.inForce()));
+        assertEquals(ahead.snapshot().id(), received.id());
+        assertArrayEquals(ahead.inForce().manifestBytes(), received.manifestBytes());
+        assertEquals(ahead.inForce().parts().keySet(), received.parts().keySet());
+    }
+
+    private static VersionContent decoded(Result<VersionContent, String> result) {
+        return switch (result) {
+            case Result.Ok<VersionContent, String>(VersionContent content) -> content;
+            case Result.Err<VersionContent, String>(String detail) -> throw new AssertionError(detail);
+        };
+    }
+
+    // A peer or the way to it turns a byte over. The daemon must refuse the whole of it: a proxy that holds a
+    // version under the right number with other content would serve it until the next change.
+    @Property(seed = "5", tries = 300)
+    void corruptedTransferIsRefusedOrHarmless(@ForAll @IntRange(min = 0, max = 10_000) int at, @ForAll byte flip) {
+        VersionContent first = content(VersionId.NONE, Map.of("a", 1, "b", 1));
+        VersionContent second = content(first.id(), Map.of("a", 2, "b", 1));
+        InstalledVersion ahead = new InstalledVersion(time);
+        VersionServer server = new VersionServer(ahead);
+        ahead.install(first);
+        ahead.install(second);
+        byte[] gzip = server.encode(1).orElseThrow().clone();
+        gzip[at % gzip.length] ^= flip;
+        if (ReceivedVersion.decode(gzip, holding(first).inForce())
+                instanceof Result.Ok<VersionContent, String>(VersionContent content)) {
+            assertEquals(second.id(), content.id());
+            assertEquals(second.parts().keySet(), content.parts().keySet());
+        }
+    }
+
+    @Test
+    void deltaAgainstAVersionThatIsNoLongerInForceIsRefused() {
+        VersionContent first = content(VersionId.NONE, Map.of("a", 1));
+        VersionContent second = content(first.id(), Map.of("a", 2));
+        VersionContent third = content(second.id(), Map.of("a", 3));
+        InstalledVersion ahead = new InstalledVersion(time);
+        VersionServer server = new VersionServer(ahead);
+        ahead.install(first);
+        ahead.install(second);
+        ahead.install(third);
+        byte[] gzip = server.encode(1).orElseThrow();
+        assertInstanceOf(
+                Result.Err.class,
+                ReceivedVersion.decode(gzip, holding(first, second).inForce()));
+        assertTrue(new VersionServer(new InstalledVersion(time)).encode(0).isEmpty());
+    }
+}
--- a/org.berylwick.test/tst/org/berylwick/testing/package-info.java
+++ b/org.berylwick.test/tst/org/berylwick/testing/package-info.java
@@ -1,2 +1,2 @@
-/** Fixtures that several tests share. */
+/** Fixtures that tests of several packages use. */
 package org.berylwick.testing;
--- a/org.berylwick/src/org/berylwick/internal/spread/PeerChooser.java
+++ b/org.berylwick/src/org/berylwick/internal/spread/PeerChooser.java
@@ -20,11 +20,17 @@
  * join zones at many points. The same members give the same choice, and a change of one member changes few streams.
  */
 public final class PeerChooser {
-    private static final Comparator<Member> RING = Comparator.<Member, String>comparing(
-                    m -> m.place().region())
-            .thenComparing(m -> m.place().availabilityZone())
-            .thenComparingLong(m -> MemberHash.of(m.instance()))
-            .thenComparing(Member::instance);
+    private static final Comparator<Placed> RING = Comparator.<Placed, String>comparing(
+                    p -> p.member.place().region())
+            .thenComparing(p -> p.member.place().availabilityZone())
+            .thenComparingLong(Placed::hash)
+            .thenComparing(p -> p.member.instance());
+
+    private record Placed(Member member, long hash) {
+        private static Placed of(Member member) {
+            return new Placed(member, MemberHash.of(member.instance()));
+        }
+    }
 
     private PeerChooser() {}
 
@@ -35,17 +41,23 @@
      * @param fanOut most streams to open
      */
     public static List<Member> choose(Member self, Collection<Member> members, int fanOut) {
-        List<Member> live = members.stream()
+        List<Placed> ring = members.stream()
                 .filter(m -> !m.instance().equals(self.instance()))
                 .filter(m -> m.state() == Member.State.UP || m.state() == Member.State.STARTING)
+                .map(Placed::of)
                 .sorted(RING)
                 .toList();
         Map<String, Member> chosen = new LinkedHashMap<>();
-        if (live.isEmpty()) {
+        if (ring.isEmpty()) {
             return List.of();
         }
-        Member next =
-                live.stream().filter(m -> RING.compare(m, self) > 0).findFirst().orElse(live.getFirst());
+        Placed here = Placed.of(self);
+        Member next = ring.stream()
+                .filter(p -> RING.compare(p, here) > 0)
+                .findFirst()
+                .orElse(ring.getFirst())
+                .member();
+        List<Member> live = ring.stream().map(Placed::member).toList();
         chosen.put(next.instance(), next);
         Predicate<Member> sameZone = m -> m.place().equals(self.place());
         Predicate<Member> sameRegion =
--- a/org.berylwick/src/org/berylwick/internal/spread/Spreader.java
+++ b/org.berylwick/src/org/berylwick/internal/spread/Spreader.java
@@ -15,6 +15,7 @@
 import org.berylwick.lib.Deadline;
 import org.berylwick.lib.HostPort;
 import org.berylwick.lib.Member;
+import org.berylwick.lib.MembershipView;
 import org.berylwick.lib.Result;
 import org.berylwick.lib.TimeSource;
 import org.berylwick.lib.VersionId;
@@ -38,6 +39,7 @@
     private static final long TOMBSTONE_MILLIS = 600_000;
     private static final int SETTLED_HEARTBEATS = 3;
     private static final int HELPERS = 3;
+    private static final int EVENTS_AT_ONCE = 256;
 
     private final SpreadTuning tuning;
     private final SelfMember self;
@@ -53,6 +55,9 @@
     private final LinkTable links;
     private final Prober prober;
     private final MembershipGossip gossip;
+    private List<HostPort> found = List.of();
+    private MembershipView chosenFrom = MembershipView.EMPTY;
+    private List<Member> chosen = List.of();
     private Deadline nextUpkeep;
     private Deadline nextProbe;
     private volatile int openLinks;
@@ -126,22 +131,28 @@
 
     /** Does what is due and what comes in until the next thing is due. */
     public void round() {
-        if (nextUpkeep.isPast(time)) {
-            nextUpkeep = Deadline.afterMillis(time, UPKEEP_MILLIS);
-            upkeep();
-        }
-        heartbeats();
-        gossip.flush();
+        work();
         Deadline wait = gossip.nextFlush(nextUpkeep);
         ring.poll(wait.remainingNanos(time)).ifPresent(this::handle);
-        // Takes what else is there before sending, so that one message carries what came together.
-        for (int i = 0; i < 256; i++) {
+        openLinks = links.open().size();
+    }
+
+    /** Does what is due and takes what came in, without waiting. */
+    void work() {
+        // Takes all that is there before sending, so that one message carries what came together.
+        for (int i = 0; i < EVENTS_AT_ONCE; i++) {
             Optional<SpreadEvent> more = ring.poll(0);
             if (more.isEmpty()) {
                 break;
             }
             handle(more.get());
         }
+        if (nextUpkeep.isPast(time)) {
+            nextUpkeep = Deadline.afterMillis(time, UPKEEP_MILLIS);
+            upkeep();
+        }
+        heartbeats();
+        gossip.flush();
         openLinks = links.open().size();
     }
 
@@ -160,7 +171,10 @@
                 gossip.merge(List.of(), null);
                 links.open().forEach(this::notice);
             }
-            case SpreadEvent.Found(List<HostPort> addresses) -> join(addresses);
+            case SpreadEvent.Found(List<HostPort> addresses) -> {
+                found = List.copyOf(addresses);
+                join();
+            }
             case SpreadEvent.Unreachable(Member member) -> unreachable(member);
             case SpreadEvent.Reachable(Member member) -> {
                 if (member.state() == Member.State.SUSPECT || member.state() == Member.State.GONE) {
@@ -215,12 +229,14 @@
                 .build());
     }
 
-    private void join(List<HostPort> addresses) {
-        List<HostPort> shuffled = new ArrayList<>(addresses);
+    private void join() {
+        List<HostPort> shuffled = new ArrayList<>(found);
         shuffled.remove(self.current().address());
-        table.view().all().stream()
-                .filter(m -> m.state() != Member.State.GONE)
-                .forEach(m -> shuffled.remove(m.address()));
+        if (!links.open().isEmpty()) {
+            table.view().all().stream()
+                    .filter(m -> m.state() != Member.State.GONE)
+                    .forEach(m -> shuffled.remove(m.address()));
+        }
         Collections.shuffle(shuffled, random);
         shuffled.stream().limit(tuning.fanOut()).forEach(a -> links.open(a).ifPresent(this::hello));
     }
@@ -286,10 +302,11 @@
         links.dropSilent().forEach(l -> l.peer.or(() -> memberAt(l.address)).ifPresent(this::doubt));
         gossip.merge(detector.expired(table.view()), null);
         detector.forgettable().forEach(table::forget);
-        List<Member> chosen = me.state() == Member.State.LEAVING
-                ? List.of()
-                : PeerChooser.choose(me, table.view().all(), tuning.fanOut());
-        links.reconcile(chosen).forEach(this::hello);
+        links.reconcile(choose(me)).forEach(this::hello);
+        // Who was refused or found nobody tries the same addresses again, each after its own wait.
+        if (links.open().isEmpty()) {
+            join();
+        }
         if (nextProbe.isPast(time)) {
             nextProbe = Deadline.afterMillis(time, tuning.probe() / 2 + random.nextLong(tuning.probe()));
             List<Member> others = table.view().all().stream()
@@ -301,6 +318,18 @@
         }
     }
 
+    private List<Member> choose(Member me) {
+        if (me.state() == Member.State.LEAVING) {
+            return List.of();
+        }
+        MembershipView view = table.view();
+        if (view != chosenFrom) {
+            chosenFrom = view;
+            chosen = PeerChooser.choose(me, view.all(), tuning.fanOut());
+        }
+        return chosen;
+    }
+
     private Optional<Member> memberAt(HostPort address) {
         return table.view().all().stream()
                 .filter(m -> m.address().equals(address))
