Measure recovery, and leave the compiler out of control's processor time

./measure recovery kills and replaces daemons or brings faults to the store, and prints the time until all are current, the store's busiest second and failed requests. In a trial the compiler's threads took 13% of a core in the first minute of a daemon and all others 0.9%, so ./measure convergence now counts the threads without the compiler's.

--- a/org.berylwick.bench/src/org/berylwick/bench/Measure.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/Measure.java
@@ -10,6 +10,7 @@
 import org.berylwick.bench.call.CallMeasurement;
 import org.berylwick.bench.call.ColdMeasurement;
 import org.berylwick.bench.control.Convergence;
+import org.berylwick.bench.control.Recovery;
 import org.berylwick.bench.limits.LimitsMeasurement;
 import org.berylwick.bench.soak.SoakMeasurement;
 
@@ -19,6 +20,7 @@
             new CallMeasurement(),
             new ColdMeasurement(),
             new Convergence(),
+            new Recovery(),
             new LimitsMeasurement(),
             new SoakMeasurement());
     private static final int EXIT_BAD_INPUT = 2;
--- a/org.berylwick.bench/src/org/berylwick/bench/control/ControlFleet.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/control/ControlFleet.java
@@ -19,15 +19,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.berylwick.api.ApplyCommand;
 import org.berylwick.api.ApplyResult;
 import org.berylwick.bench.fleet.Fleet;
 import org.berylwick.bench.fleet.FleetPlan;
 import org.berylwick.internal.version.VersionRepository;
 import org.berylwick.lib.Deadline;
+import org.berylwick.lib.HostPort;
 import org.berylwick.lib.Place;
 import org.berylwick.lib.TimeSource;
 import org.berylwick.proto.AdminGrpc;
@@ -52,12 +55,14 @@
     private static final long POLL_MILLIS = 100;
     private static final long TICKS_PER_SECOND = 100;
     private static final int STARTED_AT_ONCE = 8;
+    private static final Pattern COMPILER_THREAD = Pattern.compile("C[12] Compiler");
     private static final Pattern HEAP_USED = Pattern.compile("(?:new generation|[Tt]enured).*?used (\\d+)K");
 
     private final Fleet fleet = new Fleet();
     private final HttpClient http = HttpClient.newHttpClient();
     private final ObjectMapper json = new ObjectMapper();
     private final Map<String, AdminGrpc.AdminBlockingStub> admins = new HashMap<>();
+    private final Map<String, HostPort> listening = new ConcurrentHashMap<>();
     private final String spreadSettings;
     private final FleetPlan plan;
     private HttpPlatformStore store;
@@ -67,7 +72,7 @@
      *
      * @param bytes control bytes over the sockets, each counted once
      * @param calls to the platform's store
-     * @param cpuTicks processor time, in hundredths of a second
+     * @param cpuTicks processor time without that of the just-in-time compiler, in hundredths of a second
      */
     record Counters(long bytes, long calls, long cpuTicks) {
         Counters minus(Counters other) {
@@ -105,6 +110,22 @@
         awaitMembers(all.size());
     }
 
+    /** Ends a daemon's process at once. */
+    void kill(String name) {
+        listening.remove(name);
+        fleet.daemons().get(name).process().destroyForcibly();
+    }
+
+    /** Where those daemons take calls that a caller may take for running. */
+    List<HostPort> listening() {
+        return List.copyOf(listening.values());
+    }
+
+    /** Asks the platform's stand-in for something under {@code /control/}. */
+    JsonNode control(String command) {
+        return get("http://" + fleet.platform() + "/control/" + command);
+    }
+
     List<FleetPlan.Instance> instances() {
         return plan.instances();
     }
@@ -123,6 +144,7 @@
 
     void awaitDaemon(FleetPlan.Instance i) {
         fleet.awaitDaemon(i.name());
+        listening.put(i.name(), fleet.addresses(i.name()).callers());
         admins.put(
                 i.name(),
                 GrpcClients.builder("gproto+h2c://" + fleet.addresses(i.name()).admin())
@@ -232,14 +254,25 @@
         return fleet.daemons().get(name).process().pid();
     }
 
+    /** Processor time of a daemon's threads but those of the just-in-time compiler, which ends its work in time. */
     private long cpuTicks(String name) {
-        try {
-            String stat = Files.readString(Path.of("/proc/" + pid(name) + "/stat"));
-            String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-            return Long.parseLong(fields[11]) + Long.parseLong(fields[12]);
+        long ticks = 0;
+        try (Stream<Path> tasks = Files.list(Path.of("/proc/" + pid(name) + "/task"))) {
+            for (Path task : tasks.toList()) {
+                String stat = Files.readString(task.resolve("stat"));
+                int end = stat.lastIndexOf(')');
+                if (COMPILER_THREAD
+                        .matcher(stat.substring(stat.indexOf('(') + 1, end))
+                        .lookingAt()) {
+                    continue;
+                }
+                String[] fields = stat.substring(end + 2).split(" ");
+                ticks += Long.parseLong(fields[11]) + Long.parseLong(fields[12]);
+            }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
+        return ticks;
     }
 
     /** Processor time as percent of one core. */
--- a/org.berylwick.bench/src/org/berylwick/bench/control/Convergence.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/control/Convergence.java
@@ -17,6 +17,8 @@
 /**
  * Measures how soon accepted versions are in force everywhere and what control costs meanwhile.
  *
+ * <p>Processor time leaves out the just-in-time compiler, which is busy for minutes after a start and then idle.
+ *
  * <p>No calls run, so whatever a daemon spends is control, its own upkeep and the answers to this measurement. Bytes
  * are those of the sockets without TCP and IP headers, each counted once over the fleet. Heap is all that lives in a
  * daemon after a full collection: an upper bound of what control adds.
