--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/BackendServerProbe.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/BackendServerProbe.java
@@ -13,7 +13,7 @@
 import org.berylwick.lib.HostPort;
 import org.berylwick.lib.Member;
 
-/** Asks the own backend server whether it is ready, and announces the answer. */
+/** Asks the own backend server whether it is ready or draining, and announces the answer. */
 public final class BackendServerProbe implements KernelService {
     /** The name in the kernel. */
     public static final String NAME = "backend-server-probe";
@@ -22,9 +22,24 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(1);
     private static final long INTERVAL_MILLIS = 200;
 
+    private static final int ANSWERS_ALIKE = 2;
+
+    /** What the health endpoint said. */
+    private enum Health {
+        /** 200. */
+        WELL,
+        /** 503. */
+        DRAINING,
+        /** Anything else, or nothing. */
+        SILENT
+    }
+
     private final WebClient client;
     private final InstalledVersion installed;
     private final SelfAnnouncement self;
+    private Health last = Health.SILENT;
+    private int alike;
+    private boolean draining;
     private Duty duty;
 
     /** Probes {@code GET /health} at {@code address} from {@link #start()} on. */
@@ -45,21 +60,41 @@
     }
 
     private void round() throws InterruptedException {
-        if (self.state() == Member.State.STARTING && isReady()) {
-            self.setState(Member.State.UP);
-            EVENTS.log(ProcessEvent.SERVER_READY);
+        if (installed.snapshot().id().number() > 0) {
+            take(ask());
         }
         TimeUnit.MILLISECONDS.sleep(INTERVAL_MILLIS);
     }
 
-    private boolean isReady() {
-        if (installed.snapshot().id().number() == 0) {
-            return false;
+    private void take(Health health) {
+        alike = health == last ? alike + 1 : 1;
+        last = health;
+        if (health == Health.WELL && self.state() == Member.State.STARTING) {
+            self.setState(Member.State.UP);
+            EVENTS.log(ProcessEvent.SERVER_READY);
+        }
+        // One answer may be a slip; a server that really drains goes on saying so. Silence says nothing: whether the
+        // server still works is seen by the calls themselves.
+        if (alike < ANSWERS_ALIKE || health == Health.SILENT || draining == (health == Health.DRAINING)) {
+            return;
+        }
+        if (health == Health.DRAINING && self.state() != Member.State.UP) {
+            return;
         }
+        draining = health == Health.DRAINING;
+        self.setServerDraining(draining);
+        EVENTS.log(draining ? ProcessEvent.SERVER_DRAINING : ProcessEvent.SERVER_BACK);
+    }
+
+    private Health ask() {
         try {
-            return client.get("/health").aggregate().join().status().equals(HttpStatus.OK);
+            HttpStatus status = client.get("/health").aggregate().join().status();
+            if (status.equals(HttpStatus.SERVICE_UNAVAILABLE)) {
+                return Health.DRAINING;
+            }
+            return status.equals(HttpStatus.OK) ? Health.WELL : Health.SILENT;
         } catch (CompletionException e) {
-            return false;
+            return Health.SILENT;
         }
     }
 
--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/SelfAnnouncement.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/SelfAnnouncement.java
@@ -22,6 +22,7 @@
     private final TimeSource time;
     private volatile long incarnation;
     private volatile boolean drained;
+    private volatile boolean serverDraining;
     private volatile HostPort address;
     private volatile Member.State state = Member.State.STARTING;
 
@@ -52,7 +53,7 @@
 
     /** Whether requests are taken. */
     public Member.State state() {
-        return drained ? Member.State.LEAVING : state;
+        return drained || serverDraining ? Member.State.LEAVING : state;
     }
 
     /** Announces {@link Member.State#LEAVING} until {@link #undrain()}. */
@@ -70,14 +71,30 @@
             return false;
         }
         if (drained) {
-            // Others hold LEAVING under the present incarnation and would take an earlier state for old news.
-            incarnation = Math.max(incarnation + 1, time.epochMillis());
-            state = Member.State.STARTING;
             drained = false;
+            comeBack();
         }
         return true;
     }
 
+    /** Announces {@link Member.State#LEAVING} while the backend server says that it drains. */
+    public synchronized void setServerDraining(boolean draining) {
+        if (serverDraining && !draining) {
+            serverDraining = false;
+            comeBack();
+        }
+        serverDraining = draining;
+    }
+
+    private void comeBack() {
+        if (state == Member.State.LEAVING) {
+            return;
+        }
+        // Others hold LEAVING under the present incarnation and would take an earlier state for old news.
+        incarnation = Math.max(incarnation + 1, time.epochMillis());
+        state = Member.State.STARTING;
+    }
+
     @Override
     public synchronized void refute(long higher) {
         incarnation = Math.max(incarnation, higher);
--- a/org.berylwick/src/org/berylwick/internal/event/ProcessEvent.java
+++ b/org.berylwick/src/org/berylwick/internal/event/ProcessEvent.java
@@ -13,7 +13,11 @@
     /** A duty threw; it goes on after a pause. */
     DUTY_FAILED(1004, Level.ERROR, "a round of {} failed"),
     /** A service threw while closing; the others are closed all the same. */
-    NOT_CLOSED(1005, Level.ERROR, "service {} did not close");
+    NOT_CLOSED(1005, Level.ERROR, "service {} did not close"),
+    /** The own backend server's health says that it drains; it gets no new work. */
+    SERVER_DRAINING(1006, Level.INFO, "the backend server drains"),
+    /** The own backend server's health is good again after it drained. */
+    SERVER_BACK(1007, Level.INFO, "the backend server drains no more");
 
     private final int number;
     private final Level level;
