Follow the README as a new user would, and mend what did not tell what to do

A clean clone in a fresh folder, the README word for word: the quickstart, every command of the tour and the stop ran as written.

Then the five mistakes: - Wrong key, in a declaration and in settings: file, line, field, known keys. 'berylwick validate' told to run 'berylwick validate'; now it tells how to check on top of what is in force. - Wrong address: nothing there, the callers' port, no host:port and an unknown host were told well. The peers' port answers 503 and was told as an outage of the store: an answer in plain HTTP now says that it is no admin address. - No token: refused with where to give it; the audit called the attempt by the method's name, now by the command's. - Store down (the stand-in's outage): apply, history and audit say so, status and readiness go on; after it the same apply was accepted. - Two operators at once: the second is refused with version, object and the way on, one after another and in parallel.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/admin/AdminAuthorizer.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/admin/AdminAuthorizer.java
@@ -7,8 +7,8 @@
 import io.grpc.ServerCallHandler;
 import io.grpc.ServerInterceptor;
 import io.grpc.Status;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.berylwick.daemon.settings.AdminToken;
 import org.berylwick.internal.event.EventLog;
 import org.berylwick.internal.event.OperatorEvent;
@@ -26,10 +26,11 @@
     private static final Metadata.Key<String> AUTHORIZATION =
             Metadata.Key.of("authorization", Metadata.ASCII_STRING_MARSHALLER);
     private static final String SCHEME = "Bearer ";
-    private static final Set<String> CHANGING = Set.of(
-            AdminGrpc.getApplyMethod().getFullMethodName(),
-            AdminGrpc.getRollbackMethod().getFullMethodName(),
-            AdminGrpc.getSetDrainMethod().getFullMethodName());
+    /** The word of the command for each call that changes something. */
+    private static final Map<String, String> CHANGING = Map.of(
+            AdminGrpc.getApplyMethod().getFullMethodName(), "apply",
+            AdminGrpc.getRollbackMethod().getFullMethodName(), "rollback",
+            AdminGrpc.getSetDrainMethod().getFullMethodName(), "drain");
 
     private final Optional<AdminToken> token;
     private final boolean loopback;
@@ -56,13 +57,13 @@
     public <Q, R> ServerCall.Listener<Q> interceptCall(
             ServerCall<Q, R> call, Metadata headers, ServerCallHandler<Q, R> next) {
         String method = call.getMethodDescriptor().getFullMethodName();
-        Optional<String> refusal = CHANGING.contains(method) ? refusal(headers) : Optional.empty();
+        Optional<String> refusal = CHANGING.containsKey(method) ? refusal(headers) : Optional.empty();
         if (refusal.isEmpty()) {
             calls.mark();
             return next.startCall(call, headers);
         }
         refused.mark();
-        String action = call.getMethodDescriptor().getBareMethodName();
+        String action = CHANGING.get(method);
         EVENTS.log(OperatorEvent.UNAUTHENTICATED, action, refusal.get());
         attempts.addUnauthenticated(Attempt.of(time, action, "", "unauthenticated", refusal.get()));
         call.close(Status.UNAUTHENTICATED.withDescription(refusal.get()), new Metadata());
--- a/org.berylwick.pgm/src/org/berylwick/pgm/Apply.java
+++ b/org.berylwick.pgm/src/org/berylwick/pgm/Apply.java
@@ -41,6 +41,6 @@
                 .setSummary(change.summary())
                 .setBaseVersion(options.getLong("base"))
                 .build();
-        return new ChangeRun(options, change, terminal).run(admin -> admin.apply(request));
+        return new ChangeRun(options, change, terminal, Message.REJECTED).run(admin -> admin.apply(request));
     }
 }
--- a/org.berylwick.pgm/src/org/berylwick/pgm/Audit.java
+++ b/org.berylwick.pgm/src/org/berylwick/pgm/Audit.java
@@ -71,7 +71,7 @@
             table.add(
                     Times.utc(r.getAtEpochMs()),
                     r.getAuthor().isEmpty() ? "-" : r.getAuthor(),
-                    r.getAction(),
+                    r.getAction().isEmpty() ? "-" : r.getAction(),
                     r.getResult(),
                     r.getVersion() == 0 ? "-" : r.getVersion(),
                     what(r));
--- a/org.berylwick.pgm/src/org/berylwick/pgm/ChangeRun.java
+++ b/org.berylwick.pgm/src/org/berylwick/pgm/ChangeRun.java
@@ -13,11 +13,18 @@
     private final Namespace options;
     private final ChangeOptions change;
     private final Terminal terminal;
+    private final Message rejected;
 
-    ChangeRun(Namespace options, ChangeOptions change, Terminal terminal) {
+    /**
+     * A run of one command.
+     *
+     * @param rejected what to do after faults were listed
+     */
+    ChangeRun(Namespace options, ChangeOptions change, Terminal terminal, Message rejected) {
         this.options = options;
         this.change = change;
         this.terminal = terminal;
+        this.rejected = rejected;
     }
 
     ExitCode run(Function<AdminBlockingStub, ApplyReply> call) {
@@ -72,7 +79,7 @@
             }
             case REJECTED -> {
                 reply.getRejected().getFaultsList().forEach(f -> terminal.err().println(Faults.line(f)));
-                terminal.tell(Message.REJECTED);
+                terminal.tell(rejected);
                 yield ExitCode.BAD_INPUT;
             }
             case CONFLICT -> {
--- a/org.berylwick.pgm/src/org/berylwick/pgm/ChangeTable.java
+++ b/org.berylwick.pgm/src/org/berylwick/pgm/ChangeTable.java
@@ -6,6 +6,8 @@
 
 /** Prints changes object by object with the brands that they reach. */
 final class ChangeTable {
+    private static final int NAMED = 3;
+
     private ChangeTable() {}
 
     static Table of(List<Change> changes) {
@@ -22,9 +24,14 @@
         return change.getBrandsCount() == 0 ? "-" : String.join(", ", change.getBrandsList());
     }
 
-    /** All of them in one line. */
+    /** The first of them in one line. */
     static String summary(List<Change> changes) {
-        return String.join(
-                ", ", changes.stream().map(c -> word(c) + " " + c.getObject()).toList());
+        String first = String.join(
+                ", ",
+                changes.stream()
+                        .limit(NAMED)
+                        .map(c -> word(c) + " " + c.getObject())
+                        .toList());
+        return changes.size() > NAMED ? Messages.text(Message.AND_MORE, first, changes.size() - NAMED) : first;
     }
 }
--- a/org.berylwick.pgm/src/org/berylwick/pgm/Failures.java
+++ b/org.berylwick.pgm/src/org/berylwick/pgm/Failures.java
@@ -7,6 +7,9 @@
 
 /** Tells why a call failed, and what to do next. */
 final class Failures {
+    /** What the gRPC library says of an answer that is plain HTTP, and so from no daemon's operators' service. */
+    private static final String PLAIN_HTTP = "HTTP status code ";
+
     private Failures() {}
 
     /** Whether the call cannot have reached a daemon's service, or was refused by it unread. */
@@ -29,6 +32,10 @@
             return ExitCode.UNREACHABLE;
         }
         String detail = e.getStatus().getDescription();
+        if (detail != null && detail.startsWith(PLAIN_HTTP)) {
+            terminal.tell(Message.NOT_ADMIN, address);
+            return ExitCode.UNREACHABLE;
+        }
         return switch (e.getStatus().getCode()) {
             case UNAUTHENTICATED -> {
                 terminal.tell(Message.UNAUTHENTICATED, detail);
--- a/org.berylwick.pgm/src/org/berylwick/pgm/Message.java
+++ b/org.berylwick.pgm/src/org/berylwick/pgm/Message.java
@@ -136,6 +136,12 @@
     UNCHANGED,
     /** Faults were listed. */
     REJECTED,
+    /** A rollback broke a rule. */
+    REJECTED_ROLLBACK,
+    /** Faults were listed offline. */
+    INVALID,
+    /** The end of a list that is cut. */
+    AND_MORE,
     /** Another operator was first. */
     CONFLICT,
     /** It is not known whether a change was accepted. */
--- a/org.berylwick.pgm/src/org/berylwick/pgm/Rollback.java
+++ b/org.berylwick.pgm/src/org/berylwick/pgm/Rollback.java
@@ -36,6 +36,7 @@
                 .setAuthor(change.author())
                 .setSummary(change.summary())
                 .build();
-        return new ChangeRun(options, change, terminal).run(admin -> admin.rollback(request));
+        return new ChangeRun(options, change, terminal, Message.REJECTED_ROLLBACK)
+                .run(admin -> admin.rollback(request));
     }
 }
--- a/org.berylwick.pgm/src/org/berylwick/pgm/Validate.java
+++ b/org.berylwick.pgm/src/org/berylwick/pgm/Validate.java
@@ -59,7 +59,7 @@
             }
             case ValidateResult.Invalid(List<Fault> faults) -> {
                 faults.forEach(terminal.err()::println);
-                terminal.tell(Message.REJECTED);
+                terminal.tell(Message.INVALID, faults.size());
                 yield ExitCode.BAD_INPUT;
             }
         };
--- a/org.berylwick.test/tst/org/berylwick/pgm/ChangeCommandsTest.java
+++ b/org.berylwick.test/tst/org/berylwick/pgm/ChangeCommandsTest.java
@@ -226,6 +226,7 @@
             Ran absent = CommandRunner.run(daemon.address(), "rollback", "9");
             assertEquals(2, absent.status(), absent::all);
             assertTrue(absent.err().contains("the newest is 3"), absent::all);
+            assertTrue(absent.err().contains("berylwick history"), absent::all);
         }
     }
 
--- a/org.berylwick.test/tst/org/berylwick/pgm/CommandLineTest.java
+++ b/org.berylwick.test/tst/org/berylwick/pgm/CommandLineTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.server.Server;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -63,6 +66,21 @@
         assertTrue(ran.err().contains("event 1001"), ran::all);
     }
 
+    @Test
+    void addressOfSomethingElseIsNotTakenForAnOutageOfTheStore() {
+        // An operator names a daemon's other address, which answers any path that it does not know with an HTTP
+        // status of its own. Taken for gRPC, 503 would read as an outage of the store.
+        Server server = Server.builder()
+                .http(0)
+                .serviceUnder("/", (context, request) -> HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE))
+                .build();
+        server.start().join();
+        Ran ran = CommandRunner.run("127.0.0.1:" + server.activeLocalPort(), "status");
+        server.stop();
+        assertEquals(5, ran.status(), ran::all);
+        assertTrue(ran.err().contains("is no admin address"), ran::all);
+    }
+
     @Test
     void addressThatIsNoneIsBadInput() {
         Ran ran = CommandRunner.run(Map.of(), "status", "--admin", "nowhere");
--- a/org.berylwick.test/tst/org/berylwick/pgm/ReadCommandsTest.java
+++ b/org.berylwick.test/tst/org/berylwick/pgm/ReadCommandsTest.java
@@ -89,6 +89,7 @@
         Ran invalid = CommandRunner.run(nowhere, "validate", service.toString(), "--on", base.toString());
         assertEquals(2, invalid.status(), invalid::all);
         assertTrue(invalid.err().contains("route[all].service"), invalid::all);
+        assertTrue(invalid.err().contains("--on base.json"), invalid::all);
     }
 
     @Test
@@ -108,6 +109,7 @@
     @Test
     void historyListsNewestFirst() throws IOException {
         assertTrue(ok("history").out().matches("(?s).*\n2 .*ousmane +second .*\n1 .*maria +first .*"));
+        assertTrue(ok("history").out().contains("and 1 more"));
         assertEquals(1, json("history", "-n", "1", "-o", "json").path("entries").size());
     }
 
