--- a/org.berylwick.bench/src/org/berylwick/bench/Quickstart.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/Quickstart.java
@@ -208,6 +208,9 @@
         FleetPlan.Instance first = plan.instances().getFirst();
         out.println("export BERYLWICK_ADMIN=" + fleet.addresses(first.name()).admin());
         out.println("export CALLERS=" + fleet.addresses(first.name()).callers());
+        // A terminal interrupts every process of the fleet, but whoever ends this one alone would leave the others
+        // behind.
+        Runtime.getRuntime().addShutdownHook(new Thread(fleet::close, "stop-fleet"));
         out.println("running; interrupt to stop");
         new java.util.concurrent.CountDownLatch(1).await();
     }
