Put in force only versions that are whole and follow the one in force

Cause: a daemon compared numbers alone. A store restored from an old copy, with operators going on from there, would have taken accepted versions back unseen; content whose route points at nothing was refused on accepting but not at install; a part under another object's name passed; a fresh daemon took the first version that it heard of. None of the four invariants on versions was asserted.

Ruled out: fetching the manifests between (a read for each version missed, when many daemons come back at once); the full rules again at install (a version accepted under older, looser rules would be shut out of new daemons).

Change: - InstalledVersion refuses what does not follow the version in force (Diverged, event 2004, ACCEPTED_STAYS), what dangles (Damaged), and what it cannot tell (Unproven, to be offered again). A manifest names 64 versions before it; further back StoreLineage asks the store's history. - VERSION_NEVER_REVERTS, NO_DANGLING_ROUTE, VERSION_WHOLE and ACCEPTED_STAYS are checked at each install, in the daemons too. - VersionWatch and StoreReader follow no head behind what was in force before they asked (event 2005). - A delta of manifests carries the ancestors that the base lacks. - FirstVersionDecision: pure logic of what a daemon without memory may serve. Daemons do not ask it yet.

Run: InstalledVersionTest, FirstVersionDecisionTest (2,000 tries), ManifestDeltaTest. Seen to fail without: the check of the number, of dangling routes, of the lineage, with Unproven let through, without the digest of a part, of the manifest, the name of a part, with a head behind followed; and with one zone, fewer peers or no listening taken for enough, the store believed over a peer that is ahead, and the store's latest head taken for its highest. ./check: 273 tests, green.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
@@ -23,6 +23,7 @@
 import org.berylwick.internal.kernel.KernelService;
 import org.berylwick.internal.membership.MembershipTable;
 import org.berylwick.internal.version.InstalledVersion;
+import org.berylwick.internal.version.StoreLineage;
 import org.berylwick.internal.version.VersionRepository;
 import org.berylwick.lib.HostPort;
 import org.berylwick.lib.Member;
@@ -51,7 +52,8 @@
         store = new HttpPlatformStore(settings.platform().uri(), time, new StoreMeter(metrics));
         invariants = kernel.register(new Invariants(metrics));
         VersionRepository repository = new VersionRepository(store);
-        installed = kernel.register(new InstalledVersion(time));
+        installed = kernel.register(
+                new InstalledVersion(time, invariants, Optional.of(new StoreLineage(repository, time))));
         membership = kernel.register(new MembershipTable());
         self = kernel.register(new SelfAnnouncement(settings, installed, time));
         KeyDuty keys = kernel.register(new KeyDuty(store, settings.instance(), invariants, metrics, time));
--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/StoreReader.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/StoreReader.java
@@ -13,6 +13,7 @@
 import org.berylwick.internal.spread.StoreFreshness;
 import org.berylwick.internal.spread.TokenBucket;
 import org.berylwick.internal.version.InstalledVersion;
+import org.berylwick.internal.version.InstalledVersion.Install;
 import org.berylwick.internal.version.VersionContent;
 import org.berylwick.internal.version.VersionRepository;
 import org.berylwick.internal.version.VersionRepository.AcceptedHead;
@@ -113,6 +114,7 @@
     }
 
     private void follow() throws InterruptedException {
+        VersionId before = installed.snapshot().id();
         Result<Optional<AcceptedHead>, VersionError> seen = revision.isEmpty() ? readHead() : watch(revision.get());
         switch (seen) {
             case Result.Err<Optional<AcceptedHead>, VersionError>(VersionError error) -> {
@@ -122,7 +124,9 @@
             }
             case Result.Ok<Optional<AcceptedHead>, VersionError>(Optional<AcceptedHead> head) -> {
                 freshness.heardNow();
-                if (head.isPresent() && !comesFromPeers(head.get().id())) {
+                if (head.isPresent()
+                        && installed.noteHead(before, head.get().id())
+                        && !comesFromPeers(head.get().id())) {
                     read(head.get().id());
                 }
             }
@@ -179,7 +183,12 @@
         Deadline deadline = Deadline.afterMillis(time, READ_MILLIS);
         switch (repository.read(id, installed.inForce().parts(), deadline)) {
             case Result.Ok<VersionContent, VersionError>(VersionContent content) -> {
-                EVENTS.log(VersionEvent.INSTALL, id, installed.install(content));
+                Install outcome = installed.install(content);
+                EVENTS.log(VersionEvent.INSTALL, id, outcome);
+                if (outcome instanceof Install.Unproven) {
+                    revision = Optional.empty();
+                    TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+                }
             }
             case Result.Err<VersionContent, VersionError>(VersionError error) -> {
                 EVENTS.log(VersionEvent.UNREADABLE, id, error);
--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/VersionWatch.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/VersionWatch.java
@@ -9,6 +9,7 @@
 import org.berylwick.internal.kernel.Duty;
 import org.berylwick.internal.kernel.KernelService;
 import org.berylwick.internal.version.InstalledVersion;
+import org.berylwick.internal.version.InstalledVersion.Install;
 import org.berylwick.internal.version.VersionContent;
 import org.berylwick.internal.version.VersionRepository;
 import org.berylwick.internal.version.VersionRepository.AcceptedHead;
@@ -16,6 +17,7 @@
 import org.berylwick.lib.Deadline;
 import org.berylwick.lib.Result;
 import org.berylwick.lib.TimeSource;
+import org.berylwick.lib.VersionId;
 
 /** Follows the store's head and installs each accepted version: the baseline way in which versions spread. */
 public final class VersionWatch implements KernelService {
@@ -51,6 +53,7 @@
     }
 
     private void round() throws InterruptedException {
+        VersionId before = installed.snapshot().id();
         Result<Optional<AcceptedHead>, VersionError> seen = revision.isEmpty() ? readFirst() : watch(revision.get());
         switch (seen) {
             case Result.Err<Optional<AcceptedHead>, VersionError>(VersionError error) -> {
@@ -59,7 +62,7 @@
                 TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
             }
             case Result.Ok<Optional<AcceptedHead>, VersionError>(Optional<AcceptedHead> head) -> {
-                if (head.isPresent()) {
+                if (head.isPresent() && installed.noteHead(before, head.get().id())) {
                     install(head.get());
                 }
             }
@@ -90,8 +93,14 @@
         }
         Deadline deadline = Deadline.afterMillis(time, READ_MILLIS);
         switch (repository.read(head.id(), installed.inForce().parts(), deadline)) {
-            case Result.Ok<VersionContent, VersionError>(VersionContent content) ->
-                EVENTS.log(VersionEvent.INSTALL, head.id(), installed.install(content));
+            case Result.Ok<VersionContent, VersionError>(VersionContent content) -> {
+                Install outcome = installed.install(content);
+                EVENTS.log(VersionEvent.INSTALL, head.id(), outcome);
+                if (outcome instanceof Install.Unproven) {
+                    revision = Optional.empty();
+                    TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+                }
+            }
             case Result.Err<VersionContent, VersionError>(VersionError error) -> {
                 EVENTS.log(VersionEvent.UNREADABLE, head.id(), error);
                 revision = Optional.empty();
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/spread/ManifestDeltaTest.java
@@ -0,0 +1,69 @@
+package org.berylwick.internal.spread;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.berylwick.internal.config.ConfigurationCodec;
+import org.berylwick.internal.version.Manifest;
+import org.berylwick.internal.version.VersionContent;
+import org.berylwick.lib.AuditEntry;
+import org.berylwick.lib.Brand;
+import org.berylwick.lib.Configuration;
+import org.berylwick.lib.Labels;
+import org.junit.jupiter.api.Test;
+
+/** That a delta gives the very bytes of the later manifest, on which its digest depends. */
+class ManifestDeltaTest {
+    private static final List<VersionContent> CHAIN = chain();
+
+    private static List<VersionContent> chain() {
+        List<VersionContent> versions = new ArrayList<>();
+        VersionContent last = VersionContent.NONE;
+        for (int i = 0; i < 100; i++) {
+            TreeMap<String, Brand> brands = new TreeMap<>();
+            for (int b = i % 7; b < i % 7 + 3; b++) {
+                String name = "b" + b;
+                brands.put(name, new Brand(name, List.of("h" + i), Labels.EMPTY, Map.of()));
+            }
+            Configuration c = new Configuration(brands, new TreeMap<>(), new TreeMap<>(), new TreeMap<>());
+            last = VersionContent.encodeAfter(last, new AuditEntry("op-" + i, "", "", i, List.of()), c);
+            versions.add(last);
+        }
+        return versions;
+    }
+
+    private static byte[] rebuilt(Manifest base, Manifest target) {
+        return ConfigurationCodec.encode(ManifestDelta.between(base, target).applyTo(base));
+    }
+
+    @Property(tries = 300, seed = "20261207")
+    void deltaBetweenAnyTwoVersionsGivesTheLaterOne(
+            @ForAll @IntRange(max = 99) int a, @ForAll @IntRange(max = 99) int b) {
+        VersionContent base = CHAIN.get(Math.min(a, b));
+        VersionContent target = CHAIN.get(Math.max(a, b));
+        assertArrayEquals(target.manifestBytes(), rebuilt(base.manifest(), target.manifest()));
+    }
+
+    @Test
+    void deltaFromAnotherHistoryGivesTheLaterOneToo() {
+        VersionContent other = VersionContent.encode(
+                CHAIN.get(9).id(), new AuditEntry("other", "", "", 0, List.of()), Configuration.EMPTY);
+        VersionContent target = CHAIN.get(50);
+        assertArrayEquals(target.manifestBytes(), rebuilt(other.manifest(), target.manifest()));
+        assertArrayEquals(other.manifestBytes(), rebuilt(CHAIN.get(3).manifest(), other.manifest()));
+    }
+
+    @Test
+    void ancestorsThatBothHaveAreNotSentAgain() {
+        ManifestDelta delta =
+                ManifestDelta.between(CHAIN.get(90).manifest(), CHAIN.get(91).manifest());
+        assertTrue(delta.ancestors().size() == 1 && delta.inherited() == Manifest.MAX_ANCESTORS - 1, delta.toString());
+    }
+}
--- a/org.berylwick/src/org/berylwick/internal/config/ConfigurationCodec.java
+++ b/org.berylwick/src/org/berylwick/internal/config/ConfigurationCodec.java
@@ -31,7 +31,8 @@
     /** Decodes a record; the error says what is wrong with the content. */
     public static <T> Result<T, String> decode(byte[] content, Class<T> type) {
         try {
-            return Result.ok(MAPPER.readValue(content, type));
+            T value = MAPPER.readValue(content, type);
+            return value == null ? Result.err("is null") : Result.ok(value);
         } catch (IOException e) {
             return Result.err(String.valueOf(e.getMessage()));
         }
--- a/org.berylwick/src/org/berylwick/internal/version/VersionContent.java
+++ b/org.berylwick/src/org/berylwick/internal/version/VersionContent.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.function.Function;
 import org.berylwick.internal.config.ConfigurationCodec;
 import org.berylwick.internal.routing.RoutingTable;
 import org.berylwick.lib.AuditEntry;
@@ -89,10 +90,23 @@
         if (!Digest.of(bytes).equals(id.digest())) {
             return Result.err("the manifest of " + id + " has another digest");
         }
-        return ConfigurationCodec.decode(bytes, Manifest.class)
-                .flatMap(m -> m.number() == id.number()
-                        ? Result.ok(m)
-                        : Result.err("the manifest of " + id + " is numbered " + m.number()));
+        return ConfigurationCodec.decode(bytes, Manifest.class).flatMap(m -> checkManifest(id, m));
+    }
+
+    private static Result<Manifest, String> checkManifest(VersionId id, Manifest manifest) {
+        if (manifest.number() != id.number()) {
+            return Result.err("the manifest of " + id + " is numbered " + manifest.number());
+        }
+        try {
+            new Digest(manifest.previousDigest());
+            manifest.parts().forEach((name, hex) -> {
+                ObjectRef.fromString(name);
+                new Digest(hex);
+            });
+            return Result.ok(manifest);
+        } catch (IllegalArgumentException e) {
+            return Result.err("the manifest of " + id + " cannot be read: " + e.getMessage());
+        }
     }
 
     /**
@@ -132,10 +146,10 @@
             ObjectRef ref = ObjectRef.fromString(e.getKey());
             byte[] content = parts.get(new Digest(e.getValue()));
             Result<?, String> decoded = switch (ref.kind()) {
-                case BRAND -> decodeInto(content, Brand.class, ref, brands);
-                case ROUTE -> decodeInto(content, Route.class, ref, routes);
-                case POLICY -> decodeInto(content, Policy.class, ref, policies);
-                case SERVICE -> decodeInto(content, ServiceSpec.class, ref, services);
+                case BRAND -> decodeInto(content, Brand.class, Brand::name, ref, brands);
+                case ROUTE -> decodeInto(content, Route.class, Route::name, ref, routes);
+                case POLICY -> decodeInto(content, Policy.class, Policy::name, ref, policies);
+                case SERVICE -> decodeInto(content, ServiceSpec.class, ServiceSpec::name, ref, services);
             };
             if (decoded instanceof Result.Err<?, String>(String detail)) {
                 return Result.err(ref + ": " + detail);
@@ -145,11 +159,14 @@
         return Result.ok(new Snapshot(id, configuration, manifest.audit(), RoutingTable.compile(configuration)));
     }
 
-    private static <T> Result<T, String> decodeInto(byte[] content, Class<T> type, ObjectRef ref, Map<String, T> into) {
-        Result<T, String> decoded = ConfigurationCodec.decode(content, type);
-        if (decoded instanceof Result.Ok<T, String>(T value)) {
+    private static <T> Result<T, String> decodeInto(
+            byte[] content, Class<T> type, Function<T, String> nameOf, ObjectRef ref, Map<String, T> into) {
+        return ConfigurationCodec.decode(content, type).flatMap(value -> {
+            if (!nameOf.apply(value).equals(ref.name())) {
+                return Result.err("is named " + nameOf.apply(value));
+            }
             into.put(ref.name(), value);
-        }
-        return decoded;
+            return Result.ok(value);
+        });
     }
 }
