Free a slot after its connection is idle again

Cause: a slot was freed as the response completed, which is before the client library puts the connection back among the idle ones.

OverloadTest also shows over real sockets what the limiter promises: no more runs than slots, every refusal true and with Retry-After, orders served while transfers hold what they may, a caller who goes away leaving the queue at once and never run.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerRun.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerRun.java
@@ -89,7 +89,9 @@
                 owner.server().execute(pace.watch(toSend()), owned.deadline().remainingMillis(owner.time()));
         pace.begin(begun);
         begun.response().whenComplete().whenComplete((done, failure) -> {
-            permit.close();
+            // On the connection's own thread, after the client library has put the connection back among the idle
+            // ones. Freed any earlier, the slot's next request would find none idle and open one more.
+            begun.context().eventLoop().execute(permit::close);
             owner.metrics().end();
         });
         exchange = begun;
--- a/org.berylwick.test/tst/org/berylwick/daemon/call/CallRig.java
+++ b/org.berylwick.test/tst/org/berylwick/daemon/call/CallRig.java
@@ -102,6 +102,11 @@
             return metrics.counter(metric).getCount();
         }
 
+        /** A gauge of this daemon that has a whole number. */
+        int gauge(String metric) {
+            return (Integer) metrics.getGauges().get(metric).getValue();
+        }
+
         /** Not waited for: the server library holds its threads for some seconds after the sockets are closed. */
         private void close() {
             callers.stop();
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/daemon/call/OverloadTest.java
@@ -0,0 +1,158 @@
+package org.berylwick.daemon.call;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.RequestHeaders;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.berylwick.daemon.call.CallRig.RigDaemon;
+import org.berylwick.testing.Await;
+import org.berylwick.testing.RawServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** What callers get, and what the backend server sees, when more comes in than it has slots for. */
+class OverloadTest {
+    private static final int SLOTS = 12;
+    private static final long HOLD_MILLIS = 5;
+
+    private final CallRig rig = new CallRig(Declarations.TEXT);
+    private final CountDownLatch release = new CountDownLatch(1);
+    private final AtomicInteger running = new AtomicInteger();
+    private final AtomicInteger peak = new AtomicInteger();
+    private final RawServer server = new RawServer(this::run);
+    private final RigDaemon entry = rig.add("entry", "none", server.address());
+    private final RigDaemon owner = rig.addMember("a", "web", server.address());
+    private final WebClient client = WebClient.builder("h2c://" + entry.callersAddress())
+            .responseTimeoutMillis(60_000)
+            .build();
+
+    @AfterEach
+    void close() {
+        release.countDown();
+        assertEquals(List.of(), rig.breaches());
+        rig.close();
+        server.close();
+    }
+
+    /** Archives and tiles run until they are released, all else is answered at once. */
+    private void run(RawServer.Connection connection, RawServer.Request request) throws IOException {
+        peak.accumulateAndGet(running.incrementAndGet(), Math::max);
+        try {
+            if (!request.path().startsWith("/orders")) {
+                release.await();
+                Thread.sleep(HOLD_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        } finally {
+            running.decrementAndGet();
+        }
+        connection.answer(request, request.id());
+    }
+
+    private HttpResponse send(HttpMethod method, String path, String id) {
+        return client.execute(HttpRequest.of(RequestHeaders.builder(method, path)
+                .set("host", "one.example")
+                .set("x-request-id", id)
+                .build()));
+    }
+
+    private List<CompletableFuture<AggregatedHttpResponse>> flood(String path, String prefix, int count) {
+        List<CompletableFuture<AggregatedHttpResponse>> answers = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            answers.add(send(HttpMethod.GET, path, prefix + i).aggregate());
+        }
+        return answers;
+    }
+
+    @Test
+    void floodRunsNoMoreThanTheSlotsAndEveryRefusalIsTrue() {
+        // Two hundred callers come at once to one backend server of 12 slots. It never runs or connects more than 12,
+        // some callers wait their turn, and each of the others is told that its request was not run, which is so, and
+        // when to come back.
+        List<CompletableFuture<AggregatedHttpResponse>> answers = flood("/tiles/1", "t-", 200);
+        Await.until("all slots taken", () -> running.get() == SLOTS, running::get);
+        Await.until("somebody refused", () -> answers.stream().anyMatch(CompletableFuture::isDone), running::get);
+        release.countDown();
+        int refused = 0;
+        for (int i = 0; i < answers.size(); i++) {
+            AggregatedHttpResponse answer = answers.get(i).join();
+            boolean ran = answer.status().code() == 200;
+            assertEquals(ran ? 1 : 0, server.runs("t-" + i), answer.status().toString());
+            if (!ran) {
+                refused++;
+                assertEquals(503, answer.status().code());
+                assertTrue(answer.headers().getLong("retry-after", 0) > 0);
+            }
+        }
+        assertTrue(refused > 0 && refused < answers.size(), "refused " + refused);
+        assertEquals(SLOTS, peak.get());
+    }
+
+    @Test
+    void requestsInTurnUseTheSameFewConnections() {
+        // Callers come in waves, so that all the time some request ends and the next one gets its slot. The backend
+        // server accepts few connections and each costs it time; it must not see a new one for a slot that changes
+        // hands while the old connection is on its way back to the idle ones.
+        release.countDown();
+        for (int wave = 0; wave < 20; wave++) {
+            flood("/tiles/1", "w" + wave + "-", 48).forEach(CompletableFuture::join);
+        }
+        assertTrue(peak.get() <= SLOTS, "peak " + peak.get());
+        assertTrue(server.connections() <= SLOTS, "connections " + server.connections());
+    }
+
+    @Test
+    void ordersRunWhileTransfersHoldWhatTheyMay() {
+        // Clinics start forty archive transfers, which last. An order that comes then is run at once, in a slot that
+        // no transfer may hold.
+        List<CompletableFuture<AggregatedHttpResponse>> transfers = flood("/archives/1", "arc-", 40);
+        Await.until("transfers run", () -> running.get() > 0, running::get);
+        for (int i = 0; i < 20; i++) {
+            assertEquals(
+                    200,
+                    send(HttpMethod.POST, "/orders", "o-" + i)
+                            .aggregate()
+                            .join()
+                            .status()
+                            .code());
+        }
+        assertTrue(peak.get() < SLOTS, "peak " + peak.get());
+        assertFalse(transfers.stream().allMatch(CompletableFuture::isDone));
+    }
+
+    @Test
+    void callerWhoGoesAwayGivesUpItsPlaceAndIsNeverRun() {
+        // All slots are taken and one more caller waits for one. It goes away; its request must leave the queue then,
+        // and not be run later for nobody.
+        flood("/tiles/1", "t-", SLOTS);
+        Await.until("all slots taken", () -> running.get() == SLOTS, running::get);
+        HttpResponse waiting = send(HttpMethod.GET, "/tiles/1", "gone");
+        waiting.subscribe();
+        Await.until("it waits", () -> owner.gauge("limit.queue.waiting.READ") == 1, running::get);
+        waiting.abort();
+        Await.until("it left", () -> owner.gauge("limit.queue.waiting.READ") == 0, running::get);
+        assertEquals(1, owner.count("limit.cancelled.READ"));
+        release.countDown();
+        assertEquals(
+                200,
+                send(HttpMethod.GET, "/tiles/1", "next")
+                        .aggregate()
+                        .join()
+                        .status()
+                        .code());
+        assertEquals(0, server.runs("gone"));
+    }
+}
