Measure what an idempotency key costs

./measure keys prints the time that a key adds to a confirmation, with a store that answers at once and one that takes 3 ms, the store's calls for a first request and for a repeat, and the highest rate of first requests at which a store with 400 writes a second refuses nothing. LoadPath takes any request.

--- a/org.berylwick.bench/src/org/berylwick/bench/Measure.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/Measure.java
@@ -9,6 +9,7 @@
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.berylwick.bench.call.CallMeasurement;
 import org.berylwick.bench.call.ColdMeasurement;
+import org.berylwick.bench.call.KeysMeasurement;
 import org.berylwick.bench.control.Convergence;
 import org.berylwick.bench.control.Recovery;
 import org.berylwick.bench.limits.LimitsMeasurement;
@@ -19,6 +20,7 @@
     private static final List<Measurement> MEASUREMENTS = List.of(
             new CallMeasurement(),
             new ColdMeasurement(),
+            new KeysMeasurement(),
             new Convergence(),
             new Recovery(),
             new LimitsMeasurement(),
--- a/org.berylwick.bench/src/org/berylwick/bench/call/LoadPath.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/call/LoadPath.java
@@ -9,6 +9,7 @@
 import com.linecorp.armeria.common.RequestHeaders;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import org.HdrHistogram.Histogram;
 import org.HdrHistogram.SingleWriterRecorder;
 import org.berylwick.lib.HostPort;
@@ -24,7 +25,7 @@
 
     private final ClientFactory factory;
     private final WebClient client;
-    private final RequestHeaders headers;
+    private final Supplier<HttpRequest> requests;
     private final SingleWriterRecorder times = new SingleWriterRecorder(HIGHEST_NANOS, DIGITS);
     private final AtomicLong inFlight = new AtomicLong();
     private final AtomicLong errors = new AtomicLong();
@@ -35,6 +36,16 @@
      * @param host the caller's host header
      */
     LoadPath(HostPort address, String host, String path) {
+        this(address, get(host, path));
+    }
+
+    /**
+     * A path that begins at {@code address}.
+     *
+     * @param requests gives each call's request
+     */
+    LoadPath(HostPort address, Supplier<HttpRequest> requests) {
+        this.requests = requests;
         factory = ClientFactory.builder()
                 .workerGroup(1)
                 .idleTimeout(Duration.ofMinutes(1))
@@ -44,13 +55,18 @@
                 .factory(factory)
                 .responseTimeout(Duration.ofSeconds(10))
                 .build();
-        headers = RequestHeaders.builder(HttpMethod.GET, path).authority(host).build();
+    }
+
+    private static Supplier<HttpRequest> get(String host, String path) {
+        RequestHeaders headers =
+                RequestHeaders.builder(HttpMethod.GET, path).authority(host).build();
+        return () -> HttpRequest.of(headers);
     }
 
     /** Sends one call that was due at {@code dueNanos}. */
     void send(long dueNanos) {
         inFlight.incrementAndGet();
-        client.execute(HttpRequest.of(headers)).aggregate().handle((answer, failure) -> {
+        client.execute(requests.get()).aggregate().handle((answer, failure) -> {
             // Completed on this path's one event loop, so there is a single writer.
             times.recordValue(Math.min(HIGHEST_NANOS, Math.max(0, System.nanoTime() - dueNanos)));
             if (failure != null || !isAnswer(answer)) {
