--- a/org.berylwick.test/tst/org/berylwick/bench/relay/RelayTest.java
+++ b/org.berylwick.test/tst/org/berylwick/bench/relay/RelayTest.java
@@ -88,6 +88,27 @@
         }
     }
 
+    @Test
+    void aTargetThatListensNoMoreIsRefusedForAndThatComesBackIsReached() throws IOException {
+        int port = target.getLocalPort();
+        target.close();
+        LocalFleet.await("a refused connection", () -> {
+            try (Socket near = connect()) {
+                return !near.isConnected();
+            } catch (IOException e) {
+                return true;
+            }
+        });
+        target = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
+        LocalFleet.await("an accepted connection", () -> {
+            try (Socket near = connect()) {
+                return near.isConnected();
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
     @Test
     void newConnectionsAreRefusedOnDemand() throws IOException {
         relay.setRefusing(true);
