Warm the call path up before a daemon opens its sockets

The process now calls itself before it listens: an entry and an owner of their own before an echo server, on loopback, with their own metrics and limiter, so no call of it reaches the backend server, takes a slot or is counted. Reads, small and streamed bodies, HTTP/1.1 and HTTP/2, and a request without a route. At most 250 rounds of eleven calls or 4 s.

Ruled out: calls over the daemon's own sockets (callers could come in first, and its counters would lie); in BerylwickDaemon itself (every daemon started inside a test would warm up); waiting for the warm-up's servers to stop (each waits 2 s for its accepting thread, and with open HTTP/2 connections it took 10 s).

`measure call` prints the daemons' processor time a call and resident memory too, which hold on a busy machine when times do not.

JFR of the start: class loading through zip files and C2 compilations of up to 2 s each lead, not the project's code.

--- a/org.berylwick.bench/src/org/berylwick/bench/call/CallFleet.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/call/CallFleet.java
@@ -7,6 +7,7 @@
 import org.berylwick.bench.fleet.FleetOperator;
 import org.berylwick.bench.fleet.FleetPlan;
 import org.berylwick.bench.fleet.FleetPlan.Instance;
+import org.berylwick.bench.fleet.ProcessUsage;
 import org.berylwick.lib.HostPort;
 import org.berylwick.lib.Place;
 
@@ -125,6 +126,11 @@
         return path(fleet.addresses(entry.name()).callers(), owner);
     }
 
+    /** What a daemon's process has used so far. */
+    ProcessUsage usage(Instance instance) {
+        return ProcessUsage.of(fleet.daemons().get(instance.name()).process());
+    }
+
     private static LoadPath path(HostPort address, Instance owner) {
         return new LoadPath(address, HOST, "/" + owner.service() + "/1");
     }
--- a/org.berylwick.bench/src/org/berylwick/bench/call/CallMeasurement.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/call/CallMeasurement.java
@@ -8,12 +8,14 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.HdrHistogram.Histogram;
 import org.berylwick.bench.Measurement;
+import org.berylwick.bench.fleet.ProcessUsage;
 
 /** What two daemons on loopback add to a call: the same load straight at a backend server and through both. */
 public final class CallMeasurement implements Measurement {
     private static final int ROUNDS = 5;
     private static final double MEDIAN = 50;
     private static final double TAIL = 99;
+    private static final long BYTES_PER_MB = 1 << 20;
     private static final long LATE_NANOS = 100_000;
 
     private record Round(Histogram direct, Histogram through, Histogram lateness) {
@@ -22,6 +24,19 @@
         }
     }
 
+    private record Usage(ProcessUsage entry, ProcessUsage owner) {
+        private static Usage of(CallFleet fleet) {
+            return new Usage(fleet.usage(CallFleet.ENTRY), fleet.usage(CallFleet.OWNER));
+        }
+
+        private void print(Usage before, long calls, PrintStream out) {
+            line(out, "entry_cpu_us_per_call", entry.cpuSince(before.entry).toNanos() / calls);
+            line(out, "owner_cpu_us_per_call", owner.cpuSince(before.owner).toNanos() / calls);
+            out.println("entry_rss_mb: " + entry.residentBytes() / BYTES_PER_MB);
+            out.println("owner_rss_mb: " + owner.residentBytes() / BYTES_PER_MB);
+        }
+    }
+
     @Override
     public String name() {
         return "call";
@@ -52,6 +67,7 @@
             long errors = direct.takeErrors() + through.takeErrors();
             out.println("warmup_errors: " + errors);
             Round[] rounds = new Round[ROUNDS];
+            Usage before = Usage.of(fleet);
             long start = System.nanoTime();
             for (int i = 0; i < ROUNDS; i++) {
                 Histogram lateness = load.run(
@@ -59,7 +75,9 @@
                 rounds[i] = new Round(direct.takeTimes(), through.takeTimes(), lateness);
             }
             long nanos = System.nanoTime() - start;
+            Usage after = Usage.of(fleet);
             print(rounds, nanos, direct.takeErrors() + through.takeErrors(), out);
+            after.print(before, (long) rate * options.getInt("seconds"), out);
         }
     }
 
--- a/org.berylwick.daemon/src/org/berylwick/daemon/Main.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/Main.java
@@ -15,12 +15,15 @@
 import org.apache.logging.log4j.LogManager;
 import org.berylwick.daemon.settings.DaemonSettings;
 import org.berylwick.daemon.settings.SettingsReader;
+import org.berylwick.daemon.warmup.WarmUp;
 import org.berylwick.errors.Fault;
 import org.berylwick.lib.Result;
+import org.berylwick.lib.TimeSource;
 
 /** Starts a daemon from its settings file and stops it on SIGTERM. */
 public final class Main {
     private static final int EXIT_BAD_INPUT = 2;
+    private static final int WARM_UP_ROUNDS = 250;
 
     private Main() {}
 
@@ -84,6 +87,7 @@
                             Runtime.getRuntime().halt(0);
                         },
                         "shutdown"));
+        new WarmUp(TimeSource.SYSTEM, WARM_UP_ROUNDS).run();
         daemon.start();
         stopped.await();
     }
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/daemon/warmup/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the warm-up. */
+package org.berylwick.daemon.warmup;
--- a/org.berylwick/src/org/berylwick/internal/event/ProcessEvent.java
+++ b/org.berylwick/src/org/berylwick/internal/event/ProcessEvent.java
@@ -13,7 +13,9 @@
     /** A duty threw; it goes on after a pause. */
     DUTY_FAILED(1004, Level.ERROR, "a round of {} failed"),
     /** A service threw while closing; the others are closed all the same. */
-    NOT_CLOSED(1005, Level.ERROR, "service {} did not close");
+    NOT_CLOSED(1005, Level.ERROR, "service {} did not close"),
+    /** The call path has run against itself; the sockets open next. */
+    WARMED_UP(1020, Level.INFO, "warmed up in {} rounds and {} ms; {} calls failed");
 
     private final int number;
     private final Level level;
