--- a/org.berylwick.bench/src/org/berylwick/bench/fleet/Fleet.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/fleet/Fleet.java
@@ -28,7 +28,9 @@
     private final Map<String, DaemonAddresses> addresses = new ConcurrentHashMap<>();
     private final Map<String, HostPort> backends = new LinkedHashMap<>();
     private final List<ChildProcess> standins = new ArrayList<>();
+    private final Thread closeAtExit = new Thread(this::close, "fleet-close");
     private HostPort platform;
+    private boolean closed;
 
     /** Where one daemon listens. */
     public record DaemonAddresses(HostPort callers, HostPort peers, HostPort admin) {}
@@ -41,6 +43,8 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
+        // Whoever is interrupted would otherwise leave the processes running.
+        Runtime.getRuntime().addShutdownHook(closeAtExit);
     }
 
     /** Starts everything that the plan names, daemons side by side, and waits until all listen. */
@@ -70,7 +74,8 @@
         }
     }
 
-    private ChildProcess startStandin(String name, List<String> arguments) {
+    private synchronized ChildProcess startStandin(String name, List<String> arguments) {
+        requireOpen();
         List<String> command = new ArrayList<>();
         command.add(top.resolve("bin/berylwick-standin").toString());
         command.addAll(arguments);
@@ -100,8 +105,9 @@
      * @param moreSettings TOML tables for the daemon's settings
      * @param environment added to this process's own
      */
-    public ChildProcess startDaemon(
+    public synchronized ChildProcess startDaemon(
             FleetPlan.Instance i, DaemonLinks links, String moreSettings, Map<String, String> environment) {
+        requireOpen();
         String settings = SettingsText.of(i, links, moreSettings);
         Path file = folder.resolve(i.name() + ".toml");
         try {
@@ -115,6 +121,12 @@
         return child;
     }
 
+    private void requireOpen() {
+        if (closed) {
+            throw new IllegalStateException("the fleet is closed");
+        }
+    }
+
     /** Waits until a started daemon listens. */
     public void awaitDaemon(String name) {
         Matcher m = daemons.get(name).awaitLine(DAEMON_READY, START_TIMEOUT);
@@ -148,7 +160,11 @@
 
     /** Stops the daemons gracefully, then the stand-ins, and removes the settings files. */
     @Override
-    public void close() {
+    public synchronized void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
         daemons.values().forEach(d -> d.process().destroy());
         daemons.values().forEach(ChildProcess::close);
         standins.forEach(s -> s.process().destroy());
--- /dev/null
+++ b/org.berylwick.bench/src/org/berylwick/bench/quickstart/package-info.java
@@ -0,0 +1,2 @@
+/** Shows one of the examples at work, step by step. */
+package org.berylwick.bench.quickstart;
