--- a/org.berylwick/src/org/berylwick/internal/event/ProcessEvent.java
+++ b/org.berylwick/src/org/berylwick/internal/event/ProcessEvent.java
@@ -17,7 +17,9 @@
     /** The own backend server's health says that it drains; it gets no new work. */
     SERVER_DRAINING(1006, Level.INFO, "the backend server drains"),
     /** The own backend server's health is good again after it drained. */
-    SERVER_BACK(1007, Level.INFO, "the backend server drains no more");
+    SERVER_BACK(1007, Level.INFO, "the backend server drains no more"),
+    /** The call path has run against itself; the sockets open next. */
+    WARMED_UP(1020, Level.INFO, "warmed up in {} rounds and {} ms; {} calls failed");
 
     private final int number;
     private final Level level;
