Let a closed server of bytes take no more connections

Cause: OutcomeTest.readRefusedAfterAnUnknownOutcomeIsNotCalledNotRun failed once (two runs in place of one): the system handed out a connection while the test's server was closing its listener, so the retry was run by a server that the test had closed.

Change: such a connection is closed.

--- a/org.berylwick.test/tst/org/berylwick/testing/RawServer.java
+++ b/org.berylwick.test/tst/org/berylwick/testing/RawServer.java
@@ -161,6 +161,11 @@
         while (!listener.isClosed()) {
             try {
                 Socket socket = listener.accept();
+                if (listener.isClosed()) {
+                    // The system may still hand out a connection while the listener is being closed.
+                    socket.close();
+                    return;
+                }
                 connections.incrementAndGet();
                 sockets.add(socket);
                 Thread.ofPlatform().daemon(true).start(() -> serve(socket));
