Bound the wait of a test that hung without its safeguard

Cause: with the safeguard taken out, the test of an exception in the store's client waited for ever instead of failing.

--- a/org.berylwick.test/tst/org/berylwick/internal/idempotency/KeyDutyTest.java
+++ b/org.berylwick.test/tst/org/berylwick/internal/idempotency/KeyDutyTest.java
@@ -152,7 +152,9 @@
                 throw new IllegalStateException("closed");
             }
         });
-        assertInstanceOf(ClaimOutcome.Refused.class, claim("thrown").join());
+        CompletableFuture<ClaimOutcome> outcome = claim("thrown");
+        LocalFleet.await("the caller is told", outcome::isDone);
+        assertInstanceOf(ClaimOutcome.Refused.class, outcome.join());
         LocalFleet.await("every claim is settled", () -> duty.outstanding() == 0);
     }
 }
