Learn the newest version first on a fresh daemon, and write down what spreading costs

A daemon without memory put the first version in force that any peer offered, which may be older than what it served before it was replaced.

--- a/org.berylwick.bench/src/org/berylwick/bench/Measure.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/Measure.java
@@ -12,6 +12,7 @@
 import org.berylwick.bench.call.KeysMeasurement;
 import org.berylwick.bench.control.Convergence;
 import org.berylwick.bench.control.Recovery;
+import org.berylwick.bench.control.SpreadCurve;
 import org.berylwick.bench.limits.LimitsMeasurement;
 import org.berylwick.bench.soak.SoakMeasurement;
 import org.berylwick.bench.version.VersionMeasurement;
@@ -24,6 +25,7 @@
             new KeysMeasurement(),
             new Convergence(),
             new Recovery(),
+            new SpreadCurve(),
             new LimitsMeasurement(),
             new SoakMeasurement(),
             new VersionMeasurement());
--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/SpreadDuties.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/SpreadDuties.java
@@ -63,7 +63,8 @@
                 new WireMeter(
                         registry.counter(SpreadMetrics.PEER_BYTES_SENT),
                         registry.counter(SpreadMetrics.PEER_BYTES_RECEIVED)));
-        pull = new VersionPull(client, parts.installed(), metrics, time);
+        FirstVersion first = new FirstVersion(time);
+        pull = new VersionPull(client, parts.installed(), first, metrics, time);
         StoreFreshness freshness = new StoreFreshness(time);
         spreader = new Spreader(
                 new Spreader.Parts(
@@ -89,6 +90,7 @@
                 new StoreReader.Parts(
                         parts.repository(),
                         parts.installed(),
+                        first,
                         parts.table(),
                         role,
                         settings.place(),
--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/StoreReader.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/StoreReader.java
@@ -54,13 +54,15 @@
     private final RandomGenerator random;
     private Optional<Long> revision = Optional.empty();
     private Deadline nextFirstRead;
-    private volatile Optional<VersionId> firstHead = Optional.empty();
+    private final FirstVersion first;
+    private boolean heardHead;
     private Duty duty;
 
     /** Everything that a reader works with. */
     record Parts(
             VersionRepository repository,
             InstalledVersion installed,
+            FirstVersion first,
             MembershipTable table,
             ReaderRole role,
             Place place,
@@ -70,6 +72,7 @@
     StoreReader(Parts parts, TimeSource time, RandomGenerator random) {
         repository = parts.repository();
         installed = parts.installed();
+        first = parts.first();
         table = parts.table();
         role = parts.role();
         place = parts.place();
@@ -84,13 +87,8 @@
         duty = new Duty(NAME, this::round);
     }
 
-    /** The head that the store told this daemon first; empty until then. */
-    Optional<VersionId> firstHead() {
-        return firstHead;
-    }
-
     private void round() throws InterruptedException {
-        if (firstHead.isEmpty() && nextFirstRead.isPast(time)) {
+        if (!heardHead && nextFirstRead.isPast(time)) {
             readFirstHead();
         }
         if (role.slot().isEmpty()) {
@@ -109,7 +107,8 @@
         if (repository.readHead(Deadline.afterMillis(time, READ_MILLIS))
                 instanceof Result.Ok<AcceptedHead, VersionError>(AcceptedHead head)) {
             freshness.heardNow();
-            firstHead = Optional.of(head.id());
+            heardHead = true;
+            first.heardStore(head.id());
         }
     }
 
@@ -136,6 +135,7 @@
     private Result<Optional<AcceptedHead>, VersionError> readHead() {
         budget.charge(1);
         return repository.readHead(Deadline.afterMillis(time, READ_MILLIS)).map(head -> {
+            first.heardStore(head.id());
             revision = Optional.of(head.headVersion());
             return Optional.of(head);
         });
--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/VersionPull.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/VersionPull.java
@@ -14,8 +14,10 @@
 import org.berylwick.internal.version.VersionContent;
 import org.berylwick.lib.Deadline;
 import org.berylwick.lib.HostPort;
+import org.berylwick.lib.Member;
 import org.berylwick.lib.Result;
 import org.berylwick.lib.TimeSource;
+import org.berylwick.lib.VersionId;
 import org.berylwick.transport.PeerClient;
 
 /**
@@ -32,6 +34,7 @@
 
     private final PeerClient client;
     private final InstalledVersion installed;
+    private final FirstVersion first;
     private final SpreadMetrics metrics;
     private final TimeSource time;
     private final Ring<Offer> ring = new Ring<>(RING_CAPACITY);
@@ -39,7 +42,9 @@
 
     private record Offer(HostPort address, long version) {}
 
-    VersionPull(PeerClient client, InstalledVersion installed, SpreadMetrics metrics, TimeSource time) {
+    VersionPull(
+            PeerClient client, InstalledVersion installed, FirstVersion first, SpreadMetrics metrics, TimeSource time) {
+        this.first = first;
         this.client = client;
         this.installed = installed;
         this.metrics = metrics;
@@ -57,6 +62,11 @@
         }
     }
 
+    @Override
+    public void told(Member peer, VersionId inForce) {
+        first.heardPeer(peer, inForce);
+    }
+
     private void round() {
         ring.poll(POLL_NANOS).ifPresent(this::take);
     }
@@ -64,7 +74,7 @@
     private void take(Offer offer) {
         InForce base = installed.inForce();
         long held = base.snapshot().id().number();
-        if (offer.version() <= held) {
+        if (offer.version() <= held || (held == 0 && !first.mayInstall(offer.version()))) {
             return;
         }
         Result<VersionContent, PeerError> fetched = client.fetchVersion(
--- a/org.berylwick/src/org/berylwick/internal/spread/Spreader.java
+++ b/org.berylwick/src/org/berylwick/internal/spread/Spreader.java
@@ -22,6 +22,7 @@
 import org.berylwick.proto.Heartbeat;
 import org.berylwick.proto.Hello;
 import org.berylwick.proto.PeerMessage;
+import org.berylwick.proto.VersionNotice;
 import org.berylwick.transport.MemberMessages;
 import org.berylwick.transport.PeerCalls;
 import org.berylwick.transport.PeerStream;
@@ -68,6 +69,9 @@
     public interface VersionOffers {
         /** The daemon at {@code address} has version {@code number} in force. */
         void offer(HostPort address, long number);
+
+        /** A peer told which version it has in force. */
+        default void told(Member peer, VersionId inForce) {}
     }
 
     /** Everything that a spreader works with. */
@@ -138,7 +142,7 @@
     }
 
     /** Does what is due and takes what came in, without waiting. */
-    void work() {
+    public void work() {
         // Takes all that is there before sending, so that one message carries what came together.
         for (int i = 0; i < EVENTS_AT_ONCE; i++) {
             Optional<SpreadEvent> more = ring.poll(0);
@@ -188,7 +192,7 @@
         link.receivedAtNanos = time.nanoTime();
         switch (message.getBodyCase()) {
             case HELLO -> greeted(link, message.getHello());
-            case VERSION -> offered(link, message.getVersion().getVersion());
+            case VERSION -> told(link, message.getVersion());
             case MEMBERSHIP -> gossip.received(message.getMembership(), link);
             case HEARTBEAT -> received(link, message.getHeartbeat());
             case SUMMARY -> gossip.received(message.getSummary(), link);
@@ -212,7 +216,7 @@
                     hello(link);
                 }
                 gossip.merge(List.of(peer), link);
-                offered(link, hello.getVersion().getVersion());
+                told(link, hello.getVersion());
                 notice(link);
                 heartbeat(link);
             }
@@ -241,6 +245,11 @@
         shuffled.stream().limit(tuning.fanOut()).forEach(a -> links.open(a).ifPresent(this::hello));
     }
 
+    private void told(PeerLink link, VersionNotice notice) {
+        VersionServer.named(notice).ifPresent(id -> link.peer.ifPresent(p -> offers.told(p, id)));
+        offered(link, notice.getVersion());
+    }
+
     private void offered(PeerLink link, long version) {
         link.peerVersion = Math.max(link.peerVersion, version);
         if (version > installed.snapshot().id().number()) {
--- a/org.berylwick/src/org/berylwick/internal/spread/VersionServer.java
+++ b/org.berylwick/src/org/berylwick/internal/spread/VersionServer.java
@@ -6,6 +6,7 @@
 import java.io.UncheckedIOException;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -30,6 +31,7 @@
  */
 public final class VersionServer {
     private static final int KEPT_MANIFESTS = 8;
+    private static final int DIGEST_BYTES = 32;
 
     private final InstalledVersion installed;
     private final Map<Long, Manifest> manifests = new LinkedHashMap<>();
@@ -103,6 +105,15 @@
                 .build();
     }
 
+    /** The version that a notice names; empty if that is none, or its digest cannot be one. */
+    public static Optional<VersionId> named(VersionNotice notice) {
+        if (notice.getVersion() <= 0 || notice.getDigest().size() != DIGEST_BYTES) {
+            return Optional.empty();
+        }
+        Digest digest = new Digest(HexFormat.of().formatHex(notice.getDigest().toByteArray()));
+        return Optional.of(new VersionId(notice.getVersion(), digest));
+    }
+
     private static byte[] gzip(VersionDelta delta) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (GZIPOutputStream out = new GZIPOutputStream(bytes)) {
