Say that a daemon without a version is not ready rather than that there is no route

A caller gives up on 404, while the request was only too early.

Change: with no version in force the answer is 503 not-run with Retry-After.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/EntryService.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/EntryService.java
@@ -16,6 +16,7 @@
 import org.berylwick.internal.routing.RouteMatch;
 import org.berylwick.internal.version.InstalledVersion;
 import org.berylwick.lib.Deadline;
+import org.berylwick.lib.RefusalReason;
 import org.berylwick.lib.Snapshot;
 import org.berylwick.lib.TimeSource;
 import org.berylwick.lib.TrafficClass;
@@ -24,6 +25,8 @@
 public final class EntryService implements HttpService {
     private static final long MAX_REPLAYED_BODY_BYTES = 64 << 10;
 
+    private static final long STARTING_RETRY_AFTER_MILLIS = 1_000;
+
     private final InstalledVersion installed;
     private final MembershipTable membership;
     private final KeyedForwarder forwarder;
@@ -68,6 +71,10 @@
     private HttpResponse find(ServiceRequestContext ctx, HttpRequest request, CallerRequest.Accepted accepted) {
         Snapshot snapshot = installed.snapshot();
         String requestId = accepted.requestId().orElseGet(EntryService::newRequestId);
+        if (snapshot.id().number() == 0) {
+            // A daemon without a version knows no route at all; "no such route" would tell the caller to give up.
+            return Problem.notRun(requestId, RefusalReason.STARTING, Optional.of(STARTING_RETRY_AFTER_MILLIS));
+        }
         String host = accepted.host();
         Optional<RouteMatch> match =
                 snapshot.table().find(host, request.method().name(), ctx.path());
