End the platform stand-in's refusal of connections on demand

Cause: PlatformServerTest failed twice on a loaded machine: its 300 ms of refused connections passed before a call met them.

--- a/org.berylwick.standin/src/org/berylwick/standin/platform/PlatformServer.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/platform/PlatformServer.java
@@ -16,8 +16,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.berylwick.errors.StoreError;
 import org.berylwick.lib.Deadline;
@@ -59,6 +61,7 @@
     private Server server;
     private HostPort bound;
     private boolean closed;
+    private CountDownLatch refusalEnds = new CountDownLatch(0);
 
     /** A server that listens on {@code address} from {@link #start()} on, without rate limits. */
     public PlatformServer(HostPort address) {
@@ -132,11 +135,23 @@
         faults.countOutage();
         QuickStop.stop(server);
         endWatches();
-        executor.execute(() -> listenAgain(until));
+        CountDownLatch early = new CountDownLatch(1);
+        refusalEnds = early;
+        executor.execute(() -> listenAgain(until, early));
     }
 
-    private void listenAgain(Deadline from) {
-        sleep(from.remainingMillis(time));
+    /** Ends {@link #refuseConnections} before its time. */
+    public synchronized void acceptConnections() {
+        refusalEnds.countDown();
+    }
+
+    private void listenAgain(Deadline from, CountDownLatch early) {
+        try {
+            early.await(from.remainingMillis(time), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return;
+        }
         Deadline giveUp = Deadline.after(time, REBIND_TIMEOUT);
         while (true) {
             synchronized (this) {
--- a/org.berylwick.test/tst/org/berylwick/standin/platform/PlatformServerTest.java
+++ b/org.berylwick.test/tst/org/berylwick/standin/platform/PlatformServerTest.java
@@ -121,8 +121,9 @@
     @Test
     void connectionsAreRefusedAndLaterAcceptedAtTheSameAddress() {
         put("a");
-        server.refuseConnections(Duration.ofMillis(300));
+        server.refuseConnections(LONG);
         LocalFleet.await("a refused call", () -> store.get(HEAD, soon()) instanceof Result.Err);
+        server.acceptConnections();
         LocalFleet.await("an answered call", () -> store.get(HEAD, soon()) instanceof Result.Ok);
         assertEquals("a", get());
     }
