--- a/org.berylwick.bench/src/org/berylwick/bench/Quickstart.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/Quickstart.java
@@ -41,9 +41,6 @@
         try (fleet) {
             tour.run();
             if (options.getBoolean("keep")) {
-                // A terminal interrupts every process of the fleet, but whoever ends this one alone would leave the
-                // others behind.
-                Runtime.getRuntime().addShutdownHook(new Thread(fleet::close, "stop-fleet"));
                 tour.printAddresses();
                 new CountDownLatch(1).await();
             }
