Count overdue requests as lost before their deadline tells

Ruled out: its connections, which stay open, and the load told by its owner, which looks free. Change: the owner counts requests that take five times as long as usual as lost in the load it tells; where all that runs is overdue, two missed heartbeats are enough to give it up.

--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -30,6 +30,10 @@
     private static final int REMEMBERED_LEAVES = 64;
     /** A backend server that reports nothing for this many of its intervals is no longer believed to be there. */
     private static final int MISSED_HEARTBEATS = 6;
+    /** The same for one at which requests are overdue: either sign alone may be chance, both together are not. */
+    private static final int MISSED_WHEN_OVERDUE = 2;
+    /** One overdue request among few tells little: the part is taken of this many at least. */
+    private static final int LEAST_RUNNING = 4;
 
     private static final long LOOK_MILLIS = 50;
 
@@ -90,14 +94,29 @@
     public OwnerLoad load() {
         long now = System.nanoTime();
         return backend.map(b -> new OwnerLoad(
-                        running.size(),
-                        queue.size(),
-                        b.slots(),
-                        b.times().meanNanos(),
-                        b.losses().perMille(now)))
+                        running.size(), queue.size(), b.slots(), b.times().meanNanos(), lostPerMille(b, now)))
                 .orElse(OwnerLoad.NONE);
     }
 
+    /**
+     * The part of its requests that it loses. Overdue ones count before their deadline tells: a backend server that
+     * falls silent would else be sent all that its slots hold, and answer none.
+     */
+    private int lostPerMille(Backend b, long now) {
+        int overdue = 1_000 * overdue(now) / Math.max(LEAST_RUNNING, running.size());
+        return Math.max(b.losses().perMille(now), overdue);
+    }
+
+    private int overdue(long now) {
+        int count = 0;
+        for (OwnerRun run : running) {
+            if (run.isOverdue(now)) {
+                count++;
+            }
+        }
+        return count;
+    }
+
     /** Takes a heartbeat; one that is older than what is known changes nothing. */
     public void onReport(BackendReport report) {
         if (left.containsKey(report.incarnation())) {
@@ -175,7 +194,12 @@
         if (known == null || known.state() == BackendState.ABSENT) {
             return;
         }
-        if (now - known.reportedAt() > MISSED_HEARTBEATS * heartbeatNanos && running.isEmpty()) {
+        boolean stuck = !running.isEmpty() && overdue(now) == running.size();
+        if (!stuck && !running.isEmpty()) {
+            return;
+        }
+        long missed = stuck ? MISSED_WHEN_OVERDUE : MISSED_HEARTBEATS;
+        if (now - known.reportedAt() > missed * heartbeatNanos) {
             known.fallSilent();
             tellChange(known);
             dispatch();
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -24,6 +24,12 @@
     private static final long RETURN_NANOS = 5_000_000L;
 
     private static final long EXTRA_PATIENCE_NANOS = 250_000_000L;
+    /**
+     * Multiple of the usual time after which an answer is overdue; the tail of a sound server is five times as long.
+     */
+    private static final int OVERDUE = 5;
+
+    private static final long LEAST_OVERDUE_NANOS = 300_000_000L;
 
     private final Owner owner;
     private final CallSpec call;
@@ -85,6 +91,12 @@
         expectedNanos = nanos;
     }
 
+    /** Whether the backend server has had it for much longer than usual without a word. */
+    boolean isOverdue(long now) {
+        long usual = Math.max(LEAST_OVERDUE_NANOS, OVERDUE * expectedNanos);
+        return sentAt != 0 && !headPassed && now - sentAt > usual;
+    }
+
     boolean canMeetObjective(long now) {
         return now + expectedNanos <= call.objectiveAt();
     }
