Send only what changed in a version, and read the newest of a burst alone

Ruled out: the store, which acknowledged within its 4 ms. Change: nodes send what changed since the version that the other has (VersionDelta: copies found by a rolling hash, deflated, with a check), and the whole deflated where they lack it; installs are 250 ms apart, with the newest alone read; readers are the widest links of a zone and only they tell all; a fetch that fails no longer makes the node a suspect for requests.

--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -6,9 +6,6 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
@@ -107,7 +104,7 @@
                 owner,
                 candidates,
                 new Instruments(counters, log));
-        this.peers = new PeerServer(loop, settings.peers(), owner, versions::version);
+        this.peers = new PeerServer(loop, settings.peers(), owner, versions::deliver);
         this.stop = new NodeStop(loop, settings.bounds().graceNanos(), owner, entry, stopped::countDown);
     }
 
@@ -204,32 +201,37 @@
     private boolean isReader() {
         long now = System.nanoTime();
         long silent = gossip.silentNanos();
-        List<String> able = new ArrayList<>();
+        int before = 0;
         for (Member member : table.all()) {
             NodeState state = member.state();
-            if (state.zone().equals(settings.zone())
+            boolean able = state.zone().equals(settings.zone())
                     && state.storeReached()
                     && !state.leaving()
-                    && now - member.heardAt() < silent) {
-                able.add(member.ip());
-            }
-        }
-        able.sort(Comparator.naturalOrder());
-        int before = 0;
-        for (String ip : able) {
-            if (ip.compareTo(settings.ip()) < 0) {
+                    && now - member.heardAt() < silent;
+            if (able && readsBefore(member)) {
                 before++;
             }
         }
         return before < READERS_PER_ZONE;
     }
 
+    /** A wide link first, as a reader takes every version whole and hands it on; then by address. */
+    private boolean readsBefore(Member member) {
+        int order = Integer.compare(member.state().linkMbps(), linkMbps());
+        return order > 0 || order == 0 && member.ip().compareTo(settings.ip()) < 0;
+    }
+
+    private int linkMbps() {
+        return (int) Math.min(NodeState.MOST_LINK_MBPS, settings.linkMbps());
+    }
+
     private NodeState selfState() {
         Optional<Backend> backend = owner.backend();
         return new NodeState(
                 boot,
                 ++stateSequence,
                 settings.zone(),
+                linkMbps(),
                 versions.version().map(v -> v.number()).orElse(0L),
                 versions.storeReached(),
                 leaving,
@@ -244,8 +246,13 @@
         gossip.tellNow();
     }
 
-    private void onInstalled() {
-        gossip.tellNow();
+    private void onInstalled(VersionKeeper.Origin origin) {
+        // Those that read it themselves tell all; one that got it from far away saves its neighbours the way.
+        switch (origin) {
+            case STORE -> gossip.tellNow();
+            case FAR -> gossip.tellZoneNow(settings.zone());
+            case NEAR -> {}
+        }
         tellReadiness();
     }
 
--- a/org.berylwick.node/src/org/berylwick/node/call/PeerHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerHandler.java
@@ -20,17 +20,17 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.Optional;
-import java.util.function.Supplier;
-import org.berylwick.node.lib.MeshVersion;
+import java.util.function.LongFunction;
 import org.berylwick.node.lib.OwnerLoad;
 import org.berylwick.node.version.VersionKeeper;
 
 /** A connection of another node: its requests for the backend server here, or for the version; on the event loop. */
 final class PeerHandler extends ChannelInboundHandlerAdapter implements AttemptListener {
     private static final int MOST_PARTS = 1024;
+    private static final byte[] NOTHING = new byte[0];
 
     private final Owner owner;
-    private final Supplier<Optional<MeshVersion>> version;
+    private final LongFunction<Optional<byte[]>> delivery;
     private Channel channel;
     private HttpRequest head;
     private CompositeByteBuf body;
@@ -39,9 +39,9 @@
     private boolean begun;
     private boolean flushPlanned;
 
-    PeerHandler(Owner owner, Supplier<Optional<MeshVersion>> version) {
+    PeerHandler(Owner owner, LongFunction<Optional<byte[]>> delivery) {
         this.owner = owner;
-        this.version = version;
+        this.delivery = delivery;
     }
 
     @Override
@@ -82,11 +82,19 @@
             return;
         }
         releaseBody();
-        if (VersionKeeper.VERSION_PATH.equals(request.uri()) && version.get().isPresent()) {
-            write(200, Unpooled.wrappedBuffer(version.get().get().source()), "");
-            return;
+        Optional<byte[]> delivered = baseOf(request.uri()).flatMap(delivery::apply);
+        write(delivered.isPresent() ? 200 : 404, Unpooled.wrappedBuffer(delivered.orElse(NOTHING)), "");
+    }
+
+    private static Optional<Long> baseOf(String uri) {
+        if (!uri.startsWith(VersionKeeper.VERSION_PATH)) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(Long.parseLong(uri.substring(VersionKeeper.VERSION_PATH.length())));
+        } catch (NumberFormatException e) {
+            return Optional.empty();
         }
-        write(404, Unpooled.EMPTY_BUFFER, "");
     }
 
     private void write(int status, ByteBuf bytes, String outcome) {
--- a/org.berylwick.node/src/org/berylwick/node/call/PeerServer.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerServer.java
@@ -9,8 +9,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.Optional;
-import java.util.function.Supplier;
-import org.berylwick.node.lib.MeshVersion;
+import java.util.function.LongFunction;
 
 /** Takes the connections of other nodes. */
 public final class PeerServer implements AutoCloseable {
@@ -21,20 +20,20 @@
     private final EventLoop loop;
     private final InetSocketAddress address;
     private final Owner owner;
-    private final Supplier<Optional<MeshVersion>> version;
+    private final LongFunction<Optional<byte[]>> delivery;
     private Channel listener;
 
     /**
      * @param loop all runs on it
      * @param address to listen on
      * @param owner takes their requests
-     * @param version in force, for nodes that lack it
+     * @param delivery what a node needs to get the version in force, by the number of the one it has
      */
-    public PeerServer(EventLoop loop, InetSocketAddress address, Owner owner, Supplier<Optional<MeshVersion>> version) {
+    public PeerServer(EventLoop loop, InetSocketAddress address, Owner owner, LongFunction<Optional<byte[]>> delivery) {
         this.loop = loop;
         this.address = address;
         this.owner = owner;
-        this.version = version;
+        this.delivery = delivery;
     }
 
     /** Opens the port. */
@@ -49,7 +48,7 @@
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
                                 .addLast(new HttpServerCodec(MAX_HEADER_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES));
-                        channel.pipeline().addLast(new PeerHandler(owner, version));
+                        channel.pipeline().addLast(new PeerHandler(owner, delivery));
                     }
                 })
                 .bind(address)
--- a/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
@@ -62,6 +62,8 @@
     public static final String VERSION_IN_FORCE = "version.in_force";
     /** Installed since the start. */
     public static final String VERSIONS_INSTALLED = "versions.installed";
+    /** Bytes of versions and of what changed in them that other nodes delivered. */
+    public static final String VERSIONS_FETCHED_BYTES = "versions.fetched.bytes";
     /** Versions that another node did not deliver. */
     public static final String VERSIONS_FETCH_FAILURES = "versions.fetch_failures";
     /** Reads of the configuration. */
--- a/org.berylwick.node/src/org/berylwick/node/member/Gossip.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/Gossip.java
@@ -120,9 +120,24 @@
 
     /** Tells all nodes at once, and again twice soon after. */
     public void tellNow() {
-        tellAll(false);
+        tellThrice(() -> tellAll(false));
+    }
+
+    /** Tells the nodes of one availability zone at once, and again twice soon after. */
+    public void tellZoneNow(String zone) {
+        tellThrice(() -> {
+            for (Member member : table.all()) {
+                if (member.state().zone().equals(zone)) {
+                    send(member.ip(), false);
+                }
+            }
+        });
+    }
+
+    private void tellThrice(Runnable tell) {
+        tell.run();
         for (long millis : REPEATS_MILLIS) {
-            loop.schedule(() -> tellAll(false), millis, TimeUnit.MILLISECONDS);
+            loop.schedule(tell, millis, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/org.berylwick.node/src/org/berylwick/node/member/NodeState.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/NodeState.java
@@ -9,6 +9,7 @@
  * @param boot differs between two starts of the node
  * @param sequence increases with each change it tells
  * @param zone availability zone
+ * @param linkMbps bandwidth of its VM's link, {@link #MOST_LINK_MBPS} at most
  * @param version the configuration version in force there, 0 for none
  * @param storeReached whether its last calls to the platform's store were answered
  * @param leaving whether it was told to stop
@@ -22,6 +23,7 @@
         long boot,
         long sequence,
         String zone,
+        int linkMbps,
         long version,
         boolean storeReached,
         boolean leaving,
@@ -29,4 +31,7 @@
         String incarnation,
         BackendState backend,
         long warmUpNanos,
-        OwnerLoad load) {}
+        OwnerLoad load) {
+    /** Wider links are told as this wide. */
+    public static final int MOST_LINK_MBPS = 65_535;
+}
--- a/org.berylwick.node/src/org/berylwick/node/member/NodeStateCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/NodeStateCodec.java
@@ -10,7 +10,7 @@
 
 /** The datagram between nodes: the sender's state and some addresses of other nodes. */
 public final class NodeStateCodec {
-    private static final int MAGIC = 0x4257_4e31;
+    private static final int MAGIC = 0x4257_4e32;
     private static final int FLAG_STORE = 1;
     private static final int FLAG_LEAVING = 2;
     private static final int FLAG_ANSWER_WANTED = 4;
@@ -36,6 +36,7 @@
         out.writeByte(flags);
         out.writeLong(s.boot());
         out.writeLong(s.sequence());
+        out.writeShort(s.linkMbps());
         out.writeLong(s.version());
         out.writeByte(s.backend().ordinal());
         out.writeInt((int) (s.warmUpNanos() / 1_000_000));
@@ -62,6 +63,7 @@
             int flags = in.readUnsignedByte();
             long boot = in.readLong();
             long sequence = in.readLong();
+            int linkMbps = in.readUnsignedShort();
             long version = in.readLong();
             BackendState backend = BackendState.fromOrdinal(in.readUnsignedByte());
             long warmUp = in.readInt() * 1_000_000L;
@@ -78,6 +80,7 @@
                     boot,
                     sequence,
                     zone,
+                    linkMbps,
                     version,
                     (flags & FLAG_STORE) != 0,
                     (flags & FLAG_LEAVING) != 0,
--- a/org.berylwick.node/src/org/berylwick/node/version/VersionKeeper.java
+++ b/org.berylwick.node/src/org/berylwick/node/version/VersionKeeper.java
@@ -4,12 +4,15 @@
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.berylwick.node.lib.MeshVersion;
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.Event;
@@ -28,8 +31,8 @@
  * higher version is ever installed.
  */
 public final class VersionKeeper {
-    /** Where nodes read the version in force at another. */
-    public static final String VERSION_PATH = "/bw/version";
+    /** Where nodes read the version in force at another; the number of the one they have follows. */
+    public static final String VERSION_PATH = "/bw/version?base=";
 
     private static final long WATCH_MILLIS = 8_000;
     private static final long FIRST_RETRY_MILLIS = 100;
@@ -42,17 +45,26 @@
     private static final long FAR_DELAY_MILLIS = 40;
 
     private static final long FETCH_RETRY_MILLIS = 150;
-    private static final long FETCH_TIMEOUT_MILLIS = 800;
+    private static final long FETCH_TIMEOUT_MILLIS = 1_200;
+    /**
+     * Between two versions that are installed here. Of versions that come faster only the newest is read: each costs a
+     * parse of the whole, and a burst of 20 a second would take all that 0.3 of a core has.
+     */
+    private static final long SPACING_NANOS = 250_000_000L;
+
+    private static final int BASE_BYTES = Long.BYTES;
 
     private final EventLoop loop;
     private final ConfigurationSource source;
     private final MemberTable table;
     private final String zone;
     private final BooleanSupplier isReader;
-    private final Runnable onInstalled;
+    private final Consumer<Origin> onInstalled;
     private final Counters counters;
     private final EventLog log;
+    private final VersionShelf shelf = new VersionShelf();
     private Optional<MeshVersion> version = Optional.empty();
+    private long installedAt;
     private boolean storeReached = true;
     private long retryMillis = FIRST_RETRY_MILLIS;
     private boolean reading;
@@ -60,6 +72,7 @@
     private long revision;
     private boolean fetching;
     private boolean fetchPlanned;
+    private String lastDeliverer = "";
 
     /**
      * @param loop all runs on it
@@ -77,7 +90,7 @@
             MemberTable table,
             String zone,
             BooleanSupplier isReader,
-            Runnable onInstalled,
+            Consumer<Origin> onInstalled,
             Counters counters,
             EventLog log) {
         this.loop = loop;
@@ -100,6 +113,30 @@
         return storeReached;
     }
 
+    /** Where a version came from. */
+    public enum Origin {
+        /** The platform's store. */
+        STORE,
+        /** A node of this availability zone. */
+        NEAR,
+        /** A node elsewhere. */
+        FAR
+    }
+
+    /**
+     * The version in force for a node that has an earlier one, as that node's fetch reads it.
+     *
+     * @param base number of the version it has, 0 for none
+     * @return empty if there is nothing newer here
+     */
+    public Optional<byte[]> deliver(long base) {
+        return shelf.deliver(base)
+                .map(d -> ByteBuffer.allocate(BASE_BYTES + d.delta().length)
+                        .putLong(d.base())
+                        .put(d.delta())
+                        .array());
+    }
+
     /** Starts. */
     public void start() {
         read();
@@ -130,8 +167,9 @@
             case ConfigurationSource.Answer.Found found -> {
                 onReached();
                 revision = Math.max(revision, found.revision());
-                install(found.version(), "store");
-                watchOn();
+                boolean burst = isWithinSpacing(System.nanoTime());
+                install(found.version(), "store", Origin.STORE);
+                readOn(burst);
             }
             case ConfigurationSource.Answer.Unchanged unchanged -> {
                 onReached();
@@ -159,6 +197,27 @@
         }
     }
 
+    /**
+     * Watches on. In a burst it waits and reads the newest version alone: a watch is answered with every one of them.
+     */
+    private void readOn(boolean burst) {
+        if (!burst || reading) {
+            watchOn();
+            return;
+        }
+        loop.schedule(this::readAsReader, SPACING_NANOS, TimeUnit.NANOSECONDS);
+    }
+
+    private void readAsReader() {
+        if (!watching && isReader.getAsBoolean()) {
+            read();
+        }
+    }
+
+    private boolean isWithinSpacing(long now) {
+        return version.isPresent() && now - installedAt < SPACING_NANOS;
+    }
+
     private void onReached() {
         retryMillis = FIRST_RETRY_MILLIS;
         if (!storeReached) {
@@ -208,11 +267,13 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    private void install(MeshVersion fresh, String from) {
+    private void install(MeshVersion fresh, String from, Origin origin) {
         if (version.isPresent() && fresh.number() <= version.get().number()) {
             return;
         }
         version = Optional.of(fresh);
+        installedAt = System.nanoTime();
+        shelf.add(fresh);
         counters.add(NodeMetricNames.VERSIONS_INSTALLED);
         log.write(
                 Event.VERSION_INSTALLED,
@@ -224,7 +285,7 @@
                 fresh.routeCount(),
                 "revision",
                 revision);
-        onInstalled.run();
+        onInstalled.accept(origin);
     }
 
     /** Another node told which version it has. */
@@ -233,8 +294,9 @@
             return;
         }
         fetchPlanned = true;
-        long delay = member.state().zone().equals(zone) ? 0 : FAR_DELAY_MILLIS;
-        loop.schedule(this::fetch, delay, TimeUnit.MILLISECONDS);
+        long delay = member.state().zone().equals(zone) ? 0 : FAR_DELAY_MILLIS * 1_000_000;
+        long spacing = version.isEmpty() ? 0 : installedAt + SPACING_NANOS - System.nanoTime();
+        loop.schedule(this::fetch, Math.max(delay, spacing), TimeUnit.NANOSECONDS);
     }
 
     private long number() {
@@ -255,7 +317,7 @@
         SmallHttpCall.start(
                 loop,
                 member.pool(),
-                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, VERSION_PATH),
+                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, VERSION_PATH + number()),
                 new byte[0],
                 FETCH_TIMEOUT_MILLIS,
                 result -> onFetched(member, result));
@@ -275,23 +337,51 @@
         if (from.isEmpty()) {
             return Optional.empty();
         }
+        // The one that delivered last has the version that is here, and needs to send only what changed since.
+        for (Member member : from) {
+            if (member.ip().equals(lastDeliverer)) {
+                return Optional.of(member);
+            }
+        }
         return Optional.of(from.get(ThreadLocalRandom.current().nextInt(from.size())));
     }
 
     private void onFetched(Member from, SmallHttpCall.Result result) {
         fetching = false;
         if (!(result instanceof SmallHttpCall.Result.Answered answered) || answered.status() != 200) {
-            from.onFailure("version not delivered", System.nanoTime());
+            // Its link may be full of this very version: that says nothing of the requests it runs.
             counters.add(NodeMetricNames.VERSIONS_FETCH_FAILURES);
+            lastDeliverer = "";
             fetchPlanned = true;
             loop.schedule(this::fetch, FETCH_RETRY_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
-        switch (source.decode(answered.body())) {
-            case ConfigurationSource.Answer.Found found -> install(found.version(), from.ip());
+        counters.add(NodeMetricNames.VERSIONS_FETCHED_BYTES, answered.body().length);
+        Optional<byte[]> whole = join(answered.body());
+        if (whole.isEmpty()) {
+            log.write(Event.VERSION_REFUSED, "from", from.ip(), "why", "does not fit the version here");
+            fetchPlanned = true;
+            loop.schedule(this::fetch, FETCH_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        lastDeliverer = from.ip();
+        Origin origin = from.state().zone().equals(zone) ? Origin.NEAR : Origin.FAR;
+        switch (source.decode(whole.get())) {
+            case ConfigurationSource.Answer.Found found -> install(found.version(), from.ip(), origin);
             case ConfigurationSource.Answer.Invalid invalid ->
                 log.write(Event.VERSION_REFUSED, "from", from.ip(), "why", invalid.why());
             default -> log.write(Event.VERSION_REFUSED, "from", from.ip(), "why", "unexpected answer");
         }
     }
+
+    /** The bytes of the version that another node delivered; empty if it is written against one that is not here. */
+    private Optional<byte[]> join(byte[] delivered) {
+        if (delivered.length < BASE_BYTES) {
+            return Optional.empty();
+        }
+        long base = ByteBuffer.wrap(delivered).getLong();
+        byte[] delta = Arrays.copyOfRange(delivered, BASE_BYTES, delivered.length);
+        Optional<byte[]> earlier = base == 0 ? Optional.of(new byte[0]) : shelf.source(base);
+        return earlier.flatMap(e -> VersionDelta.decode(e, delta));
+    }
 }
--- /dev/null
+++ b/org.berylwick.node/src/org/berylwick/node/version/VersionShelf.java
@@ -0,0 +1,59 @@
+package org.berylwick.node.version;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.berylwick.node.lib.MeshVersion;
+
+/** The last versions that were in force here, so that other nodes can be sent what changed; on the event loop. */
+final class VersionShelf {
+    private static final int MOST_VERSIONS = 6;
+    /** Bytes of versions that are kept; versions of 540 KB each would else take a tenth of a small VM's memory. */
+    private static final long MOST_BYTES = 3 << 20;
+
+    private static final byte[] NOTHING = new byte[0];
+
+    private final LinkedHashMap<Long, byte[]> sources = new LinkedHashMap<>();
+    private final Map<Long, byte[]> deltas = new HashMap<>();
+    private long newest;
+
+    void add(MeshVersion version) {
+        newest = version.number();
+        sources.put(newest, version.source());
+        deltas.clear();
+        long bytes = sources.values().stream().mapToLong(s -> s.length).sum();
+        while (sources.size() > 1 && (sources.size() > MOST_VERSIONS || bytes > MOST_BYTES)) {
+            Map.Entry<Long, byte[]> oldest = sources.entrySet().iterator().next();
+            bytes -= oldest.getValue().length;
+            sources.remove(oldest.getKey());
+        }
+    }
+
+    /** The bytes of a version, if it is kept. */
+    Optional<byte[]> source(long number) {
+        return Optional.ofNullable(sources.get(number));
+    }
+
+    /**
+     * What a node needs that has a version: the number of the version it is written against, 0 for none, and the delta.
+     * Empty if there is nothing newer.
+     */
+    Optional<Delivery> deliver(long base) {
+        if (sources.isEmpty() || base >= newest) {
+            return Optional.empty();
+        }
+        long from = sources.containsKey(base) ? base : 0;
+        byte[] delta = deltas.computeIfAbsent(
+                from, f -> VersionDelta.encode(sources.getOrDefault(f, NOTHING), sources.get(newest)));
+        return Optional.of(new Delivery(from, delta));
+    }
+
+    /**
+     * A delta on its way.
+     *
+     * @param base number of the version it is written against, 0 for none
+     * @param delta as {@link VersionDelta} reads it
+     */
+    record Delivery(long base, byte[] delta) {}
+}
--- a/org.berylwick.test/tst/org/berylwick/node/MemoryConfiguration.java
+++ b/org.berylwick.test/tst/org/berylwick/node/MemoryConfiguration.java
@@ -5,13 +5,22 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.berylwick.node.lib.MeshVersion;
 import org.berylwick.node.version.ConfigurationSource;
 
 /** The place where versions are kept, in memory, shared by the nodes of a test; it can be out of reach. */
 final class MemoryConfiguration {
+    /** Makes a version about as long as one with 600 routes. */
+    private static final String ROUTES = new Random(1)
+            .longs(8_000)
+            .mapToObj(Long::toHexString)
+            .map(text -> text.substring(Math.max(0, text.length() - 12)))
+            .collect(Collectors.joining(","));
+
     private final Map<Long, MeshVersion> versions = new ConcurrentHashMap<>();
     private final List<Runnable> watchers = new ArrayList<>();
     private long newest;
@@ -49,7 +58,7 @@
     }
 
     static byte[] sourceOf(long number) {
-        return Long.toString(number).getBytes(StandardCharsets.US_ASCII);
+        return (number + " " + ROUTES).getBytes(StandardCharsets.US_ASCII);
     }
 
     /** What one node sees of it. */
@@ -68,7 +77,8 @@
 
             @Override
             public Answer decode(byte[] source) {
-                long number = Long.parseLong(new String(source, StandardCharsets.US_ASCII));
+                String text = new String(source, StandardCharsets.US_ASCII);
+                long number = Long.parseLong(text.substring(0, text.indexOf(' ')));
                 return new Answer.Found(versions.get(number), 0);
             }
         };
--- a/org.berylwick.test/tst/org/berylwick/node/SilentNodeTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/SilentNodeTest.java
@@ -30,6 +30,7 @@
                 7,
                 sequence,
                 "zone-a",
+                100,
                 1,
                 true,
                 false,
--- a/org.berylwick.test/tst/org/berylwick/node/member/NodeStateCodecTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/member/NodeStateCodecTest.java
@@ -29,6 +29,7 @@
                 boot,
                 7,
                 text,
+                load,
                 version,
                 flag,
                 !flag,
@@ -46,8 +47,8 @@
     @Property(tries = 500)
     void anythingElseIsNoDatagram(@ForAll byte[] bytes, @ForAll @IntRange(max = 200) int cutTo) {
         NodeStateCodec.read(Unpooled.wrappedBuffer(bytes));
-        NodeState state =
-                new NodeState(1, 1, "zone", 1, true, false, "service", "i-1", BackendState.READY, 0, OwnerLoad.NONE);
+        NodeState state = new NodeState(
+                1, 1, "zone", 100, 1, true, false, "service", "i-1", BackendState.READY, 0, OwnerLoad.NONE);
         ByteBuf whole = Unpooled.buffer();
         NodeStateCodec.write(new NodeStateCodec.Message(state, false, List.of("10.0.0.1")), whole);
         if (cutTo < whole.readableBytes()) {
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/node/version/VersionDeltaTest.java
@@ -0,0 +1,94 @@
+package org.berylwick.node.version;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+class VersionDeltaTest {
+    private static final int ROUTES = 1_600;
+
+    private static List<String> routes(Random random) {
+        List<String> routes = new ArrayList<>();
+        for (int i = 0; i < ROUTES; i++) {
+            routes.add("{\"name\":\"r-%s\",\"pathPrefix\":\"/%s/\",\"kind\":\"safe\",\"timeoutS\":2.5,\"priority\":2,"
+                            .formatted(word(random), word(random))
+                    + "\"trafficSplit\":[{\"service\":\"a\",\"weight\":%d}]}".formatted(random.nextInt(100)));
+        }
+        return routes;
+    }
+
+    private static String word(Random random) {
+        return Long.toString(random.nextLong(Long.MAX_VALUE), 36).substring(0, 7);
+    }
+
+    private static byte[] bytes(List<String> routes) {
+        return String.join(",", routes).getBytes(StandardCharsets.US_ASCII);
+    }
+
+    @Property(tries = 300)
+    void laterVersionIsGotBack(@ForAll byte[] earlier, @ForAll byte[] later) {
+        byte[] delta = VersionDelta.encode(earlier, later);
+        assertArrayEquals(later, VersionDelta.decode(earlier, delta).orElseThrow());
+    }
+
+    @Property(tries = 60)
+    void editedVersionIsGotBack(@ForAll Random random, @ForAll @IntRange(max = 30) int edits) {
+        List<String> routes = routes(random);
+        byte[] earlier = bytes(routes);
+        for (int i = 0; i < edits; i++) {
+            int at = random.nextInt(routes.size());
+            switch (random.nextInt(3)) {
+                case 0 -> routes.remove(at);
+                case 1 -> routes.add(at, routes.get(random.nextInt(routes.size())));
+                default -> routes.set(at, routes.get(at).replace("2.5", "3.25"));
+            }
+        }
+        byte[] later = bytes(routes);
+        byte[] delta = VersionDelta.encode(earlier, later);
+        assertArrayEquals(later, VersionDelta.decode(earlier, delta).orElseThrow());
+        assertTrue(delta.length < 40 + 110 * edits, delta.length + " bytes for " + edits + " edits");
+    }
+
+    @Property(tries = 300)
+    void damagedDeltaIsRefused(@ForAll Random random, @ForAll @IntRange(max = 400) int at, @ForAll byte value) {
+        byte[] earlier = new byte[500];
+        random.nextBytes(earlier);
+        byte[] later = Arrays.copyOfRange(earlier, 100, 450);
+        later[200] ^= 1;
+        byte[] delta = VersionDelta.encode(earlier, later);
+        delta[at % delta.length] = value;
+        Optional<byte[]> read = VersionDelta.decode(earlier, delta);
+        assertTrue(read.isEmpty() || Arrays.equals(later, read.get()));
+        earlier[300] ^= 1;
+        assertTrue(
+                VersionDelta.decode(earlier, VersionDelta.encode(later, later)).isEmpty());
+    }
+
+    @Property(tries = 500)
+    void anythingElseIsRefused(@ForAll byte[] delta) {
+        assertTrue(VersionDelta.decode(new byte[0], delta).isEmpty());
+    }
+
+    /** Sent whole it took 264 KB; compressed less than a third, and after one change of a weight next to nothing. */
+    @Example
+    void changeOfAWeightIsSmall() {
+        List<String> routes = routes(new Random(1));
+        byte[] earlier = bytes(routes);
+        routes.set(700, routes.get(700).replace("\"weight\":", "\"weight\":1"));
+        byte[] later = bytes(routes);
+        int whole = VersionDelta.encode(new byte[0], later).length;
+        int change = VersionDelta.encode(earlier, later).length;
+        assertTrue(whole < later.length / 3, later.length + " bytes are sent as " + whole);
+        assertTrue(change < 40, change + " bytes for one change");
+    }
+}
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/node/version/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of how versions spread. */
+package org.berylwick.node.version;
