Take half of the slack in the first window, and introduce nodes in every fourth round

Change: none of the slack for 2 s, until the nodes are known, then half of a node's part for the length of a window. RetryBudgetTest: 150 repeats without a request without the 2 s (fails), 58 at most with them. Addresses of other nodes are a quarter of a datagram; only each fourth round and questions carry them now. Not measured alone.

--- a/org.berylwick.node/src/org/berylwick/node/call/RetryBudget.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/RetryBudget.java
@@ -23,24 +23,27 @@
     /** Part that a repeat may take which only saves time: each makes calls of its own while the first goes on. */
     private static final double SHARE_SPENT_EARLY = 0.12;
 
+    /** In this time a node has read the list of nodes, or heard most of them. */
+    private static final long ALONE_NANOS = 2_000_000_000L;
+
     private static final int BUCKETS = 20;
 
     private final Bounds bounds;
     private final IntSupplier nodes;
-    private final long slackFrom;
+    private final long startedAt;
     private final Map<String, Window> byService = new HashMap<>();
 
     /**
      * @param bounds ratio, slack and window
      * @param nodes how many nodes share the slack
-     * @param startedAt when this node was started, in {@link System#nanoTime} terms: what it spent of the slack before,
-     *     in a life that it does not remember, may still lie in the window, and it does not know yet how many nodes
-     *     there are; so it takes none of the slack for the length of a window
+     * @param startedAt when this node was started, in {@link System#nanoTime} terms: until it knows how many nodes there
+     *     are it takes none of the slack, and for the length of a window half of its part, since what it spent in a life
+     *     that it does not remember may still lie in the window
      */
     public RetryBudget(Bounds bounds, IntSupplier nodes, long startedAt) {
         this.bounds = bounds;
         this.nodes = nodes;
-        this.slackFrom = startedAt + bounds.retryWindowNanos();
+        this.startedAt = startedAt;
     }
 
     /** Counts a request for a service. */
@@ -63,8 +66,7 @@
     private boolean take(String service, double share, long now) {
         Window w = window(service);
         w.advance(now);
-        double slack = now < slackFrom ? 0 : bounds.retrySlack() / Math.max(1, nodes.getAsInt());
-        double allowed = share * (bounds.retryRatio() * w.sum(w.requests) + slack);
+        double allowed = share * (bounds.retryRatio() * w.sum(w.requests) + slack(now));
         if (w.sum(w.repeats) + 1 > allowed) {
             return false;
         }
@@ -72,6 +74,15 @@
         return true;
     }
 
+    private double slack(long now) {
+        long age = now - startedAt;
+        if (age < ALONE_NANOS) {
+            return 0;
+        }
+        double part = bounds.retrySlack() / Math.max(1, nodes.getAsInt());
+        return age < bounds.retryWindowNanos() ? part / 2 : part;
+    }
+
     /** Gives back a repeat that reached no backend server. */
     public void giveBack(String service, long now) {
         Window w = window(service);
--- a/org.berylwick.node/src/org/berylwick/node/member/Gossip.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/Gossip.java
@@ -41,6 +41,9 @@
 
     private static final long[] REPEATS_MILLIS = {40, 120};
     private static final int OTHERS_TOLD = 3;
+    /** Addresses of others are a quarter of a datagram, and only needed by nodes that missed each other's start. */
+    private static final int ROUNDS_PER_INTRODUCTION = 4;
+
     /** An address that does not answer is tried every tenth round after this span. */
     private static final long QUIET_NANOS = 15_000_000_000L;
 
@@ -173,7 +176,9 @@
             return;
         }
         ByteBuf buffer = Unpooled.buffer(160);
-        NodeStateCodec.write(new NodeStateCodec.Message(self.get(), answerWanted, someContacts()), buffer);
+        boolean withOthers = answerWanted || round % ROUNDS_PER_INTRODUCTION == 0;
+        List<String> others = withOthers ? someContacts() : List.of();
+        NodeStateCodec.write(new NodeStateCodec.Message(self.get(), answerWanted, others), buffer);
         counters.add(NodeMetricNames.GOSSIP_SENT_DATAGRAMS);
         counters.add(NodeMetricNames.GOSSIP_SENT_BYTES, buffer.readableBytes());
         channel.writeAndFlush(new DatagramPacket(buffer, new InetSocketAddress(address, port)));
