Ask the store at a tenth of the price where the answer may be seconds old

Change: nodes that do not watch ask serializable; readers still ask for the newest. StoredConfigurationTest holds the form.

--- a/org.berylwick.node/src/org/berylwick/node/call/RetryBudget.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/RetryBudget.java
@@ -36,9 +36,9 @@
     /**
      * @param bounds ratio, slack and window
      * @param nodes how many nodes share the slack
-     * @param startedAt when this node was started, in {@link System#nanoTime} terms: until it knows how many nodes there
-     *     are it takes none of the slack, and for the length of a window half of its part, since what it spent in a life
-     *     that it does not remember may still lie in the window
+     * @param startedAt when this node was started, in {@link System#nanoTime} terms: until it knows how many nodes
+     *     there are it takes none of the slack, and for the length of a window half of its part, since what it spent in
+     *     a life that it does not remember may still lie in the window
      */
     public RetryBudget(Bounds bounds, IntSupplier nodes, long startedAt) {
         this.bounds = bounds;
--- a/org.berylwick.node/src/org/berylwick/node/version/ConfigurationSource.java
+++ b/org.berylwick.node/src/org/berylwick/node/version/ConfigurationSource.java
@@ -26,8 +26,21 @@
         record Failed(String cause) implements Answer {}
     }
 
-    /** Reads the newest version. */
-    void read(Consumer<Answer> onAnswer);
+    /** How new an answer has to be. */
+    enum Freshness {
+        /** With all that was accepted before it was asked. */
+        NEWEST,
+        /** It may be seconds old, at a tenth of the price. */
+        RECENT
+    }
+
+    /**
+     * Reads the newest version.
+     *
+     * @param freshness of the answer
+     * @param onAnswer gets it
+     */
+    void read(Freshness freshness, Consumer<Answer> onAnswer);
 
     /**
      * Waits for a version accepted after a revision.
--- a/org.berylwick.node/src/org/berylwick/node/version/VersionKeeper.java
+++ b/org.berylwick.node/src/org/berylwick/node/version/VersionKeeper.java
@@ -151,12 +151,16 @@
     }
 
     private void read() {
+        read(ConfigurationSource.Freshness.NEWEST);
+    }
+
+    private void read(ConfigurationSource.Freshness freshness) {
         if (reading) {
             return;
         }
         reading = true;
         counters.add(NodeMetricNames.STORE_READS);
-        source.read(answer -> {
+        source.read(freshness, answer -> {
             reading = false;
             onAnswer(answer);
         });
@@ -258,9 +262,11 @@
         long millis = period / 2 + ThreadLocalRandom.current().nextLong(period);
         loop.schedule(
                 () -> {
-                    if (!reading) {
-                        read();
-                    }
+                    // Only to find out that nothing else told of a version for seconds.
+                    read(
+                            isReader.getAsBoolean()
+                                    ? ConfigurationSource.Freshness.NEWEST
+                                    : ConfigurationSource.Freshness.RECENT);
                     planPoll();
                 },
                 millis,
--- a/org.berylwick.test/tst/org/berylwick/node/MemoryConfiguration.java
+++ b/org.berylwick.test/tst/org/berylwick/node/MemoryConfiguration.java
@@ -65,7 +65,7 @@
     ConfigurationSource on(EventLoop loop) {
         return new ConfigurationSource() {
             @Override
-            public void read(Consumer<Answer> onAnswer) {
+            public void read(Freshness freshness, Consumer<Answer> onAnswer) {
                 loop.execute(() -> onAnswer.accept(MemoryConfiguration.this.read()));
             }
 
--- a/org.berylwick.test/tst/org/berylwick/platform/StoredConfigurationTest.java
+++ b/org.berylwick.test/tst/org/berylwick/platform/StoredConfigurationTest.java
@@ -8,11 +8,14 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.berylwick.node.transport.SmallHttpServer;
 import org.berylwick.node.version.ConfigurationSource.Answer;
+import org.berylwick.node.version.ConfigurationSource.Freshness;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -30,10 +33,12 @@
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) group.next();
+    private final List<String> asked = new CopyOnWriteArrayList<>();
     private SmallHttpServer server;
     private StoredConfiguration configuration;
 
-    private static SmallHttpServer.Answer answer(SmallHttpServer.Question question) {
+    private SmallHttpServer.Answer answer(SmallHttpServer.Question question) {
+        asked.add(question.uri());
         int at = question.uri().indexOf("watch=");
         if (at < 0) {
             return json("{\"items\":[" + OBJECT + "],\"more\":false,\"asOf\":" + REVISION + "}");
@@ -52,7 +57,7 @@
 
     @BeforeEach
     void open() {
-        server = SmallHttpServer.open(loop, new InetSocketAddress("127.0.0.1", 0), StoredConfigurationTest::answer);
+        server = SmallHttpServer.open(loop, new InetSocketAddress("127.0.0.1", 0), this::answer);
         configuration =
                 new StoredConfiguration(new ObjectStore(loop, new InetSocketAddress("127.0.0.1", server.port())));
     }
@@ -71,10 +76,18 @@
 
     @Test
     void watchGoesOnFromTheListsRevision() throws Exception {
-        Answer.Found found = assertInstanceOf(Answer.Found.class, await(configuration::read));
+        Answer.Found found = assertInstanceOf(Answer.Found.class, await(a -> configuration.read(Freshness.NEWEST, a)));
         assertEquals(10, found.version().number());
         Answer next = await(a -> configuration.watch(found.revision(), 100, a));
         assertEquals(new Answer.Unchanged(REVISION + 1), next);
         assertInstanceOf(Answer.HistoryGone.class, await(a -> configuration.watch(15, 100, a)));
     }
+
+    /** The questions by which a node finds out that nothing else told it of a version cost a tenth that way. */
+    @Test
+    void recentVersionIsReadAtTheLowPrice() throws Exception {
+        await(a -> configuration.read(Freshness.RECENT, a));
+        await(a -> configuration.read(Freshness.NEWEST, a));
+        assertEquals(List.of("/objects/config?serializable=1", "/objects/config"), asked);
+    }
 }
