Repeat less of what a backend server itself failed

Change: repeats of runs that failed at the backend server spend 0.22 of a node's part, all repeats together 0.4 (0.45 before).

--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -235,7 +235,11 @@
     }
 
     private boolean takeRepeat(long now) {
-        if (context.budget().tryRepeat(spec.service(), now)) {
+        RetryBudget budget = context.budget();
+        boolean taken = failure.isPresent()
+                ? budget.tryRepeatOfFailure(spec.service(), now)
+                : budget.tryRepeat(spec.service(), now);
+        if (taken) {
             repeatTaken = true;
             return true;
         }
--- a/org.berylwick.node/src/org/berylwick/node/call/RetryBudget.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/RetryBudget.java
@@ -19,7 +19,13 @@
      * Part of the allowance that is spent here. With 0.6, and three quarters as many repeats again through calls, a
      * service was sent 771 repeats in 10 s where 689 were allowed.
      */
-    private static final double SHARE_SPENT = 0.45;
+    private static final double SHARE_SPENT = 0.4;
+    /**
+     * Part that repeats of runs may take which a backend server ended with a failure of its own. Mostly a call that
+     * they made failed, and the repeat makes all its calls again, to the service that is short of room already: with
+     * 0.45, 633 arrivals beyond the first in 10 s where 569 were allowed, 340 of them calls of 170 repeats.
+     */
+    private static final double SHARE_SPENT_ON_FAILURES = 0.22;
     /** Part that a repeat may take which only saves time: each makes calls of its own while the first goes on. */
     private static final double SHARE_SPENT_EARLY = 0.12;
 
@@ -58,6 +64,11 @@
         return take(service, SHARE_SPENT, now);
     }
 
+    /** Takes one repeat of a request whose run failed at the backend server, or says that none is left. */
+    public boolean tryRepeatOfFailure(String service, long now) {
+        return take(service, SHARE_SPENT_ON_FAILURES, now);
+    }
+
     /** Takes one repeat of a request that is only slow, or says that none is left. */
     public boolean tryEarlyRepeat(String service, long now) {
         return take(service, SHARE_SPENT_EARLY, now);
--- a/org.berylwick.test/tst/org/berylwick/node/call/RetryBudgetTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/RetryBudgetTest.java
@@ -58,6 +58,50 @@
         }
     }
 
+    /**
+     * A service turns all calls away, so that the runs which make two calls each fail and are repeated, calls and all.
+     * Seven runs of ten make calls. Seen in scale-1 of the small twin of grown Dakar: 633 arrivals, 569 allowed.
+     */
+    @Property(tries = 40)
+    void runsThatFailByTheirCallsDoNotFloodTheCalledService(
+            @ForAll @IntRange(min = 1, max = 40) int nodes, @ForAll long seed) {
+        Random random = new Random(seed);
+        List<RetryBudget> budgets = new ArrayList<>();
+        for (int i = 0; i < nodes; i++) {
+            budgets.add(new RetryBudget(BOUNDS, () -> nodes, -WINDOW));
+        }
+        List<Long> requests = new ArrayList<>();
+        List<Long> repeats = new ArrayList<>();
+        for (long now = 0; now < 4 * WINDOW; now += 5_000_000L + random.nextInt(10_000_000)) {
+            budgets.get(random.nextInt(nodes)).onRequest("calling", now);
+            RetryBudget caller = budgets.get(random.nextInt(nodes));
+            if (random.nextInt(10) >= 7) {
+                continue;
+            }
+            int runs = 1;
+            while (runs < 3 && caller.tryRepeatOfFailure("calling", now)) {
+                runs++;
+            }
+            for (int call = 0; call < 2 * runs; call++) {
+                RetryBudget budget = budgets.get(random.nextInt(nodes));
+                if (call < 2) {
+                    requests.add(now);
+                    budget.onRequest("called", now);
+                } else {
+                    repeats.add(now);
+                }
+                while (budget.tryRepeat("called", now)) {
+                    repeats.add(now);
+                }
+            }
+        }
+        for (long from = WINDOW; from < 3 * WINDOW; from += WINDOW / 7) {
+            long allowed = (long) (0.2 * within(requests, from) + 58);
+            long sent = within(repeats, from);
+            assertTrue(sent <= allowed, sent + " repeats from " + from + ", allowed " + allowed);
+        }
+    }
+
     /**
      * All nodes are killed in the middle of a window and know neither what they spent nor, at first, how many they are.
      * Before, each of ten took the whole slack for its own.
