Fetch versions in a class of their own, and ask for the whole if what changed does not fit

While it was split a hole showed: two nodes that hold other bytes under one number would exchange the same delta without end, until the node's turn at the store. Change: VersionFetcher; after a delivery that does not fit the next question names no base. VersionSpreadTest: asked 5, 5, .. before, 5, 0 now.

--- a/org.berylwick.node/src/org/berylwick/node/version/VersionKeeper.java
+++ b/org.berylwick.node/src/org/berylwick/node/version/VersionKeeper.java
@@ -1,13 +1,6 @@
 package org.berylwick.node.version;
 
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
-import java.nio.ByteBuffer;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -17,10 +10,10 @@
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.Event;
 import org.berylwick.node.log.EventLog;
+import org.berylwick.node.log.Instruments;
 import org.berylwick.node.log.NodeMetricNames;
 import org.berylwick.node.member.Member;
 import org.berylwick.node.member.MemberTable;
-import org.berylwick.node.transport.SmallHttpCall;
 
 /**
  * Learns the newest accepted version and installs it; confined to the event loop.
@@ -39,21 +32,12 @@
     private static final long LONGEST_RETRY_MILLIS = 1_000;
     private static final long POLL_MILLIS_PER_NODE = 1_000;
     private static final long SHORTEST_POLL_MILLIS = 2_000;
-    /**
-     * A node of this zone will have a version a little after one elsewhere; fetching from it costs no zone crossing.
-     */
-    private static final long FAR_DELAY_MILLIS = 40;
-
-    private static final long FETCH_RETRY_MILLIS = 150;
-    private static final long FETCH_TIMEOUT_MILLIS = 1_200;
     /**
      * Between two versions that are installed here. Of versions that come faster only the newest is read: each costs a
      * parse of the whole, and a burst of 20 a second would take all that 0.3 of a core has.
      */
     private static final long SPACING_NANOS = 250_000_000L;
 
-    private static final int BASE_BYTES = Long.BYTES;
-
     private final EventLoop loop;
     private final ConfigurationSource source;
     private final MemberTable table;
@@ -63,6 +47,7 @@
     private final Counters counters;
     private final EventLog log;
     private final VersionShelf shelf = new VersionShelf();
+    private final VersionFetcher fetcher;
     private Optional<MeshVersion> version = Optional.empty();
     private long installedAt;
     private boolean storeReached = true;
@@ -70,9 +55,6 @@
     private boolean reading;
     private boolean watching;
     private long revision;
-    private boolean fetching;
-    private boolean fetchPlanned;
-    private String lastDeliverer = "";
 
     /**
      * @param loop all runs on it
@@ -101,6 +83,8 @@
         this.onInstalled = onInstalled;
         this.counters = counters;
         this.log = log;
+        this.fetcher = new VersionFetcher(
+                loop, table, zone, shelf, this::number, this::onFetched, new Instruments(counters, log));
     }
 
     /** The version in force here. */
@@ -130,11 +114,7 @@
      * @return empty if there is nothing newer here
      */
     public Optional<byte[]> deliver(long base) {
-        return shelf.deliver(base)
-                .map(d -> ByteBuffer.allocate(BASE_BYTES + d.delta().length)
-                        .putLong(d.base())
-                        .put(d.delta())
-                        .array());
+        return shelf.deliver(base).map(VersionShelf.Delivery::bytes);
     }
 
     /** Starts. */
@@ -296,98 +276,20 @@
 
     /** Another node told which version it has. */
     public void onHeard(Member member) {
-        if (fetchPlanned || fetching || member.state().version() <= number()) {
-            return;
-        }
-        fetchPlanned = true;
-        long delay = member.state().zone().equals(zone) ? 0 : FAR_DELAY_MILLIS * 1_000_000;
-        long spacing = version.isEmpty() ? 0 : installedAt + SPACING_NANOS - System.nanoTime();
-        loop.schedule(this::fetch, Math.max(delay, spacing), TimeUnit.NANOSECONDS);
+        fetcher.onHeard(member, version.isEmpty() ? System.nanoTime() : installedAt + SPACING_NANOS);
     }
 
     private long number() {
         return version.map(MeshVersion::number).orElse(0L);
     }
 
-    private void fetch() {
-        fetchPlanned = false;
-        if (fetching) {
-            return;
-        }
-        Optional<Member> from = nearestAhead();
-        if (from.isEmpty()) {
-            return;
-        }
-        fetching = true;
-        Member member = from.get();
-        SmallHttpCall.start(
-                loop,
-                member.pool(),
-                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, VERSION_PATH + number()),
-                new byte[0],
-                FETCH_TIMEOUT_MILLIS,
-                result -> onFetched(member, result));
-    }
-
-    private Optional<Member> nearestAhead() {
-        long now = System.nanoTime();
-        List<Member> near = new ArrayList<>();
-        List<Member> far = new ArrayList<>();
-        for (Member member : table.all()) {
-            if (member.state().version() <= number() || member.isSuspect(now)) {
-                continue;
-            }
-            (member.state().zone().equals(zone) ? near : far).add(member);
-        }
-        List<Member> from = near.isEmpty() ? far : near;
-        if (from.isEmpty()) {
-            return Optional.empty();
-        }
-        // The one that delivered last has the version that is here, and needs to send only what changed since.
-        for (Member member : from) {
-            if (member.ip().equals(lastDeliverer)) {
-                return Optional.of(member);
-            }
-        }
-        return Optional.of(from.get(ThreadLocalRandom.current().nextInt(from.size())));
-    }
-
-    private void onFetched(Member from, SmallHttpCall.Result result) {
-        fetching = false;
-        if (!(result instanceof SmallHttpCall.Result.Answered answered) || answered.status() != 200) {
-            // Its link may be full of this very version: that says nothing of the requests it runs.
-            counters.add(NodeMetricNames.VERSIONS_FETCH_FAILURES);
-            lastDeliverer = "";
-            fetchPlanned = true;
-            loop.schedule(this::fetch, FETCH_RETRY_MILLIS, TimeUnit.MILLISECONDS);
-            return;
-        }
-        counters.add(NodeMetricNames.VERSIONS_FETCHED_BYTES, answered.body().length);
-        Optional<byte[]> whole = join(answered.body());
-        if (whole.isEmpty()) {
-            log.write(Event.VERSION_REFUSED, "from", from.ip(), "why", "does not fit the version here");
-            fetchPlanned = true;
-            loop.schedule(this::fetch, FETCH_RETRY_MILLIS, TimeUnit.MILLISECONDS);
-            return;
-        }
-        lastDeliverer = from.ip();
+    private void onFetched(Member from, byte[] whole) {
         Origin origin = from.state().zone().equals(zone) ? Origin.NEAR : Origin.FAR;
-        switch (source.decode(whole.get())) {
+        switch (source.decode(whole)) {
             case ConfigurationSource.Answer.Found found -> install(found.version(), from.ip(), origin);
             case ConfigurationSource.Answer.Invalid invalid ->
                 log.write(Event.VERSION_REFUSED, "from", from.ip(), "why", invalid.why());
             default -> log.write(Event.VERSION_REFUSED, "from", from.ip(), "why", "unexpected answer");
         }
     }
-
-    /** The bytes of the version that another node delivered; empty if it is written against one that is not here. */
-    private Optional<byte[]> join(byte[] delivered) {
-        if (delivered.length < BASE_BYTES) {
-            return Optional.empty();
-        }
-        long base = ByteBuffer.wrap(delivered).getLong();
-        byte[] delta = Arrays.copyOfRange(delivered, BASE_BYTES, delivered.length);
-        Optional<byte[]> earlier = base == 0 ? Optional.of(new byte[0]) : shelf.source(base);
-        return earlier.flatMap(e -> VersionDelta.decode(e, delta));
-    }
 }
--- a/org.berylwick.node/src/org/berylwick/node/version/VersionShelf.java
+++ b/org.berylwick.node/src/org/berylwick/node/version/VersionShelf.java
@@ -1,5 +1,7 @@
 package org.berylwick.node.version;
 
+import java.nio.ByteBuffer;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -30,11 +32,6 @@
         }
     }
 
-    /** The bytes of a version, if it is kept. */
-    Optional<byte[]> source(long number) {
-        return Optional.ofNullable(sources.get(number));
-    }
-
     /**
      * What a node needs that has a version: the number of the version it is written against, 0 for none, and the delta.
      * Empty if there is nothing newer.
@@ -55,5 +52,28 @@
      * @param base number of the version it is written against, 0 for none
      * @param delta as {@link VersionDelta} reads it
      */
-    record Delivery(long base, byte[] delta) {}
+    record Delivery(long base, byte[] delta) {
+        /** The form between nodes: the base as 8 bytes, then the delta. */
+        byte[] bytes() {
+            return ByteBuffer.allocate(Long.BYTES + delta.length)
+                    .putLong(base)
+                    .put(delta)
+                    .array();
+        }
+
+        /** Reads the form between nodes; empty if it is too short. */
+        static Optional<Delivery> read(byte[] bytes) {
+            if (bytes.length < Long.BYTES) {
+                return Optional.empty();
+            }
+            long base = ByteBuffer.wrap(bytes).getLong();
+            return Optional.of(new Delivery(base, Arrays.copyOfRange(bytes, Long.BYTES, bytes.length)));
+        }
+    }
+
+    /** The whole version that a delivery leads to; empty if it is written against one that is not kept here. */
+    Optional<byte[]> join(Delivery delivery) {
+        byte[] earlier = delivery.base() == 0 ? NOTHING : sources.get(delivery.base());
+        return earlier == null ? Optional.empty() : VersionDelta.decode(earlier, delivery.delta());
+    }
 }
--- a/org.berylwick.test/tst/org/berylwick/node/MemoryConfiguration.java
+++ b/org.berylwick.test/tst/org/berylwick/node/MemoryConfiguration.java
@@ -35,6 +35,11 @@
         waiting.forEach(Runnable::run);
     }
 
+    /** Makes a version readable that only another node has so far. */
+    synchronized void keep(MeshVersion version) {
+        versions.put(version.number(), version);
+    }
+
     synchronized void setDown(boolean isDown) {
         down = isDown;
     }
--- a/org.berylwick.test/tst/org/berylwick/node/VersionSpreadTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/VersionSpreadTest.java
@@ -1,8 +1,27 @@
 package org.berylwick.node;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.nio.ByteBuffer;
+import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.berylwick.node.lib.BackendState;
+import org.berylwick.node.lib.OwnerLoad;
+import org.berylwick.node.member.NodeState;
+import org.berylwick.node.member.NodeStateCodec;
+import org.berylwick.node.transport.SmallHttpServer;
+import org.berylwick.node.version.VersionDelta;
 import org.berylwick.testing.Await;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -75,4 +94,48 @@
             assertTrue(bytes > 0 && bytes < 100_000, bytes + " bytes fetched for five versions");
         }
     }
+
+    /**
+     * Two nodes have other bytes under the number of one version, so that what changed since does not fit. The whole is
+     * asked for next; the same question again would be answered with the same, without end.
+     */
+    @Test
+    void versionThatDoesNotFitIsAskedForWhole() throws IOException {
+        byte[] whole = VersionDelta.encode(new byte[0], MemoryConfiguration.sourceOf(6));
+        byte[] other = MemoryConfiguration.sourceOf(1_000);
+        byte[] changed = VersionDelta.encode(other, MemoryConfiguration.sourceOf(6));
+        List<String> asked = new CopyOnWriteArrayList<>();
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try (NodeRig rig = new NodeRig();
+                DatagramSocket socket = new DatagramSocket(rig.gossip(9))) {
+            SmallHttpServer.open((EventLoop) group.next(), rig.peers(9), q -> {
+                asked.add(q.uri().substring(q.uri().indexOf('=') + 1));
+                return SmallHttpServer.Answer.of("", asked.size() == 1 ? delivery(5, changed) : delivery(0, whole));
+            });
+            rig.configuration.accept(NodeRig.version(5));
+            rig.configuration.keep(NodeRig.version(6));
+            Node node = rig.start(1, Optional.empty());
+            Await.until("version 5", () -> inForce(node) == 5, rig::logged);
+            tell(rig, socket);
+            Await.until("version 6", () -> inForce(node) == 6, rig::logged);
+            assertEquals(List.of("5", "0"), asked);
+        } finally {
+            group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private static byte[] delivery(long base, byte[] delta) {
+        return ByteBuffer.allocate(Long.BYTES + delta.length)
+                .putLong(base)
+                .put(delta)
+                .array();
+    }
+
+    private static void tell(NodeRig rig, DatagramSocket socket) throws IOException {
+        NodeState state =
+                new NodeState(7, 1, "zone-a", 100, 6, true, false, "", "", BackendState.ABSENT, 0, OwnerLoad.NONE);
+        ByteBuf bytes = Unpooled.buffer();
+        NodeStateCodec.write(new NodeStateCodec.Message(state, false, List.of()), bytes);
+        socket.send(new DatagramPacket(bytes.array(), bytes.readableBytes(), rig.gossip(1)));
+    }
 }
