--- a/org.berylwick.test/tst/org/berylwick/bench/nodes/NodeCostTest.java
+++ b/org.berylwick.test/tst/org/berylwick/bench/nodes/NodeCostTest.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import org.berylwick.testing.Await;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestReporter;
 import org.junit.jupiter.api.Timeout;
 
 /**
@@ -41,7 +42,7 @@
     }
 
     @Test
-    void startAndFirstRequestsAreCheap() throws IOException {
+    void startAndFirstRequestsAreCheap(TestReporter reporter) throws IOException {
         try (NodeFleet fleet = new NodeFleet(2, 77)) {
             NodeFleet.Vm vm = fleet.vms().get(0);
             Await.until("readiness", () -> isReady(fleet, vm), () -> "");
@@ -56,7 +57,7 @@
             Duration time = process.info().totalCpuDuration().orElse(Duration.ZERO);
             long resident = residentKb(process.pid());
             String seen = answered + " answered, " + time.toMillis() + " ms, " + resident + " KB";
-            System.out.println("node_cost: " + seen);
+            reporter.publishEntry("node_cost", seen);
             assertTrue(answered > REQUESTS * 9 / 10, seen);
             assertTrue(time.compareTo(MOST_PROCESSOR_TIME) < 0, seen);
             assertTrue(resident < MOST_RESIDENT_KB, seen);
