Let a node that has read the list of nodes repeat at once

The 2 s are for a node that does not know how many nodes there are; one that has read the list does. Change: with the list read, half of its part of the slack from the start.

--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -94,7 +94,7 @@
                 log);
         this.directory =
                 new Directory(loop, ports.directory(loop), gossip, counters, log, settings.name(), settings.ip());
-        Candidates candidates = new Candidates(settings, ports.regionOfZone(), table, gossip, owner);
+        Candidates candidates = new Candidates(settings, ports.regionOfZone(), table, gossip, directory, owner);
         this.entry = CallPath.entry(
                 loop,
                 settings,
--- a/org.berylwick.node/src/org/berylwick/node/call/CallPath.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallPath.java
@@ -50,7 +50,7 @@
                 owner,
                 candidates,
                 new CandidateChooser(() -> ThreadLocalRandom.current().nextDouble()),
-                new RetryBudget(settings.bounds(), candidates::nodeCount, System.nanoTime()),
+                new RetryBudget(settings.bounds(), candidates::nodeCount, candidates::areListed, System.nanoTime()),
                 new AnswerHabits(),
                 new CallerPatience(),
                 memory,
--- a/org.berylwick.node/src/org/berylwick/node/call/Candidates.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Candidates.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.berylwick.node.lib.NodeSettings;
 import org.berylwick.node.lib.OwnerLoad;
+import org.berylwick.node.member.Directory;
 import org.berylwick.node.member.Gossip;
 import org.berylwick.node.member.Member;
 import org.berylwick.node.member.MemberTable;
@@ -16,6 +17,7 @@
     private final Map<String, String> regionOfZone;
     private final MemberTable table;
     private final Gossip gossip;
+    private final Directory directory;
     private final Owner owner;
 
     /**
@@ -23,14 +25,21 @@
      * @param regionOfZone regions by availability zone
      * @param table other nodes
      * @param gossip tells when a node counts as silent
+     * @param directory tells whether the list of nodes was read
      * @param owner of the backend server beside this node
      */
     public Candidates(
-            NodeSettings settings, Map<String, String> regionOfZone, MemberTable table, Gossip gossip, Owner owner) {
+            NodeSettings settings,
+            Map<String, String> regionOfZone,
+            MemberTable table,
+            Gossip gossip,
+            Directory directory,
+            Owner owner) {
         this.settings = settings;
         this.regionOfZone = Map.copyOf(regionOfZone);
         this.table = table;
         this.gossip = gossip;
+        this.directory = directory;
         this.owner = owner;
     }
 
@@ -64,6 +73,11 @@
         return Math.max(table.all().size(), gossip.contactCount()) + 1;
     }
 
+    /** Whether the list of nodes was read in this life. */
+    public boolean areListed() {
+        return directory.isListed();
+    }
+
     private Candidate.Distance distance(Member member) {
         String zone = member.state().zone();
         if (zone.equals(settings.zone())) {
--- a/org.berylwick.node/src/org/berylwick/node/call/RetryBudget.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/RetryBudget.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import org.berylwick.node.lib.Bounds;
 
@@ -29,26 +30,29 @@
     /** Part that a repeat may take which only saves time: each makes calls of its own while the first goes on. */
     private static final double SHARE_SPENT_EARLY = 0.12;
 
-    /** In this time a node has read the list of nodes, or heard most of them. */
+    /** In this time a node that could not read the list of nodes has heard most of them. */
     private static final long ALONE_NANOS = 2_000_000_000L;
 
     private static final int BUCKETS = 20;
 
     private final Bounds bounds;
     private final IntSupplier nodes;
+    private final BooleanSupplier listed;
     private final long startedAt;
     private final Map<String, Window> byService = new HashMap<>();
 
     /**
      * @param bounds ratio, slack and window
      * @param nodes how many nodes share the slack
-     * @param startedAt when this node was started, in {@link System#nanoTime} terms: until it knows how many nodes
-     *     there are it takes none of the slack, and for the length of a window half of its part, since what it spent in
-     *     a life that it does not remember may still lie in the window
+     * @param listed whether this node has read the list of nodes; without it, it takes none of the slack for 2 s, until
+     *     it has heard most of them
+     * @param startedAt when this node was started, in {@link System#nanoTime} terms: for the length of a window it
+     *     takes half of its part, since what it spent in a life that it does not remember may still lie in the window
      */
-    public RetryBudget(Bounds bounds, IntSupplier nodes, long startedAt) {
+    public RetryBudget(Bounds bounds, IntSupplier nodes, BooleanSupplier listed, long startedAt) {
         this.bounds = bounds;
         this.nodes = nodes;
+        this.listed = listed;
         this.startedAt = startedAt;
     }
 
@@ -87,7 +91,7 @@
 
     private double slack(long now) {
         long age = now - startedAt;
-        if (age < ALONE_NANOS) {
+        if (age < ALONE_NANOS && !listed.getAsBoolean()) {
             return 0;
         }
         double part = bounds.retrySlack() / Math.max(1, nodes.getAsInt());
--- a/org.berylwick.test/tst/org/berylwick/node/call/RetryBudgetTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/RetryBudgetTest.java
@@ -29,7 +29,7 @@
         Random random = new Random(seed);
         List<RetryBudget> budgets = new ArrayList<>();
         for (int i = 0; i < nodes; i++) {
-            budgets.add(new RetryBudget(BOUNDS, () -> nodes, -WINDOW));
+            budgets.add(new RetryBudget(BOUNDS, () -> nodes, () -> true, -WINDOW));
         }
         List<Long> requests = new ArrayList<>();
         List<Long> repeats = new ArrayList<>();
@@ -68,7 +68,7 @@
         Random random = new Random(seed);
         List<RetryBudget> budgets = new ArrayList<>();
         for (int i = 0; i < nodes; i++) {
-            budgets.add(new RetryBudget(BOUNDS, () -> nodes, -WINDOW));
+            budgets.add(new RetryBudget(BOUNDS, () -> nodes, () -> true, -WINDOW));
         }
         List<Long> requests = new ArrayList<>();
         List<Long> repeats = new ArrayList<>();
@@ -115,8 +115,8 @@
             boolean first = life == 0;
             for (int i = 0; i < nodes; i++) {
                 long[] age = {0};
-                RetryBudget budget =
-                        new RetryBudget(BOUNDS, () -> first || age[0] > 1_000 ? nodes : 1, first ? -WINDOW : start);
+                RetryBudget budget = new RetryBudget(
+                        BOUNDS, () -> first || age[0] > 1_000 ? nodes : 1, () -> first, first ? -WINDOW : start);
                 for (; age[0] < 4_000; age[0]++) {
                     repeats += budget.tryRepeat("work", start + age[0] * 1_000_000) ? 1 : 0;
                 }
