Give the codec of what changes in a version a name of its own, and close checks that could not fail

VersionDelta was also the name of the daemon's protobuf message. NodeCostTest took a missing figure for 0, RetryBudgetTest a fleet that repeats nothing for one within its allowance: both fail now.

--- a/org.berylwick.node/src/org/berylwick/node/version/VersionDelta.java
+++ b/org.berylwick.node/src/org/berylwick/node/version/VersionDeltaCodec.java
@@ -17,7 +17,7 @@
  * bytes), then, deflated, its length and a row of parts: each a number, twice its length, plus one if it is copied from
  * the earlier version; then the offset there, or the bytes. Numbers are unsigned LEB128.
  */
-public final class VersionDelta {
+public final class VersionDeltaCodec {
     /** Bytes that two versions must have in common for a copy to be found; about a quarter of a route. */
     private static final int BLOCK = 32;
 
@@ -28,7 +28,7 @@
 
     private static final int BUFFER = 8_192;
 
-    private VersionDelta() {}
+    private VersionDeltaCodec() {}
 
     /**
      * Writes a delta.
--- a/org.berylwick.node/src/org/berylwick/node/version/VersionKeeper.java
+++ b/org.berylwick.node/src/org/berylwick/node/version/VersionKeeper.java
@@ -269,6 +269,8 @@
                 from,
                 "routes",
                 fresh.routeCount(),
+                "bytes",
+                fresh.source().length,
                 "revision",
                 revision);
         onInstalled.accept(origin);
--- a/org.berylwick.node/src/org/berylwick/node/version/VersionShelf.java
+++ b/org.berylwick.node/src/org/berylwick/node/version/VersionShelf.java
@@ -42,7 +42,7 @@
         }
         long from = sources.containsKey(base) ? base : 0;
         byte[] delta = deltas.computeIfAbsent(
-                from, f -> VersionDelta.encode(sources.getOrDefault(f, NOTHING), sources.get(newest)));
+                from, f -> VersionDeltaCodec.encode(sources.getOrDefault(f, NOTHING), sources.get(newest)));
         return Optional.of(new Delivery(from, delta));
     }
 
@@ -50,7 +50,7 @@
      * A delta on its way.
      *
      * @param base number of the version it is written against, 0 for none
-     * @param delta as {@link VersionDelta} reads it
+     * @param delta as {@link VersionDeltaCodec} reads it
      */
     record Delivery(long base, byte[] delta) {
         /** The form between nodes: the base as 8 bytes, then the delta. */
@@ -74,6 +74,6 @@
     /** The whole version that a delivery leads to; empty if it is written against one that is not kept here. */
     Optional<byte[]> join(Delivery delivery) {
         byte[] earlier = delivery.base() == 0 ? NOTHING : sources.get(delivery.base());
-        return earlier == null ? Optional.empty() : VersionDelta.decode(earlier, delivery.delta());
+        return earlier == null ? Optional.empty() : VersionDeltaCodec.decode(earlier, delivery.delta());
     }
 }
--- a/org.berylwick.test/tst/org/berylwick/bench/nodes/NodeCostTest.java
+++ b/org.berylwick.test/tst/org/berylwick/bench/nodes/NodeCostTest.java
@@ -38,7 +38,7 @@
                 return Long.parseLong(line.replaceAll("\\D", ""));
             }
         }
-        return 0;
+        throw new IOException("the system does not tell how much memory a process takes");
     }
 
     @Test
@@ -54,7 +54,7 @@
                 }
             }
             Process process = vm.process().process();
-            Duration time = process.info().totalCpuDuration().orElse(Duration.ZERO);
+            Duration time = process.info().totalCpuDuration().orElseThrow();
             long resident = residentKb(process.pid());
             String seen = answered + " answered, " + time.toMillis() + " ms, " + resident + " KB";
             reporter.publishEntry("node_cost", seen);
--- a/org.berylwick.test/tst/org/berylwick/node/VersionSpreadTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/VersionSpreadTest.java
@@ -17,7 +17,7 @@
 import org.berylwick.node.lib.OwnerLoad;
 import org.berylwick.node.member.NodeState;
 import org.berylwick.node.transport.SmallHttpServer;
-import org.berylwick.node.version.VersionDelta;
+import org.berylwick.node.version.VersionDeltaCodec;
 import org.berylwick.testing.Await;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -97,9 +97,9 @@
      */
     @Test
     void versionThatDoesNotFitIsAskedForWhole() throws IOException {
-        byte[] whole = VersionDelta.encode(new byte[0], MemoryConfiguration.sourceOf(6));
+        byte[] whole = VersionDeltaCodec.encode(new byte[0], MemoryConfiguration.sourceOf(6));
         byte[] other = MemoryConfiguration.sourceOf(1_000);
-        byte[] changed = VersionDelta.encode(other, MemoryConfiguration.sourceOf(6));
+        byte[] changed = VersionDeltaCodec.encode(other, MemoryConfiguration.sourceOf(6));
         List<String> asked = new CopyOnWriteArrayList<>();
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try (NodeRig rig = new NodeRig();
--- a/org.berylwick.test/tst/org/berylwick/node/call/RetryBudgetTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/RetryBudgetTest.java
@@ -1,5 +1,6 @@
 package org.berylwick.node.call;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -51,11 +52,7 @@
                 repeats.add(now);
             }
         }
-        for (long from = WINDOW; from < 3 * WINDOW; from += WINDOW / 7) {
-            long allowed = (long) (0.2 * within(requests, from) + 58);
-            long sent = within(repeats, from);
-            assertTrue(sent <= allowed, sent + " repeats from " + from + ", allowed " + allowed);
-        }
+        assertWithinAllowance(requests, repeats);
     }
 
     /**
@@ -95,11 +92,7 @@
                 }
             }
         }
-        for (long from = WINDOW; from < 3 * WINDOW; from += WINDOW / 7) {
-            long allowed = (long) (0.2 * within(requests, from) + 58);
-            long sent = within(repeats, from);
-            assertTrue(sent <= allowed, sent + " repeats from " + from + ", allowed " + allowed);
-        }
+        assertWithinAllowance(requests, repeats);
     }
 
     /**
@@ -123,6 +116,16 @@
             }
         }
         assertTrue(repeats <= 58, repeats + " repeats without a request, allowed 58");
+        assertTrue(repeats >= 20, repeats + " repeats: the slack is not used");
+    }
+
+    private static void assertWithinAllowance(List<Long> requests, List<Long> repeats) {
+        assertFalse(repeats.isEmpty(), "nothing was repeated");
+        for (long from = WINDOW; from < 3 * WINDOW; from += WINDOW / 7) {
+            long allowed = (long) (0.2 * within(requests, from) + 58);
+            long sent = within(repeats, from);
+            assertTrue(sent <= allowed, sent + " repeats from " + from + ", allowed " + allowed);
+        }
     }
 
     private static long within(List<Long> times, long from) {
--- a/org.berylwick.test/tst/org/berylwick/node/version/VersionDeltaTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/version/VersionDeltaCodecTest.java
@@ -14,7 +14,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 
-class VersionDeltaTest {
+class VersionDeltaCodecTest {
     private static final int ROUTES = 1_600;
 
     private static List<String> routes(Random random) {
@@ -37,8 +37,8 @@
 
     @Property(tries = 300)
     void laterVersionIsGotBack(@ForAll byte[] earlier, @ForAll byte[] later) {
-        byte[] delta = VersionDelta.encode(earlier, later);
-        assertArrayEquals(later, VersionDelta.decode(earlier, delta).orElseThrow());
+        byte[] delta = VersionDeltaCodec.encode(earlier, later);
+        assertArrayEquals(later, VersionDeltaCodec.decode(earlier, delta).orElseThrow());
     }
 
     @Property(tries = 60)
@@ -54,8 +54,8 @@
             }
         }
         byte[] later = bytes(routes);
-        byte[] delta = VersionDelta.encode(earlier, later);
-        assertArrayEquals(later, VersionDelta.decode(earlier, delta).orElseThrow());
+        byte[] delta = VersionDeltaCodec.encode(earlier, later);
+        assertArrayEquals(later, VersionDeltaCodec.decode(earlier, delta).orElseThrow());
         assertTrue(delta.length < 40 + 110 * edits, delta.length + " bytes for " + edits + " edits");
     }
 
@@ -65,30 +65,30 @@
         random.nextBytes(earlier);
         byte[] later = Arrays.copyOfRange(earlier, 100, 450);
         later[200] ^= 1;
-        byte[] delta = VersionDelta.encode(earlier, later);
+        byte[] delta = VersionDeltaCodec.encode(earlier, later);
         delta[at % delta.length] = value;
-        Optional<byte[]> read = VersionDelta.decode(earlier, delta);
+        Optional<byte[]> read = VersionDeltaCodec.decode(earlier, delta);
         assertTrue(read.isEmpty() || Arrays.equals(later, read.get()));
         earlier[300] ^= 1;
-        assertTrue(
-                VersionDelta.decode(earlier, VersionDelta.encode(later, later)).isEmpty());
+        assertTrue(VersionDeltaCodec.decode(earlier, VersionDeltaCodec.encode(later, later))
+                .isEmpty());
     }
 
     @Property(tries = 500)
     void anythingElseIsRefused(@ForAll byte[] delta) {
-        assertTrue(VersionDelta.decode(new byte[0], delta).isEmpty());
+        assertTrue(VersionDeltaCodec.decode(new byte[0], delta).isEmpty());
     }
 
-    /** Sent whole it took 264 KB; compressed less than a third, and after one change of a weight next to nothing. */
+    /** Of 212,632 bytes 25,542 are sent to a node that has none, and 22 after one change of a weight. */
     @Example
     void changeOfAWeightIsSmall() {
         List<String> routes = routes(new Random(1));
         byte[] earlier = bytes(routes);
         routes.set(700, routes.get(700).replace("\"weight\":", "\"weight\":1"));
         byte[] later = bytes(routes);
-        int whole = VersionDelta.encode(new byte[0], later).length;
-        int change = VersionDelta.encode(earlier, later).length;
-        assertTrue(whole < later.length / 3, later.length + " bytes are sent as " + whole);
-        assertTrue(change < 40, change + " bytes for one change");
+        int whole = VersionDeltaCodec.encode(new byte[0], later).length;
+        int change = VersionDeltaCodec.encode(earlier, later).length;
+        assertTrue(whole < later.length / 6, later.length + " bytes are sent as " + whole);
+        assertTrue(change < 30, change + " bytes for one change");
     }
 }
