--- a/org.berylwick.node/src/org/berylwick/node/version/VersionDeltaCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/version/VersionDeltaCodec.java
@@ -12,10 +12,10 @@
 /**
  * What has to be sent to a node that has an earlier version, so that it gets the bytes of a later one.
  *
- * <p>A version with 1,600 routes is 290 KB, and its successor mostly differs in some routes; sent whole to each of 76
- * nodes, a burst of versions fills links of 5 Mbit/s for seconds. The form is the CRC-32 of the later version (4
- * bytes), then, deflated, its length and a row of parts: each a number, twice its length, plus one if it is copied from
- * the earlier version; then the offset there, or the bytes. Numbers are unsigned LEB128.
+ * <p>A version with 1,612 routes is 229 KB, and its successor mostly differs in some routes; whole, it takes a third of
+ * a second on a link of 5.25 Mbit/s, and versions may come faster than that. The form is the CRC-32 of the later
+ * version (4 bytes), then, deflated, its length and a row of parts: each a number, twice its length, plus one if it is
+ * copied from the earlier version; then the offset there, or the bytes. Numbers are unsigned LEB128.
  */
 public final class VersionDeltaCodec {
     /** Bytes that two versions must have in common for a copy to be found; about a quarter of a route. */
--- a/org.berylwick.node/src/org/berylwick/node/version/VersionKeeper.java
+++ b/org.berylwick.node/src/org/berylwick/node/version/VersionKeeper.java
@@ -34,7 +34,7 @@
     private static final long SHORTEST_POLL_MILLIS = 2_000;
     /**
      * Between two versions that are installed here. Of versions that come faster only the newest is read: each costs a
-     * parse of the whole, and a burst of 20 a second would take all that 0.3 of a core has.
+     * parse of the whole, on VMs with 0.3 of a core.
      */
     private static final long SPACING_NANOS = 250_000_000L;
 
