--- a/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeFleet.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeFleet.java
@@ -76,7 +76,7 @@
         for (int i = 0; i < count; i++) {
             BackendVm backend =
                     new BackendVm(ip(i), i % 2 == 0 ? "alpha" : "beta", SLOTS, ip(i) + ":" + ports[3], book);
-            Path settings = folder.resolve("node-" + i + ".yaml");
+            Path settings = folder.resolve("node-" + i + ".json");
             PlatformFiles.Vm vm = new PlatformFiles.Vm(
                     "node-" + i, ip(i), i % 4 < 2 ? "zone-a" : "zone-b", i % 2 == 0 ? "alpha" : "beta", backend.port());
             Files.writeString(
--- a/org.berylwick.node/src/org/berylwick/node/lib/MeshVersion.java
+++ b/org.berylwick.node/src/org/berylwick/node/lib/MeshVersion.java
@@ -13,6 +13,7 @@
     private final long number;
     private final Map<String, List<Route>> routesByHost;
     private final Map<String, Integer> maxConnections;
+    private final Map<String, String> healthPaths;
     private final CallerLimits limits;
     private final byte[] source;
 
@@ -26,6 +27,7 @@
         }
         this.routesByHost = Map.copyOf(hosts);
         this.maxConnections = Map.copyOf(builder.maxConnections);
+        this.healthPaths = Map.copyOf(builder.healthPaths);
         this.limits = builder.limits;
         this.source = builder.source;
     }
@@ -45,6 +47,11 @@
         return maxConnections.getOrDefault(service, 0);
     }
 
+    /** Where a backend server of a service answers how it is; empty if it does not. */
+    public Optional<String> healthPath(String service) {
+        return Optional.ofNullable(healthPaths.get(service)).filter(p -> p.startsWith("/"));
+    }
+
     /** The bytes this version was read from, for other nodes; not to be changed. */
     public byte[] source() {
         return source;
@@ -86,6 +93,7 @@
         private final byte[] source;
         private final Map<String, List<Route>> routesByHost = new HashMap<>();
         private final Map<String, Integer> maxConnections = new HashMap<>();
+        private final Map<String, String> healthPaths = new HashMap<>();
         private CallerLimits limits = new CallerLimits(16_384, 1 << 20, 3_000_000_000L, 15_000_000_000L);
 
         /**
@@ -111,6 +119,14 @@
             return this;
         }
 
+        /**
+         * Adds a service, the connections that each of its backend servers accepts, and where those tell their health.
+         */
+        public Builder service(String name, int connections, String healthPath) {
+            healthPaths.put(name, healthPath);
+            return service(name, connections);
+        }
+
         /** Sets what callers may send. */
         public Builder limits(CallerLimits callerLimits) {
             this.limits = callerLimits;
--- a/org.berylwick.standin/src/org/berylwick/standin/objects/PlatformFiles.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/objects/PlatformFiles.java
@@ -35,23 +35,12 @@
      */
     public static String settings(Vm vm, int[] ports, int storePort, double drainSeconds, double graceSeconds) {
         return """
-                node: "%s"
-                ip: "%s"
-                zone: "%s"
-                region: "r"
-                zones: {zone-a: "r", zone-b: "r"}
-                listen:
-                  inbound: "%2$s:%d"
-                  outbound: "%2$s:%d"
-                  readinessAddr: "%2$s:%d"
-                  control: "%2$s:%d"
-                internalPorts: [%d, %d]
-                limits: {memoryMb: 200}
-                heartbeatS: 0.4
-                bounds: {drainS: %s, graceS: %s, budgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 60}
-                appAddr: "%2$s:%d"
-                service: "%s"
-                platform: {address: "127.0.0.1:%d"}
+                {"node": "%s", "ip": "%s", "zone": "%s", "region": "r", "zones": {"zone-a": "r", "zone-b": "r"},
+                 "listen": {"inbound": "%2$s:%d", "outbound": "%2$s:%d", "readinessAddr": "%2$s:%d",
+                            "control": "%2$s:%d"},
+                 "internalPorts": [%d, %d], "limits": {"memoryMb": 200}, "heartbeatS": 0.4,
+                 "bounds": {"drainS": %s, "graceS": %s, "budgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 60},
+                 "appAddr": "%2$s:%d", "service": "%s", "platform": {"address": "127.0.0.1:%d"}}
                 """.formatted(
                         vm.name(),
                         vm.ip(),
--- a/org.berylwick.test/tst/org/berylwick/platform/CodecsTest.java
+++ b/org.berylwick.test/tst/org/berylwick/platform/CodecsTest.java
@@ -16,32 +16,13 @@
 /** The platform's names are decoded once, and what cannot be decoded is told apart. */
 class CodecsTest {
     private static final String SETTINGS = """
-            node: "vm-1"
-            ip: "10.0.0.1"
-            zone: "a"
-            region: "r"
-            zones:
-              a: "r"
-              b: "r"
-            newField: [1, {x: 2}]
-            listen:
-              inbound: "10.0.0.1:1"
-              outbound: "10.0.0.1:2"
-              readinessAddr: "10.0.0.1:3"
-              control: "10.0.0.1:4"
-            internalPorts: [7600, 7615]
-            seeds: ["10.0.0.9:4"]
-            dataDir: null
-            limits:
-              memoryMb: 258
-              cpuShare: 0.3
-            bounds:
-              drainS: 2.5
-              budgetRatio: 0.25
-            appAddr: "10.0.0.1:5"
-            service: "books"
-            platform:
-              address: "10.9.0.1:6"
+            {"node": "vm-1", "ip": "10.0.0.1", "zone": "a", "region": "r", "zones": {"a": "r", "b": "r"},
+             "newField": [1, {"x": 2}],
+             "listen": {"inbound": "10.0.0.1:1", "outbound": "10.0.0.1:2", "readinessAddr": "10.0.0.1:3",
+              "control": "10.0.0.1:4"},
+             "internalPorts": [7600, 7615], "seeds": ["10.0.0.9:4"], "dataDir": null,
+             "limits": {"memoryMb": 258, "cpuShare": 0.3}, "bounds": {"drainS": 2.5, "budgetRatio": 0.25},
+             "appAddr": "10.0.0.1:5", "service": "books", "platform": {"address": "10.9.0.1:6"}}
             """;
 
     private static final String CONFIGURATION = """
@@ -57,9 +38,13 @@
         return ConfigurationCodec.decode(text.getBytes(StandardCharsets.UTF_8), 5);
     }
 
+    private static SettingsFile parse(String text) {
+        return SettingsFile.parse(text.getBytes(StandardCharsets.UTF_8));
+    }
+
     @Test
     void settingsAreReadAndUnknownFieldsLeftAlone() {
-        SettingsFile file = SettingsFile.parse(SETTINGS);
+        SettingsFile file = parse(SETTINGS);
         assertEquals("books", file.settings().service());
         assertEquals(2_500_000_000L, file.settings().bounds().drainNanos());
         assertEquals(0.25, file.settings().bounds().retryRatio());
@@ -70,8 +55,8 @@
 
     @Test
     void settingsThatLackAnAddressAreRefusedByName() {
-        String lacking = SETTINGS.replace("  control: \"10.0.0.1:4\"\n", "");
-        IllegalArgumentException e = assertThrows(IllegalArgumentException.class, () -> SettingsFile.parse(lacking));
+        String lacking = SETTINGS.replace("\"control\"", "\"other\"");
+        IllegalArgumentException e = assertThrows(IllegalArgumentException.class, () -> parse(lacking));
         assertTrue(e.getMessage().contains("control"), e.getMessage());
     }
 
@@ -103,7 +88,7 @@
 
     @Test
     void heartbeatsAreReadByTheirPath() {
-        HeartbeatCodec codec = new HeartbeatCodec("books");
+        HeartbeatCodec codec = new HeartbeatCodec();
         byte[] body = ("{\"address\":\"10.0.0.1:5\",\"info\":{\"service\":\"s\",\"slots\":12},"
                         + "\"status\":{\"state\":\"draining\",\"seq\":4,\"warmupLeftS\":1.5}}")
                 .getBytes(StandardCharsets.UTF_8);
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/platform/ForeignEntriesTest.java
@@ -0,0 +1,146 @@
+package org.berylwick.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.berylwick.node.lib.BackendReport;
+import org.berylwick.node.lib.BackendState;
+import org.berylwick.node.member.HeartbeatProtocol.Announcement;
+import org.berylwick.node.member.NodeDirectory.Answer;
+import org.berylwick.node.transport.SmallHttpServer;
+import org.berylwick.node.version.ConfigurationSource;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Something else writes heartbeats or entries of the list of nodes: fields are missing, of another type, or spoilt.
+ * Read leniently, a report in an unknown state counted as ready, one without slots as one slot, and an entry without an
+ * address became a node at an empty one. Such an entry names nothing; all others hold.
+ */
+class ForeignEntriesTest {
+    private static final String REPORT = "{\"address\":\"10.0.0.1:5\",\"info\":{\"service\":\"s\",\"version\":\"v1\","
+            + "\"zone\":\"a\",\"slots\":12},\"status\":{\"state\":\"ready\",\"seq\":4,\"warmupLeftS\":1.5}}";
+
+    private static Announcement read(String body) {
+        return new HeartbeatCodec().read("PUT", "/instances/i-1", body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void reportsThatLackWhatTheirUseNeedsAreMalformed() {
+        assertInstanceOf(Announcement.Report.class, read(REPORT));
+        List<String> spoilt = List.of(
+                REPORT.replace("\"state\":\"ready\",", ""),
+                REPORT.replace("\"ready\"", "\"sleeping\""),
+                REPORT.replace("\"ready\"", "7"),
+                REPORT.replace("\"slots\":12", "\"slots\":\"12\""),
+                REPORT.replace("\"slots\":12", "\"slots\":0"),
+                REPORT.replace("\"seq\":4,", ""),
+                REPORT.replace("\"seq\":4", "\"seq\":\"4\""),
+                REPORT.replace("\"service\":\"s\",", ""),
+                REPORT.replace("\"service\":\"s\"", "\"service\":\"\""),
+                REPORT.replace("10.0.0.1:5", "backend.example:5"),
+                REPORT.replace("10.0.0.1:5", "10.0.0.1:99999"),
+                REPORT.replace("\"address\":\"10.0.0.1:5\"", "\"address\":5"),
+                "[]",
+                "null",
+                "");
+        for (String body : spoilt) {
+            assertInstanceOf(Announcement.Malformed.class, read(body), body);
+        }
+    }
+
+    @Provide
+    Arbitrary<byte[]> mutated() {
+        byte[] whole = REPORT.getBytes(StandardCharsets.UTF_8);
+        Arbitrary<Integer> at = Arbitraries.integers().between(0, whole.length - 1);
+        Arbitrary<Byte> to = Arbitraries.bytes();
+        Arbitrary<Integer> length = Arbitraries.integers().between(0, whole.length);
+        return Combinators.combine(at.list().ofMaxSize(4), to.list().ofSize(4), length)
+                .as((places, values, left) -> {
+                    byte[] bytes = whole.clone();
+                    for (int i = 0; i < places.size(); i++) {
+                        bytes[places.get(i)] = values.get(i);
+                    }
+                    return left % 3 == 0 ? java.util.Arrays.copyOf(bytes, left) : bytes;
+                });
+    }
+
+    @Property(tries = 3_000)
+    void mutatedReportsNeverThrowAndNeverNameAnUnusableServer(@ForAll("mutated") byte[] body) {
+        if (new HeartbeatCodec().read("PUT", "/instances/i-1", body) instanceof Announcement.Report told) {
+            BackendReport report = told.report();
+            assertTrue(report.slots() > 0);
+            assertTrue(report.sequence() >= 0);
+            assertTrue(report.warmUpNanos() >= 0);
+            assertTrue(report.state() == BackendState.READY || report.state() == BackendState.DRAINING);
+            assertTrue(!report.service().isBlank());
+            assertTrue(!report.address().isUnresolved());
+        }
+    }
+
+    @Property(tries = 2_000)
+    void anyBytesAreReadOrRefusedAsAConfiguration(@ForAll byte[] body) {
+        ConfigurationSource.Answer answer = ConfigurationCodec.decode(body, 1);
+        assertTrue(answer instanceof ConfigurationSource.Answer.Invalid
+                || answer instanceof ConfigurationSource.Answer.Found);
+    }
+
+    @Test
+    void deeplyNestedBytesAreRefused() {
+        String deep = "[".repeat(5_000) + "]".repeat(5_000);
+        assertEquals(Optional.empty(), JsonValue.read(deep.getBytes(StandardCharsets.UTF_8)));
+        String large = "{\"seq\":" + "9".repeat(60) + "}";
+        assertEquals(Optional.empty(), JsonValue.read(large.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    /** The list comes in three pages; the last item of the first has no name, and some have no address. */
+    @Test
+    void spoiltEntriesNameNoNodeAndEndNoPaging() throws Exception {
+        List<String> asked = new ArrayList<>();
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoop loop = (EventLoop) group.next();
+        try (SmallHttpServer server = SmallHttpServer.open(loop, new InetSocketAddress("127.0.0.1", 0), q -> {
+            asked.add(q.uri());
+            Matcher after = Pattern.compile("after=(\\w+)").matcher(q.uri());
+            String page = !after.find()
+                    ? entry("a", "\"10.0.0.1\"") + "," + entry("b", "7") + ",{\"spec\":{\"ip\":\"10.0.0.3\"}}"
+                    : after.group(1).equals("b") ? entry("c", "\"\"") + "," + entry("d", "\"10.0.0.4\"") : "";
+            boolean more = !page.isEmpty();
+            return SmallHttpServer.Answer.of(
+                    "application/json",
+                    ("{\"items\":[" + page + "],\"more\":" + more + "}").getBytes(StandardCharsets.UTF_8));
+        })) {
+            StoredDirectory directory =
+                    new StoredDirectory(new ObjectStore(loop, new InetSocketAddress("127.0.0.1", server.port())));
+            CompletableFuture<Answer> answer = new CompletableFuture<>();
+            loop.execute(() -> directory.list(answer::complete));
+            Answer.Listed listed = assertInstanceOf(Answer.Listed.class, answer.get(10, TimeUnit.SECONDS));
+            assertEquals(List.of("10.0.0.1", "10.0.0.3", "10.0.0.4"), listed.addresses());
+            assertEquals(3, asked.size());
+        } finally {
+            group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private static String entry(String name, String ip) {
+        return "{\"metadata\":{\"name\":\"" + name + "\"},\"spec\":{\"ip\":" + ip + "}}";
+    }
+}
