Ask the backend server who it is after a start, and stop its owner last

Change: with the first version a node asks the backend server who it is and how many slots it has; the first heartbeat takes over. On a planned stop the owner serves other nodes until the platform has had two questions answered with no, then stops; the port for callers closes after its last run, since runs make calls through it.

Ruled out: the service and the incarnation from other nodes' memory, which all lose when all are killed.

--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.berylwick.node.call.Backend;
+import org.berylwick.node.call.BackendProbe;
 import org.berylwick.node.call.CallPath;
 import org.berylwick.node.call.Candidates;
 import org.berylwick.node.call.EntryServer;
@@ -60,10 +61,15 @@
     private final EntryServer entry;
     private final PeerServer peers;
     private final NodeStop stop;
+    private final BackendProbe probe;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private volatile String service;
     private long stateSequence;
+    /** Told to stop: not ready for callers. */
+    private boolean stopping;
+    /** Others are to send nothing more to the backend server here. */
     private boolean leaving;
+
     private boolean wasReady;
 
     /**
@@ -81,6 +87,7 @@
         this.table = new MemberTable(this::connect, this::onSuspected);
         this.owner =
                 new Owner(loop, ports.headerNames(), settings.heartbeatNanos(), counters, log, this::onBackendChange);
+        this.probe = new BackendProbe(loop, settings, ports.headerNames(), owner, log);
         this.gossip = new Gossip(
                 loop, settings.ip(), settings.gossipPort(), table, this::selfState, counters, log, this::onHeard);
         this.versions = new VersionKeeper(
@@ -105,7 +112,16 @@
                 candidates,
                 new Instruments(counters, log));
         this.peers = new PeerServer(loop, settings.peers(), owner, versions::deliver);
-        this.stop = new NodeStop(loop, settings.bounds().graceNanos(), owner, entry, stopped::countDown);
+        this.stop = new NodeStop(
+                loop,
+                settings.bounds().graceNanos(),
+                owner,
+                entry,
+                () -> {
+                    leaving = true;
+                    gossip.tellNow();
+                },
+                stopped::countDown);
     }
 
     private ConnectionPool connect(String ip) {
@@ -120,7 +136,7 @@
         gossip.start();
         peers.start();
         entry.start();
-        SmallHttpServer.open(loop, settings.readiness(), q -> SmallHttpServer.Answer.ofStatus(isReady() ? 200 : 503));
+        SmallHttpServer.open(loop, settings.readiness(), q -> answerReadiness());
         if (settings.metricsPort() > 0) {
             InetSocketAddress address = new InetSocketAddress(settings.ip(), settings.metricsPort());
             SmallHttpServer.open(
@@ -187,17 +203,25 @@
                     "members",
                     table.all().size(),
                     "leaving",
-                    leaving);
+                    stopping);
         }
     }
 
     private boolean isReady() {
-        if (leaving || versions.version().isEmpty()) {
+        if (stopping || versions.version().isEmpty()) {
             return false;
         }
         return !table.all().isEmpty() || System.nanoTime() - startedAt > ALONE_NANOS;
     }
 
+    private SmallHttpServer.Answer answerReadiness() {
+        if (isReady()) {
+            return SmallHttpServer.Answer.ofStatus(200);
+        }
+        stop.onMissed();
+        return SmallHttpServer.Answer.ofStatus(503);
+    }
+
     private boolean isReader() {
         long now = System.nanoTime();
         long silent = gossip.silentNanos();
@@ -253,6 +277,7 @@
             case FAR -> gossip.tellZoneNow(settings.zone());
             case NEAR -> {}
         }
+        versions.version().ifPresent(probe::ask);
         tellReadiness();
     }
 
@@ -326,8 +351,7 @@
     public void stop() {
         log.write(Event.STOPPING, "graceMs", settings.bounds().graceNanos() / 1_000_000);
         loop.execute(() -> {
-            leaving = true;
-            gossip.tellNow();
+            stopping = true;
             tellReadiness();
             stop.begin();
         });
--- a/org.berylwick.node/src/org/berylwick/node/NodeStop.java
+++ b/org.berylwick.node/src/org/berylwick/node/NodeStop.java
@@ -5,12 +5,25 @@
 import org.berylwick.node.call.EntryServer;
 import org.berylwick.node.call.Owner;
 
-/** The order of a planned stop; confined to the event loop. */
+/**
+ * The order of a planned stop; confined to the event loop.
+ *
+ * <p>The backend server beside this node runs on, and is out of reach from the owner's stop until the node is back. So
+ * the owner works on while callers are sent elsewhere, and stops last: with the owner first, each node that was stopped
+ * in turn took its backend server away for 5 s, a third of a service of three. Its runs make calls of their own through
+ * the port for callers, so that closes only after them.
+ */
 final class NodeStop {
-    /** Other nodes hear of the stop within this and send nothing more to the backend server here. */
-    private static final long OWNER_MILLIS = 250;
-    /** Callers are sent elsewhere after two questions without a yes, one second apart; until then they are served. */
-    private static final long LISTEN_MILLIS = 2_600;
+    /** Callers are sent elsewhere after this many questions for readiness without a yes. */
+    private static final int MISSES = 2;
+    /** The platform asks once a second; whoever else asks in between tells nothing of callers. */
+    private static final long BETWEEN_MISSES_NANOS = 500_000_000L;
+    /** Callers may have begun a request before they were sent elsewhere. */
+    private static final long MOVED_MILLIS = 100;
+    /** As long as the platform takes for so many questions; if it asks none, callers are taken to have gone by then. */
+    private static final long CALLERS_MILLIS = 2_600;
+    /** Other nodes hear of the stop within this, and send nothing more to the backend server here. */
+    private static final long TOLD_MILLIS = 100;
     /** Kept back from the grace, for the last answers to leave. */
     private static final long MARGIN_MILLIS = 300;
 
@@ -22,33 +35,75 @@
     private final long graceNanos;
     private final Owner owner;
     private final EntryServer entry;
+    private final Runnable onOwnerStops;
     private final Runnable onDone;
+    private boolean begun;
+    private boolean callersGone;
+    private boolean listening = true;
+    private int misses;
+    private long missedAt;
     private long endAt;
     private int quiet;
 
-    NodeStop(EventLoop loop, long graceNanos, Owner owner, EntryServer entry, Runnable onDone) {
+    /**
+     * @param loop all runs on it
+     * @param graceNanos from the signal to the kill
+     * @param owner of the backend server
+     * @param entry for callers
+     * @param onOwnerStops has others told that the owner will stop in a moment
+     * @param onDone hears that nothing is under way any more
+     */
+    NodeStop(EventLoop loop, long graceNanos, Owner owner, EntryServer entry, Runnable onOwnerStops, Runnable onDone) {
         this.loop = loop;
         this.graceNanos = graceNanos;
         this.owner = owner;
         this.entry = entry;
+        this.onOwnerStops = onOwnerStops;
         this.onDone = onDone;
     }
 
     void begin() {
+        begun = true;
         endAt = System.nanoTime() + graceNanos - MARGIN_MILLIS * 1_000_000;
         entry.drain();
-        loop.schedule(owner::stop, OWNER_MILLIS, TimeUnit.MILLISECONDS);
-        loop.schedule(this::stopListening, LISTEN_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(this::onCallersGone, CALLERS_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void stopListening() {
-        entry.stopListening();
+    /** Somebody asked whether this node is ready, and was told no. */
+    void onMissed() {
+        long now = System.nanoTime();
+        if (!begun || misses > 0 && now - missedAt < BETWEEN_MISSES_NANOS) {
+            return;
+        }
+        missedAt = now;
+        misses++;
+        if (misses == MISSES) {
+            loop.schedule(this::onCallersGone, MOVED_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void onCallersGone() {
+        if (callersGone) {
+            return;
+        }
+        callersGone = true;
+        onOwnerStops.run();
+        loop.schedule(this::stopOwner, TOLD_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void stopOwner() {
+        owner.stop();
         check();
     }
 
     private void check() {
+        boolean late = System.nanoTime() >= endAt;
+        if (listening && (owner.pending() == 0 || late)) {
+            listening = false;
+            entry.stopListening();
+        }
         quiet = owner.pending() + entry.pending() == 0 ? quiet + 1 : 0;
-        if (quiet >= QUIET_CHECKS || System.nanoTime() >= endAt) {
+        if (quiet >= QUIET_CHECKS || late) {
             onDone.run();
             return;
         }
--- a/org.berylwick.node/src/org/berylwick/node/call/Backend.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Backend.java
@@ -118,9 +118,13 @@
 
     /**
      * Whether a report of another incarnation is older than this one: a late heartbeat carries a higher number than one
-     * that has just started, and this one was heard a moment ago.
+     * that has just started, and this one was heard a moment ago. One that was only asked, and has reported nothing,
+     * gives way.
      */
     boolean supersedes(BackendReport report, long spanNanos, long now) {
-        return state == BackendState.READY && report.sequence() > sequence && now - reportedAt < spanNanos;
+        return sequence >= 0
+                && state == BackendState.READY
+                && report.sequence() > sequence
+                && now - reportedAt < spanNanos;
     }
 }
--- a/org.berylwick.node/src/org/berylwick/node/lib/HeaderNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/lib/HeaderNames.java
@@ -10,6 +10,7 @@
  * @param load running, waiting and slots of a backend server, separated by commas
  * @param notRun marks an answer to a request that was not run
  * @param callerService service on the VM where the request began
+ * @param instance incarnation that answers
  */
 public record HeaderNames(
         String requestId,
@@ -18,4 +19,5 @@
         String target,
         String load,
         String notRun,
-        String callerService) {}
+        String callerService,
+        String instance) {}
--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -37,6 +37,8 @@
     BACKEND_CHANGED(7032, 20),
     /** A heartbeat was late or malformed. */
     BACKEND_REPORT_IGNORED(7033, 5),
+    /** The backend server was asked who it is, after a start of this node. */
+    BACKEND_PROBED(7034, 10),
     /** A call was answered; repeated ones, and one in fifty of the others. */
     CALL_ANSWERED(7040, 30),
     /** A call ended without a good answer. */
--- a/org.berylwick.node/src/org/berylwick/node/transport/SmallHttpCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/SmallHttpCall.java
@@ -3,6 +3,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.io.ByteArrayOutputStream;
@@ -18,12 +20,13 @@
     private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     private HttpConnection connection;
     private int status;
+    private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
     private boolean over;
 
     /** What became of a call. */
     public sealed interface Result {
         /** The whole answer. */
-        record Answered(int status, byte[] body) implements Result {}
+        record Answered(int status, HttpHeaders headers, byte[] body) implements Result {}
 
         /** There was none. */
         record Failed(String cause) implements Result {}
@@ -71,6 +74,7 @@
     @Override
     public void onHead(HttpResponse head) {
         status = head.status().code();
+        headers = head.headers();
     }
 
     @Override
@@ -84,7 +88,7 @@
     @Override
     public void onEnd() {
         connection = null;
-        finish(new Result.Answered(status, bytes.toByteArray()));
+        finish(new Result.Answered(status, headers, bytes.toByteArray()));
     }
 
     @Override
--- a/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
+++ b/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
@@ -40,8 +40,8 @@
 
 /** Nodes of one fleet in this process, each on a loopback address of its own, and callers made of bytes. */
 final class NodeRig implements AutoCloseable {
-    static final HeaderNames NAMES =
-            new HeaderNames("x-request-id", "x-deadline", "x-signature", "x-target", "x-load", "x-not-run", "x-caller");
+    static final HeaderNames NAMES = new HeaderNames(
+            "x-request-id", "x-deadline", "x-signature", "x-target", "x-load", "x-not-run", "x-caller", "x-instance");
 
     static final String HOST = "shop.example";
     private static final AtomicInteger NEXT_NET = new AtomicInteger(1);
@@ -81,17 +81,38 @@
     }
 
     Node start(int number, String zone, Optional<RawServer> backend, int slots) {
+        Node node = startUnreported(number, zone, backend);
+        backend.ifPresent(b -> report(number, b, "i-" + number, 1, BackendState.READY, slots));
+        return node;
+    }
+
+    /** Starts a node beside a backend server that has not announced itself to it. */
+    Node startUnreported(int number, RawServer backend) {
+        return startUnreported(number, "zone-a", Optional.of(backend));
+    }
+
+    private Node startUnreported(int number, String zone, Optional<RawServer> backend) {
         EventLog log = new EventLog("node-" + number, logged);
         logs.add(log);
         Node node = new Node(new MemoryPorts(settings(number, zone, backend)), log);
         nodes.add(node);
         node.start();
-        backend.ifPresent(b -> report(number, b, "i-" + number, 1, BackendState.READY, slots));
         return node;
     }
 
     void report(int number, RawServer backend, String incarnation, long sequence, BackendState state, int slots) {
-        String body = backend.address().port() + " " + sequence + " " + state + " " + slots;
+        report(number, "work", backend, incarnation, sequence, state, slots);
+    }
+
+    void report(
+            int number,
+            String service,
+            RawServer backend,
+            String incarnation,
+            long sequence,
+            BackendState state,
+            int slots) {
+        String body = backend.address().port() + " " + sequence + " " + state + " " + slots + " " + service;
         String answer = exchange(
                 new InetSocketAddress(ip(number), ports[3]),
                 "PUT /" + incarnation + " HTTP/1.1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
@@ -329,7 +350,7 @@
         }
     }
 
-    /** Heartbeats in the form {@code PORT SEQUENCE STATE SLOTS}. */
+    /** Heartbeats in the form {@code PORT SEQUENCE STATE SLOTS SERVICE}. */
     private static final class PlainHeartbeats implements HeartbeatProtocol {
         @Override
         public Announcement read(String method, String uri, byte[] body) {
@@ -340,7 +361,7 @@
             String[] f = new String(body, StandardCharsets.US_ASCII).split(" ");
             return new Announcement.Report(new BackendReport(
                     incarnation,
-                    "work",
+                    f[4],
                     new InetSocketAddress("127.0.0.1", Integer.parseInt(f[0])),
                     "zone-a",
                     Integer.parseInt(f[3]),
