--- a/org.berylwick.bench/src/org/berylwick/bench/Measure.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/Measure.java
@@ -13,6 +13,7 @@
 import org.berylwick.bench.control.Convergence;
 import org.berylwick.bench.control.Recovery;
 import org.berylwick.bench.control.SpreadCurve;
+import org.berylwick.bench.emulate.EmulateMeasurement;
 import org.berylwick.bench.limits.LimitsMeasurement;
 import org.berylwick.bench.nodes.NodeSoak;
 import org.berylwick.bench.soak.SoakMeasurement;
@@ -28,6 +29,7 @@
             new Recovery(),
             new SpreadCurve(),
             new LimitsMeasurement(),
+            new EmulateMeasurement(),
             new SoakMeasurement(),
             new NodeSoak(),
             new VersionMeasurement());
--- /dev/null
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Deployment.java
@@ -0,0 +1,281 @@
+package org.berylwick.bench.emulate;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.berylwick.node.lib.RouteKind;
+
+/**
+ * What is played.
+ *
+ * @param zones availability zones, with the part of the callers in each
+ * @param servers of all services
+ * @param kinds of requests
+ * @param zoneMillis one way between zones
+ * @param callerMillis one way to a caller
+ * @param retryRatio repeats that one request earns
+ * @param retrySlack repeats that are free in a window
+ */
+public record Deployment(
+        List<Zone> zones,
+        List<Server> servers,
+        List<RequestKind> kinds,
+        double zoneMillis,
+        double callerMillis,
+        double retryRatio,
+        double retrySlack) {
+    /** An availability zone and the part of all callers that are there. */
+    public record Zone(String name, double callers) {}
+
+    /**
+     * A backend server with the node beside it.
+     *
+     * @param zone of both
+     * @param service that it serves
+     * @param slots requests it runs at once
+     * @param slowness how many times as long as usual it takes
+     */
+    public record Server(String zone, String service, int slots, double slowness) {}
+
+    /**
+     * Short objectives, heavy-tailed work, and a service of three that another calls: a part of two zones' callers have
+     * fewer backend servers near them than they need.
+     *
+     * @param load 1 for two thirds of all slots
+     */
+    public static Deployment shortObjectives(double load) {
+        double[] slowness = {0.6, 1.0, 1.4};
+        List<Server> servers = new ArrayList<>();
+        int[] desks = {4, 3, 2};
+        String[] names = {"a", "b", "c"};
+        int next = 0;
+        for (int z = 0; z < names.length; z++) {
+            for (int i = 0; i < desks[z]; i++) {
+                servers.add(new Server(names[z], "desk", 9, slowness[next++ % slowness.length]));
+            }
+        }
+        double[] vaultSlowness = {0.7, 0.7, 1.6};
+        for (int z = 0; z < names.length; z++) {
+            servers.add(new Server(names[z], "vault", 9, vaultSlowness[z]));
+        }
+        List<RequestKind> kinds = List.of(
+                new RequestKind(
+                        "lookup",
+                        "desk",
+                        RouteKind.IDEMPOTENT,
+                        2,
+                        512 * load,
+                        new RequestKind.Work(60, 0.8, 0.01, 5),
+                        200,
+                        500,
+                        1,
+                        0.3,
+                        1_500,
+                        0,
+                        1,
+                        Optional.of(new RequestKind.InnerCall("probe", 0.7))),
+                new RequestKind(
+                        "order",
+                        "desk",
+                        RouteKind.NON_IDEMPOTENT,
+                        1,
+                        212 * load,
+                        new RequestKind.Work(78, 0.8, 0.01, 3),
+                        250,
+                        600,
+                        2,
+                        0.6,
+                        5_000,
+                        300,
+                        1,
+                        Optional.empty()),
+                new RequestKind(
+                        "upload",
+                        "vault",
+                        RouteKind.NON_IDEMPOTENT,
+                        1,
+                        61 * load,
+                        new RequestKind.Work(72, 0.3, 0.01, 5),
+                        300,
+                        800,
+                        2,
+                        0.6,
+                        5_000,
+                        60_000,
+                        1,
+                        Optional.empty()),
+                new RequestKind(
+                        "urgent",
+                        "vault",
+                        RouteKind.IDEMPOTENT,
+                        1,
+                        115 * load,
+                        new RequestKind.Work(24, 0.5, 0.01, 3),
+                        100,
+                        250,
+                        2,
+                        0.6,
+                        5_000,
+                        0,
+                        1,
+                        Optional.empty()),
+                probe("vault", 15));
+        return new Deployment(
+                List.of(new Zone("a", 0.30), new Zone("b", 0.29), new Zone("c", 0.41)),
+                servers,
+                kinds,
+                0.9,
+                8,
+                0.2,
+                62);
+    }
+
+    /**
+     * Long objectives and large answers.
+     *
+     * @param load 1 for two thirds of all slots
+     */
+    public static Deployment longObjectives(double load) {
+        List<Zone> zones = new ArrayList<>();
+        List<Server> servers = new ArrayList<>();
+        String[] names = {"a", "b", "c", "d"};
+        double[] slowness = {0.8, 1.0, 1.2};
+        for (int z = 0; z < names.length; z++) {
+            zones.add(new Zone(names[z], 0.25));
+            servers.add(new Server(names[z], "board", 12, slowness[z % 3]));
+            servers.add(new Server(names[z], "books", 12, slowness[(z + 1) % 3]));
+            servers.add(new Server(names[z], "files", 12, slowness[(z + 2) % 3]));
+        }
+        servers.add(new Server("a", "board", 12, 1));
+        List<RequestKind> kinds = List.of(
+                new RequestKind(
+                        "lookup",
+                        "board",
+                        RouteKind.IDEMPOTENT,
+                        2,
+                        137 * load,
+                        new RequestKind.Work(220, 0.6, 0.01, 5),
+                        600,
+                        4_000,
+                        1,
+                        0.3,
+                        5_000,
+                        0,
+                        2,
+                        Optional.empty()),
+                new RequestKind(
+                        "confirm",
+                        "books",
+                        RouteKind.NON_IDEMPOTENT,
+                        1,
+                        63 * load,
+                        new RequestKind.Work(290, 0.6, 0.01, 3),
+                        800,
+                        5_000,
+                        2,
+                        0.6,
+                        5_000,
+                        300,
+                        2,
+                        Optional.of(new RequestKind.InnerCall("probe", 0.7))),
+                new RequestKind(
+                        "pull",
+                        "files",
+                        RouteKind.BULK,
+                        2,
+                        19 * load,
+                        new RequestKind.Work(180, 0.5, 0.01, 3),
+                        600,
+                        4_000,
+                        1,
+                        0.3,
+                        90_000,
+                        0,
+                        2,
+                        Optional.empty()),
+                probe("files", 55));
+        return new Deployment(zones, servers, kinds, 0.5, 1, 0.2, 58);
+    }
+
+    /** Any deployment; the same seed gives the same. */
+    public static Deployment random(long seed) {
+        Random random = new Random(seed);
+        int zoneCount = 1 + random.nextInt(5);
+        List<Zone> zones = new ArrayList<>();
+        double all = 0;
+        double[] weights = new double[zoneCount];
+        for (int z = 0; z < zoneCount; z++) {
+            weights[z] = 0.5 + random.nextDouble();
+            all += weights[z];
+        }
+        for (int z = 0; z < zoneCount; z++) {
+            zones.add(new Zone("z" + z, weights[z] / all));
+        }
+        List<Server> servers = new ArrayList<>();
+        List<RequestKind> kinds = new ArrayList<>();
+        int services = 1 + random.nextInt(3);
+        for (int s = 0; s < services; s++) {
+            int count = 3 + random.nextInt(8);
+            int slots = 3 + random.nextInt(12);
+            double capacity = 0;
+            for (int i = 0; i < count; i++) {
+                double slowness = 0.6 + random.nextDouble();
+                servers.add(new Server("z" + random.nextInt(zoneCount), "s" + s, slots, slowness));
+                capacity += slots / slowness;
+            }
+            double mean = 20 + random.nextDouble() * 200;
+            double use = 0.4 + random.nextDouble() * 0.35;
+            long objective = (long) (mean * (2.5 + random.nextDouble() * 2));
+            kinds.add(new RequestKind(
+                    "read" + s,
+                    "s" + s,
+                    RouteKind.IDEMPOTENT,
+                    2,
+                    0.6 * use * capacity / mean * 1e3,
+                    new RequestKind.Work(mean, 0.3 + random.nextDouble() * 0.6, 0.01, 4),
+                    objective,
+                    (long) (objective * (2.2 + random.nextDouble() * 4)),
+                    1,
+                    0.3,
+                    2_000,
+                    0,
+                    1 + random.nextInt(2),
+                    Optional.empty()));
+            kinds.add(new RequestKind(
+                    "order" + s,
+                    "s" + s,
+                    RouteKind.NON_IDEMPOTENT,
+                    1,
+                    0.3 * use * capacity / mean * 1e3,
+                    new RequestKind.Work(mean * 1.3, 0.3 + random.nextDouble() * 0.6, 0.01, 3),
+                    (long) (objective * 1.3),
+                    objective * 3,
+                    2,
+                    0.6,
+                    4_000,
+                    300,
+                    1 + random.nextInt(2),
+                    Optional.empty()));
+        }
+        return new Deployment(zones, servers, kinds, 0.5 + random.nextDouble(), 1 + random.nextInt(8), 0.2, 60);
+    }
+
+    private static RequestKind probe(String service, double millis) {
+        return new RequestKind(
+                "probe",
+                service,
+                RouteKind.IDEMPOTENT,
+                3,
+                0,
+                new RequestKind.Work(millis, 0.5, 0, 1),
+                (long) (millis * 4),
+                (long) (millis * 13),
+                0,
+                0,
+                1_000,
+                0,
+                0,
+                Optional.empty());
+    }
+}
--- /dev/null
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedCaller.java
@@ -0,0 +1,113 @@
+package org.berylwick.bench.emulate;
+
+import java.util.Optional;
+import org.berylwick.node.call.CallerCall;
+import org.berylwick.node.lib.Clock;
+
+/**
+ * A caller with one thing to ask: sends it, comes back as told after a refusal, asks again at once after a failure if
+ * that may be, and leaves at its deadline.
+ */
+final class EmulatedCaller {
+    private static final int REFUSED = 503;
+
+    private final Emulation emulation;
+    private final EmulatedNode node;
+    private final RequestKind kind;
+    private final long askedAt;
+    private final long deadlineAt;
+    private final long workNanos;
+    private final boolean makesCall;
+    private String id = "";
+    private long sentAt;
+    private int attempts;
+    private boolean wasRefused;
+    private boolean over;
+    private Optional<CallerCall> call = Optional.empty();
+    private Optional<EmulatedSink> sink = Optional.empty();
+    private final Clock.Alarm leaves;
+
+    EmulatedCaller(Emulation emulation, EmulatedNode node, RequestKind kind) {
+        this.emulation = emulation;
+        this.node = node;
+        this.kind = kind;
+        this.askedAt = emulation.clock().now();
+        this.deadlineAt = askedAt + kind.deadlineMillis() * 1_000_000L;
+        this.workNanos = emulation.drawWork(kind);
+        this.makesCall = emulation.drawCall(kind);
+        this.leaves = emulation.clock().at(deadlineAt, this::onDeadline);
+    }
+
+    void send() {
+        attempts++;
+        sentAt = emulation.clock().now();
+        long left = deadlineAt - sentAt;
+        long way = emulation.callerWayNanos();
+        emulation.clock().after(way, () -> {
+            if (over) {
+                return;
+            }
+            id = emulation.add(new EmulatedRequest(
+                    kind, workNanos, makesCall, emulation.clock().now()));
+            EmulatedSink next = new EmulatedSink((status, retryAfter) -> {
+                call = Optional.empty();
+                emulation.clock().after(way, () -> onAnswer(status, retryAfter));
+            });
+            sink = Optional.of(next);
+            call = Optional.of(node.call(id, kind, left, next));
+        });
+    }
+
+    private void onAnswer(int status, double retryAfter) {
+        if (over) {
+            return;
+        }
+        EmulatedRequest request = emulation.request(id);
+        emulation.forget(id);
+        if (status == 200) {
+            long took = emulation.clock().now() - askedAt;
+            end(took <= kind.objectiveMillis() * 1_000_000L ? Outcomes.End.IN_TIME : Outcomes.End.LATE);
+            return;
+        }
+        boolean refused = status == REFUSED;
+        if (refused) {
+            emulation.outcomes().onRefusal(emulation.clock().now() - sentAt - 2 * emulation.callerWayNanos());
+            if (request.runs() > 0) {
+                throw new IllegalStateException("refused as not run, though it ran: " + id);
+            }
+        } else if (request.runs() > 0) {
+            emulation.outcomes().onWastedRun();
+        }
+        long left = deadlineAt - emulation.clock().now();
+        boolean again =
+                attempts <= kind.callerRetries() && (refused || kind.kind().isRepeatable()) && left > 0;
+        if (!again) {
+            Outcomes.End refusal = wasRefused ? Outcomes.End.REFUSED_AGAIN : Outcomes.End.REFUSED;
+            end(refused ? refusal : Outcomes.End.FAILED);
+            return;
+        }
+        wasRefused |= refused;
+        long wait = refused ? Math.min((long) (retryAfter * 1e9), left / 3) : 0;
+        emulation.clock().after(wait, () -> {
+            if (!over) {
+                send();
+            }
+        });
+    }
+
+    private void onDeadline() {
+        if (over) {
+            return;
+        }
+        sink.ifPresent(EmulatedSink::close);
+        call.ifPresent(CallerCall::abandon);
+        emulation.forget(id);
+        end(Outcomes.End.FAILED);
+    }
+
+    private void end(Outcomes.End how) {
+        over = true;
+        leaves.cancel();
+        emulation.outcomes().onEnd(kind, askedAt, how);
+    }
+}
--- /dev/null
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedServer.java
@@ -0,0 +1,169 @@
+package org.berylwick.bench.emulate;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.berylwick.node.lib.Clock;
+import org.berylwick.node.transport.HttpExchange;
+import org.berylwick.node.transport.ServerConnection;
+import org.berylwick.node.transport.ServerConnections;
+
+/** A backend server: runs what its owner sends, at its own speed, and makes the calls of its runs. */
+final class EmulatedServer implements ServerConnections {
+    private static final long SHED_NANOS = 1_000_000L;
+
+    private final Emulation emulation;
+    private final EmulatedNode node;
+    private final Deployment.Server kind;
+    private final Random random;
+    private double slowness;
+    private double shedShare;
+    private double lostShare;
+    private int running;
+
+    EmulatedServer(Emulation emulation, EmulatedNode node, Deployment.Server kind, long seed) {
+        this.emulation = emulation;
+        this.node = node;
+        this.kind = kind;
+        this.random = new Random(seed);
+        this.slowness = kind.slowness();
+    }
+
+    /** Takes so many times as long as usual from now on. */
+    void slowDown(double factor) {
+        slowness = kind.slowness() * factor;
+    }
+
+    /** Turns away a part of what it gets from now on, and says so. */
+    void shed(double share) {
+        shedShare = share;
+    }
+
+    /** Loses a part of its answers from now on. */
+    void lose(double share) {
+        lostShare = share;
+    }
+
+    int running() {
+        return running;
+    }
+
+    @Override
+    public void acquire(long freshestNanos, Consumer<ServerConnection> onOpen, Consumer<String> onFailure) {
+        onOpen.accept(new Connection());
+    }
+
+    @Override
+    public long opened() {
+        return 0;
+    }
+
+    @Override
+    public void trim() {}
+
+    @Override
+    public void close() {}
+
+    /** Carries one request, which is enough here: what a connection costs is not emulated. */
+    private final class Connection implements ServerConnection {
+        private Optional<HttpExchange> waiter = Optional.empty();
+        private Optional<Clock.Alarm> end = Optional.empty();
+        private Optional<Runnable> abandonCall = Optional.empty();
+        private boolean busy;
+
+        @Override
+        public void send(HttpRequest request, ByteBuf body, HttpExchange exchange) {
+            body.release();
+            waiter = Optional.of(exchange);
+            String id = request.headers().get(Emulation.NAMES.requestId());
+            if (random.nextDouble() < shedShare) {
+                end = Optional.of(emulation.clock().after(SHED_NANOS, () -> answer(id, 503, 0, true)));
+                return;
+            }
+            busy = true;
+            running++;
+            EmulatedRequest asked = emulation.request(id);
+            asked.onRun(emulation);
+            long took = (long) (asked.workNanos() * slowness);
+            long left = Long.parseLong(request.headers().get(Emulation.NAMES.deadline())) * 1_000_000L;
+            if (took > left) {
+                end = Optional.of(emulation.clock().after(left, () -> answer(id, 504, 0, false)));
+                return;
+            }
+            end = Optional.of(emulation.clock().after(took, () -> onWorked(id, asked, left - took)));
+        }
+
+        private void onWorked(String id, EmulatedRequest asked, long left) {
+            Optional<RequestKind.InnerCall> call = asked.kind().calls();
+            if (call.isEmpty() || !asked.makesCall()) {
+                answer(id, 200, asked.kind().answerBytes(), false);
+                return;
+            }
+            abandonCall = Optional.of(node.callInner(
+                    call.get().kind(),
+                    left,
+                    good -> answer(id, good ? 200 : 500, asked.kind().answerBytes(), false)));
+        }
+
+        private void answer(String id, int status, int bytes, boolean notRun) {
+            free();
+            if (waiter.isEmpty()) {
+                return;
+            }
+            HttpExchange exchange = waiter.get();
+            waiter = Optional.empty();
+            if (!notRun && random.nextDouble() < lostShare) {
+                exchange.onFailure("closed before an answer");
+                return;
+            }
+            HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+            head.headers().set(Emulation.NAMES.requestId(), id);
+            head.headers().set(Emulation.NAMES.signature(), "s");
+            if (notRun) {
+                head.headers().set(Emulation.NAMES.notRun(), "1");
+            }
+            exchange.onHead(head);
+            // One byte stands for all: the size of an answer is told by its request's kind.
+            exchange.onBody(Unpooled.wrappedBuffer(new byte[1]));
+            exchange.onEnd();
+        }
+
+        private void free() {
+            if (busy) {
+                busy = false;
+                running--;
+            }
+        }
+
+        @Override
+        public void giveBack() {}
+
+        @Override
+        public void readOn(boolean on) {}
+
+        @Override
+        public void abandon() {
+            waiter = Optional.empty();
+            end.ifPresent(Clock.Alarm::cancel);
+            abandonCall.ifPresent(Runnable::run);
+            free();
+        }
+
+        @Override
+        public int served() {
+            return 0;
+        }
+
+        @Override
+        public long idleSince() {
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedSink.java
@@ -0,0 +1,55 @@
+package org.berylwick.bench.emulate;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.berylwick.node.call.ReplySink;
+
+/** Takes one answer. */
+final class EmulatedSink implements ReplySink {
+    private final Hearer hearer;
+    private boolean over;
+
+    /** Hears a status, and in how many seconds to come back, 0 if it was not told. */
+    interface Hearer {
+        void onAnswer(int status, double retryAfter);
+    }
+
+    EmulatedSink(Hearer hearer) {
+        this.hearer = hearer;
+    }
+
+    /** Hears nothing any more. */
+    void close() {
+        over = true;
+    }
+
+    @Override
+    public void reply(int status, HttpHeaders headers, ByteBuf body) {
+        body.release();
+        if (over) {
+            return;
+        }
+        over = true;
+        hearer.onAnswer(status, Double.parseDouble(headers.get("Retry-After", "0")));
+    }
+
+    @Override
+    public void begin(int status, HttpHeaders headers) {
+        throw new IllegalStateException("answers are small here");
+    }
+
+    @Override
+    public boolean part(ByteBuf bytes) {
+        throw new IllegalStateException("answers are small here");
+    }
+
+    @Override
+    public void end() {
+        throw new IllegalStateException("answers are small here");
+    }
+
+    @Override
+    public void breakOff() {
+        throw new IllegalStateException("answers are small here");
+    }
+}
--- /dev/null
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Emulation.java
@@ -0,0 +1,216 @@
+package org.berylwick.bench.emulate;
+
+import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.berylwick.node.lib.HeaderNames;
+import org.berylwick.node.lib.MeshVersion;
+import org.berylwick.node.lib.Route;
+import org.berylwick.node.lib.WeightedService;
+import org.berylwick.node.log.EventLog;
+
+/** Plays the callers of a deployment on its nodes; the same seed gives the same, one thread only. */
+public final class Emulation implements AutoCloseable {
+    static final String HOST = "any.example";
+    static final HeaderNames NAMES =
+            new HeaderNames("id", "deadline", "signature", "target", "load", "not-run", "caller", "instance");
+
+    /** A hop within a zone, with the processor time that it takes at both ends. */
+    private static final long HOP_NANOS = 700_000L;
+
+    private static final double MILLI = 1e6;
+    /** Work beyond so many times the mean is not drawn. */
+    private static final double MOST_WORK = 8;
+
+    private final VirtualClock clock = new VirtualClock();
+    private final Deployment deployment;
+    private final Random random;
+    private final EventLog log = new EventLog("emulated", OutputStream.nullOutputStream());
+    private final Outcomes outcomes = new Outcomes();
+    private final List<EmulatedNode> nodes = new ArrayList<>();
+    private final Map<String, EmulatedNode> byIp = new HashMap<>();
+    private final Map<String, RequestKind> kinds = new HashMap<>();
+    private final Map<String, EmulatedRequest> requests = new HashMap<>();
+    private final MeshVersion version;
+    private double load = 1;
+    private long nextId;
+
+    /**
+     * Sets up.
+     *
+     * @param deployment that is played
+     * @param seed of all chance
+     */
+    public Emulation(Deployment deployment, long seed) {
+        this.deployment = deployment;
+        this.random = new Random(seed);
+        MeshVersion.Builder builder = new MeshVersion.Builder(1, new byte[0]);
+        for (RequestKind kind : deployment.kinds()) {
+            kinds.put(kind.name(), kind);
+            builder.service(kind.service(), 100);
+        }
+        for (RequestKind kind : deployment.kinds()) {
+            builder.route(
+                    HOST,
+                    new Route(
+                            kind.name(),
+                            "/" + kind.name() + "/",
+                            kind.kind(),
+                            kind.deadlineMillis() * 1_000_000L,
+                            kind.objectiveMillis() * 1_000_000L,
+                            2,
+                            kind.priority(),
+                            List.of(new WeightedService(kind.service(), 1))));
+        }
+        this.version = builder.build();
+        int number = 0;
+        for (Deployment.Server server : deployment.servers()) {
+            EmulatedNode node = new EmulatedNode(this, ++number, server, random);
+            nodes.add(node);
+            byIp.put(node.ip(), node);
+        }
+        nodes.forEach(EmulatedNode::join);
+        for (Deployment.Zone zone : deployment.zones()) {
+            for (RequestKind kind : deployment.kinds()) {
+                if (kind.perSecond() > 0) {
+                    arrive(zone, kind);
+                }
+            }
+        }
+    }
+
+    private void arrive(Deployment.Zone zone, RequestKind kind) {
+        double rate = kind.perSecond() * zone.callers() * load;
+        long gap = (long) (-Math.log(1 - random.nextDouble()) / rate * 1e9);
+        clock.after(gap, () -> {
+            arrive(zone, kind);
+            List<EmulatedNode> near = nodes.stream()
+                    .filter(n -> n.place().zone().equals(zone.name()))
+                    .toList();
+            List<EmulatedNode> from = near.isEmpty() ? nodes : near;
+            new EmulatedCaller(this, from.get(random.nextInt(from.size())), kind).send();
+        });
+    }
+
+    /** Plays so many seconds more. */
+    public void run(double seconds) {
+        clock.runUntil(clock.now() + (long) (seconds * 1e9));
+    }
+
+    /** From now on so many times as many requests come. */
+    public void load(double factor) {
+        load = factor;
+    }
+
+    /** From now on all backend servers of a service turn away a part of what they get. */
+    public void shed(String service, double share) {
+        of(service).forEach(n -> n.server().shed(share));
+    }
+
+    /** From now on some backend servers of a service take so many times as long. */
+    public void slow(String service, int count, double factor) {
+        of(service).stream().limit(count).forEach(n -> n.server().slowDown(factor));
+    }
+
+    /** From now on some backend servers of a service lose a part of their answers. */
+    public void lose(String service, int count, double share) {
+        of(service).stream().limit(count).forEach(n -> n.server().lose(share));
+    }
+
+    /** Some backend servers of a service leave, or come back. */
+    public void away(String service, int count, boolean leaves) {
+        of(service).stream().limit(count).forEach(leaves ? EmulatedNode::leave : EmulatedNode::join);
+    }
+
+    private List<EmulatedNode> of(String service) {
+        return nodes.stream().filter(n -> n.place().service().equals(service)).toList();
+    }
+
+    /** What callers got so far. */
+    public Outcomes outcomes() {
+        return outcomes;
+    }
+
+    VirtualClock clock() {
+        return clock;
+    }
+
+    Deployment deployment() {
+        return deployment;
+    }
+
+    EventLog log() {
+        return log;
+    }
+
+    MeshVersion version() {
+        return version;
+    }
+
+    List<EmulatedNode> nodes() {
+        return nodes;
+    }
+
+    EmulatedNode node(String ip) {
+        return byIp.get(ip);
+    }
+
+    RequestKind kind(String name) {
+        return kinds.get(name);
+    }
+
+    EmulatedRequest request(String id) {
+        EmulatedRequest request = requests.get(id);
+        if (request == null) {
+            throw new IllegalStateException("no request " + id);
+        }
+        return request;
+    }
+
+    String add(EmulatedRequest request) {
+        String id = "r" + nextId++;
+        requests.put(id, request);
+        return id;
+    }
+
+    /** Draws a request of a kind that comes now. */
+    String draw(RequestKind kind) {
+        return add(new EmulatedRequest(kind, drawWork(kind), drawCall(kind), clock.now()));
+    }
+
+    /** Its caller has its answer or has gone; what still runs of it ends a little later. */
+    void forget(String id) {
+        clock.after(5_000_000_000L, () -> requests.remove(id));
+    }
+
+    long drawWork(RequestKind kind) {
+        RequestKind.Work work = kind.work();
+        double normal = random.nextGaussian();
+        double factor = Math.exp(work.spread() * normal - work.spread() * work.spread() / 2);
+        if (random.nextDouble() < work.tailShare()) {
+            factor *= work.tailFactor();
+        }
+        return (long) (work.meanMillis() * Math.min(MOST_WORK, factor) * MILLI);
+    }
+
+    boolean drawCall(RequestKind kind) {
+        return kind.calls().map(c -> random.nextDouble() < c.share()).orElse(false);
+    }
+
+    long wayNanos(EmulatedNode from, EmulatedNode to) {
+        boolean near = from.place().zone().equals(to.place().zone());
+        return HOP_NANOS + (near ? 0 : (long) (deployment.zoneMillis() * MILLI));
+    }
+
+    long callerWayNanos() {
+        return (long) (deployment.callerMillis() * MILLI);
+    }
+
+    @Override
+    public void close() {
+        log.close();
+    }
+}
--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -17,6 +17,7 @@
 import org.berylwick.node.call.EntryServer;
 import org.berylwick.node.call.Owner;
 import org.berylwick.node.call.PeerServer;
+import org.berylwick.node.call.RetryBudget;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.NodeSettings;
 import org.berylwick.node.log.Counters;
@@ -31,6 +32,7 @@
 import org.berylwick.node.member.MemberTable;
 import org.berylwick.node.member.NodeState;
 import org.berylwick.node.transport.ConnectionPool;
+import org.berylwick.node.transport.EventLoopClock;
 import org.berylwick.node.transport.SmallHttpServer;
 import org.berylwick.node.version.VersionKeeper;
 
@@ -41,6 +43,8 @@
 
     private static final int PEER_CONNECT_MILLIS = 400;
     private static final long PEER_IDLE_NANOS = 20_000_000_000L;
+    private static final int BACKEND_CONNECT_MILLIS = 1_000;
+    private static final long BACKEND_IDLE_NANOS = 30_000_000_000L;
     private static final long TICK_MILLIS = 1_000;
     /** A fresh node is not ready before it heard others, or this long after its start if there are none. */
     private static final long ALONE_NANOS = 1_500_000_000L;
@@ -85,8 +89,14 @@
                 new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop", false), NioIoHandler.newFactory());
         this.loop = (EventLoop) group.next();
         this.table = new MemberTable(this::connect, this::onSuspected);
-        this.owner =
-                new Owner(loop, ports.headerNames(), settings.heartbeatNanos(), counters, log, this::onBackendChange);
+        this.owner = new Owner(
+                new EventLoopClock(loop),
+                address -> new ConnectionPool(loop, address, BACKEND_CONNECT_MILLIS, BACKEND_IDLE_NANOS),
+                ports.headerNames(),
+                settings.heartbeatNanos(),
+                counters,
+                log,
+                this::onBackendChange);
         this.probe = new BackendProbe(loop, settings, ports.headerNames(), owner, log);
         this.gossip = new Gossip(
                 loop, settings.ip(), settings.gossipPort(), table, this::selfState, counters, log, this::onHeard);
@@ -101,7 +111,10 @@
                 log);
         this.directory =
                 new Directory(loop, ports.directory(loop), gossip, counters, log, settings.name(), settings.ip());
-        Candidates candidates = new Candidates(settings, ports.regionOfZone(), table, gossip, directory, owner);
+        Candidates candidates = new Candidates(
+                settings.zone(), settings.region(), ports.regionOfZone(), table, gossip::silentNanos, owner);
+        RetryBudget budget =
+                new RetryBudget(settings.bounds(), this::nodeCount, directory::isListed, System.nanoTime());
         this.entry = CallPath.entry(
                 loop,
                 settings,
@@ -110,6 +123,7 @@
                 () -> service,
                 owner,
                 candidates,
+                budget,
                 new Instruments(counters, log));
         this.peers = new PeerServer(loop, settings.peers(), owner, versions::deliver);
         this.stop = new NodeStop(
@@ -124,6 +138,11 @@
                 stopped::countDown);
     }
 
+    /** How many nodes there are, with this one: those that were heard, or those that are listed if these are more. */
+    private int nodeCount() {
+        return Math.max(table.all().size(), gossip.contactCount()) + 1;
+    }
+
     private ConnectionPool connect(String ip) {
         InetSocketAddress target = new InetSocketAddress(ip, settings.peers().getPort());
         return new ConnectionPool(loop, target, PEER_CONNECT_MILLIS, PEER_IDLE_NANOS);
@@ -263,7 +282,8 @@
                 backend.map(Backend::incarnation).orElse(""),
                 backend.map(Backend::state).orElse(BackendState.ABSENT),
                 backend.map(b -> b.warmUpNanos(System.nanoTime())).orElse(0L),
-                owner.load());
+                owner.load(),
+                owner.times());
     }
 
     private void onBackendChange() {
--- a/org.berylwick.node/src/org/berylwick/node/call/CallPath.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallPath.java
@@ -10,6 +10,7 @@
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.Instruments;
 import org.berylwick.node.log.NodeMetricNames;
+import org.berylwick.node.transport.EventLoopClock;
 
 /** Puts the parts of the call path together. */
 public final class CallPath {
@@ -28,6 +29,7 @@
      * @param callerService service on this VM
      * @param owner of the backend server beside this node
      * @param candidates lists nodes
+     * @param budget for repeats
      * @param instruments take counts and events
      */
     public static EntryServer entry(
@@ -38,26 +40,26 @@
             Supplier<String> callerService,
             Owner owner,
             Candidates candidates,
+            RetryBudget budget,
             Instruments instruments) {
         Counters counters = instruments.counters();
-        GatherMemory memory = new GatherMemory((long) settings.memoryMb() * (1 << 20) / GATHER_SHARE);
-        counters.gauge(NodeMetricNames.ENTRY_GATHERED_BYTES, memory::held);
-        EntryContext context = new EntryContext(
-                loop,
+        AttemptStarter starter =
+                (candidate, call, listener) -> candidate.member().isPresent()
+                        ? PeerAttempt.start(candidate.member().get(), call, listener)
+                        : owner.offer(call, listener);
+        EntryCalls calls = new EntryCalls(
+                new EventLoopClock(loop),
                 names,
-                version,
                 callerService,
-                owner,
+                starter,
                 candidates,
-                new CandidateChooser(() -> ThreadLocalRandom.current().nextDouble()),
-                new RetryBudget(settings.bounds(), candidates::nodeCount, candidates::areListed, System.nanoTime()),
-                new AnswerHabits(),
-                new CallerPatience(),
-                memory,
-                counters,
-                instruments.log(),
+                budget,
+                (long) settings.memoryMb() * (1 << 20) / GATHER_SHARE,
+                instruments,
                 () -> ThreadLocalRandom.current().nextDouble());
-        EntryServer entry = new EntryServer(context, settings.callers());
+        counters.gauge(NodeMetricNames.ENTRY_GATHERED_BYTES, calls::gatheredBytes);
+        EntryServer entry = new EntryServer(
+                new EntryServices(version, calls, counters, instruments.log()), loop, settings.callers());
         counters.gauge(NodeMetricNames.ENTRY_CONNECTIONS, entry::size);
         counters.gauge(NodeMetricNames.ENTRY_PENDING, entry::pending);
         return entry;
--- /dev/null
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallerCall.java
@@ -0,0 +1,13 @@
+package org.berylwick.node.call;
+
+/** A caller's call that is under way; used on the event loop. */
+public interface CallerCall {
+    /** Sends it; its answer may come before this returns. */
+    void start();
+
+    /** The caller has gone. */
+    void abandon();
+
+    /** Resumes or stops the flow of an answer that is streamed. */
+    void readOn(boolean on);
+}
--- a/org.berylwick.node/src/org/berylwick/node/call/Candidate.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Candidate.java
@@ -1,6 +1,8 @@
 package org.berylwick.node.call;
 
+import java.util.List;
 import java.util.Optional;
+import org.berylwick.node.lib.KindTime;
 import org.berylwick.node.lib.OwnerLoad;
 import org.berylwick.node.member.Member;
 
@@ -9,6 +11,7 @@
  *
  * @param member the other node, empty for this one
  * @param load of its backend server, with what is known to be on its way there
+ * @param times of its backend server, for each kind that it has seen
  * @param ahead requests there now
  * @param warmUpNanos how much longer its backend server is slow
  * @param distance to it
@@ -18,6 +21,7 @@
 public record Candidate(
         Optional<Member> member,
         OwnerLoad load,
+        List<KindTime> times,
         int ahead,
         long warmUpNanos,
         Distance distance,
--- a/org.berylwick.node/src/org/berylwick/node/call/CandidateChooser.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CandidateChooser.java
@@ -4,49 +4,57 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
+import org.berylwick.node.lib.KindTime;
 
 /**
- * Chooses where a request runs by how its expected time compares with its objective, and by what its bytes cost.
+ * Chooses where a request runs by what its caller stands to lose there; keeps nothing between requests.
  *
- * <p>An answer is worth the same whenever it comes within its objective, so time counts little as long as there is
- * plenty, fully when it gets short, and double beyond. A time is added for each byte that would cross availability
- * zones: small answers spill to another zone for a short wait, large ones only when their own zone cannot serve them in
- * time.
+ * <p>The load it answers is any: backend servers that differ in speed, queues of which it knows only what it last
+ * heard, and bytes that are dear between availability zones. All are put in one measure, parts of what a request is
+ * worth: the chance that it ends after its objective, or not at all, by the spread of times that the backend server has
+ * shown; the chance that it is lost; and its bytes. Means in place of chances sent requests with 130 of 200 ms expected
+ * to the nearest server, where one in five was late.
  */
 public final class CandidateChooser {
-    /** Time that one byte across availability zones must save: a 5 KB answer 85 ms, a 90 KB one more than a second. */
-    private static final double NANOS_PER_BYTE = 15_000;
+    /** What a caller loses when an answer is late, in parts of what it loses without one. */
+    private static final double LATE = 0.7;
+    /** What a lost request costs: one that must run once fails, another takes its time and room again. */
+    private static final double LOST = 1;
+    /** Bytes across availability zones that cost as much as one request is worth. */
+    private static final double BYTES_OF_A_REQUEST = 65_536;
+    /** The most that bytes count: a caller is never refused, and rarely served late, to save them. */
+    private static final double MOST_FOR_BYTES = 0.6;
     /** Bytes of an answer's and a request's headers. */
     private static final int HEADER_BYTES = 700;
-    /** The most that bytes count, so that a caller is never refused to save them. */
-    private static final long MOST_BYTE_NANOS = 1_200_000_000L;
-    /** Part of the objective within which time counts little. */
-    private static final double PLENTY = 0.5;
-
-    private static final double WEIGHT_PLENTY = 0.1;
-    private static final double WEIGHT_SHORT = 1;
-    private static final double WEIGHT_LATE = 2;
-    private static final long ZONE_NANOS = 500_000L;
-    private static final long REGION_NANOS = 2_000_000L;
-    private static final long FAR_NANOS = 50_000_000L;
-    /** A suspect is taken only if all others would take this much longer. */
-    private static final long SUSPECT_NANOS = 3_000_000_000L;
+
+    private static final double ZONE = 0.002;
+    private static final double REGION = 0.004;
+    private static final double FAR = 0.1;
+    /** Between equals the sooner one, so that room is left where it is scarce. */
+    private static final double TIME = 0.05;
+    /** A suspect is taken only if there is nothing else. */
+    private static final double SUSPECT = 3;
     /** Equal candidates are told apart by chance, or all entries would take the same one. */
-    private static final double JITTER_NANOS = 2_000_000;
-    /** What a stale load may be wrong by before the owner should rather refuse. */
-    private static final long STALE_NANOS = 40_000_000L;
+    private static final double JITTER = 0.004;
     /** A backend server that this node never used gets one request soon, so that one that joined is known to work. */
-    private static final long UNTRIED_NANOS = 150_000_000L;
+    private static final double UNTRIED = 0.25;
 
     private static final double UNTRIED_CHANCE = 0.1;
+    /** A backend server that has just started takes about twice as long. */
+    private static final double COLD = 2;
+
+    private static final double SLOWEST = 4;
+    /** What a load that is some milliseconds old may be wrong by, in parts of the objective. */
+    private static final double STALE = 0.02;
     /**
-     * What a lost request costs, in objectives: its time is gone, a repeat takes room, and one that must run once
-     * fails. Not a bar: if all of a service lose requests, they are still told apart by their time.
+     * What a refusal costs, at once and with a time to come back: a first attempt that would wait until it is almost
+     * surely late is better refused, as others would wait behind it. Whoever will not come back loses all.
      */
-    private static final double LOSS_WEIGHT = 2;
+    private static final double REFUSED = 0.65;
+    /** The most of its time that a request waits for one slot: what is refused after that could have come back. */
+    private static final double LONGEST_WAIT = 0.5;
 
-    private static final double LEAST_LOSS_NANOS = 600_000_000;
-    private static final double SLOWEST = 4;
+    private static final int WAIT_STEPS = 6;
 
     private final DoubleSupplier chance;
 
@@ -59,7 +67,7 @@
      * Where to send a request.
      *
      * @param candidate the node
-     * @param maxWaitNanos the longest wait there that is still better than the next best node
+     * @param maxWaitNanos the longest wait there that is still better than the next best node, or than a refusal
      */
     public record Choice(Candidate candidate, long maxWaitNanos) {}
 
@@ -67,12 +75,13 @@
      * Chooses.
      *
      * @param candidates nodes whose backend server serves the request's service
-     * @param tried keys of those that refused it or failed
+     * @param tried keys of those that failed it or do not take it
      * @param question about the request
-     * @return empty if all were tried
+     * @return empty if all were tried, or if it is better refused
      */
     Optional<Choice> choose(List<Candidate> candidates, Set<String> tried, ChoiceQuestion question) {
         double usual = usualMean(candidates);
+        double refused = question.mayReturn() ? REFUSED : 1;
         Candidate best = null;
         double bestCost = Double.MAX_VALUE;
         double nextCost = Double.MAX_VALUE;
@@ -80,7 +89,12 @@
             if (tried.contains(candidate.key())) {
                 continue;
             }
-            double cost = costNanos(candidate, question, usual) + chance.getAsDouble() * JITTER_NANOS;
+            long wait = waitOf(candidate);
+            double lateness = lateness(candidate, question, usual, wait);
+            if (wait > 0 && lateness > refused) {
+                continue;
+            }
+            double cost = standing(candidate, question) + lateness + chance.getAsDouble() * JITTER;
             if (cost < bestCost) {
                 nextCost = bestCost;
                 bestCost = cost;
@@ -92,9 +106,31 @@
         if (best == null) {
             return Optional.empty();
         }
-        long wait = best.load().waitNanos(best.ahead());
-        double room = nextCost == Double.MAX_VALUE ? question.leftNanos() : nextCost - bestCost + STALE_NANOS;
-        return Optional.of(new Choice(best, (long) Math.min(question.leftNanos(), wait + room)));
+        long wait = waitOf(best);
+        double now = lateness(best, question, usual, wait);
+        double room = question.last() ? refused - now : Math.min(refused - now, nextCost - bestCost);
+        return Optional.of(new Choice(best, longestWait(best, question, usual, wait, now + Math.max(0, room))));
+    }
+
+    private static long waitOf(Candidate candidate) {
+        return candidate.load().waitNanos(candidate.ahead());
+    }
+
+    /** The longest wait with which a request stands to lose no more than a bound. */
+    private static long longestWait(
+            Candidate candidate, ChoiceQuestion question, double usual, long least, double bound) {
+        long low = least;
+        long high = Math.max(least, question.leftNanos());
+        for (int i = 0; i < WAIT_STEPS; i++) {
+            long middle = low + (high - low) / 2;
+            if (lateness(candidate, question, usual, middle) <= bound) {
+                low = middle;
+            } else {
+                high = middle;
+            }
+        }
+        long stale = (long) (STALE * Math.max(question.objectiveNanos(), question.leftNanos() / 4));
+        return Math.min((long) (LONGEST_WAIT * Math.max(0, question.leftNanos())), low + stale);
     }
 
     private static double usualMean(List<Candidate> candidates) {
@@ -109,43 +145,46 @@
         return count == 0 ? 0 : sum / count;
     }
 
-    private double costNanos(Candidate candidate, ChoiceQuestion question, double usualMean) {
-        double time = timeNanos(candidate, question, usualMean);
-        double cost = weighed(time, Math.max(0, question.objectiveNanos()));
+    /** What does not depend on time. */
+    private double standing(Candidate candidate, ChoiceQuestion question) {
+        double cost = LOST * candidate.load().lostPerMille() / 1e3;
         if (candidate.suspect()) {
-            cost += SUSPECT_NANOS;
+            cost += SUSPECT;
         }
-        cost += candidate.load().lostPerMille()
-                / 1e3
-                * Math.max(LEAST_LOSS_NANOS, LOSS_WEIGHT * question.objectiveNanos());
-        double bytes = Math.min(MOST_BYTE_NANOS, (question.expectedBytes() + HEADER_BYTES) * NANOS_PER_BYTE);
-        if (candidate.untried() && bytes < UNTRIED_NANOS && chance.getAsDouble() < UNTRIED_CHANCE) {
-            cost -= UNTRIED_NANOS;
+        double bytes = Math.min(MOST_FOR_BYTES, (question.expectedBytes() + HEADER_BYTES) / BYTES_OF_A_REQUEST);
+        if (candidate.untried() && bytes < UNTRIED && chance.getAsDouble() < UNTRIED_CHANCE) {
+            cost -= UNTRIED;
         }
         return cost
                 + switch (candidate.distance()) {
                     case SELF -> 0;
-                    case ZONE -> ZONE_NANOS;
-                    case REGION -> REGION_NANOS + bytes;
-                    case FAR -> FAR_NANOS + bytes;
+                    case ZONE -> ZONE;
+                    case REGION -> REGION + bytes;
+                    case FAR -> FAR + bytes;
                 };
     }
 
-    private static double timeNanos(Candidate candidate, ChoiceQuestion question, double usualMean) {
+    /** What the caller stands to lose by time after a wait. */
+    private static double lateness(Candidate candidate, ChoiceQuestion question, double usual, long wait) {
+        KindTime time = timeOf(candidate, question, usual);
+        double late = time.chanceOver(question.objectiveNanos() - wait);
+        double never = time.chanceOver(question.leftNanos() - wait);
+        double span = Math.max(1, question.leftNanos());
+        double share = Math.min(1, (wait + time.medianNanos()) / span);
+        return LATE * late + (1 - LATE) * never + TIME * share;
+    }
+
+    private static KindTime timeOf(Candidate candidate, ChoiceQuestion question, double usual) {
+        for (KindTime time : candidate.times()) {
+            if (time.kind() == question.kind() && time.priority() == question.priority()) {
+                return time;
+            }
+        }
         long mean = candidate.load().meanNanos();
-        double slowness = mean == 0 || usualMean == 0 ? 1 : Math.min(SLOWEST, mean / usualMean);
-        double run = question.expectedNanos() * slowness;
+        double slowness = mean == 0 || usual == 0 ? 1 : Math.min(SLOWEST, mean / usual);
         if (candidate.warmUpNanos() > 0) {
-            // A backend server that has just started takes about twice as long.
-            run *= 2;
+            slowness *= COLD;
         }
-        return candidate.load().waitNanos(candidate.ahead()) + run;
-    }
-
-    private static double weighed(double time, long objective) {
-        double plenty = Math.min(time, PLENTY * objective);
-        double inShort = Math.max(0, Math.min(time, objective) - PLENTY * objective);
-        double late = Math.max(0, time - objective);
-        return WEIGHT_PLENTY * plenty + WEIGHT_SHORT * inShort + WEIGHT_LATE * late;
+        return KindTime.ofMean(question.kind(), question.priority(), question.expectedNanos() * slowness);
     }
 }
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -3,14 +3,13 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
+import org.berylwick.node.lib.Clock;
 import org.berylwick.node.lib.OwnerLoad;
 import org.berylwick.node.lib.Route;
 import org.berylwick.node.lib.RouteKind;
@@ -23,9 +22,9 @@
  * <p>It is sent again after an attempt that was not run, whatever its kind; after one that may have run only if it is
  * repeatable and the fleet's budget for repeats has room.
  */
-final class EntryCall {
+final class EntryCall implements CallerCall {
     /** Owners that refuse cost a round trip each; after so many the fleet is full. */
-    private static final int MOST_REFUSALS = 6;
+    private static final int MOST_REFUSALS = 3;
     /** An owner's last word may still be on its way when the deadline has passed. */
     private static final long LAST_WORD_NANOS = 10_000_000L;
     /** Part of the latency objective after which a repeatable request is sent to a second backend server. */
@@ -45,11 +44,12 @@
     private final CallSpec spec;
     private final long receivedAt;
     private final long versionNumber;
+    private final boolean returned;
     private final ReplySink sink;
     private final Set<String> tried = new HashSet<>();
     private final List<EntryAttempt> live = new ArrayList<>();
-    private ScheduledFuture<?> deadline;
-    private ScheduledFuture<?> hedge;
+    private Clock.Alarm deadline;
+    private Clock.Alarm hedge;
     private int attempts;
     private int mayHaveRun;
     private int refusals;
@@ -61,12 +61,20 @@
     private final StringBuilder trail = new StringBuilder();
     private Optional<EntryAttempt> streaming = Optional.empty();
 
-    EntryCall(EntryContext context, Route route, CallSpec spec, long receivedAt, long versionNumber, ReplySink sink) {
+    EntryCall(
+            EntryContext context,
+            Route route,
+            CallSpec spec,
+            long receivedAt,
+            long versionNumber,
+            boolean returned,
+            ReplySink sink) {
         this.context = context;
         this.route = route;
         this.spec = spec;
         this.receivedAt = receivedAt;
         this.versionNumber = versionNumber;
+        this.returned = returned;
         this.sink = sink;
     }
 
@@ -82,11 +90,11 @@
         return spec.id();
     }
 
-    void start() {
-        long now = System.nanoTime();
+    @Override
+    public void start() {
+        long now = context.clock().now();
         context.budget().onRequest(spec.service(), now);
-        long left = spec.deadlineAt() + LAST_WORD_NANOS - now;
-        deadline = context.loop().schedule(this::onDeadline, Math.max(0, left), TimeUnit.NANOSECONDS);
+        deadline = context.clock().at(spec.deadlineAt() + LAST_WORD_NANOS, this::onDeadline);
         next(false);
     }
 
@@ -96,7 +104,7 @@
      * @param repeat whether a backend server was sent it before, so that the fleet's budget has to allow it
      */
     private void next(boolean repeat) {
-        long now = System.nanoTime();
+        long now = context.clock().now();
         Optional<CandidateChooser.Choice> choice = refusals >= MOST_REFUSALS ? Optional.empty() : choose(now);
         if (choice.isPresent() && (!repeat || takeRepeat(now))) {
             launch(choice.get(), now);
@@ -110,10 +118,14 @@
     private Optional<CandidateChooser.Choice> choose(long now) {
         List<Candidate> candidates = context.candidates().of(spec.service(), now);
         ChoiceQuestion question = new ChoiceQuestion(
-                context.habits().expectedBytes(route),
+                spec.kind(),
+                spec.priority(),
+                context.habits().expectedBytes(route) + spec.body().readableBytes(),
                 context.habits().expectedNanos(route),
                 spec.objectiveAt() - now,
-                spec.deadlineAt() - now);
+                spec.deadlineAt() - now,
+                !returned,
+                refusals + 1 >= MOST_REFUSALS);
         return context.chooser().choose(candidates, tried, question);
     }
 
@@ -124,28 +136,24 @@
         CallSpec attempt = spec.forAttempt(attempts, choice.maxWaitNanos());
         EntryAttempt listener = new EntryAttempt(this, candidate, now);
         live.add(listener);
-        if (candidate.member().isPresent()) {
-            listener.use(PeerAttempt.start(candidate.member().get(), attempt, listener));
-        } else {
-            listener.use(context.owner().offer(attempt, listener));
-        }
-        scheduleHedge(candidate.load(), now);
+        listener.use(context.starter().start(candidate, attempt, listener));
+        scheduleHedge(candidate.load());
     }
 
-    private void scheduleHedge(OwnerLoad load, long now) {
+    private void scheduleHedge(OwnerLoad load) {
         if (spec.kind() != RouteKind.IDEMPOTENT || hedge != null || route.objectiveNanos() == 0) {
             return;
         }
-        long usual = (long) (receivedAt + HEDGE_USUAL * load.meanNanos() + load.waitNanos() - now);
-        long share = (long) (receivedAt + HEDGE_AT * route.objectiveNanos() - now);
-        hedge = context.loop().schedule(this::hedge, Math.max(1, Math.max(usual, share)), TimeUnit.NANOSECONDS);
+        long usual = (long) (receivedAt + HEDGE_USUAL * load.meanNanos() + load.waitNanos());
+        long share = (long) (receivedAt + HEDGE_AT * route.objectiveNanos());
+        hedge = context.clock().at(Math.max(usual, share), this::hedge);
     }
 
     private void hedge() {
         if (done || live.size() != 1 || streaming.isPresent() || live.get(0).answering()) {
             return;
         }
-        long now = System.nanoTime();
+        long now = context.clock().now();
         Optional<CandidateChooser.Choice> choice = choose(now);
         if (choice.isEmpty() || choice.get().candidate().suspect()) {
             return;
@@ -171,6 +179,10 @@
             return;
         }
         refusals++;
+        if (refusal.reason() == Refusal.Reason.BUSY) {
+            // It told how busy it is; the others may be busier.
+            tried.remove(attempt.candidate().key());
+        }
         lastCause = refusal.reason().name();
         note(attempt, lastCause);
         context.counters().add(NodeMetricNames.ENTRY_REFUSALS_BY_REASON + refusal.reason());
@@ -194,7 +206,7 @@
                 .append('=')
                 .append(outcome)
                 .append('+')
-                .append((System.nanoTime() - receivedAt) / 1_000_000)
+                .append((context.clock().now() - receivedAt) / 1_000_000)
                 .append("ms");
     }
 
@@ -227,7 +239,7 @@
             return;
         }
         long enough = (long) (context.habits().expectedNanos(route) * LEAST_TIME);
-        if (spec.kind().isRepeatable() && mayRunAgain(0) && System.nanoTime() + enough < spec.deadlineAt()) {
+        if (spec.kind().isRepeatable() && mayRunAgain(0) && context.clock().now() + enough < spec.deadlineAt()) {
             next(true);
         } else {
             conclude();
@@ -294,7 +306,7 @@
         context.habits().learnBytes(route, body.readableBytes());
         Candidate from = attempt.candidate();
         if (from.load().waitNanos(from.ahead()) == 0) {
-            context.habits().learnNanos(route, System.nanoTime() - attempt.startedAt());
+            context.habits().learnNanos(route, context.clock().now() - attempt.startedAt());
         }
         finish();
         boolean good = status < 400;
@@ -369,15 +381,15 @@
 
     private void fail() {
         finish();
-        boolean late = System.nanoTime() >= spec.deadlineAt();
+        boolean late = context.clock().now() >= spec.deadlineAt();
         int status = late ? 504 : 502;
         context.counters().add(NodeMetricNames.ENTRY_FAILED);
         log(Event.CALL_FAILED, status, "");
         sink.reply(status, Headers.empty(), Unpooled.EMPTY_BUFFER);
     }
 
-    /** The caller has gone. */
-    void abandon() {
+    @Override
+    public void abandon() {
         if (done) {
             return;
         }
@@ -386,18 +398,18 @@
         log(Event.CALL_ABANDONED, 0, "");
     }
 
-    /** Resumes or stops the flow of an answer that is streamed. */
-    void readOn(boolean on) {
+    @Override
+    public void readOn(boolean on) {
         streaming.ifPresent(a -> a.readOn(on));
     }
 
     private void finish() {
         done = true;
         if (deadline != null) {
-            deadline.cancel(false);
+            deadline.cancel();
         }
         if (hedge != null) {
-            hedge.cancel(false);
+            hedge.cancel();
         }
         for (EntryAttempt attempt : List.copyOf(live)) {
             attempt.cancel();
@@ -437,8 +449,8 @@
                         "cause",
                         lastCause,
                         "ms",
-                        (System.nanoTime() - receivedAt) / 1_000_000,
+                        (context.clock().now() - receivedAt) / 1_000_000,
                         "leftMs",
-                        (spec.deadlineAt() - System.nanoTime()) / 1_000_000);
+                        (spec.deadlineAt() - context.clock().now()) / 1_000_000);
     }
 }
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
@@ -39,10 +39,6 @@
  * A caller's connection: reads its requests one after the other and writes their answers; confined to the event loop.
  */
 final class EntryHandler extends ChannelInboundHandlerAdapter implements ReplySink {
-    /** What a caller that names no deadline is given. */
-    private static final long DEFAULT_DEADLINE_NANOS = 10_000_000_000L;
-    /** What the answer needs back to the caller. */
-    private static final long RETURN_NANOS = 10_000_000L;
     /** The most of a body that is kept, since an attempt may have to send it again. */
     private static final long MOST_BODY_BYTES = 8 << 20;
 
@@ -55,22 +51,22 @@
     private static final double IDLE_MARGIN = 1.1;
 
     private final EntryServer server;
-    private final EntryContext context;
+    private final EntryServices services;
     private final ArrayDeque<Object> ahead = new ArrayDeque<>();
     private Channel channel;
     private HttpRequest head;
     private CompositeByteBuf body;
     private long bodyBytes;
-    private EntryCall call;
+    private CallerCall call;
     private boolean busy;
     private boolean keepAlive;
     private boolean headRequest;
     private boolean closing;
     private long quietSince;
 
-    EntryHandler(EntryServer server, EntryContext context) {
+    EntryHandler(EntryServer server, EntryServices services) {
         this.server = server;
-        this.context = context;
+        this.services = services;
     }
 
     @Override
@@ -128,7 +124,7 @@
     }
 
     private CallerLimits limits() {
-        return context.version().get().map(MeshVersion::limits).orElse(EntryServer.LIMITS_BEFORE_FIRST_VERSION);
+        return services.version().get().map(MeshVersion::limits).orElse(EntryServer.LIMITS_BEFORE_FIRST_VERSION);
     }
 
     private void refuseMalformed(Throwable cause) {
@@ -142,8 +138,8 @@
     }
 
     private void refuseAndClose(int status, String why) {
-        context.log().write(Event.CALLER_FAULT, "status", status, "why", why);
-        context.counters().add(NodeMetricNames.ENTRY_CALLER_FAULTS);
+        services.log().write(Event.CALLER_FAULT, "status", status, "why", why);
+        services.counters().add(NodeMetricNames.ENTRY_CALLER_FAULTS);
         dropBody();
         keepAlive = false;
         busy = true;
@@ -178,11 +174,11 @@
         head = null;
         body = null;
         busy = true;
-        context.counters().add(NodeMetricNames.ENTRY_REQUESTS);
-        Optional<MeshVersion> version = context.version().get();
+        services.counters().add(NodeMetricNames.ENTRY_REQUESTS);
+        Optional<MeshVersion> version = services.version().get();
         if (version.isEmpty()) {
             whole.release();
-            context.counters().add(NodeMetricNames.ENTRY_REFUSED_NO_VERSION);
+            services.counters().add(NodeMetricNames.ENTRY_REFUSED_NO_VERSION);
             reply(503, EntryCall.retryAfter(0.3), Unpooled.EMPTY_BUFFER);
             return;
         }
@@ -190,57 +186,16 @@
         Optional<Route> route = version.get().route(host, request.uri());
         if (route.isEmpty()) {
             whole.release();
-            context.counters().add(NodeMetricNames.ENTRY_NO_ROUTE);
+            services.counters().add(NodeMetricNames.ENTRY_NO_ROUTE);
             reply(404, Headers.empty(), Unpooled.EMPTY_BUFFER);
             return;
         }
-        call = callOf(request, whole, route.get(), version.get());
+        EntryCalls.CallerRequest asked =
+                new EntryCalls.CallerRequest(request.method(), request.uri(), request.headers(), whole);
+        call = services.calls().open(version.get(), route.get(), asked, this);
         call.start();
     }
 
-    private EntryCall callOf(HttpRequest request, ByteBuf whole, Route route, MeshVersion version) {
-        long now = System.nanoTime();
-        HttpHeaders headers = Headers.endToEnd(request.headers());
-        String id = headers.get(context.names().requestId(), "");
-        long wait = waitOf(headers);
-        long waited = context.patience().waitedNanos(route.name(), wait);
-        long deadline = now + Math.max(1_000_000L, wait - RETURN_NANOS);
-        headers.remove(context.names().deadline());
-        headers.remove(context.names().target());
-        headers.remove(context.names().callerService());
-        if (route.timeoutNanos() > 0) {
-            deadline = Math.min(deadline, now + route.timeoutNanos());
-        }
-        long objective = route.objectiveNanos() > 0 ? now - waited + route.objectiveNanos() : deadline;
-        CallSpec spec = new CallSpec(
-                id,
-                request.method(),
-                request.uri(),
-                headers,
-                whole,
-                route.serviceAt(context.chance().getAsDouble()),
-                context.callerService().get(),
-                route.kind(),
-                route.priority(),
-                objective,
-                deadline,
-                0,
-                1);
-        return new EntryCall(context, route, spec, now, version.number(), this);
-    }
-
-    private long waitOf(HttpHeaders headers) {
-        String text = headers.get(context.names().deadline());
-        if (text == null) {
-            return DEFAULT_DEADLINE_NANOS;
-        }
-        try {
-            return (long) (Double.parseDouble(text.trim()) * 1_000_000);
-        } catch (NumberFormatException e) {
-            return DEFAULT_DEADLINE_NANOS;
-        }
-    }
-
     @Override
     public void reply(int status, HttpHeaders headers, ByteBuf bytes) {
         FullHttpResponse response = new DefaultFullHttpResponse(
@@ -392,7 +347,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (!(cause instanceof java.io.IOException)) {
-            context.log().write(Event.INTERNAL_ERROR, "where", "entry", "cause", cause);
+            services.log().write(Event.INTERNAL_ERROR, "where", "entry", "cause", cause);
         }
         ctx.close();
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryServer.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryServer.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
@@ -24,21 +25,23 @@
     private static final long SWEEP_MILLIS = 500;
     private static final int BACKLOG = 1024;
 
-    private final EntryContext context;
+    private final EntryServices services;
+    private final EventLoop loop;
     private final InetSocketAddress address;
     private final Set<EntryHandler> connections = new HashSet<>();
     private Channel listener;
     private boolean draining;
 
-    EntryServer(EntryContext context, InetSocketAddress address) {
-        this.context = context;
+    EntryServer(EntryServices services, EventLoop loop, InetSocketAddress address) {
+        this.services = services;
+        this.loop = loop;
         this.address = address;
     }
 
     /** Opens the port. */
     public void start() {
         listener = new ServerBootstrap()
-                .group(context.loop())
+                .group(loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -47,17 +50,17 @@
                     protected void initChannel(Channel channel) {
                         int headerBytes = limits().maxHeaderBytes();
                         channel.pipeline().addLast(new HttpServerCodec(headerBytes, headerBytes, MAX_CHUNK_BYTES));
-                        channel.pipeline().addLast(new EntryHandler(EntryServer.this, context));
+                        channel.pipeline().addLast(new EntryHandler(EntryServer.this, services));
                     }
                 })
                 .bind(address)
                 .syncUninterruptibly()
                 .channel();
-        context.loop().schedule(this::sweep, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(this::sweep, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private CallerLimits limits() {
-        return context.version().get().map(MeshVersion::limits).orElse(LIMITS_BEFORE_FIRST_VERSION);
+        return services.version().get().map(MeshVersion::limits).orElse(LIMITS_BEFORE_FIRST_VERSION);
     }
 
     private void sweep() {
@@ -66,7 +69,7 @@
         for (EntryHandler connection : List.copyOf(connections)) {
             connection.sweep(now, idle);
         }
-        context.loop().schedule(this::sweep, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(this::sweep, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     void add(EntryHandler connection) {
--- /dev/null
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryServices.java
@@ -0,0 +1,17 @@
+package org.berylwick.node.call;
+
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.berylwick.node.lib.MeshVersion;
+import org.berylwick.node.log.Counters;
+import org.berylwick.node.log.EventLog;
+
+/**
+ * What the connections of callers share; confined to the event loop.
+ *
+ * @param version the configuration in force
+ * @param calls opens calls
+ * @param counters takes counts
+ * @param log takes events
+ */
+record EntryServices(Supplier<Optional<MeshVersion>> version, EntryCalls calls, Counters counters, EventLog log) {}
--- a/org.berylwick.node/src/org/berylwick/node/call/PeerAttempt.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerAttempt.java
@@ -11,6 +11,7 @@
 import org.berylwick.node.member.Member;
 import org.berylwick.node.transport.HttpConnection;
 import org.berylwick.node.transport.HttpExchange;
+import org.berylwick.node.transport.ServerConnection;
 
 /** One attempt at the owner of another node; confined to the event loop. */
 final class PeerAttempt implements Attempt, HttpExchange, Member.Waiting {
@@ -20,7 +21,7 @@
     private final Member member;
     private final CallSpec call;
     private final AttemptListener listener;
-    private HttpConnection connection;
+    private ServerConnection connection;
     private boolean over;
     private Optional<PeerCodec.Outcome> outcome = Optional.empty();
 
@@ -47,9 +48,9 @@
         listener.onRefused(new Refusal(Refusal.Reason.UNREACHABLE, false, OwnerLoad.NONE));
     }
 
-    private void send(HttpConnection to) {
+    private void send(ServerConnection to) {
         if (over) {
-            member.pool().putBack(to);
+            to.giveBack();
             return;
         }
         connection = to;
@@ -66,7 +67,7 @@
         if (over) {
             return;
         }
-        HttpConnection silent = connection;
+        ServerConnection silent = connection;
         if (silent == null) {
             onUnreachable("silent");
             return;
--- a/org.berylwick.node/src/org/berylwick/node/call/RunQueue.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/RunQueue.java
@@ -9,16 +9,15 @@
 /**
  * Requests that wait for a slot of one backend server; confined to the event loop.
  *
- * <p>Requests that can still meet their latency objective go first, the earliest objective before the others. One that
- * no longer can gives way to all that can, and is answered soon if no slot is left over: with one queue for all, a
- * burst leaves a backlog in which every request is served and every one is late, long after the burst is over.
+ * <p>The load it answers is a burst, or a backend server that is short of room. Requests that can still meet their
+ * latency objective go first, the earliest objective before the others; one that no longer can gives way to all that
+ * can. With one queue for all, a burst leaves a backlog in which every request is served and every one is late, long
+ * after the burst is over.
  */
 final class RunQueue {
     /** A rank puts a request off by this much, so that no rank waits for ever. */
     static final long RANK_NANOS = 100_000_000L;
-    /** How long a late request waits for a slot that is left over before it is told to come back. */
-    private static final long LATE_PATIENCE_NANOS = 250_000_000L;
-    /** Late requests that wait, for each slot. */
+    /** Late requests that wait, for each slot: they start only when nothing else does. */
     private static final double LATE_PER_SLOT = 0.5;
 
     private static final Comparator<OwnerRun> ORDER =
@@ -36,10 +35,6 @@
         return timely.headSet(run, true).size();
     }
 
-    int timelySize() {
-        return timely.size();
-    }
-
     /** Whether one more late request may wait. */
     boolean takesLate(int slots) {
         return late.size() < Math.max(1, slots * LATE_PER_SLOT);
@@ -71,18 +66,6 @@
         return Optional.ofNullable(late.pollFirst());
     }
 
-    /** Takes out the late requests that waited long enough, or whose deadline is out of reach. */
-    List<OwnerRun> pollHopeless(long now) {
-        List<OwnerRun> hopeless = new ArrayList<>();
-        for (OwnerRun run : late) {
-            if (now - run.offeredAt() > LATE_PATIENCE_NANOS + run.patienceNanos() || !run.canMeetDeadline(now)) {
-                hopeless.add(run);
-            }
-        }
-        hopeless.forEach(late::remove);
-        return hopeless;
-    }
-
     /** Takes out all. */
     List<OwnerRun> drain() {
         List<OwnerRun> all = new ArrayList<>(timely);
--- a/org.berylwick.node/src/org/berylwick/node/call/ServiceTimes.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/ServiceTimes.java
@@ -1,33 +1,82 @@
 package org.berylwick.node.call;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import org.berylwick.node.lib.KindTime;
 
-/** How long a backend server takes for each kind of request, learnt from its answers. */
+/** How long a backend server takes for each kind of request, learnt from its answers; confined to the event loop. */
 final class ServiceTimes {
-    /** Weight of a new answer; about the last ten count. */
-    private static final double NEW_SHARE = 0.1;
+    /**
+     * Weight of a new answer; about the last twenty count. With the last ten, a heavy tail moved the mean by a quarter
+     * up and down; with fifty, a server that turned slow was believed for seconds.
+     */
+    private static final double NEW_SHARE = 0.05;
+    /** Weight of a new answer for the spread, which changes less and takes more answers to be seen. */
+    private static final double NEW_SHARE_OF_SPREAD = 0.02;
 
     private static final long UNKNOWN_NANOS = 150_000_000L;
+    /** Kinds that are told to others; a service has fewer. */
+    private static final int MOST_TOLD = 8;
 
-    private final Map<String, double[]> byKind = new HashMap<>();
+    private final Map<String, Learnt> byKind = new HashMap<>();
     private double overall;
+    private int answers;
+
+    private static final class Learnt {
+        private final CallSpec like;
+        private double logMean;
+        private double logVariance = KindTime.USUAL_SPREAD * KindTime.USUAL_SPREAD;
+        private int answers;
+
+        Learnt(CallSpec like) {
+            this.like = like;
+        }
+
+        void learn(long nanos) {
+            answers++;
+            double log = Math.log(Math.max(1, nanos));
+            if (answers == 1) {
+                logMean = log;
+                return;
+            }
+            double off = log - logMean;
+            logMean += Math.max(NEW_SHARE, 1.0 / answers) * off;
+            logVariance += NEW_SHARE_OF_SPREAD * (off * off - logVariance);
+        }
+
+        KindTime time() {
+            return new KindTime(like.kind(), like.priority(), (long) Math.exp(logMean), Math.sqrt(logVariance));
+        }
+    }
 
     void learn(CallSpec call, long nanos) {
-        double[] mean = byKind.computeIfAbsent(key(call), k -> new double[] {nanos});
-        mean[0] += NEW_SHARE * (nanos - mean[0]);
-        overall = overall == 0 ? nanos : overall + NEW_SHARE * (nanos - overall);
+        byKind.computeIfAbsent(key(call), k -> new Learnt(call)).learn(nanos);
+        answers++;
+        overall += Math.max(NEW_SHARE, 1.0 / answers) * (nanos - overall);
+    }
+
+    /** The time of a request like this one. */
+    KindTime time(CallSpec call) {
+        Learnt learnt = byKind.get(key(call));
+        return learnt == null ? KindTime.ofMean(call.kind(), call.priority(), meanNanos()) : learnt.time();
     }
 
-    /** Mean time of a request like this one. */
-    long meanNanos(CallSpec call) {
-        double[] mean = byKind.get(key(call));
-        return mean == null ? meanNanos() : (long) mean[0];
+    /** The times of all kinds that were seen. */
+    List<KindTime> times() {
+        List<KindTime> times = new ArrayList<>();
+        for (Learnt learnt : byKind.values()) {
+            if (times.size() < MOST_TOLD) {
+                times.add(learnt.time());
+            }
+        }
+        return times;
     }
 
     /** Mean time of all requests. */
     long meanNanos() {
-        return overall == 0 ? UNKNOWN_NANOS : (long) overall;
+        return answers == 0 ? UNKNOWN_NANOS : (long) overall;
     }
 
     /** Requests of one kind, rank and service take alike; routes are too many to learn each. */
--- /dev/null
+++ b/org.berylwick.node/src/org/berylwick/node/lib/KindTime.java
@@ -0,0 +1,48 @@
+package org.berylwick.node.lib;
+
+/**
+ * How long one backend server takes for requests of one kind and rank: a log-normal time, since most requests take
+ * little and a few take several times as long.
+ *
+ * @param kind what may be repeated
+ * @param priority rank, 0 the highest
+ * @param medianNanos half of the requests take less
+ * @param spread standard deviation of the logarithm of the time
+ */
+public record KindTime(RouteKind kind, int priority, long medianNanos, double spread) {
+    /** The spread of times that were not seen yet; request times of services mostly have 0.4 to 1. */
+    public static final double USUAL_SPREAD = 0.6;
+    /** With less, the chance of being late would jump where the time is known no better than to some milliseconds. */
+    private static final double LEAST_SPREAD = 0.15;
+    /** The logistic curve with this slope is the normal one to within 0.01. */
+    private static final double LOGISTIC = 1.702;
+
+    public KindTime {
+        spread = Math.max(LEAST_SPREAD, spread);
+    }
+
+    /** The time of a kind that was not seen, from its mean. */
+    public static KindTime ofMean(RouteKind kind, int priority, double meanNanos) {
+        double median = meanNanos / Math.exp(USUAL_SPREAD * USUAL_SPREAD / 2);
+        return new KindTime(kind, priority, (long) median, USUAL_SPREAD);
+    }
+
+    /** The mean time. */
+    public long meanNanos() {
+        return (long) (medianNanos * Math.exp(spread * spread / 2));
+    }
+
+    /** The chance that a request takes longer than a time. */
+    public double chanceOver(long nanos) {
+        if (nanos <= 0) {
+            return 1;
+        }
+        double deviations = Math.log((double) nanos / Math.max(1, medianNanos)) / spread;
+        return 1 / (1 + Math.exp(LOGISTIC * deviations));
+    }
+
+    /** The same on a backend server that takes so many times as long. */
+    public KindTime times(double factor) {
+        return new KindTime(kind, priority, (long) (medianNanos * factor), spread);
+    }
+}
--- a/org.berylwick.node/src/org/berylwick/node/member/NodeState.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/NodeState.java
@@ -1,6 +1,8 @@
 package org.berylwick.node.member;
 
+import java.util.List;
 import org.berylwick.node.lib.BackendState;
+import org.berylwick.node.lib.KindTime;
 import org.berylwick.node.lib.OwnerLoad;
 
 /**
@@ -18,6 +20,7 @@
  * @param backend whether its backend server takes work
  * @param warmUpNanos how much longer its backend server is slow
  * @param load of its backend server
+ * @param times of its backend server for each kind of request that it has seen
  */
 public record NodeState(
         long boot,
@@ -31,7 +34,12 @@
         String incarnation,
         BackendState backend,
         long warmUpNanos,
-        OwnerLoad load) {
+        OwnerLoad load,
+        List<KindTime> times) {
     /** Wider links are told as this wide. */
     public static final int MOST_LINK_MBPS = 65_535;
+
+    public NodeState {
+        times = List.copyOf(times);
+    }
 }
--- a/org.berylwick.node/src/org/berylwick/node/member/NodeStateCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/NodeStateCodec.java
@@ -6,17 +6,37 @@
 import java.util.List;
 import java.util.Optional;
 import org.berylwick.node.lib.BackendState;
+import org.berylwick.node.lib.KindTime;
 import org.berylwick.node.lib.OwnerLoad;
+import org.berylwick.node.lib.RouteKind;
 
 /** The datagram between nodes: the sender's state and some addresses of other nodes. */
 public final class NodeStateCodec {
-    private static final int MAGIC = 0x4257_4e32;
+    private static final int MAGIC = 0x4257_4e33;
     private static final int FLAG_STORE = 1;
     private static final int FLAG_LEAVING = 2;
     private static final int FLAG_ANSWER_WANTED = 4;
 
+    private static final double PER_MILLE = 1e3;
+    private static final RouteKind[] KINDS = RouteKind.values();
+
     private NodeStateCodec() {}
 
+    private static List<KindTime> readTimes(ByteBuf in) {
+        int count = in.readUnsignedByte();
+        List<KindTime> times = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            int kind = in.readUnsignedByte();
+            int priority = in.readByte();
+            long median = in.readInt() * 1_000L;
+            double spread = in.readUnsignedShort() / PER_MILLE;
+            if (kind < KINDS.length && median > 0) {
+                times.add(new KindTime(KINDS[kind], priority, median, spread));
+            }
+        }
+        return times;
+    }
+
     /**
      * A datagram.
      *
@@ -48,6 +68,13 @@
         writeText(s.zone(), out);
         writeText(s.service(), out);
         writeText(s.incarnation(), out);
+        out.writeByte(s.times().size());
+        for (KindTime time : s.times()) {
+            out.writeByte(time.kind().ordinal());
+            out.writeByte(time.priority());
+            out.writeInt((int) (time.medianNanos() / 1_000));
+            out.writeShort((int) (time.spread() * PER_MILLE));
+        }
         out.writeByte(message.others().size());
         for (String ip : message.others()) {
             writeText(ip, out);
@@ -76,6 +103,7 @@
             String zone = readText(in);
             String service = readText(in);
             String incarnation = readText(in);
+            List<KindTime> times = readTimes(in);
             NodeState state = new NodeState(
                     boot,
                     sequence,
@@ -88,7 +116,8 @@
                     incarnation,
                     backend,
                     warmUp,
-                    load);
+                    load,
+                    times);
             int count = in.readUnsignedByte();
             List<String> others = new ArrayList<>(count);
             for (int i = 0; i < count; i++) {
--- a/org.berylwick.node/src/org/berylwick/node/transport/ConnectionPool.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/ConnectionPool.java
@@ -17,7 +17,7 @@
 import jdk.net.ExtendedSocketOptions;
 
 /** Connections to one server, the latest used first; confined to the event loop. */
-public final class ConnectionPool implements AutoCloseable {
+public final class ConnectionPool implements ServerConnections {
     private static final int MAX_HEADER_BYTES = 65_536;
     private static final int MAX_CHUNK_BYTES = 65_536;
     /**
@@ -68,7 +68,7 @@
         return new HttpConnection(channel, this::putBack, this::forget);
     }
 
-    /** Connections opened since the start. */
+    @Override
     public long opened() {
         return opened;
     }
@@ -119,7 +119,7 @@
      * @param onOpen takes it
      * @param onFailure hears why there is none; nothing was sent then
      */
-    public void open(Consumer<HttpConnection> onOpen, Consumer<String> onFailure) {
+    public void open(Consumer<ServerConnection> onOpen, Consumer<String> onFailure) {
         if (closed) {
             onFailure.accept("pool is closed");
             return;
@@ -142,8 +142,8 @@
         });
     }
 
-    /** Takes an idle connection or opens one. */
-    public void acquire(long freshestNanos, Consumer<HttpConnection> onOpen, Consumer<String> onFailure) {
+    @Override
+    public void acquire(long freshestNanos, Consumer<ServerConnection> onOpen, Consumer<String> onFailure) {
         HttpConnection connection = pollIdle(freshestNanos);
         if (connection != null) {
             onOpen.accept(connection);
@@ -152,8 +152,7 @@
         open(onOpen, onFailure);
     }
 
-    /** Gives back a connection that was taken and not used. */
-    public void putBack(HttpConnection connection) {
+    private void putBack(HttpConnection connection) {
         if (closed) {
             connection.abandon();
             return;
@@ -166,7 +165,7 @@
         idle.remove(connection);
     }
 
-    /** Closes connections that have been idle for too long. */
+    @Override
     public void trim() {
         long now = System.nanoTime();
         while (!idle.isEmpty()) {
@@ -178,7 +177,6 @@
         }
     }
 
-    /** Closes idle connections now, and busy ones as they become idle. */
     @Override
     public void close() {
         closed = true;
--- /dev/null
+++ b/org.berylwick.node/src/org/berylwick/node/transport/EventLoopClock.java
@@ -0,0 +1,25 @@
+package org.berylwick.node.transport;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.berylwick.node.lib.Clock;
+
+/** The clock of an event loop; its tasks run on that. */
+public record EventLoopClock(EventLoop loop) implements Clock {
+    @Override
+    public long now() {
+        return System.nanoTime();
+    }
+
+    @Override
+    public Alarm at(long at, Runnable task) {
+        ScheduledFuture<?> planned = loop.schedule(task, Math.max(0, at - System.nanoTime()), TimeUnit.NANOSECONDS);
+        return () -> planned.cancel(false);
+    }
+
+    @Override
+    public void soon(Runnable task) {
+        loop.execute(task);
+    }
+}
--- a/org.berylwick.node/src/org/berylwick/node/transport/HttpConnection.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/HttpConnection.java
@@ -22,7 +22,7 @@
  * <p>It goes back to its pool only after the loop has read all that came with the end of an answer: bytes behind a
  * complete answer belong to no request, and the connection that brought them is closed.
  */
-public final class HttpConnection extends ChannelInboundHandlerAdapter {
+public final class HttpConnection extends ChannelInboundHandlerAdapter implements ServerConnection {
     private static final String KEEP_ALIVE_TIMEOUT = "timeout=";
 
     private final Channel channel;
@@ -47,7 +47,7 @@
         this.idleSince = System.nanoTime();
     }
 
-    /** When the last answer ended, in {@link System#nanoTime} terms. */
+    @Override
     public long idleSince() {
         return idleSince;
     }
@@ -57,7 +57,7 @@
         return keepAliveNanos;
     }
 
-    /** Requests answered on it. */
+    @Override
     public int served() {
         return served;
     }
@@ -67,13 +67,12 @@
         return exchange == null && !ended && channel.isActive();
     }
 
-    /**
-     * Sends a request.
-     *
-     * @param request its head, with the length of the body
-     * @param body is released after it was written
-     * @param waiter gets the answer
-     */
+    @Override
+    public void giveBack() {
+        onIdle.accept(this);
+    }
+
+    @Override
     public void send(HttpRequest request, ByteBuf body, HttpExchange waiter) {
         exchange = waiter;
         head = null;
@@ -84,12 +83,12 @@
         written = channel.writeAndFlush(new DefaultLastHttpContent(body));
     }
 
-    /** Stops or resumes reading, so that a slow receiver holds back the server. */
+    @Override
     public void readOn(boolean on) {
         channel.config().setAutoRead(on);
     }
 
-    /** Closes the connection; an exchange that waits on it hears nothing more. */
+    @Override
     public void abandon() {
         exchange = null;
         channel.close();
--- /dev/null
+++ b/org.berylwick.node/src/org/berylwick/node/transport/ServerConnection.java
@@ -0,0 +1,31 @@
+package org.berylwick.node.transport;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpRequest;
+
+/** A connection to a server that carries one request at a time, in the hands of whoever took it. */
+public interface ServerConnection {
+    /**
+     * Sends a request; the connection is free again by itself when the answer is whole.
+     *
+     * @param request its head, with the length of the body
+     * @param body is released after it was written
+     * @param waiter gets the answer
+     */
+    void send(HttpRequest request, ByteBuf body, HttpExchange waiter);
+
+    /** Gives it back without having used it. */
+    void giveBack();
+
+    /** Stops or resumes reading, so that a slow receiver holds back the server. */
+    void readOn(boolean on);
+
+    /** Closes it; an exchange that waits on it hears nothing more. */
+    void abandon();
+
+    /** Requests answered on it. */
+    int served();
+
+    /** When the last answer ended, in {@link System#nanoTime} terms. */
+    long idleSince();
+}
--- a/org.berylwick.node/src/org/berylwick/node/transport/SmallHttpCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/SmallHttpCall.java
@@ -18,7 +18,7 @@
     private final byte[] body;
     private final Consumer<Result> onResult;
     private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-    private HttpConnection connection;
+    private ServerConnection connection;
     private int status;
     private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
     private boolean over;
@@ -61,9 +61,9 @@
         pool.acquire(Long.MAX_VALUE, call::send, call::fail);
     }
 
-    private void send(HttpConnection to) {
+    private void send(ServerConnection to) {
         if (over) {
-            pool.putBack(to);
+            to.giveBack();
             return;
         }
         connection = to;
