Weigh bytes by what they cost, tell classes of requests apart by their objective

Urgent fetches and internal probes shared one time and one share of service, since only kind and rank told classes apart. BigDecimal's table took 35 ms of each start: the streaming parser of JSON loads it.

Change: 16 KB across zones count as much as a request; RequestClass (kind, rank, objective); times before the first answer from the objective; how many callers come back after a refusal is learnt for each class (calls of runs do not, and are refused later); an owner that refuses twice is not asked again; a JSON parser of our own, held against another by properties (one found that byte 0xff read as the end).

--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/RequestKind.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/RequestKind.java
@@ -47,10 +47,11 @@
     public record Work(double meanMillis, double spread, double tailShare, double tailFactor) {}
 
     /**
-     * A call that a run makes.
+     * Calls that a run makes together; if one fails, the run does.
      *
      * @param kind name of the called kind
-     * @param share of the runs that make it
+     * @param times that it is called
+     * @param share of the runs that make them
      */
-    public record InnerCall(String kind, double share) {}
+    public record InnerCall(String kind, int times, double share) {}
 }
--- a/org.berylwick.node/src/org/berylwick/node/call/CallSpec.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallSpec.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import org.berylwick.node.lib.RequestClass;
 import org.berylwick.node.lib.RouteKind;
 
 /**
@@ -15,8 +16,7 @@
  * @param body whole; each attempt takes its own duplicate
  * @param service that is to run it
  * @param callerService on the VM where it began
- * @param kind what may be repeated
- * @param priority rank, 0 the highest
+ * @param like the class of its route
  * @param objectiveAt when its latency objective ends, {@link System#nanoTime} terms
  * @param deadlineAt when nobody waits any more
  * @param maxWaitNanos the longest it may wait for a slot at the owner
@@ -30,12 +30,21 @@
         ByteBuf body,
         String service,
         String callerService,
-        RouteKind kind,
-        int priority,
+        RequestClass like,
         long objectiveAt,
         long deadlineAt,
         long maxWaitNanos,
         int attempt) {
+    /** What may be repeated. */
+    public RouteKind kind() {
+        return like.kind();
+    }
+
+    /** Rank, 0 the highest. */
+    public int priority() {
+        return like.priority();
+    }
+
     /** The same request for another attempt. */
     public CallSpec forAttempt(int number, long waitNanos) {
         return new CallSpec(
@@ -46,8 +55,7 @@
                 body,
                 service,
                 callerService,
-                kind,
-                priority,
+                like,
                 objectiveAt,
                 deadlineAt,
                 waitNanos,
--- a/org.berylwick.node/src/org/berylwick/node/call/CallerPatience.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallerPatience.java
@@ -11,8 +11,11 @@
  */
 final class CallerPatience {
     private static final int MOST_ROUTES = 2_000;
-    /** A wait shorter by less than this is rounding, or time on the way. */
-    private static final long NOISE_NANOS = 20_000_000L;
+    /**
+     * A wait shorter by less than this is rounding, time on the way, or a call whose run has little time left; whoever
+     * was refused comes back 50 ms later at the soonest.
+     */
+    private static final long NOISE_NANOS = 45_000_000L;
 
     private final Map<String, Long> longest = new HashMap<>();
 
--- /dev/null
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallerReturns.java
@@ -0,0 +1,41 @@
+package org.berylwick.node.call;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.berylwick.node.lib.RequestClass;
+
+/**
+ * Which callers come back after a refusal, learnt for each class of requests; confined to the event loop.
+ *
+ * <p>The load it answers is an overload: whoever comes back is best refused as soon as it would be late, as others wait
+ * behind it. A call that a run makes does not come back: with its refusal the run fails, and its slot's time is wasted.
+ */
+final class CallerReturns {
+    /** Weight of a new refusal; about the last fifty count. */
+    private static final double NEW_SHARE = 0.02;
+    /** Before anything was seen callers are taken to come back, as they mostly do. */
+    private static final double UNSEEN = 1;
+
+    private final Map<RequestClass, Counts> byClass = new HashMap<>();
+
+    private static final class Counts {
+        private double refused = 1;
+        private double returned = UNSEEN;
+    }
+
+    void onRefused(RequestClass like) {
+        Counts counts = byClass.computeIfAbsent(like, l -> new Counts());
+        counts.refused += 1 - NEW_SHARE * counts.refused;
+        counts.returned -= NEW_SHARE * counts.returned;
+    }
+
+    void onReturned(RequestClass like) {
+        byClass.computeIfAbsent(like, l -> new Counts()).returned++;
+    }
+
+    /** The part of those refused that come back. */
+    double share(RequestClass like) {
+        Counts counts = byClass.get(like);
+        return counts == null ? UNSEEN : Math.min(1, counts.returned / counts.refused);
+    }
+}
--- a/org.berylwick.node/src/org/berylwick/node/call/CandidateChooser.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CandidateChooser.java
@@ -21,9 +21,9 @@
     /** What a lost request costs: one that must run once fails, another takes its time and room again. */
     private static final double LOST = 1;
     /** Bytes across availability zones that cost as much as one request is worth. */
-    private static final double BYTES_OF_A_REQUEST = 65_536;
+    private static final double BYTES_OF_A_REQUEST = 16_384;
     /** The most that bytes count: a caller is never refused, and rarely served late, to save them. */
-    private static final double MOST_FOR_BYTES = 0.6;
+    private static final double MOST_FOR_BYTES = 0.68;
     /** Bytes of an answer's and a request's headers. */
     private static final int HEADER_BYTES = 700;
 
@@ -52,7 +52,7 @@
      */
     private static final double REFUSED = 0.65;
     /** The most of its time that a request waits for one slot: what is refused after that could have come back. */
-    private static final double LONGEST_WAIT = 0.5;
+    private static final double LONGEST_WAIT = 0.3;
 
     private static final int WAIT_STEPS = 6;
 
@@ -81,7 +81,7 @@
      */
     Optional<Choice> choose(List<Candidate> candidates, Set<String> tried, ChoiceQuestion question) {
         double usual = usualMean(candidates);
-        double refused = question.mayReturn() ? REFUSED : 1;
+        double refused = 1 - (1 - REFUSED) * question.returns();
         Candidate best = null;
         double bestCost = Double.MAX_VALUE;
         double nextCost = Double.MAX_VALUE;
@@ -176,7 +176,7 @@
 
     private static KindTime timeOf(Candidate candidate, ChoiceQuestion question, double usual) {
         for (KindTime time : candidate.times()) {
-            if (time.kind() == question.kind() && time.priority() == question.priority()) {
+            if (time.like().equals(question.like())) {
                 return time;
             }
         }
@@ -185,6 +185,6 @@
         if (candidate.warmUpNanos() > 0) {
             slowness *= COLD;
         }
-        return KindTime.ofMean(question.kind(), question.priority(), question.expectedNanos() * slowness);
+        return KindTime.ofMean(question.like(), question.expectedNanos() * slowness);
     }
 }
--- a/org.berylwick.node/src/org/berylwick/node/call/ChoiceQuestion.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/ChoiceQuestion.java
@@ -1,25 +1,23 @@
 package org.berylwick.node.call;
 
-import org.berylwick.node.lib.RouteKind;
+import org.berylwick.node.lib.RequestClass;
 
 /**
  * What is known of a request before it is sent.
  *
- * @param kind what may be repeated
- * @param priority rank, 0 the highest
+ * @param like the class of its route
  * @param expectedBytes of its answer and its body
  * @param expectedNanos that a backend server of usual speed takes, without a wait
  * @param objectiveNanos until its latency objective ends; below zero if that has passed
  * @param leftNanos until its deadline
- * @param mayReturn whether its caller will come back if it is refused
+ * @param returns the chance that its caller comes back if it is refused
  * @param last whether nobody else is asked if this owner refuses
  */
 record ChoiceQuestion(
-        RouteKind kind,
-        int priority,
+        RequestClass like,
         double expectedBytes,
         double expectedNanos,
         long objectiveNanos,
         long leftNanos,
-        boolean mayReturn,
+        double returns,
         boolean last) {}
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -47,6 +47,7 @@
     private final boolean returned;
     private final ReplySink sink;
     private final Set<String> tried = new HashSet<>();
+    private final Set<String> busy = new HashSet<>();
     private final List<EntryAttempt> live = new ArrayList<>();
     private Clock.Alarm deadline;
     private Clock.Alarm hedge;
@@ -94,6 +95,9 @@
     public void start() {
         long now = context.clock().now();
         context.budget().onRequest(spec.service(), now);
+        if (returned) {
+            context.returns().onReturned(spec.like());
+        }
         deadline = context.clock().at(spec.deadlineAt() + LAST_WORD_NANOS, this::onDeadline);
         next(false);
     }
@@ -118,13 +122,12 @@
     private Optional<CandidateChooser.Choice> choose(long now) {
         List<Candidate> candidates = context.candidates().of(spec.service(), now);
         ChoiceQuestion question = new ChoiceQuestion(
-                spec.kind(),
-                spec.priority(),
+                spec.like(),
                 context.habits().expectedBytes(route) + spec.body().readableBytes(),
                 context.habits().expectedNanos(route),
                 spec.objectiveAt() - now,
                 spec.deadlineAt() - now,
-                !returned,
+                returned ? 0 : context.returns().share(spec.like()),
                 refusals + 1 >= MOST_REFUSALS);
         return context.chooser().choose(candidates, tried, question);
     }
@@ -179,7 +182,8 @@
             return;
         }
         refusals++;
-        if (refusal.reason() == Refusal.Reason.BUSY) {
+        if (refusal.reason() == Refusal.Reason.BUSY
+                && busy.add(attempt.candidate().key())) {
             // It told how busy it is; the others may be busier.
             tried.remove(attempt.candidate().key());
         }
@@ -369,6 +373,7 @@
         // Callers refused together would come back together.
         double spread = wait * (0.75 + 0.5 * context.chance().getAsDouble());
         double seconds = Math.max(SHORTEST_RETRY_AFTER_S, Math.min(LONGEST_RETRY_AFTER_S, spread));
+        context.returns().onRefused(spec.like());
         context.counters().add(NodeMetricNames.ENTRY_REFUSED);
         log(Event.CALL_REFUSED, 503, "");
         sink.reply(503, retryAfter(seconds), Unpooled.EMPTY_BUFFER);
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCalls.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCalls.java
@@ -8,6 +8,7 @@
 import org.berylwick.node.lib.Clock;
 import org.berylwick.node.lib.HeaderNames;
 import org.berylwick.node.lib.MeshVersion;
+import org.berylwick.node.lib.RequestClass;
 import org.berylwick.node.lib.Route;
 import org.berylwick.node.log.Instruments;
 
@@ -54,6 +55,7 @@
                 new CandidateChooser(chance),
                 budget,
                 new AnswerHabits(),
+                new CallerReturns(),
                 new GatherMemory(gatherBytes),
                 instruments.counters(),
                 instruments.log(),
@@ -95,8 +97,7 @@
                 request.body(),
                 route.serviceAt(context.chance().getAsDouble()),
                 context.callerService().get(),
-                route.kind(),
-                route.priority(),
+                RequestClass.of(route),
                 objective,
                 deadline,
                 0,
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryContext.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryContext.java
@@ -18,6 +18,7 @@
  * @param chooser chooses among them
  * @param budget for repeats
  * @param habits of answers
+ * @param returns which callers come back
  * @param memory for gathered answers
  * @param counters takes counts
  * @param log takes events
@@ -32,6 +33,7 @@
         CandidateChooser chooser,
         RetryBudget budget,
         AnswerHabits habits,
+        CallerReturns returns,
         GatherMemory memory,
         Counters counters,
         EventLog log,
--- a/org.berylwick.node/src/org/berylwick/node/call/PeerCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerCodec.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.Optional;
 import org.berylwick.node.lib.OwnerLoad;
+import org.berylwick.node.lib.RequestClass;
 import org.berylwick.node.lib.RouteKind;
 
 /**
@@ -12,12 +13,14 @@
  * are left, because clocks differ.
  */
 final class PeerCodec {
-    private static final int CALL_FIELDS = 9;
+    private static final int CALL_FIELDS = 10;
     private static final int OUTCOME_FIELDS = 8;
     private static final String ANSWERED = "answered";
     private static final String REFUSED = "refused";
     private static final String LOST = "lost";
 
+    private static final RouteKind[] KINDS = RouteKind.values();
+
     private PeerCodec() {}
 
     /** What an owner said of an attempt. */
@@ -41,6 +44,8 @@
                 + ';'
                 + call.priority()
                 + ';'
+                + call.like().objectiveMillis()
+                + ';'
                 + millis(call.objectiveAt() - now)
                 + ';'
                 + millis(call.deadlineAt() - now)
@@ -67,19 +72,18 @@
         }
         try {
             return Optional.of(new CallSpec(
-                    f[8],
+                    f[9],
                     head.method(),
                     head.uri(),
                     headers,
                     body,
                     f[0],
                     f[1],
-                    RouteKind.values()[Integer.parseInt(f[2])],
-                    Integer.parseInt(f[3]),
-                    now + Long.parseLong(f[4]) * 1_000_000,
+                    new RequestClass(KINDS[Integer.parseInt(f[2])], Integer.parseInt(f[3]), Integer.parseInt(f[4])),
                     now + Long.parseLong(f[5]) * 1_000_000,
-                    Long.parseLong(f[6]) * 1_000_000,
-                    Integer.parseInt(f[7])));
+                    now + Long.parseLong(f[6]) * 1_000_000,
+                    Long.parseLong(f[7]) * 1_000_000,
+                    Integer.parseInt(f[8])));
         } catch (NumberFormatException | IndexOutOfBoundsException e) {
             return Optional.empty();
         }
--- a/org.berylwick.node/src/org/berylwick/node/call/ServedShares.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/ServedShares.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.berylwick.node.lib.RequestClass;
 
 /**
  * Which part of the requests of each kind an owner could start of late; confined to the event loop.
@@ -16,7 +17,7 @@
     /** How far a kind of which nothing was served is put before one of which all was. */
     private static final double MOST_NANOS = 1.5e9;
 
-    private final Map<String, Counts> byKind = new HashMap<>();
+    private final Map<RequestClass, Counts> byKind = new HashMap<>();
 
     private static final class Counts {
         private double offered;
@@ -52,7 +53,7 @@
     }
 
     private Counts counts(CallSpec call, long now) {
-        Counts counts = byKind.computeIfAbsent(ServiceTimes.key(call), k -> new Counts());
+        Counts counts = byKind.computeIfAbsent(call.like(), k -> new Counts());
         counts.decay(now);
         return counts;
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/ServiceTimes.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/ServiceTimes.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.berylwick.node.lib.KindTime;
+import org.berylwick.node.lib.RequestClass;
 
 /** How long a backend server takes for each kind of request, learnt from its answers; confined to the event loop. */
 final class ServiceTimes {
@@ -16,21 +17,24 @@
     /** Weight of a new answer for the spread, which changes less and takes more answers to be seen. */
     private static final double NEW_SHARE_OF_SPREAD = 0.02;
 
+    /** Part of its objective that a request is taken to run before one was seen. */
+    private static final double OBJECTIVE_SHARE = 0.35;
+
     private static final long UNKNOWN_NANOS = 150_000_000L;
     /** Kinds that are told to others; a service has fewer. */
     private static final int MOST_TOLD = 8;
 
-    private final Map<String, Learnt> byKind = new HashMap<>();
+    private final Map<RequestClass, Learnt> byKind = new HashMap<>();
     private double overall;
     private int answers;
 
     private static final class Learnt {
-        private final CallSpec like;
+        private final RequestClass like;
         private double logMean;
         private double logVariance = KindTime.USUAL_SPREAD * KindTime.USUAL_SPREAD;
         private int answers;
 
-        Learnt(CallSpec like) {
+        Learnt(RequestClass like) {
             this.like = like;
         }
 
@@ -47,20 +51,20 @@
         }
 
         KindTime time() {
-            return new KindTime(like.kind(), like.priority(), (long) Math.exp(logMean), Math.sqrt(logVariance));
+            return new KindTime(like, (long) Math.exp(logMean), Math.sqrt(logVariance));
         }
     }
 
     void learn(CallSpec call, long nanos) {
-        byKind.computeIfAbsent(key(call), k -> new Learnt(call)).learn(nanos);
+        byKind.computeIfAbsent(call.like(), Learnt::new).learn(nanos);
         answers++;
         overall += Math.max(NEW_SHARE, 1.0 / answers) * (nanos - overall);
     }
 
     /** The time of a request like this one. */
     KindTime time(CallSpec call) {
-        Learnt learnt = byKind.get(key(call));
-        return learnt == null ? KindTime.ofMean(call.kind(), call.priority(), meanNanos()) : learnt.time();
+        Learnt learnt = byKind.get(call.like());
+        return learnt == null ? KindTime.ofMean(call.like(), unseenNanos(call.like())) : learnt.time();
     }
 
     /** The times of all kinds that were seen. */
@@ -74,13 +78,18 @@
         return times;
     }
 
-    /** Mean time of all requests. */
-    long meanNanos() {
-        return answers == 0 ? UNKNOWN_NANOS : (long) overall;
+    /** Without an answer yet the operators' objective tells most: nobody sets one that is mostly missed. */
+    private long unseenNanos(RequestClass like) {
+        if (answers > 0) {
+            return (long) overall;
+        }
+        return like.objectiveMillis() == 0
+                ? UNKNOWN_NANOS
+                : (long) (OBJECTIVE_SHARE * like.objectiveMillis() * 1_000_000);
     }
 
-    /** Requests of one kind, rank and service take alike; routes are too many to learn each. */
-    static String key(CallSpec call) {
-        return call.kind().ordinal() + "/" + call.priority();
+    /** Mean time of all requests, 0 before the first answer. */
+    long meanNanos() {
+        return (long) overall;
     }
 }
--- a/org.berylwick.node/src/org/berylwick/node/lib/KindTime.java
+++ b/org.berylwick.node/src/org/berylwick/node/lib/KindTime.java
@@ -1,15 +1,14 @@
 package org.berylwick.node.lib;
 
 /**
- * How long one backend server takes for requests of one kind and rank: a log-normal time, since most requests take
- * little and a few take several times as long.
+ * How long one backend server takes for requests of one class: a log-normal time, since most requests take little and a
+ * few take several times as long.
  *
- * @param kind what may be repeated
- * @param priority rank, 0 the highest
+ * @param like the requests
  * @param medianNanos half of the requests take less
  * @param spread standard deviation of the logarithm of the time
  */
-public record KindTime(RouteKind kind, int priority, long medianNanos, double spread) {
+public record KindTime(RequestClass like, long medianNanos, double spread) {
     /** The spread of times that were not seen yet; request times of services mostly have 0.4 to 1. */
     public static final double USUAL_SPREAD = 0.6;
     /** With less, the chance of being late would jump where the time is known no better than to some milliseconds. */
@@ -22,9 +21,9 @@
     }
 
     /** The time of a kind that was not seen, from its mean. */
-    public static KindTime ofMean(RouteKind kind, int priority, double meanNanos) {
+    public static KindTime ofMean(RequestClass like, double meanNanos) {
         double median = meanNanos / Math.exp(USUAL_SPREAD * USUAL_SPREAD / 2);
-        return new KindTime(kind, priority, (long) median, USUAL_SPREAD);
+        return new KindTime(like, (long) median, USUAL_SPREAD);
     }
 
     /** The mean time. */
@@ -43,6 +42,6 @@
 
     /** The same on a backend server that takes so many times as long. */
     public KindTime times(double factor) {
-        return new KindTime(kind, priority, (long) (medianNanos * factor), spread);
+        return new KindTime(like, (long) (medianNanos * factor), spread);
     }
 }
--- a/org.berylwick.node/src/org/berylwick/node/member/NodeStateCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/NodeStateCodec.java
@@ -8,11 +8,12 @@
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.KindTime;
 import org.berylwick.node.lib.OwnerLoad;
+import org.berylwick.node.lib.RequestClass;
 import org.berylwick.node.lib.RouteKind;
 
 /** The datagram between nodes: the sender's state and some addresses of other nodes. */
 public final class NodeStateCodec {
-    private static final int MAGIC = 0x4257_4e33;
+    private static final int MAGIC = 0x4257_4e34;
     private static final int FLAG_STORE = 1;
     private static final int FLAG_LEAVING = 2;
     private static final int FLAG_ANSWER_WANTED = 4;
@@ -28,10 +29,11 @@
         for (int i = 0; i < count; i++) {
             int kind = in.readUnsignedByte();
             int priority = in.readByte();
+            int objective = in.readInt();
             long median = in.readInt() * 1_000L;
             double spread = in.readUnsignedShort() / PER_MILLE;
             if (kind < KINDS.length && median > 0) {
-                times.add(new KindTime(KINDS[kind], priority, median, spread));
+                times.add(new KindTime(new RequestClass(KINDS[kind], priority, objective), median, spread));
             }
         }
         return times;
@@ -70,8 +72,9 @@
         writeText(s.incarnation(), out);
         out.writeByte(s.times().size());
         for (KindTime time : s.times()) {
-            out.writeByte(time.kind().ordinal());
-            out.writeByte(time.priority());
+            out.writeByte(time.like().kind().ordinal());
+            out.writeByte(time.like().priority());
+            out.writeInt(time.like().objectiveMillis());
             out.writeInt((int) (time.medianNanos() / 1_000));
             out.writeShort((int) (time.spread() * PER_MILLE));
         }
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/platform/JsonParserTest.java
@@ -0,0 +1,163 @@
+package org.berylwick.platform;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** Reads what another parser reads, and nothing else. */
+class JsonParserTest {
+    private static final ObjectMapper OTHER = new ObjectMapper();
+
+    private static Optional<JsonValue> read(String text) {
+        return JsonValue.read(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static JsonNode random(Random random, int depth) {
+        return switch (random.nextInt(depth > 4 ? 5 : 7)) {
+            case 0 -> OTHER.getNodeFactory().numberNode(random.nextLong());
+            case 1 -> OTHER.getNodeFactory().numberNode(random.nextGaussian() * Math.pow(10, random.nextInt(30) - 15));
+            case 2 -> OTHER.getNodeFactory().booleanNode(random.nextBoolean());
+            case 3 -> OTHER.getNodeFactory().nullNode();
+            case 4 -> OTHER.getNodeFactory().textNode(text(random));
+            case 5 -> {
+                ArrayNode array = OTHER.createArrayNode();
+                for (int i = random.nextInt(4); i > 0; i--) {
+                    array.add(random(random, depth + 1));
+                }
+                yield array;
+            }
+            default -> {
+                ObjectNode object = OTHER.createObjectNode();
+                for (int i = random.nextInt(4); i > 0; i--) {
+                    object.set(text(random), random(random, depth + 1));
+                }
+                yield object;
+            }
+        };
+    }
+
+    private static String text(Random random) {
+        StringBuilder text = new StringBuilder();
+        for (int i = random.nextInt(8); i > 0; i--) {
+            text.appendCodePoint(
+                    switch (random.nextInt(4)) {
+                        case 0 -> random.nextInt(0x20);
+                        case 1 -> "\"\\/{}[],:".charAt(random.nextInt(9));
+                        case 2 -> 0x80 + random.nextInt(0x700);
+                        default -> 0x10000 + random.nextInt(0x1000);
+                    });
+        }
+        return text.toString();
+    }
+
+    private static void assertSame(JsonNode expected, JsonValue seen) {
+        switch (expected.getNodeType()) {
+            case OBJECT -> {
+                assertEquals(expected.size(), seen.fields().size());
+                expected.properties().forEach(e -> assertSame(e.getValue(), seen.at(e.getKey())));
+            }
+            case ARRAY -> {
+                List<JsonValue> items = seen.items();
+                assertEquals(expected.size(), items.size());
+                for (int i = 0; i < items.size(); i++) {
+                    assertSame(expected.get(i), items.get(i));
+                }
+            }
+            case STRING -> assertEquals(Optional.of(expected.asText()), seen.text());
+            case NUMBER -> assertEquals(expected.asDouble(), seen.numberOr(Double.NaN));
+            case BOOLEAN -> assertEquals(expected.asBoolean(), seen.isTrue());
+            default -> assertTrue(!seen.isPresent());
+        }
+    }
+
+    @Property(tries = 2_000)
+    void readsWhatAnotherParserWrote(@ForAll long seed, @ForAll boolean spaced) throws IOException {
+        JsonNode written = random(new Random(seed), 0);
+        byte[] bytes = spaced
+                ? OTHER.writerWithDefaultPrettyPrinter().writeValueAsBytes(written)
+                : OTHER.writeValueAsBytes(written);
+        assertSame(written, JsonValue.read(bytes).orElseThrow());
+    }
+
+    /** What is cut off or changed is read alike by both, or by neither; the other one takes wider numbers. */
+    @Property(tries = 3_000)
+    void refusesWhatAnotherParserRefuses(@ForAll long seed, @ForAll @IntRange(max = 255) int to) throws IOException {
+        Random random = new Random(seed);
+        byte[] bytes = OTHER.writeValueAsBytes(random(random, 0));
+        if (random.nextBoolean()) {
+            bytes = Arrays.copyOf(bytes, random.nextInt(bytes.length + 1));
+        } else {
+            bytes[random.nextInt(bytes.length)] = (byte) to;
+        }
+        Optional<JsonValue> seen = JsonValue.read(bytes);
+        if (seen.isEmpty()) {
+            return;
+        }
+        JsonNode other = OTHER.reader()
+                .with(com.fasterxml.jackson.databind.DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                .readTree(new String(bytes, StandardCharsets.UTF_8));
+        assertSame(other, seen.get());
+    }
+
+    @Test
+    void objectGivesTheBytesThatItWasReadFrom() {
+        byte[] document =
+                "{\"a\": 1, \"spec\" : {\"x\": [1, {\"y\":\"}\"}] }, \"b\":2}".getBytes(StandardCharsets.UTF_8);
+        byte[] spec = JsonValue.read(document).orElseThrow().at("spec").bytes();
+        assertArrayEquals("{\"x\": [1, {\"y\":\"}\"}] }".getBytes(StandardCharsets.UTF_8), spec);
+    }
+
+    @Test
+    void whatIsNoDocumentIsRefused() {
+        for (String text : List.of(
+                "",
+                " ",
+                "{",
+                "[1,]",
+                "{\"a\":}",
+                "{\"a\" 1}",
+                "{a:1}",
+                "01",
+                "1.",
+                "-",
+                ".5",
+                "1e",
+                "tru",
+                "nul",
+                "\"a",
+                "\"\\x\"",
+                "\"\\u12\"",
+                "\"\n\"",
+                "1 2",
+                "{}x",
+                "[1 2]",
+                "'a'",
+                "+1",
+                "NaN",
+                "\"\\",
+                "\"\\\"")) {
+            assertEquals(Optional.empty(), read(text), text);
+        }
+    }
+
+    @Test
+    void writtenTextsAreReadAgain() {
+        String any = "a\"b\\c\u0001\u00e9\ud83d\ude00";
+        assertEquals(any, read(JsonText.quoted(any)).orElseThrow().text().orElseThrow());
+    }
+}
