Make the linter pass over the emulator and the call path

Change: what an entry knows of its callers is one record; kinds of requests are made by read, order and probe.

--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Deployment.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Deployment.java
@@ -2,8 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.Random;
+import org.berylwick.bench.emulate.RequestKind.Millis;
+import org.berylwick.bench.emulate.RequestKind.Work;
 import org.berylwick.node.lib.RouteKind;
 
 /**
@@ -60,67 +61,15 @@
             servers.add(new Server(names[z], "vault", 9, vaultSlowness[z]));
         }
         List<RequestKind> kinds = List.of(
-                new RequestKind(
-                        "lookup",
-                        "desk",
-                        RouteKind.IDEMPOTENT,
-                        2,
-                        512 * load,
-                        new RequestKind.Work(60, 0.8, 0.01, 5),
-                        200,
-                        500,
-                        1,
-                        0.3,
-                        1_500,
-                        0,
-                        1,
-                        Optional.of(new RequestKind.InnerCall("probe", 1, 0.7))),
-                new RequestKind(
-                        "order",
-                        "desk",
-                        RouteKind.NON_IDEMPOTENT,
-                        1,
-                        212 * load,
-                        new RequestKind.Work(78, 0.8, 0.01, 3),
-                        250,
-                        600,
-                        2,
-                        0.6,
-                        5_000,
-                        300,
-                        1,
-                        Optional.empty()),
-                new RequestKind(
-                        "upload",
-                        "vault",
-                        RouteKind.NON_IDEMPOTENT,
-                        1,
-                        61 * load,
-                        new RequestKind.Work(72, 0.3, 0.01, 5),
-                        300,
-                        800,
-                        2,
-                        0.6,
-                        5_000,
-                        60_000,
-                        1,
-                        Optional.empty()),
-                new RequestKind(
-                        "urgent",
-                        "vault",
-                        RouteKind.IDEMPOTENT,
-                        1,
-                        115 * load,
-                        new RequestKind.Work(24, 0.5, 0.01, 3),
-                        100,
-                        250,
-                        2,
-                        0.6,
-                        5_000,
-                        0,
-                        1,
-                        Optional.empty()),
-                probe("probe", "vault", 15));
+                RequestKind.read("lookup", "desk", 512 * load, new Work(60, 0.8, 0.01, 5), new Millis(200, 500))
+                        .withBytes(1_500, 0)
+                        .calling("probe", 1, 0.7),
+                RequestKind.order("order", "desk", 212 * load, new Work(78, 0.8, 0.01, 3), new Millis(250, 600)),
+                RequestKind.order("upload", "vault", 61 * load, new Work(72, 0.3, 0.01, 5), new Millis(300, 800))
+                        .withBytes(5_000, 60_000),
+                RequestKind.read("urgent", "vault", 115 * load, new Work(24, 0.5, 0.01, 3), new Millis(100, 250))
+                        .as(RouteKind.IDEMPOTENT, 1, 2, 0.6),
+                RequestKind.probe("probe", "vault", 15));
         return new Deployment(
                 List.of(new Zone("a", 0.30), new Zone("b", 0.29), new Zone("c", 0.41)),
                 servers,
@@ -149,53 +98,18 @@
         }
         servers.add(new Server("a", "board", 12, 1));
         List<RequestKind> kinds = List.of(
-                new RequestKind(
-                        "lookup",
-                        "board",
-                        RouteKind.IDEMPOTENT,
-                        2,
-                        137 * load,
-                        new RequestKind.Work(220, 0.6, 0.01, 5),
-                        600,
-                        4_000,
-                        1,
-                        0.3,
-                        5_000,
-                        0,
-                        2,
-                        Optional.of(new RequestKind.InnerCall("ledger", 2, 0.7))),
-                new RequestKind(
-                        "confirm",
-                        "books",
-                        RouteKind.NON_IDEMPOTENT,
-                        1,
-                        63 * load,
-                        new RequestKind.Work(290, 0.6, 0.01, 3),
-                        800,
-                        5_000,
-                        2,
-                        0.6,
-                        5_000,
-                        300,
-                        2,
-                        Optional.of(new RequestKind.InnerCall("probe", 2, 0.7))),
-                new RequestKind(
-                        "pull",
-                        "files",
-                        RouteKind.BULK,
-                        2,
-                        19 * load,
-                        new RequestKind.Work(180, 0.5, 0.01, 3),
-                        600,
-                        4_000,
-                        1,
-                        0.3,
-                        90_000,
-                        0,
-                        2,
-                        Optional.empty()),
-                probe("probe", "files", 55),
-                probe("ledger", "books", 55));
+                RequestKind.read("lookup", "board", 137 * load, new Work(220, 0.6, 0.01, 5), new Millis(600, 4_000))
+                        .withRetries(2)
+                        .calling("ledger", 2, 0.7),
+                RequestKind.order("confirm", "books", 63 * load, new Work(290, 0.6, 0.01, 3), new Millis(800, 5_000))
+                        .withRetries(2)
+                        .calling("probe", 2, 0.7),
+                RequestKind.read("pull", "files", 19 * load, new Work(180, 0.5, 0.01, 3), new Millis(600, 4_000))
+                        .as(RouteKind.BULK, 2, 1, 0.3)
+                        .withBytes(90_000, 0)
+                        .withRetries(2),
+                RequestKind.probe("probe", "files", 55),
+                RequestKind.probe("ledger", "books", 55));
         return new Deployment(zones, servers, kinds, 0.5, 1, 0.2, 58);
     }
 
@@ -217,66 +131,35 @@
         List<RequestKind> kinds = new ArrayList<>();
         int services = 1 + random.nextInt(3);
         for (int s = 0; s < services; s++) {
-            int count = 3 + random.nextInt(8);
-            int slots = 3 + random.nextInt(12);
-            double capacity = 0;
-            for (int i = 0; i < count; i++) {
-                double slowness = 0.6 + random.nextDouble();
-                servers.add(new Server("z" + random.nextInt(zoneCount), "s" + s, slots, slowness));
-                capacity += slots / slowness;
-            }
-            double mean = 20 + random.nextDouble() * 200;
-            double use = 0.4 + random.nextDouble() * 0.35;
-            long objective = (long) (mean * (2.5 + random.nextDouble() * 2));
-            kinds.add(new RequestKind(
-                    "read" + s,
-                    "s" + s,
-                    RouteKind.IDEMPOTENT,
-                    2,
-                    0.6 * use * capacity / mean * 1e3,
-                    new RequestKind.Work(mean, 0.3 + random.nextDouble() * 0.6, 0.01, 4),
-                    objective,
-                    (long) (objective * (2.2 + random.nextDouble() * 4)),
-                    1,
-                    0.3,
-                    2_000,
-                    0,
-                    1 + random.nextInt(2),
-                    Optional.empty()));
-            kinds.add(new RequestKind(
-                    "order" + s,
-                    "s" + s,
-                    RouteKind.NON_IDEMPOTENT,
-                    1,
-                    0.3 * use * capacity / mean * 1e3,
-                    new RequestKind.Work(mean * 1.3, 0.3 + random.nextDouble() * 0.6, 0.01, 3),
-                    (long) (objective * 1.3),
-                    objective * 3,
-                    2,
-                    0.6,
-                    4_000,
-                    300,
-                    1 + random.nextInt(2),
-                    Optional.empty()));
+            addService(s, zoneCount, random, servers, kinds);
         }
         return new Deployment(zones, servers, kinds, 0.5 + random.nextDouble(), 1 + random.nextInt(8), 0.2, 60);
     }
 
-    private static RequestKind probe(String name, String service, double millis) {
-        return new RequestKind(
-                name,
-                service,
-                RouteKind.IDEMPOTENT,
-                3,
-                0,
-                new RequestKind.Work(millis, 0.5, 0, 1),
-                (long) (millis * 4),
-                (long) (millis * 13),
-                0,
-                0,
-                1_000,
-                0,
-                0,
-                Optional.empty());
+    private static void addService(
+            int number, int zoneCount, Random random, List<Server> servers, List<RequestKind> kinds) {
+        String service = "s" + number;
+        int count = 3 + random.nextInt(8);
+        int slots = 3 + random.nextInt(12);
+        double capacity = 0;
+        for (int i = 0; i < count; i++) {
+            double slowness = 0.6 + random.nextDouble();
+            servers.add(new Server("z" + random.nextInt(zoneCount), service, slots, slowness));
+            capacity += slots / slowness;
+        }
+        double mean = 20 + random.nextDouble() * 200;
+        double use = 0.4 + random.nextDouble() * 0.35;
+        double rate = use * capacity / mean * 1e3;
+        long objective = (long) (mean * (2.5 + random.nextDouble() * 2));
+        Work read = new Work(mean, 0.3 + random.nextDouble() * 0.6, 0.01, 4);
+        Millis readMillis = new Millis(objective, (long) (objective * (2.2 + random.nextDouble() * 4)));
+        kinds.add(RequestKind.read("read" + number, service, 0.6 * rate, read, readMillis)
+                .withBytes(2_000, 0)
+                .withRetries(1 + random.nextInt(2)));
+        Work order = new Work(mean * 1.3, 0.3 + random.nextDouble() * 0.6, 0.01, 3);
+        Millis orderMillis = new Millis((long) (objective * 1.3), objective * 3);
+        kinds.add(RequestKind.order("order" + number, service, 0.3 * rate, order, orderMillis)
+                .withBytes(4_000, 300)
+                .withRetries(1 + random.nextInt(2)));
     }
 }
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedCaller.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedCaller.java
@@ -70,14 +70,7 @@
             return;
         }
         boolean refused = status == REFUSED;
-        if (refused) {
-            emulation.outcomes().onRefusal(emulation.clock().now() - sentAt - 2 * emulation.callerWayNanos());
-            if (request.runs() > 0) {
-                throw new IllegalStateException("refused as not run, though it ran: " + id);
-            }
-        } else if (request.runs() > 0) {
-            emulation.outcomes().onWastedRun();
-        }
+        account(request, refused);
         long left = deadlineAt - emulation.clock().now();
         boolean again =
                 attempts <= kind.callerRetries() && (refused || kind.kind().isRepeatable()) && left > 0;
@@ -95,6 +88,17 @@
         });
     }
 
+    private void account(EmulatedRequest request, boolean refused) {
+        if (refused) {
+            emulation.outcomes().onRefusal(emulation.clock().now() - sentAt - 2 * emulation.callerWayNanos());
+            if (request.runs() > 0) {
+                throw new IllegalStateException("refused as not run, though it ran: " + id);
+            }
+        } else if (request.runs() > 0) {
+            emulation.outcomes().onWastedRun();
+        }
+    }
+
     private void onDeadline() {
         if (over) {
             return;
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/RequestKind.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/RequestKind.java
@@ -46,6 +46,9 @@
      */
     public record Work(double meanMillis, double spread, double tailShare, double tailFactor) {}
 
+    /** How soon an answer is wanted, and until when a caller waits, from its first attempt. */
+    public record Millis(long objective, long deadline) {}
+
     /**
      * Calls that a run makes together; if one fails, the run does.
      *
@@ -54,4 +57,145 @@
      * @param share of the runs that make them
      */
     public record InnerCall(String kind, int times, double share) {}
+
+    /**
+     * A request that may be repeated, of the usual worth.
+     *
+     * @param millis latency objective and deadline
+     */
+    static RequestKind read(String name, String service, double perSecond, Work work, Millis millis) {
+        return new RequestKind(
+                name,
+                service,
+                RouteKind.IDEMPOTENT,
+                2,
+                perSecond,
+                work,
+                millis.objective(),
+                millis.deadline(),
+                1,
+                0.3,
+                5_000,
+                0,
+                1,
+                Optional.empty());
+    }
+
+    /**
+     * A request that must run once, of double worth and a higher rank.
+     *
+     * @param millis latency objective and deadline
+     */
+    static RequestKind order(String name, String service, double perSecond, Work work, Millis millis) {
+        return new RequestKind(
+                name,
+                service,
+                RouteKind.NON_IDEMPOTENT,
+                1,
+                perSecond,
+                work,
+                millis.objective(),
+                millis.deadline(),
+                2,
+                0.6,
+                5_000,
+                300,
+                1,
+                Optional.empty());
+    }
+
+    /** One that only runs make; its caller does not repeat it. */
+    static RequestKind probe(String name, String service, double meanMillis) {
+        return new RequestKind(
+                name,
+                service,
+                RouteKind.IDEMPOTENT,
+                3,
+                0,
+                new Work(meanMillis, 0.5, 0, 1),
+                (long) (meanMillis * 4),
+                (long) (meanMillis * 13),
+                0,
+                0,
+                1_000,
+                0,
+                0,
+                Optional.empty());
+    }
+
+    /** The same with another size. */
+    RequestKind withBytes(int answer, int body) {
+        return new RequestKind(
+                name,
+                service,
+                kind,
+                priority,
+                perSecond,
+                work,
+                objectiveMillis,
+                deadlineMillis,
+                worth,
+                lateWorth,
+                answer,
+                body,
+                callerRetries,
+                calls);
+    }
+
+    /** The same of another rank and worth, and of another kind of repeats. */
+    RequestKind as(RouteKind another, int rank, double full, double late) {
+        return new RequestKind(
+                name,
+                service,
+                another,
+                rank,
+                perSecond,
+                work,
+                objectiveMillis,
+                deadlineMillis,
+                full,
+                late,
+                answerBytes,
+                bodyBytes,
+                callerRetries,
+                calls);
+    }
+
+    /** The same with so many repeats by its callers. */
+    RequestKind withRetries(int retries) {
+        return new RequestKind(
+                name,
+                service,
+                kind,
+                priority,
+                perSecond,
+                work,
+                objectiveMillis,
+                deadlineMillis,
+                worth,
+                lateWorth,
+                answerBytes,
+                bodyBytes,
+                retries,
+                calls);
+    }
+
+    /** The same with calls that a part of its runs make. */
+    RequestKind calling(String called, int times, double share) {
+        return new RequestKind(
+                name,
+                service,
+                kind,
+                priority,
+                perSecond,
+                work,
+                objectiveMillis,
+                deadlineMillis,
+                worth,
+                lateWorth,
+                answerBytes,
+                bodyBytes,
+                callerRetries,
+                Optional.of(new InnerCall(called, times, share)));
+    }
 }
--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -118,9 +118,7 @@
         this.entry = CallPath.entry(
                 loop,
                 settings,
-                ports.headerNames(),
-                versions::version,
-                () -> service,
+                new CallPath.Callers(ports.headerNames(), versions::version, () -> service),
                 owner,
                 candidates,
                 budget,
--- a/org.berylwick.node/src/org/berylwick/node/call/CallPath.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallPath.java
@@ -17,6 +17,15 @@
     /** Part of the process's memory that gathered answers may hold. */
     private static final int GATHER_SHARE = 6;
 
+    /**
+     * What an entry knows of those that call.
+     *
+     * @param names headers that they know
+     * @param version in force
+     * @param service on this VM
+     */
+    public record Callers(HeaderNames names, Supplier<Optional<MeshVersion>> version, Supplier<String> service) {}
+
     private CallPath() {}
 
     /**
@@ -24,9 +33,7 @@
      *
      * @param loop all runs on it
      * @param settings of this node
-     * @param names headers that callers know
-     * @param version in force
-     * @param callerService service on this VM
+     * @param callers what is known of them
      * @param owner of the backend server beside this node
      * @param candidates lists nodes
      * @param budget for repeats
@@ -35,9 +42,7 @@
     public static EntryServer entry(
             EventLoop loop,
             NodeSettings settings,
-            HeaderNames names,
-            Supplier<Optional<MeshVersion>> version,
-            Supplier<String> callerService,
+            Callers callers,
             Owner owner,
             Candidates candidates,
             RetryBudget budget,
@@ -49,8 +54,8 @@
                         : owner.offer(call, listener);
         EntryCalls calls = new EntryCalls(
                 new EventLoopClock(loop),
-                names,
-                callerService,
+                callers.names(),
+                callers.service(),
                 starter,
                 candidates,
                 budget,
@@ -59,7 +64,7 @@
                 () -> ThreadLocalRandom.current().nextDouble());
         counters.gauge(NodeMetricNames.ENTRY_GATHERED_BYTES, calls::gatheredBytes);
         EntryServer entry = new EntryServer(
-                new EntryServices(version, calls, counters, instruments.log()), loop, settings.callers());
+                new EntryServices(callers.version(), calls, counters, instruments.log()), loop, settings.callers());
         counters.gauge(NodeMetricNames.ENTRY_CONNECTIONS, entry::size);
         counters.gauge(NodeMetricNames.ENTRY_PENDING, entry::pending);
         return entry;
