Send nothing early: a second attempt of a slow request is worth nothing

Cause: a repeatable request that was slow was sent to a second backend server at 0.6 of its objective, within a small part of the budget for repeats.

How long a request takes is its own, not the run's, and the second run takes a slot and makes its calls again.

Ruled out: that it saves requests from a backend server that fell silent. All tests of nodes pass without it; those are counted as lost before their deadline.

Change: a request has one attempt under way at most; the metric entry.hedged is gone.

--- a/org.berylwick.node/src/org/berylwick/node/call/EntryAttempt.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryAttempt.java
@@ -44,11 +44,6 @@
         return startedAt;
     }
 
-    /** Whether its answer has begun. */
-    boolean answering() {
-        return headers != null;
-    }
-
     void cancel() {
         if (over) {
             return;
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -3,16 +3,13 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import org.berylwick.node.lib.Clock;
-import org.berylwick.node.lib.OwnerLoad;
 import org.berylwick.node.lib.Route;
-import org.berylwick.node.lib.RouteKind;
 import org.berylwick.node.log.Event;
 import org.berylwick.node.log.NodeMetricNames;
 
@@ -33,11 +30,6 @@
     private static final double LONGEST_WAIT = 0.4;
     /** An owner's last word may still be on its way when the deadline has passed. */
     private static final long LAST_WORD_NANOS = 10_000_000L;
-    /** Part of the latency objective after which a repeatable request is sent to a second backend server. */
-    private static final double HEDGE_AT = 0.6;
-    /** Multiple of the usual time before which a request is not late. */
-    private static final double HEDGE_USUAL = 2.5;
-
     /** Part of the usual time that must be left for another run. */
     private static final double LEAST_TIME = 0.5;
 
@@ -55,9 +47,8 @@
     private final ReplySink sink;
     private final Set<String> tried = new HashSet<>();
     private final Set<String> busy = new HashSet<>();
-    private final List<EntryAttempt> live = new ArrayList<>();
+    private Optional<EntryAttempt> live = Optional.empty();
     private Clock.Alarm deadline;
-    private Clock.Alarm hedge;
     private int attempts;
     private int mayHaveRun;
     private int refusals;
@@ -122,9 +113,7 @@
             launch(choice.get(), now);
             return;
         }
-        if (live.isEmpty()) {
-            conclude();
-        }
+        conclude();
     }
 
     private Optional<CandidateChooser.Choice> choose(long now) {
@@ -147,49 +136,16 @@
         tried.add(candidate.key());
         CallSpec attempt = spec.forAttempt(attempts, choice.maxWaitNanos());
         EntryAttempt listener = new EntryAttempt(this, candidate, now);
-        live.add(listener);
+        live = Optional.of(listener);
         listener.use(context.starter().start(candidate, attempt, listener));
-        scheduleHedge(candidate.load());
-    }
-
-    private void scheduleHedge(OwnerLoad load) {
-        if (spec.kind() != RouteKind.IDEMPOTENT || hedge != null || route.objectiveNanos() == 0) {
-            return;
-        }
-        long usual = (long) (receivedAt + HEDGE_USUAL * load.meanNanos() + load.waitNanos());
-        long share = (long) (receivedAt + HEDGE_AT * route.objectiveNanos());
-        hedge = context.clock().at(Math.max(usual, share), this::hedge);
-    }
-
-    private void hedge() {
-        if (done || live.size() != 1 || streaming.isPresent() || live.get(0).answering()) {
-            return;
-        }
-        long now = context.clock().now();
-        Optional<CandidateChooser.Choice> choice = choose(now);
-        if (choice.isEmpty() || choice.get().candidate().suspect()) {
-            return;
-        }
-        Candidate candidate = choice.get().candidate();
-        boolean free = candidate.load().waitNanos(candidate.ahead()) == 0;
-        if (!free || !mayRunAgain(1) || !context.budget().tryEarlyRepeat(spec.service(), now)) {
-            return;
-        }
-        context.counters().add(NodeMetricNames.ENTRY_HEDGED);
-        repeatTaken = true;
-        launch(new CandidateChooser.Choice(candidate, 0), now);
-    }
-
-    private boolean mayRunAgain(int running) {
-        return mayHaveRun + running < Math.max(1, route.maxAttempts());
     }
 
     /** An attempt was not run. */
     void onRefused(EntryAttempt attempt, Refusal refusal) {
-        live.remove(attempt);
         if (done) {
             return;
         }
+        live = Optional.empty();
         refusals++;
         if (refusal.reason() == Refusal.Reason.BUSY
                 && busy.add(attempt.candidate().key())) {
@@ -206,7 +162,7 @@
         }
         if (refusal.reason() != Refusal.Reason.EXPIRED) {
             next(refusal.offered());
-        } else if (live.isEmpty()) {
+        } else {
             conclude();
         }
     }
@@ -225,11 +181,11 @@
 
     /** An attempt may have run, and brought nothing. */
     void onLost(EntryAttempt attempt, String cause) {
-        live.remove(attempt);
-        mayHaveRun++;
         if (done) {
             return;
         }
+        live = Optional.empty();
+        mayHaveRun++;
         lastCause = cause;
         note(attempt, "LOST");
         context.log()
@@ -248,11 +204,10 @@
 
     /** Sends it again after an attempt that may have run, if it may and can be; ends it otherwise. */
     private void retry() {
-        if (!live.isEmpty()) {
-            return;
-        }
         long enough = (long) (context.habits().expectedNanos(route) * LEAST_TIME);
-        if (spec.kind().isRepeatable() && mayRunAgain(0) && context.clock().now() + enough < spec.deadlineAt()) {
+        if (spec.kind().isRepeatable()
+                && mayHaveRun < Math.max(1, route.maxAttempts())
+                && context.clock().now() + enough < spec.deadlineAt()) {
             next(true);
         } else {
             conclude();
@@ -275,12 +230,12 @@
 
     /** A whole answer of a backend server. */
     void onAnswer(EntryAttempt attempt, int status, HttpHeaders headers, ByteBuf body) {
-        live.remove(attempt);
-        mayHaveRun++;
         if (done) {
             body.release();
             return;
         }
+        live = Optional.empty();
+        mayHaveRun++;
         if (status >= 500 && spec.kind().isRepeatable()) {
             lastCause = "status " + status;
             note(attempt, lastCause);
@@ -334,12 +289,6 @@
     /** An answer turned out too large to be gathered; it goes out as it comes. */
     void onStreaming(EntryAttempt attempt, int status, HttpHeaders headers) {
         streaming = Optional.of(attempt);
-        for (EntryAttempt other : List.copyOf(live)) {
-            if (other != attempt) {
-                live.remove(other);
-                other.cancel();
-            }
-        }
         sink.begin(status, headers);
     }
 
@@ -368,11 +317,10 @@
             return;
         }
         lastCause = lastCause.isEmpty() ? "deadline" : "deadline, before that " + lastCause;
-        for (EntryAttempt attempt : List.copyOf(live)) {
+        if (live.isPresent()) {
             mayHaveRun++;
-            attempt.cancel();
+            cancelLive();
         }
-        live.clear();
         conclude();
     }
 
@@ -422,17 +370,17 @@
         if (deadline != null) {
             deadline.cancel();
         }
-        if (hedge != null) {
-            hedge.cancel();
-        }
-        for (EntryAttempt attempt : List.copyOf(live)) {
-            attempt.cancel();
-        }
-        live.clear();
+        cancelLive();
         dropFailure();
         spec.body().release();
     }
 
+    private void cancelLive() {
+        Optional<EntryAttempt> attempt = live;
+        live = Optional.empty();
+        attempt.ifPresent(EntryAttempt::cancel);
+    }
+
     private void log(Event event, int status, String at) {
         if (event == Event.CALL_ANSWERED && attempts == 1 && context.chance().getAsDouble() >= 0.02) {
             return;
--- a/org.berylwick.node/src/org/berylwick/node/call/RetryBudget.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/RetryBudget.java
@@ -13,7 +13,7 @@
  * <p>The allowance is a ratio of requests plus a fixed slack for each window, over all nodes. Each node spends the
  * ratio of what it was sent itself and an equal part of the slack, so that no node has to ask another. Calls made by a
  * run that was a repeat count as repeats too, at the service that is called, and cannot be told apart from here: part
- * of the allowance is left to them, and repeats that only save time get a small part of it.
+ * of the allowance is left to them.
  */
 public final class RetryBudget {
     /**
@@ -27,8 +27,6 @@
      * 0.45, 633 arrivals beyond the first in 10 s where 569 were allowed, 340 of them calls of 170 repeats.
      */
     private static final double SHARE_SPENT_ON_FAILURES = 0.22;
-    /** Part that a repeat may take which only saves time: each makes calls of its own while the first goes on. */
-    private static final double SHARE_SPENT_EARLY = 0.12;
 
     /** In this time a node that could not read the list of nodes has heard most of them. */
     private static final long ALONE_NANOS = 2_000_000_000L;
@@ -73,11 +71,6 @@
         return take(service, SHARE_SPENT_ON_FAILURES, now);
     }
 
-    /** Takes one repeat of a request that is only slow, or says that none is left. */
-    public boolean tryEarlyRepeat(String service, long now) {
-        return take(service, SHARE_SPENT_EARLY, now);
-    }
-
     private boolean take(String service, double share, long now) {
         Window w = window(service);
         w.advance(now);
@@ -98,13 +91,6 @@
         return age < bounds.retryWindowNanos() ? part / 2 : part;
     }
 
-    /** Gives back a repeat that reached no backend server. */
-    public void giveBack(String service, long now) {
-        Window w = window(service);
-        w.advance(now);
-        w.repeats[w.at] = Math.max(0, w.repeats[w.at] - 1);
-    }
-
     private Window window(String service) {
         return byService.computeIfAbsent(service, s -> new Window(bounds.retryWindowNanos() / (BUCKETS - 1)));
     }
--- a/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
@@ -26,8 +26,6 @@
     public static final String ENTRY_ABANDONED = "entry.abandoned";
     /** Malformed or too large requests. */
     public static final String ENTRY_CALLER_FAULTS = "entry.caller_faults";
-    /** Second attempts of requests that were only slow. */
-    public static final String ENTRY_HEDGED = "entry.hedged";
     /** Repeats for which the budget had no room. */
     public static final String ENTRY_REPEATS_DENIED = "entry.repeats.denied";
     /** Attempts that owners refused, by reason. */
