Keep a backend server that answers, when its heartbeats do not come

Cause: found while measuring starts: with heartbeats held up for 9 s the owner took its backend server for gone at the first moment without a request under way, though it had answered all it was sent; its callers lost it until the next heartbeat.

Change: silence is counted from the last report or answer, whichever is later. One that is sent nothing and says nothing is gone as before.

--- a/org.berylwick.node/src/org/berylwick/node/call/Backend.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Backend.java
@@ -22,6 +22,7 @@
     private long sequence;
     private long warmAt;
     private long reportedAt;
+    private long answeredAt;
 
     Backend(BackendReport report, ServerConnections pool, long now) {
         this.incarnation = report.incarnation();
@@ -55,9 +56,9 @@
         return sequence;
     }
 
-    /** When it last reported. */
-    public long reportedAt() {
-        return reportedAt;
+    /** When it last reported or answered a request: heartbeats alone may be held up on the way. */
+    public long heardAt() {
+        return Math.max(reportedAt, answeredAt);
     }
 
     /** How much longer it is slow after its start. */
@@ -88,6 +89,12 @@
         return losses;
     }
 
+    /** It answered a request. */
+    void onAnswered(long now) {
+        losses.onAnswered(now);
+        answeredAt = now;
+    }
+
     ServiceTimes times() {
         return times;
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -31,7 +31,10 @@
     private static final int QUEUE_PER_SLOT = 8;
     /** Incarnations remembered after they left, so that a late heartbeat does not bring them back. */
     private static final int REMEMBERED_LEAVES = 64;
-    /** A backend server that reports nothing for this many of its intervals is no longer believed to be there. */
+    /**
+     * A backend server that reports and answers nothing for this many of its intervals is no longer believed to be
+     * there.
+     */
     private static final int MISSED_HEARTBEATS = 6;
     /** The same for one at which requests are overdue: either sign alone may be chance, both together are not. */
     private static final int MISSED_WHEN_OVERDUE = 2;
@@ -204,7 +207,7 @@
             return;
         }
         long missed = stuck ? MISSED_WHEN_OVERDUE : MISSED_HEARTBEATS;
-        if (now - known.reportedAt() > missed * heartbeatNanos) {
+        if (now - known.heardAt() > missed * heartbeatNanos) {
             known.fallSilent();
             tellChange(known);
             dispatch();
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -215,7 +215,7 @@
         }
         long now = clock.now();
         backend.times().learn(call, now - sentAt);
-        backend.losses().onAnswered(now);
+        backend.onAnswered(now);
         connection = null;
         finish();
         owner.counters().add(NodeMetricNames.OWNER_ANSWERED);
