Copy a kind of requests in one place

The emulator's kinds were copied field by field for each thing that one may change. Times, worth and sizes are records now, and one method copies.

--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Deployment.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Deployment.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Random;
 import org.berylwick.bench.emulate.RequestKind.Millis;
+import org.berylwick.bench.emulate.RequestKind.Value;
 import org.berylwick.bench.emulate.RequestKind.Work;
 import org.berylwick.node.lib.RouteKind;
 
@@ -68,7 +69,7 @@
                 RequestKind.order("upload", "vault", 61 * load, new Work(72, 0.3, 0.01, 5), new Millis(300, 800))
                         .withBytes(5_000, 60_000),
                 RequestKind.read("urgent", "vault", 115 * load, new Work(24, 0.5, 0.01, 3), new Millis(100, 250))
-                        .as(RouteKind.IDEMPOTENT, 1, 2, 0.6),
+                        .as(RouteKind.IDEMPOTENT, 1, new Value(2, 0.6)),
                 RequestKind.probe("probe", "vault", 15));
         return new Deployment(
                 List.of(new Zone("a", 0.30), new Zone("b", 0.29), new Zone("c", 0.41)),
@@ -105,7 +106,7 @@
                         .withRetries(2)
                         .calling("probe", 2, 0.7),
                 RequestKind.read("pull", "files", 19 * load, new Work(180, 0.5, 0.01, 3), new Millis(600, 4_000))
-                        .as(RouteKind.BULK, 2, 1, 0.3)
+                        .as(RouteKind.BULK, 2, new Value(1, 0.3))
                         .withBytes(90_000, 0)
                         .withRetries(2),
                 RequestKind.probe("probe", "files", 55),
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedAttempt.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedAttempt.java
@@ -35,8 +35,8 @@
 
     void start(Owner owner, CallSpec call, RequestKind kind) {
         member.onSent(this);
-        answerBytes = kind.answerBytes();
-        count(HEADER_BYTES + kind.bodyBytes());
+        answerBytes = kind.bytes().answer();
+        count(HEADER_BYTES + kind.bytes().body());
         emulation.clock().after(wayNanos, () -> {
             if (!over) {
                 there = Optional.of(owner.offer(call, this));
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedCaller.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedCaller.java
@@ -32,7 +32,7 @@
         this.node = node;
         this.kind = kind;
         this.askedAt = emulation.clock().now();
-        this.deadlineAt = askedAt + kind.deadlineMillis() * 1_000_000L;
+        this.deadlineAt = askedAt + kind.deadlineNanos();
         this.workNanos = emulation.drawWork(kind);
         this.makesCall = emulation.drawCall(kind);
         this.leaves = emulation.clock().at(deadlineAt, this::onDeadline);
@@ -66,7 +66,7 @@
         emulation.forget(id);
         if (status == 200) {
             long took = emulation.clock().now() - askedAt;
-            end(took <= kind.objectiveMillis() * 1_000_000L ? Outcomes.End.IN_TIME : Outcomes.End.LATE);
+            end(took <= kind.objectiveNanos() ? Outcomes.End.IN_TIME : Outcomes.End.LATE);
             return;
         }
         boolean refused = status == REFUSED;
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
@@ -185,7 +185,7 @@
         HttpHeaders headers = new DefaultHttpHeaders();
         headers.set(Emulation.NAMES.requestId(), id);
         headers.set(Emulation.NAMES.deadline(), leftNanos / 1_000_000);
-        ByteBuf body = Unpooled.wrappedBuffer(new byte[kind.bodyBytes()]);
+        ByteBuf body = Unpooled.wrappedBuffer(new byte[kind.bytes().body()]);
         MeshVersion version = emulation.version();
         EntryCalls.CallerRequest request =
                 new EntryCalls.CallerRequest(HttpMethod.GET, "/" + kind.name() + "/x", headers, body);
@@ -199,7 +199,7 @@
     Runnable callInner(String kindName, long leftNanos, Consumer<Boolean> onAnswer) {
         RequestKind kind = emulation.kind(kindName);
         String id = emulation.draw(kind);
-        long left = Math.min(leftNanos, kind.deadlineMillis() * 1_000_000L);
+        long left = Math.min(leftNanos, kind.deadlineNanos());
         EmulatedSink sink = new EmulatedSink((status, retryAfter) -> {
             emulation.forget(id);
             onAnswer.accept(status == 200);
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedServer.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedServer.java
@@ -105,11 +105,11 @@
         private void onWorked(String id, EmulatedRequest asked, long left) {
             Optional<RequestKind.InnerCall> call = asked.kind().calls();
             if (call.isEmpty() || !asked.makesCall()) {
-                answer(id, 200, asked.kind().answerBytes(), false);
+                answer(id, 200, asked.kind().bytes().answer(), false);
                 return;
             }
             InnerCalls calls = new InnerCalls(
-                    good -> answer(id, good ? 200 : 500, asked.kind().answerBytes(), false));
+                    good -> answer(id, good ? 200 : 500, asked.kind().bytes().answer(), false));
             abandonCall = Optional.of(calls::abandon);
             calls.make(call.get(), left);
         }
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Emulation.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Emulation.java
@@ -59,8 +59,8 @@
                             kind.name(),
                             "/" + kind.name() + "/",
                             kind.kind(),
-                            kind.deadlineMillis() * 1_000_000L,
-                            kind.objectiveMillis() * 1_000_000L,
+                            kind.deadlineNanos(),
+                            kind.objectiveNanos(),
                             2,
                             kind.priority(),
                             List.of(new WeightedService(kind.service(), 1))));
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Outcomes.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Outcomes.java
@@ -81,15 +81,15 @@
                 byKind.computeIfAbsent(kind.name(), k -> new Tally()),
                 byWindow.computeIfAbsent(askedAt / WINDOW_NANOS, w -> new Tally()))) {
             tally.asked++;
-            tally.owed += kind.worth();
+            tally.owed += kind.value().full();
             switch (end) {
                 case IN_TIME -> {
                     tally.inTime++;
-                    tally.earned += kind.worth();
+                    tally.earned += kind.value().full();
                 }
                 case LATE -> {
                     tally.late++;
-                    tally.earned += kind.lateWorth();
+                    tally.earned += kind.value().late();
                 }
                 case REFUSED -> tally.refused++;
                 case REFUSED_AGAIN -> {
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/RequestKind.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/RequestKind.java
@@ -12,12 +12,9 @@
  * @param priority rank, 0 the highest
  * @param perSecond that callers of all zones send together; 0 for calls that only runs make
  * @param work of a run, on a backend server of usual speed
- * @param objectiveMillis latency objective, from the caller's first attempt
- * @param deadlineMillis that a caller waits
- * @param worth of an answer within its objective
- * @param lateWorth of a later one
- * @param answerBytes of an answer
- * @param bodyBytes of a request
+ * @param millis until an answer is wanted, and until a caller leaves
+ * @param value of an answer
+ * @param bytes of an answer and of a request
  * @param callerRetries that a caller makes by itself
  * @param calls that a part of the runs make before they end
  */
@@ -28,14 +25,13 @@
         int priority,
         double perSecond,
         Work work,
-        long objectiveMillis,
-        long deadlineMillis,
-        double worth,
-        double lateWorth,
-        int answerBytes,
-        int bodyBytes,
+        Millis millis,
+        Value value,
+        Bytes bytes,
         int callerRetries,
         Optional<InnerCall> calls) {
+    private static final Bytes USUAL_BYTES = new Bytes(5_000, 0);
+
     /**
      * How long runs take: log-normal, and a few much longer.
      *
@@ -46,9 +42,15 @@
      */
     public record Work(double meanMillis, double spread, double tailShare, double tailFactor) {}
 
-    /** How soon an answer is wanted, and until when a caller waits, from its first attempt. */
+    /** Latency objective and deadline, from a caller's first attempt. */
     public record Millis(long objective, long deadline) {}
 
+    /** What an answer within its objective is worth, and a later one. */
+    public record Value(double full, double late) {}
+
+    /** Sizes of bodies. */
+    public record Bytes(int answer, int body) {}
+
     /**
      * Calls that a run makes together; if one fails, the run does.
      *
@@ -58,11 +60,7 @@
      */
     public record InnerCall(String kind, int times, double share) {}
 
-    /**
-     * A request that may be repeated, of the usual worth.
-     *
-     * @param millis latency objective and deadline
-     */
+    /** A request that may be repeated, of the usual worth. */
     static RequestKind read(String name, String service, double perSecond, Work work, Millis millis) {
         return new RequestKind(
                 name,
@@ -71,131 +69,59 @@
                 2,
                 perSecond,
                 work,
-                millis.objective(),
-                millis.deadline(),
-                1,
-                0.3,
-                5_000,
-                0,
+                millis,
+                new Value(1, 0.3),
+                USUAL_BYTES,
                 1,
                 Optional.empty());
     }
 
-    /**
-     * A request that must run once, of double worth and a higher rank.
-     *
-     * @param millis latency objective and deadline
-     */
+    /** A request that must run once, of double worth and a higher rank. */
     static RequestKind order(String name, String service, double perSecond, Work work, Millis millis) {
-        return new RequestKind(
-                name,
-                service,
-                RouteKind.NON_IDEMPOTENT,
-                1,
-                perSecond,
-                work,
-                millis.objective(),
-                millis.deadline(),
-                2,
-                0.6,
-                5_000,
-                300,
-                1,
-                Optional.empty());
+        return read(name, service, perSecond, work, millis)
+                .as(RouteKind.NON_IDEMPOTENT, 1, new Value(2, 0.6))
+                .withBytes(5_000, 300);
     }
 
     /** One that only runs make; its caller does not repeat it. */
     static RequestKind probe(String name, String service, double meanMillis) {
-        return new RequestKind(
-                name,
-                service,
-                RouteKind.IDEMPOTENT,
-                3,
-                0,
-                new Work(meanMillis, 0.5, 0, 1),
-                (long) (meanMillis * 4),
-                (long) (meanMillis * 13),
-                0,
-                0,
-                1_000,
-                0,
-                0,
-                Optional.empty());
+        Millis millis = new Millis((long) (meanMillis * 4), (long) (meanMillis * 13));
+        return read(name, service, 0, new Work(meanMillis, 0.5, 0, 1), millis)
+                .as(RouteKind.IDEMPOTENT, 3, new Value(0, 0))
+                .withBytes(1_000, 0)
+                .withRetries(0);
     }
 
-    /** The same with another size. */
-    RequestKind withBytes(int answer, int body) {
-        return new RequestKind(
-                name,
-                service,
-                kind,
-                priority,
-                perSecond,
-                work,
-                objectiveMillis,
-                deadlineMillis,
-                worth,
-                lateWorth,
-                answer,
-                body,
-                callerRetries,
-                calls);
+    /** The same of another kind, rank and worth. */
+    RequestKind as(RouteKind another, int rank, Value worth) {
+        return copy(another, rank, worth, bytes, callerRetries, calls);
     }
 
-    /** The same of another rank and worth, and of another kind of repeats. */
-    RequestKind as(RouteKind another, int rank, double full, double late) {
-        return new RequestKind(
-                name,
-                service,
-                another,
-                rank,
-                perSecond,
-                work,
-                objectiveMillis,
-                deadlineMillis,
-                full,
-                late,
-                answerBytes,
-                bodyBytes,
-                callerRetries,
-                calls);
+    /** The same with bodies of another size. */
+    RequestKind withBytes(int answer, int body) {
+        return copy(kind, priority, value, new Bytes(answer, body), callerRetries, calls);
     }
 
     /** The same with so many repeats by its callers. */
     RequestKind withRetries(int retries) {
-        return new RequestKind(
-                name,
-                service,
-                kind,
-                priority,
-                perSecond,
-                work,
-                objectiveMillis,
-                deadlineMillis,
-                worth,
-                lateWorth,
-                answerBytes,
-                bodyBytes,
-                retries,
-                calls);
+        return copy(kind, priority, value, bytes, retries, calls);
     }
 
     /** The same with calls that a part of its runs make. */
     RequestKind calling(String called, int times, double share) {
-        return new RequestKind(
-                name,
-                service,
-                kind,
-                priority,
-                perSecond,
-                work,
-                objectiveMillis,
-                deadlineMillis,
-                worth,
-                lateWorth,
-                answerBytes,
-                bodyBytes,
-                callerRetries,
-                Optional.of(new InnerCall(called, times, share)));
+        return copy(kind, priority, value, bytes, callerRetries, Optional.of(new InnerCall(called, times, share)));
+    }
+
+    private RequestKind copy(
+            RouteKind another, int rank, Value worth, Bytes size, int retries, Optional<InnerCall> inner) {
+        return new RequestKind(name, service, another, rank, perSecond, work, millis, worth, size, retries, inner);
+    }
+
+    long objectiveNanos() {
+        return millis.objective() * 1_000_000L;
+    }
+
+    long deadlineNanos() {
+        return millis.deadline() * 1_000_000L;
     }
 }
