Test that what a backend server loses keeps requests from it

Without the share that is lost in the choice no emulated load failed its check: none had one backend server worse than the others. With it one order in 150 fails where one of nine backend servers loses half of its answers, without it one in ten.

--- a/org.berylwick.test/tst/org/berylwick/bench/emulate/DecisionsUnderLoadTest.java
+++ b/org.berylwick.test/tst/org/berylwick/bench/emulate/DecisionsUnderLoadTest.java
@@ -155,6 +155,20 @@
         }
     }
 
+    /**
+     * One backend server of nine loses half of its answers: soon it is sent little, and one order in 150 fails for it;
+     * one in ten where what it loses does not count.
+     */
+    @Test
+    void backendServerThatLosesHalfIsLeftAlone() {
+        try (Emulation e = new Emulation(Deployment.shortObjectives(1), SEED)) {
+            e.run(4);
+            e.lose("desk", 1, 0.5);
+            e.run(8);
+            assertAtMost(0.01, e.outcomes().of("order").failedShare(), "orders failed");
+        }
+    }
+
     /** Deployments that nobody chose: where there is room, nobody is refused and nearly all is served in time. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
