--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulateMeasurement.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulateMeasurement.java
@@ -25,6 +25,7 @@
                 new Scenario("short.shed", Deployment.shortObjectives(1.25), e -> shed(e, "desk")),
                 new Scenario("short.slow", shortOnes, e -> slow(e, "desk")),
                 new Scenario("short.away", shortOnes, e -> away(e, "vault")),
+                new Scenario("short.left", shortOnes, e -> left(e, "vault")),
                 new Scenario("short.lost", shortOnes, e -> lost(e, "desk")),
                 new Scenario("long.calm", longOnes, e -> e.run(CALM_SECONDS)),
                 new Scenario("long.burst", longOnes, e -> burst(e, 1.7)),
@@ -64,6 +65,13 @@
         e.run(10);
     }
 
+    /** Two leave: with three, the one that is left has room for a third of its service. */
+    private static void left(Emulation e, String service) {
+        e.run(4);
+        e.away(service, 2, true);
+        e.run(10);
+    }
+
     private static void lost(Emulation e, String service) {
         e.run(4);
         e.lose(service, 4, 0.1);
