Name the node that a call waited for at its deadline

Change: the trail of a call that ends by its deadline ends with the node it waited for, as PENDING. The test failed without it.

The cause of the 504s is open.

--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -317,10 +317,11 @@
             return;
         }
         lastCause = lastCause.isEmpty() ? "deadline" : "deadline, before that " + lastCause;
-        if (live.isPresent()) {
+        live.ifPresent(a -> {
             mayHaveRun++;
-            cancelLive();
-        }
+            note(a, "PENDING");
+        });
+        cancelLive();
         conclude();
     }
 
--- a/org.berylwick.test/tst/org/berylwick/node/SilentNodeTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/SilentNodeTest.java
@@ -63,4 +63,27 @@
             assertTrue(System.nanoTime() - before < 10_000_000_000L, "it waited for its deadline");
         }
     }
+
+    /**
+     * A call that ends by its deadline names the node that it waited for; without that its cause is anybody's guess.
+     */
+    @Test
+    void callThatEndsByItsDeadlineNamesTheNodeItWaitedFor() throws IOException {
+        try (NodeRig rig = new NodeRig();
+                DatagramSocket socket = new DatagramSocket(rig.gossip(9));
+                ServerSocket mute = new ServerSocket(
+                        rig.peers(9).getPort(), 10, rig.peers(9).getAddress())) {
+            rig.configuration.accept(NodeRig.version(
+                    1, b -> b.route(NodeRig.HOST, NodeRig.route("quick", "/quick/", RouteKind.NON_IDEMPOTENT, 300))));
+            rig.start(1, Optional.empty());
+            rig.awaitReady(1);
+            tell(rig, socket, 1);
+            Await.until("node 9 is known", () -> rig.logged().contains("i-9"), rig::logged);
+            String answer = rig.send(1, NodeRig.request("POST", "/quick/x", "a2", 20_000, ""));
+            assertTrue(answer.startsWith("HTTP/1.1 504"), answer);
+            String named = rig.ip(9) + "=PENDING";
+            Await.until("the log names it", () -> rig.logged().contains(named), rig::logged);
+            assertTrue(mute.isBound());
+        }
+    }
 }
