Tell how long a suspected node was unheard, and what waits to leave an owner

The logs of the incident tell that an entry took live nodes for silent, and not for how long each had not been heard; no figure tells whether an owner refused for want of slots that were held by answers still leaving, or for want of slots at work.

MEMBER_SUSPECTED gets unheardMs; owner.answering counts runs whose answer has begun and whose slot is held until it ends; peers.unsent.bytes is what the system has not taken of the answers to other nodes. No decision uses them. NodePagesTest and AnswerPathTest ran green.

--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -201,6 +201,8 @@
 
     private void gauges() {
         counters.gauge(NodeMetricNames.OWNER_RUNNING, () -> owner.load().running());
+        counters.gauge(NodeMetricNames.OWNER_ANSWERING, owner::answering);
+        counters.gauge(NodeMetricNames.PEERS_UNSENT_BYTES, peers::unsentBytes);
         counters.gauge(NodeMetricNames.OWNER_QUEUED, () -> owner.load().queued());
         counters.gauge(NodeMetricNames.OWNER_SLOTS, () -> owner.load().slots());
         counters.gauge(NodeMetricNames.OWNER_MEAN_US, () -> owner.load().meanNanos() / 1_000);
@@ -339,7 +341,16 @@
 
     private void onSuspected(Member member, String cause) {
         counters.add(NodeMetricNames.MEMBERS_SUSPECTED);
-        log.write(Event.MEMBER_SUSPECTED, "ip", member.ip(), "cause", cause, "failures", member.failures());
+        log.write(
+                Event.MEMBER_SUSPECTED,
+                "ip",
+                member.ip(),
+                "cause",
+                cause,
+                "failures",
+                member.failures(),
+                "unheardMs",
+                (System.nanoTime() - member.heardAt()) / 1_000_000);
     }
 
     private SmallHttpServer.Answer answerHeartbeat(SmallHttpServer.Question question) {
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -238,6 +238,17 @@
         refuseQueue(Refusal.Reason.LEAVING);
     }
 
+    /** Requests that run here and whose answer has begun. */
+    public int answering() {
+        int count = 0;
+        for (OwnerRun run : running) {
+            if (run.isAnswering()) {
+                count++;
+            }
+        }
+        return count;
+    }
+
     /** Requests that run or wait here. */
     public int pending() {
         return running.size() + waiting();
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -92,6 +92,10 @@
         return sentAt != 0 && !headPassed && now - sentAt > usual;
     }
 
+    boolean isAnswering() {
+        return headPassed;
+    }
+
     boolean canMeetObjective(long now) {
         return now + medianNanos <= call.objectiveAt();
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/PeerServer.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerServer.java
@@ -4,11 +4,14 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongFunction;
 import org.berylwick.node.transport.IncomingLink;
 import org.berylwick.node.transport.ReceiveWindow;
@@ -24,6 +27,7 @@
     private final Owner owner;
     private final IncomingLink link;
     private final LongFunction<Optional<byte[]>> delivery;
+    private final Set<Channel> connections = new HashSet<>();
     private Channel listener;
 
     /**
@@ -59,12 +63,24 @@
                         channel.pipeline()
                                 .addLast(new HttpServerCodec(MAX_HEADER_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES));
                         channel.pipeline().addLast(new PeerHandler(owner, link, delivery));
+                        connections.add(channel);
+                        channel.closeFuture().addListener(f -> connections.remove(channel));
                     }
                 });
         ReceiveWindow.limit(server, link);
         listener = server.bind(address).syncUninterruptibly().channel();
     }
 
+    /** Bytes of answers that the system has not taken yet. */
+    public long unsentBytes() {
+        long bytes = 0;
+        for (Channel channel : connections) {
+            ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+            bytes += buffer == null ? 0 : buffer.totalPendingWriteBytes();
+        }
+        return bytes;
+    }
+
     @Override
     public void close() {
         if (listener != null) {
--- a/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
@@ -46,6 +46,12 @@
     public static final String OWNER_REFUSED_BY_REASON = "owner.refused.";
     /** Running at the backend server here. */
     public static final String OWNER_RUNNING = "owner.running";
+    /** Of those running, the ones whose answer has begun: their slot is held until it has ended. */
+    public static final String OWNER_ANSWERING = "owner.answering";
+    /**
+     * Of answers to other nodes, not yet taken by the system: they wait for the link, or for a node that does not read.
+     */
+    public static final String PEERS_UNSENT_BYTES = "peers.unsent.bytes";
     /** Waiting here for a slot. */
     public static final String OWNER_QUEUED = "owner.queued";
     /** Slots of the backend server here. */
