Reproduce the request that is given up at an unheard node: red

What callers see: 502 of ours within half a second, 4 s before their deadline, while a backend server works on the request. Node 9 of the rig tells of itself once and is not heard again; the request is accepted on a new connection and answered 1.2 s later. The entry ended it at the next round of datagrams: 'HTTP/1.1 502 Bad Gateway'.

--- a/org.berylwick.test/tst/org/berylwick/node/SilentNodeTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/SilentNodeTest.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.berylwick.node.lib.RouteKind;
 import org.berylwick.testing.Await;
 import org.berylwick.testing.RawServer;
@@ -17,6 +18,10 @@
 @Timeout(60)
 class SilentNodeTest {
     private static final int LINK_MBPS = 100;
+    /** Longer than a node of a fleet of two may be unheard. */
+    private static final int SILENCE_MILLIS = 2_500;
+    /** Longer than a round of datagrams, after which unheard nodes are looked for. */
+    private static final int WORK_MILLIS = 1_200;
 
     @Test
     void repeatableRequestLeavesANodeThatLostPower() throws IOException, InterruptedException {
@@ -40,6 +45,30 @@
         }
     }
 
+    /** A node whose datagrams are lost, as on a full link, but which has a request at work: its answer is passed on. */
+    @Test
+    void requestStaysAtAnUnheardNodeWhenNoOtherCanRunIt() throws Exception {
+        try (NodeRig rig = new NodeRig();
+                ScriptedPeer unheard = new ScriptedPeer(rig)) {
+            rig.configuration.accept(NodeRig.version(1));
+            rig.start(1, Optional.empty());
+            rig.awaitReady(1);
+            unheard.announce(LINK_MBPS);
+            NodeRig.sleep(SILENCE_MILLIS);
+            CompletableFuture<String> answer = callLater(rig, "GET", "/read/x", "b1");
+            try (ScriptedPeer.Call call = unheard.accept()) {
+                call.head();
+                NodeRig.sleep(WORK_MILLIS);
+                call.answer("b1", "late but whole");
+                assertTrue(answer.join().endsWith("late but whole"), answer.join());
+            }
+        }
+    }
+
+    private static CompletableFuture<String> callLater(NodeRig rig, String method, String path, String id) {
+        return CompletableFuture.supplyAsync(() -> rig.call(1, method, path, id, ""));
+    }
+
     /**
      * A call that ends by its deadline names the node that it waited for; without that its cause is anybody's guess.
      */
