Reproduce the slot that a large answer holds while it leaves: red

What callers see: 503 for calls of 50 ms at a backend server that has nothing to do. A node asks an owner on a narrow link for an answer of 6 MB and reads nothing of it; the owner stops reading from its backend server when the connection is not writable, so that the one slot stays taken, and the next request is refused.

--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/node/LargeAnswerTest.java
@@ -0,0 +1,57 @@
+package org.berylwick.node;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import org.berylwick.node.lib.RouteKind;
+import org.berylwick.testing.Await;
+import org.berylwick.testing.RawServer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Answers that are large for the link of the VM that makes them. */
+@Timeout(60)
+class LargeAnswerTest {
+    private static final double NARROW_MBPS = 30;
+    /** More than the system takes for a connection whose other end does not read. */
+    private static final int LENGTH = 6_000_000;
+
+    private static final int RECEIVE_BYTES = 4_096;
+    private static final String LARGE = "x".repeat(LENGTH);
+
+    private static RawServer server() {
+        return new RawServer((c, r) -> c.write(NodeRig.answerTo(r, r.path().startsWith("/bulk/") ? LARGE : "small")));
+    }
+
+    /** Asks an owner for a large answer as another node would, and reads nothing of it. */
+    private static Socket askAsNode(NodeRig rig, int owner, String id) throws IOException {
+        Socket node = new Socket();
+        node.setReceiveBufferSize(RECEIVE_BYTES);
+        node.connect(rig.peers(owner));
+        String call = "work;caller;" + RouteKind.BULK.ordinal() + ";1;600;5000;9000;0;1;" + id;
+        node.getOutputStream()
+                .write(("GET /bulk/x HTTP/1.1\r\nbw-call: " + call + "\r\nx-request-id: " + id + "\r\n\r\n")
+                        .getBytes(StandardCharsets.ISO_8859_1));
+        return node;
+    }
+
+    /** Guards against calls refused for want of a slot that only the link, or a slow reader, keeps from being free. */
+    @Test
+    void slotIsFreeWhileALargeAnswerLeaves() throws IOException {
+        try (RawServer server = server();
+                NodeRig rig = new NodeRig()) {
+            rig.configuration.accept(NodeRig.version(1));
+            rig.startOnLink(1, server, 1, NARROW_MBPS);
+            rig.awaitReady(1);
+            try (Socket node = askAsNode(rig, 1, "l1")) {
+                Await.until("it runs", () -> server.runs("l1") == 1, rig::logged);
+                NodeRig.sleep(500);
+                String small = rig.call(1, "GET", "/read/x", "s1", "");
+                assertTrue(small.endsWith("small"), small);
+                assertTrue(node.isConnected());
+            }
+        }
+    }
+}
--- a/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
+++ b/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
@@ -14,6 +14,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -44,10 +45,13 @@
     static final HeaderNames NAMES = new HeaderNames(
             "x-request-id", "x-deadline", "x-signature", "x-target", "x-load", "x-not-run", "x-caller", "x-instance");
 
+    private static final double WIDE_MBPS = 1_000;
+
     static final String HOST = "shop.example";
     private static final AtomicInteger NEXT_NET = new AtomicInteger(1);
 
     final MemoryConfiguration configuration = new MemoryConfiguration();
+    private final Map<Integer, Double> linkMbps = new HashMap<>();
     private final int net = NEXT_NET.getAndIncrement() % 250 + 1;
     private final int[] ports = freePorts();
     private final List<Node> nodes = new ArrayList<>();
@@ -87,6 +91,12 @@
         return node;
     }
 
+    /** Starts a node whose VM has a narrow link, as its settings say; the loopback link is wide. */
+    Node startOnLink(int number, RawServer backend, int slots, double mbps) {
+        linkMbps.put(number, mbps);
+        return start(number, "zone-a", Optional.of(backend), slots);
+    }
+
     /** Starts a node beside a backend server that has not announced itself to it. */
     Node startUnreported(int number, RawServer backend) {
         return startUnreported(number, "zone-a", Optional.of(backend));
@@ -287,7 +297,7 @@
                 1_500_000_000L,
                 1,
                 200,
-                1000,
+                linkMbps.getOrDefault(number, WIDE_MBPS),
                 new Bounds(2_000_000_000L, 6_000_000_000L, 2_000_000_000L, 0.2, 10_000_000_000L, 60));
     }
 
