Let a request go on at a node that is not heard, beside its repeat

Cause: an entry ended all that waited for a node when no datagram and no byte of an answer had come from it for 3.5 rounds, whenever the request had been sent. A datagram is what a full link drops first, so the busiest owners fell silent first, and requests that had just been accepted there on new connections were ended at the next round. The class: a suspicion taken for a fact. Ruled out by the same logs: the stop of the node (nothing pending, 144 ms later) and the owner (no RUN_FAILED).

Now a suspicion ends nothing. A request that has waited for 0.5 s at a node that is not heard is repeated if it may be and the budget has room, and the first attempt goes on beside the repeat: whichever answer comes first counts, and if the repeat is refused or lost the request waits for the first. What must run once stays where it is. ATTEMPT_UNHEARD tells of it.

SilentNodeTest and NodePagesTest were run.

--- a/org.berylwick.node/src/org/berylwick/node/call/AttemptListener.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/AttemptListener.java
@@ -30,4 +30,7 @@
 
     /** No whole answer will come, and the request may have run. */
     void onLost(String cause);
+
+    /** Nothing was heard of the attempt's node for a while; the attempt goes on. May be told more than once. */
+    default void onUnheard() {}
 }
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryAttempt.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryAttempt.java
@@ -134,6 +134,13 @@
         call.onLost(this, cause);
     }
 
+    @Override
+    public void onUnheard() {
+        if (!over) {
+            call.onUnheard(this);
+        }
+    }
+
     private void end() {
         over = true;
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -17,7 +17,8 @@
  * One request of a caller from its last byte to its final answer; confined to the event loop.
  *
  * <p>It is sent again after an attempt that was not run, whatever its kind; after one that may have run only if it is
- * repeatable and the fleet's budget for repeats has room.
+ * repeatable and the fleet's budget for repeats has room. An attempt at a node that is no longer heard may still be
+ * answered: it goes on beside the repeat, and the first good answer counts.
  */
 final class EntryCall implements CallerCall {
     /** Owners that refuse cost a round trip each; after so many the fleet is full. */
@@ -48,6 +49,9 @@
     private final Set<String> tried = new HashSet<>();
     private final Set<String> busy = new HashSet<>();
     private Optional<EntryAttempt> live = Optional.empty();
+    /** The attempt before, at a node that is not heard. */
+    private Optional<EntryAttempt> unheard = Optional.empty();
+
     private Clock.Alarm deadline;
     private int attempts;
     private int mayHaveRun;
@@ -145,7 +149,11 @@
         if (done) {
             return;
         }
-        live = Optional.empty();
+        if (leavesOther(attempt)) {
+            mayHaveRun--;
+            note(attempt, refusal.reason().name());
+            return;
+        }
         refusals++;
         if (refusal.reason() == Refusal.Reason.BUSY
                 && busy.add(attempt.candidate().key())) {
@@ -167,6 +175,43 @@
         }
     }
 
+    /** Takes out an attempt that is over; tells whether the repeat that was sent beside it goes on. */
+    private boolean leavesOther(EntryAttempt attempt) {
+        if (unheard.isPresent() && unheard.get() == attempt) {
+            unheard = Optional.empty();
+            return true;
+        }
+        live = Optional.empty();
+        return false;
+    }
+
+    /**
+     * Nothing is heard of an attempt's node. The VM may have lost power, which sends no reset, or only its datagrams
+     * are lost; so the request is run elsewhere, too, if it may be.
+     */
+    void onUnheard(EntryAttempt attempt) {
+        boolean settled = done || streaming.isPresent() || unheard.isPresent();
+        if (settled || refusals >= MOST_REFUSALS || !mayRunAgain(mayHaveRun + 1)) {
+            return;
+        }
+        long now = context.clock().now();
+        Optional<CandidateChooser.Choice> choice = choose(now);
+        if (choice.isEmpty() || !takeRepeat(now)) {
+            return;
+        }
+        mayHaveRun++;
+        unheard = live;
+        note(attempt, "UNHEARD");
+        context.log()
+                .write(
+                        Event.ATTEMPT_UNHEARD,
+                        "id",
+                        spec.id(),
+                        "at",
+                        attempt.candidate().key());
+        launch(choice.get(), now);
+    }
+
     /** Keeps what each attempt came to, for the log. */
     private void note(EntryAttempt attempt, String outcome) {
         String key = attempt.candidate().key();
@@ -184,8 +229,7 @@
         if (done) {
             return;
         }
-        live = Optional.empty();
-        mayHaveRun++;
+        boolean repeated = leavesOther(attempt);
         lastCause = cause;
         note(attempt, "LOST");
         context.log()
@@ -199,21 +243,28 @@
                         cause,
                         "kind",
                         spec.kind());
-        retry();
+        if (!repeated) {
+            mayHaveRun++;
+            retry();
+        }
     }
 
     /** Sends it again after an attempt that may have run, if it may and can be; ends it otherwise. */
     private void retry() {
-        long enough = (long) (context.habits().expectedNanos(route) * LEAST_TIME);
-        if (spec.kind().isRepeatable()
-                && mayHaveRun < Math.max(1, route.maxAttempts())
-                && context.clock().now() + enough < spec.deadlineAt()) {
+        if (mayRunAgain(mayHaveRun)) {
             next(true);
         } else {
             conclude();
         }
     }
 
+    private boolean mayRunAgain(int runs) {
+        long enough = (long) (context.habits().expectedNanos(route) * LEAST_TIME);
+        return spec.kind().isRepeatable()
+                && runs < Math.max(1, route.maxAttempts())
+                && context.clock().now() + enough < spec.deadlineAt();
+    }
+
     private boolean takeRepeat(long now) {
         RetryBudget budget = context.budget();
         boolean taken = failure.isPresent()
@@ -234,14 +285,16 @@
             body.release();
             return;
         }
-        live = Optional.empty();
-        mayHaveRun++;
+        boolean repeated = leavesOther(attempt);
+        mayHaveRun += repeated ? 0 : 1;
         if (status >= 500 && spec.kind().isRepeatable()) {
             lastCause = "status " + status;
             note(attempt, lastCause);
             dropFailure();
             failure = Optional.of(new Failure(attempt, status, headers, body));
-            retry();
+            if (!repeated) {
+                retry();
+            }
             return;
         }
         answer(attempt, status, headers, body);
@@ -257,9 +310,14 @@
 
     /**
      * Ends the call with the best that there is: a backend server's failure, a refusal if it has not run, or neither.
+     * Waits on if an attempt at an unheard node is still under way.
      */
     private void conclude() {
-        if (failure.isPresent()) {
+        if (unheard.isPresent()) {
+            live = unheard;
+            unheard = Optional.empty();
+            mayHaveRun--;
+        } else if (failure.isPresent()) {
             Failure f = failure.get();
             failure = Optional.empty();
             answer(f.attempt(), f.status(), f.headers(), f.body());
@@ -289,6 +347,9 @@
     /** An answer turned out too large to be gathered; it goes out as it comes. */
     void onStreaming(EntryAttempt attempt, int status, HttpHeaders headers) {
         streaming = Optional.of(attempt);
+        leavesOther(attempt);
+        cancelAttempts();
+        live = streaming;
         sink.begin(status, headers);
     }
 
@@ -322,7 +383,8 @@
             mayHaveRun += spec.body().isWhole() ? 1 : 0;
             note(a, "PENDING");
         });
-        cancelLive();
+        unheard.ifPresent(a -> note(a, "PENDING"));
+        cancelAttempts();
         conclude();
     }
 
@@ -372,15 +434,18 @@
         if (deadline != null) {
             deadline.cancel();
         }
-        cancelLive();
+        cancelAttempts();
         dropFailure();
         spec.body().release();
     }
 
-    private void cancelLive() {
-        Optional<EntryAttempt> attempt = live;
+    private void cancelAttempts() {
+        Optional<EntryAttempt> last = live;
+        Optional<EntryAttempt> before = unheard;
         live = Optional.empty();
-        attempt.ifPresent(EntryAttempt::cancel);
+        unheard = Optional.empty();
+        last.ifPresent(EntryAttempt::cancel);
+        before.ifPresent(EntryAttempt::cancel);
     }
 
     private void log(Event event, int status, String at) {
--- a/org.berylwick.node/src/org/berylwick/node/call/PeerAttempt.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerAttempt.java
@@ -73,17 +73,9 @@
 
     @Override
     public void onSilent() {
-        // A VM that lost power sends no reset; without this its requests would wait for their deadlines.
-        if (over) {
-            return;
-        }
-        ServerConnection silent = connection;
-        if (silent == null) {
-            onUnreachable("silent");
-            return;
+        if (!over && connection != null) {
+            listener.onUnheard();
         }
-        silent.abandon();
-        onFailure("silent");
     }
 
     @Override
--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -57,6 +57,8 @@
     ANSWER_DISCARDED(7047, 10),
     /** The backend server beside this node brought no whole answer. */
     RUN_FAILED(7048, 30),
+    /** A repeat is sent beside an attempt at a node that is not heard. */
+    ATTEMPT_UNHEARD(7049, 30),
     /** An unexpected error; the connection it came from was closed. */
     INTERNAL_ERROR(7099, 20);
 
--- a/org.berylwick.node/src/org/berylwick/node/member/Gossip.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/Gossip.java
@@ -202,7 +202,7 @@
         round++;
         tellAll(round == 1);
         long now = System.nanoTime();
-        table.failSilent(silentNanos(), now);
+        table.tellSilent(silentNanos(), now);
         table.tidy(now);
         long period = periodNanos();
         long jitter = ThreadLocalRandom.current().nextLong(period / 10 + 1);
--- a/org.berylwick.node/src/org/berylwick/node/member/Member.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/Member.java
@@ -1,8 +1,9 @@
 package org.berylwick.node.member;
 
-import java.util.HashSet;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 import java.util.function.BiConsumer;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.LinkLoad;
@@ -13,6 +14,8 @@
 public final class Member {
     private static final long FIRST_SUSPICION_NANOS = 100_000_000L;
     private static final long LONGEST_SUSPICION_NANOS = 2_000_000_000L;
+    /** A request that was sent a moment ago is not overdue, however long its node was not heard before. */
+    private static final long LEAST_OVERDUE_NANOS = 500_000_000L;
 
     private final String ip;
     private final BiConsumer<Member, String> onSuspected;
@@ -22,7 +25,9 @@
     private int failures;
     private OwnerLoad load = OwnerLoad.NONE;
     private String usedIncarnation = "";
-    private final Set<Waiting> outstanding = new HashSet<>();
+    /** Requests that it has not answered, and when each was sent. */
+    private final Map<Waiting, Long> outstanding = new HashMap<>();
+
     private long progressAt;
     private int inFlight;
     private int inFlightAtReport;
@@ -125,7 +130,10 @@
 
     /** A request that waits for this node's answer. */
     public interface Waiting {
-        /** The node fell silent: neither its datagrams nor its answers come any more. */
+        /**
+         * Neither datagrams nor answers of the node come any more. It may be lost, or its datagrams may be: a request
+         * that runs there goes on.
+         */
         void onSilent();
     }
 
@@ -133,7 +141,7 @@
     public void onSent(Waiting waiting, int bytes, long now) {
         linkFreeAt = Math.max(now, linkFreeAt) + link(now).nanosOf(bytes);
         inFlight++;
-        outstanding.add(waiting);
+        outstanding.put(waiting, now);
         usedIncarnation = state.incarnation();
     }
 
@@ -148,12 +156,22 @@
         progressAt = now;
     }
 
-    /** Ends what waits for it if neither datagrams nor answers came for a span. */
-    void failIfSilent(long spanNanos, long now) {
-        if (outstanding.isEmpty() || now - heardAt <= spanNanos || now - progressAt <= spanNanos) {
+    /** Tells requests that have waited for a while if neither datagrams nor answers came for a span. */
+    void tellIfSilent(long spanNanos, long now) {
+        if (now - heardAt <= spanNanos || now - progressAt <= spanNanos) {
+            return;
+        }
+        List<Waiting> overdue = new ArrayList<>();
+        outstanding.forEach((waiting, sentAt) -> {
+            if (now - sentAt > LEAST_OVERDUE_NANOS) {
+                overdue.add(waiting);
+            }
+        });
+        if (overdue.isEmpty()) {
             return;
         }
-        List.copyOf(outstanding).forEach(Waiting::onSilent);
+        onFailure("silent", now);
+        overdue.forEach(Waiting::onSilent);
     }
 
     /** A call to it went well. */
--- a/org.berylwick.node/src/org/berylwick/node/member/MemberTable.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/MemberTable.java
@@ -93,10 +93,10 @@
         return count;
     }
 
-    /** Ends what waits for nodes that fell silent. */
-    public void failSilent(long spanNanos, long now) {
+    /** Tells what waits for nodes that fell silent. */
+    public void tellSilent(long spanNanos, long now) {
         for (Member member : List.copyOf(byIp.values())) {
-            member.failIfSilent(spanNanos, now);
+            member.tellIfSilent(spanNanos, now);
         }
     }
 
--- a/org.berylwick.test/tst/org/berylwick/node/SilentNodeTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/SilentNodeTest.java
@@ -1,5 +1,6 @@
 package org.berylwick.node;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -65,6 +66,55 @@
         }
     }
 
+    /** A request that must run once gains nothing by leaving an unheard node, and loses its answer. */
+    @Test
+    void nonIdempotentRequestStaysAtAnUnheardNode() throws Exception {
+        try (RawServer server = new RawServer(NodeRig::answerOk);
+                NodeRig rig = new NodeRig();
+                ScriptedPeer unheard = new ScriptedPeer(rig)) {
+            rig.configuration.accept(NodeRig.version(
+                    1, b -> b.route(NodeRig.HOST, NodeRig.route("slow", "/slow/", RouteKind.NON_IDEMPOTENT, 12_000))));
+            rig.start(1, Optional.empty());
+            rig.awaitReady(1);
+            unheard.announce(LINK_MBPS);
+            CompletableFuture<String> answer = CompletableFuture.supplyAsync(
+                    () -> rig.send(1, NodeRig.request("POST", "/slow/x", "b2", 12_000, "")));
+            try (ScriptedPeer.Call call = unheard.accept()) {
+                call.head();
+                rig.start(2, Optional.of(server));
+                NodeRig.sleep(2 * SILENCE_MILLIS);
+                call.answer("b2", "late but whole");
+                assertTrue(answer.join().endsWith("late but whole"), answer.join());
+                assertEquals(0, server.runs("b2"));
+            }
+        }
+    }
+
+    /** The other node refuses the repeat of a request: the run at the unheard node is still the best there is. */
+    @Test
+    void requestGoesBackToAnUnheardNodeWhenTheOtherRefuses() throws Exception {
+        try (RawServer full = new RawServer((c, r) -> c.write("HTTP/1.1 503 Full\r\nx-request-id: " + r.id()
+                        + "\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n"));
+                NodeRig rig = new NodeRig();
+                ScriptedPeer unheard = new ScriptedPeer(rig)) {
+            rig.configuration.accept(NodeRig.version(
+                    1, b -> b.route(NodeRig.HOST, NodeRig.route("long", "/long/", RouteKind.BULK, 20_000))));
+            rig.start(1, Optional.empty());
+            rig.awaitReady(1);
+            unheard.announce(LINK_MBPS);
+            CompletableFuture<String> answer = CompletableFuture.supplyAsync(
+                    () -> rig.send(1, NodeRig.request("GET", "/long/x", "b3", 20_000, "")));
+            try (ScriptedPeer.Call call = unheard.accept()) {
+                call.head();
+                rig.start(2, Optional.of(full));
+                Await.until("the other was asked", () -> full.runs("b3") > 0, rig::logged);
+                NodeRig.sleep(300);
+                call.answer("b3", "late but whole");
+                assertTrue(answer.join().endsWith("late but whole"), answer.join());
+            }
+        }
+    }
+
     private static CompletableFuture<String> callLater(NodeRig rig, String method, String path, String id) {
         return CompletableFuture.supplyAsync(() -> rig.call(1, method, path, id, ""));
     }
