End a planned stop only after the last answer has left the process

What callers would see: an answer that is cut short after SIGTERM. A stop counted requests until their answer was handed to the connection. What the system had not taken yet was dropped with the process, and with it, since large answers wait for the link, whole answers to other nodes. Idle connections were closed at the stop with answers still in their buffers.

Now a caller's connection counts until its answers are written, and is closed only then; answers to other nodes count until their end is written. The grace bounds it as before.

--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -132,6 +132,7 @@
                 settings.bounds().graceNanos(),
                 owner,
                 entry,
+                peers,
                 () -> {
                     leaving = true;
                     gossip.tellNow();
--- a/org.berylwick.node/src/org/berylwick/node/NodeStop.java
+++ b/org.berylwick.node/src/org/berylwick/node/NodeStop.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import org.berylwick.node.call.EntryServer;
 import org.berylwick.node.call.Owner;
+import org.berylwick.node.call.PeerServer;
 
 /**
  * The order of a planned stop; confined to the event loop.
@@ -35,6 +36,7 @@
     private final long graceNanos;
     private final Owner owner;
     private final EntryServer entry;
+    private final PeerServer peers;
     private final Runnable onOwnerStops;
     private final Runnable onDone;
     private boolean begun;
@@ -50,14 +52,23 @@
      * @param graceNanos from the signal to the kill
      * @param owner of the backend server
      * @param entry for callers
+     * @param peers for other nodes
      * @param onOwnerStops has others told that the owner will stop in a moment
      * @param onDone hears that nothing is under way any more
      */
-    NodeStop(EventLoop loop, long graceNanos, Owner owner, EntryServer entry, Runnable onOwnerStops, Runnable onDone) {
+    NodeStop(
+            EventLoop loop,
+            long graceNanos,
+            Owner owner,
+            EntryServer entry,
+            PeerServer peers,
+            Runnable onOwnerStops,
+            Runnable onDone) {
         this.loop = loop;
         this.graceNanos = graceNanos;
         this.owner = owner;
         this.entry = entry;
+        this.peers = peers;
         this.onOwnerStops = onOwnerStops;
         this.onDone = onDone;
     }
@@ -102,11 +113,15 @@
             listening = false;
             entry.stopListening();
         }
-        quiet = owner.pending() + entry.pending() == 0 ? quiet + 1 : 0;
+        quiet = isQuiet() ? quiet + 1 : 0;
         if (quiet >= QUIET_CHECKS || late) {
             onDone.run();
             return;
         }
         loop.schedule(this::check, CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
+
+    private boolean isQuiet() {
+        return owner.pending() + entry.pending() == 0 && !peers.isSending();
+    }
 }
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
@@ -66,6 +66,9 @@
     private boolean keepAlive;
     private boolean headRequest;
     private boolean closing;
+    /** Ends of answers that the system has not taken yet. */
+    private int unsent;
+
     private long quietSince;
 
     EntryHandler(EntryServer server, EntryServices services) {
@@ -331,10 +334,11 @@
         if (message instanceof HttpResponse response) {
             markConnection(response);
         }
+        unsent++;
         ChannelFuture written = channel.writeAndFlush(message);
+        written.addListener(f -> onSent());
         if (!keepAlive) {
             closing = true;
-            written.addListener(f -> closeGently());
             return;
         }
         busy = false;
@@ -342,6 +346,13 @@
         takeAhead();
     }
 
+    private void onSent() {
+        unsent--;
+        if (closing && unsent == 0) {
+            closeGently();
+        }
+    }
+
     private void takeAhead() {
         while (takesNow() && !ahead.isEmpty()) {
             take(ahead.poll());
@@ -365,7 +376,7 @@
 
     /** Closes the connection if it has been idle for too long. */
     void sweep(long now, long idleNanos) {
-        if (busy || closing) {
+        if (busy || closing || unsent > 0) {
             return;
         }
         if (now - quietSince <= (long) (idleNanos * IDLE_MARGIN)) {
@@ -385,11 +396,13 @@
             return;
         }
         closing = true;
-        closeGently();
+        if (unsent == 0) {
+            closeGently();
+        }
     }
 
     boolean isBusy() {
-        return busy && !closing;
+        return busy && !closing || unsent > 0;
     }
 
     @Override
--- a/org.berylwick.node/src/org/berylwick/node/call/PeerHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerHandler.java
@@ -257,6 +257,11 @@
         write(502, Unpooled.EMPTY_BUFFER, PeerCodec.lostText(cause));
     }
 
+    /** Whether an answer has begun and not been written to its end. */
+    boolean isAnswering() {
+        return answer.isPresent();
+    }
+
     private void over() {
         attempt = null;
         releaseBody();
--- a/org.berylwick.node/src/org/berylwick/node/call/PeerServer.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerServer.java
@@ -9,9 +9,9 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.LongFunction;
 import org.berylwick.node.transport.ReceiveWindow;
 import org.berylwick.node.transport.VmLink;
@@ -27,7 +27,7 @@
     private final Owner owner;
     private final VmLink link;
     private final LongFunction<Optional<byte[]>> delivery;
-    private final Set<Channel> connections = new HashSet<>();
+    private final Map<Channel, PeerHandler> connections = new HashMap<>();
     private Channel listener;
 
     /**
@@ -62,8 +62,9 @@
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
                                 .addLast(new HttpServerCodec(MAX_HEADER_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES));
-                        channel.pipeline().addLast(new PeerHandler(owner, link, delivery));
-                        connections.add(channel);
+                        PeerHandler handler = new PeerHandler(owner, link, delivery);
+                        channel.pipeline().addLast(handler);
+                        connections.put(channel, handler);
                         channel.closeFuture().addListener(f -> connections.remove(channel));
                     }
                 });
@@ -74,13 +75,18 @@
     /** Bytes of answers that the system has not taken yet. */
     public long unsentBytes() {
         long bytes = 0;
-        for (Channel channel : connections) {
+        for (Channel channel : connections.keySet()) {
             ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
             bytes += buffer == null ? 0 : buffer.totalPendingWriteBytes();
         }
         return bytes;
     }
 
+    /** Whether an answer has not left yet. */
+    public boolean isSending() {
+        return unsentBytes() > 0 || connections.values().stream().anyMatch(PeerHandler::isAnswering);
+    }
+
     @Override
     public void close() {
         if (listener != null) {
--- a/org.berylwick.test/tst/org/berylwick/node/LargeAnswerTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/LargeAnswerTest.java
@@ -5,8 +5,6 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
-import java.nio.charset.StandardCharsets;
-import org.berylwick.node.lib.RouteKind;
 import org.berylwick.testing.Await;
 import org.berylwick.testing.RawServer;
 import org.junit.jupiter.api.Test;
@@ -25,18 +23,6 @@
         return new RawServer((c, r) -> c.write(NodeRig.answerTo(r, r.path().startsWith("/bulk/") ? LARGE : "small")));
     }
 
-    /** Asks an owner for a large answer as another node would, and reads nothing of it. */
-    private static Socket askAsNode(NodeRig rig, int owner, String id, int deadlineMillis) throws IOException {
-        Socket node = new Socket();
-        node.connect(rig.peers(owner));
-        String call = "work;caller;" + RouteKind.BULK.ordinal() + ";1;600;600;" + deadlineMillis + ";0;1;" + LENGTH
-                + ";" + id;
-        node.getOutputStream()
-                .write(("GET /bulk/x HTTP/1.1\r\nbw-call: " + call + "\r\nx-request-id: " + id + "\r\n\r\n")
-                        .getBytes(StandardCharsets.ISO_8859_1));
-        return node;
-    }
-
     /** Guards against bytes that wait for a node that lost power, and keep the link busy for good. */
     @Test
     void answerIsDroppedAtItsDeadline() throws IOException {
@@ -45,7 +31,7 @@
             rig.configuration.accept(NodeRig.version(1));
             rig.startOnLink(1, server, 1, NARROW_MBPS);
             rig.awaitReady(1);
-            try (Socket node = askAsNode(rig, 1, "l2", 3_000)) {
+            try (Socket node = rig.askAsNode(1, "l2", LENGTH, 3_000)) {
                 Await.until("it runs", () -> server.runs("l2") == 1, rig::logged);
                 NodeRig.sleep(4_000);
                 assertTrue(bytesUntilClosed(node) < LENGTH, "all of it came after the deadline");
@@ -79,7 +65,7 @@
             rig.configuration.accept(NodeRig.version(1));
             rig.startOnLink(1, server, 1, NARROW_MBPS);
             rig.awaitReady(1);
-            try (Socket node = askAsNode(rig, 1, "l1", 9_000)) {
+            try (Socket node = rig.askAsNode(1, "l1", LENGTH, 9_000)) {
                 Await.until("it runs", () -> server.runs("l1") == 1, rig::logged);
                 NodeRig.sleep(500);
                 String small = rig.call(1, "GET", "/read/x", "s1", "");
--- a/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
+++ b/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
@@ -192,6 +192,18 @@
         return new InetSocketAddress(ip(number), ports[0]);
     }
 
+    /** Asks an owner for a large answer as another node would, and reads nothing of it. */
+    Socket askAsNode(int owner, String id, int answerBytes, int deadlineMillis) throws IOException {
+        Socket node = new Socket();
+        node.connect(peers(owner));
+        String call = "work;caller;" + RouteKind.BULK.ordinal() + ";1;600;600;" + deadlineMillis + ";0;1;" + answerBytes
+                + ";" + id;
+        node.getOutputStream()
+                .write(("GET /bulk/x HTTP/1.1\r\nbw-call: " + call + "\r\nx-request-id: " + id + "\r\n\r\n")
+                        .getBytes(StandardCharsets.ISO_8859_1));
+        return node;
+    }
+
     /** A request of a caller, and its answer's head and body as text. */
     String call(int number, String method, String path, String id, String body) {
         return exchange(callers(number), request(method, path, id, 2_000, body));
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/node/StopTest.java
@@ -0,0 +1,101 @@
+package org.berylwick.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.berylwick.testing.Await;
+import org.berylwick.testing.RawServer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A node is told to stop while answers are on their way out. */
+@Timeout(60)
+class StopTest {
+    /** Gathered before it is passed on. */
+    private static final int LENGTH = 1_000_000;
+    /** Together more than the system takes for a connection whose other end does not read. */
+    private static final int ANSWERS = 8;
+
+    private static final double NARROW_MBPS = 30;
+    private static final int PACED_LENGTH = 4_500_000;
+    /** Longer than a stop takes with nothing under way. */
+    private static final int SLOW_MILLIS = 4_000;
+
+    private static final String LARGE = "x".repeat(LENGTH);
+
+    private static int wholeAnswersLater(Socket caller) {
+        NodeRig.sleep(SLOW_MILLIS);
+        int whole = 0;
+        try {
+            while (whole < ANSWERS
+                    && NodeRig.readAnswer(caller.getInputStream()).endsWith(LARGE)) {
+                whole++;
+            }
+        } catch (IOException e) {
+            return whole;
+        }
+        return whole;
+    }
+
+    /** Guards against a process that ends with an answer still in its buffers: its caller gets it cut short. */
+    @Test
+    void answerToASlowCallerLeavesBeforeTheStopEnds() throws IOException {
+        try (RawServer server = new RawServer((c, r) -> c.write(NodeRig.answerTo(r, LARGE)));
+                NodeRig rig = new NodeRig()) {
+            rig.configuration.accept(NodeRig.version(1));
+            Node node = rig.start(1, Optional.of(server));
+            rig.awaitReady(1);
+            try (Socket caller = new Socket()) {
+                caller.connect(rig.callers(1));
+                caller.setSoTimeout(20_000);
+                for (int i = 0; i < ANSWERS; i++) {
+                    caller.getOutputStream()
+                            .write(NodeRig.request("GET", "/read/x", "s" + i, 2_000, "")
+                                    .getBytes(StandardCharsets.ISO_8859_1));
+                }
+                String last = "s" + (ANSWERS - 1);
+                Await.until("all run", () -> server.runs(last) == 1, rig::logged);
+                CompletableFuture<Integer> whole = CompletableFuture.supplyAsync(() -> wholeAnswersLater(caller));
+                NodeRig.sleep(500);
+                node.stop();
+                node.close();
+                assertEquals(ANSWERS, whole.join());
+            }
+        }
+    }
+
+    /** The same for an answer to another node that waits for the link. */
+    @Test
+    void answerToAnotherNodeLeavesBeforeTheStopEnds() throws IOException {
+        String paced = "y".repeat(PACED_LENGTH);
+        try (RawServer server = new RawServer((c, r) -> c.write(NodeRig.answerTo(r, paced)));
+                NodeRig rig = new NodeRig()) {
+            rig.configuration.accept(NodeRig.version(1));
+            Node node = rig.startOnLink(1, server, 1, NARROW_MBPS);
+            rig.awaitReady(1);
+            try (Socket other = rig.askAsNode(1, "p1", PACED_LENGTH, 9_000)) {
+                Await.until("it runs", () -> server.runs("p1") == 1, rig::logged);
+                CompletableFuture<Boolean> whole = CompletableFuture.supplyAsync(() -> isWholeLater(other));
+                node.stop();
+                node.close();
+                assertTrue(whole.join());
+            }
+        }
+    }
+
+    private static boolean isWholeLater(Socket node) {
+        NodeRig.sleep(SLOW_MILLIS);
+        try {
+            node.setSoTimeout(20_000);
+            byte[] all = node.getInputStream().readAllBytes();
+            return new String(all, StandardCharsets.ISO_8859_1).endsWith("\r\n0\r\n\r\n");
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
