Do not pace answers to callers, who are on the entry's own VM

The review of the pacing found that entries paced what they pass on to callers, too. Entries write them as before the pacing; a run for an entry on its own VM announces nothing to the link either.

--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedCaller.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedCaller.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import org.berylwick.node.call.CallerCall;
 import org.berylwick.node.lib.Clock;
-import org.berylwick.node.transport.OutgoingLink;
 import org.berylwick.node.transport.RequestBody;
 
 /**
@@ -51,6 +50,7 @@
         long nanos = emulation.callerWayNanos();
         EmulatedWay there = new EmulatedWay(emulation, Optional.empty(), Optional.of(node.in()), nanos);
         EmulatedWay back = new EmulatedWay(emulation, Optional.of(node.out()), Optional.empty(), nanos);
+        EmulatedWay local = new EmulatedWay(emulation, Optional.empty(), Optional.empty(), nanos);
         int bytes = kind.bytes().body();
         boolean streamed = bytes >= RequestBody.LEAST_STREAMED;
         there.send(HEADER_BYTES + (streamed ? 0 : bytes), () -> {
@@ -60,22 +60,11 @@
             id = emulation.add(new EmulatedRequest(
                     kind, workNanos, makesCall, emulation.clock().now()));
             EmulatedSink next = new EmulatedSink((status, retryAfter, body) -> {
-                long dueAt = call.map(CallerCall::dueAt).orElse(0L);
                 call = Optional.empty();
                 body.release();
                 int answerBytes = status == OK ? kind.bytes().answer() : 0;
-                if (!node.link().outgoing().isLarge(answerBytes)) {
-                    node.link().outgoing().onSent(HEADER_BYTES + answerBytes);
-                    back.send(HEADER_BYTES + answerBytes, () -> onAnswer(status, retryAfter));
-                    return;
-                }
-                EmulatedWay.Stream stream = back.open();
-                EmulatedWire wire = new EmulatedWire(stream);
-                OutgoingLink.Flow answer = node.link().outgoing().open(wire, dueAt);
-                wire.tell(answer);
-                stream.send(HEADER_BYTES, () -> {});
-                answer.write(Unpooled.wrappedBuffer(new byte[answerBytes]));
-                answer.end(() -> stream.send(0, () -> onAnswer(status, retryAfter)));
+                EmulatedWay way = node.link().outgoing().isLarge(answerBytes) ? local : back;
+                way.send(HEADER_BYTES + answerBytes, () -> onAnswer(status, retryAfter));
             });
             sink = Optional.of(next);
             RequestBody body = streamed
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
@@ -98,7 +98,6 @@
                 this::start,
                 candidates,
                 budget,
-                link.outgoing(),
                 GATHER_BYTES,
                 new Instruments(counters, emulation.log()),
                 random::nextDouble);
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedSink.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedSink.java
@@ -46,7 +46,7 @@
     }
 
     @Override
-    public void part(ByteBuf bytes) {
+    public boolean part(ByteBuf bytes) {
         throw new IllegalStateException("answers are small here");
     }
 
--- a/org.berylwick.node/src/org/berylwick/node/call/CallPath.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallPath.java
@@ -62,13 +62,12 @@
                 starter,
                 candidates,
                 budget,
-                link.outgoing(),
                 (long) settings.memoryMb() * (1 << 20) / GATHER_SHARE,
                 instruments,
                 () -> ThreadLocalRandom.current().nextDouble());
         counters.gauge(NodeMetricNames.ENTRY_GATHERED_BYTES, calls::gatheredBytes);
         EntryServer entry = new EntryServer(
-                new EntryServices(callers.version(), calls, link, counters, instruments.log()),
+                new EntryServices(callers.version(), calls, link.incoming(), counters, instruments.log()),
                 loop,
                 settings.callers());
         counters.gauge(NodeMetricNames.ENTRY_CONNECTIONS, entry::size);
--- a/org.berylwick.node/src/org/berylwick/node/call/CallSpec.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallSpec.java
@@ -21,7 +21,7 @@
  * @param deadlineAt when nobody waits any more
  * @param maxWaitNanos the longest it may wait for a slot at the owner
  * @param attempt 1 for the first backend server it is sent to
- * @param answerBytes that its answer is expected to have
+ * @param answerBytes that its answer is expected to have, 0 if it does not leave the VM
  */
 public record CallSpec(
         String id,
@@ -65,8 +65,14 @@
                 answerBytes);
     }
 
-    /** The same request for another attempt. */
-    public CallSpec forAttempt(int number, long waitNanos) {
+    /**
+     * The same request for another attempt.
+     *
+     * @param number 1 for the first
+     * @param waitNanos the longest it may wait for a slot at the owner
+     * @param linkBytes that its answer is expected to send over the owner's link
+     */
+    public CallSpec forAttempt(int number, long waitNanos, int linkBytes) {
         return new CallSpec(
                 id,
                 method,
@@ -80,6 +86,6 @@
                 deadlineAt,
                 waitNanos,
                 number,
-                answerBytes);
+                linkBytes);
     }
 }
--- a/org.berylwick.node/src/org/berylwick/node/call/CallerCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallerCall.java
@@ -5,9 +5,6 @@
     /** Sends it; its answer may come before this returns. */
     void start();
 
-    /** When its answer should be there, {@link System#nanoTime} terms. */
-    long dueAt();
-
     /** The caller has gone. */
     void abandon();
 
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -138,7 +138,9 @@
         attempts++;
         Candidate candidate = choice.candidate();
         tried.add(candidate.key());
-        CallSpec attempt = spec.forAttempt(attempts, choice.maxWaitNanos());
+        // An answer of this VM's own backend server does not go over the link.
+        int linkBytes = candidate.member().isPresent() ? spec.answerBytes() : 0;
+        CallSpec attempt = spec.forAttempt(attempts, choice.maxWaitNanos(), linkBytes);
         EntryAttempt listener = new EntryAttempt(this, candidate, now);
         live = Optional.of(listener);
         listener.use(context.starter().start(candidate, attempt, listener));
@@ -414,11 +416,6 @@
         sink.reply(status, Headers.empty(), Unpooled.EMPTY_BUFFER);
     }
 
-    @Override
-    public long dueAt() {
-        return spec.objectiveAt();
-    }
-
     @Override
     public void abandon() {
         if (done) {
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCalls.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCalls.java
@@ -10,7 +10,6 @@
 import org.berylwick.node.lib.RequestClass;
 import org.berylwick.node.lib.Route;
 import org.berylwick.node.log.Instruments;
-import org.berylwick.node.transport.OutgoingLink;
 import org.berylwick.node.transport.RequestBody;
 
 /**
@@ -33,7 +32,6 @@
      * @param starter sends attempts to owners
      * @param candidates lists nodes
      * @param budget for repeats
-     * @param outgoing that answers leave over
      * @param gatherBytes that answers may hold while they are gathered
      * @param instruments take counts and events
      * @param chance uniform in [0, 1)
@@ -45,7 +43,6 @@
             AttemptStarter starter,
             CandidateSource candidates,
             RetryBudget budget,
-            OutgoingLink outgoing,
             long gatherBytes,
             Instruments instruments,
             DoubleSupplier chance) {
@@ -57,7 +54,6 @@
                 candidates,
                 new CandidateChooser(chance),
                 budget,
-                outgoing,
                 new AnswerHabits(),
                 new CallerReturns(),
                 new GatherMemory(gatherBytes),
@@ -85,17 +81,14 @@
         String id = headers.get(context.names().requestId(), "");
         long wait = waitOf(headers);
         long waited = patience.waitedNanos(route.name(), wait);
-        int answerBytes = (int) context.habits().expectedBytes(route);
-        long leaveNanos =
-                context.outgoing().isLarge(answerBytes) ? context.outgoing().nanosOf(answerBytes) : 0;
-        long deadline = now + Math.max(1_000_000L, wait - RETURN_NANOS - leaveNanos);
+        long deadline = now + Math.max(1_000_000L, wait - RETURN_NANOS);
         headers.remove(context.names().deadline());
         headers.remove(context.names().target());
         headers.remove(context.names().callerService());
         if (route.timeoutNanos() > 0) {
             deadline = Math.min(deadline, now + route.timeoutNanos());
         }
-        long objective = route.objectiveNanos() > 0 ? now - waited + route.objectiveNanos() - leaveNanos : deadline;
+        long objective = route.objectiveNanos() > 0 ? now - waited + route.objectiveNanos() : deadline;
         CallSpec spec = new CallSpec(
                 id,
                 request.method(),
@@ -109,7 +102,7 @@
                 deadline,
                 0,
                 1,
-                answerBytes);
+                (int) context.habits().expectedBytes(route));
         return new EntryCall(context, route, spec, now, version.number(), waited > 0, sink);
     }
 
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryContext.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryContext.java
@@ -6,7 +6,6 @@
 import org.berylwick.node.lib.HeaderNames;
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.EventLog;
-import org.berylwick.node.transport.OutgoingLink;
 
 /**
  * What every call at an entry shares; confined to the event loop.
@@ -18,7 +17,6 @@
  * @param candidates lists nodes
  * @param chooser chooses among them
  * @param budget for repeats
- * @param outgoing that answers leave over
  * @param habits of answers
  * @param returns which callers come back
  * @param memory for gathered answers
@@ -34,7 +32,6 @@
         CandidateSource candidates,
         CandidateChooser chooser,
         RetryBudget budget,
-        OutgoingLink outgoing,
         AnswerHabits habits,
         CallerReturns returns,
         GatherMemory memory,
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
@@ -34,13 +34,12 @@
 import org.berylwick.node.lib.Route;
 import org.berylwick.node.log.Event;
 import org.berylwick.node.log.NodeMetricNames;
-import org.berylwick.node.transport.OutgoingLink;
 import org.berylwick.node.transport.RequestBody;
 
 /**
  * A caller's connection: reads its requests one after the other and writes their answers; confined to the event loop.
  */
-final class EntryHandler extends ChannelInboundHandlerAdapter implements ReplySink, OutgoingLink.Wire {
+final class EntryHandler extends ChannelInboundHandlerAdapter implements ReplySink {
     /** The most of a body that is kept, since an attempt may have to send it again. */
     private static final long MOST_BODY_BYTES = 8 << 20;
 
@@ -61,7 +60,6 @@
     private RequestBody body;
     private long bodyBytes;
     private CallerCall call;
-    private OutgoingLink.Flow answer;
     private boolean busy;
     private boolean keepAlive;
     private boolean headRequest;
@@ -134,7 +132,7 @@
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
         if (length >= RequestBody.LEAST_STREAMED) {
-            body = RequestBody.coming((int) length, services.link().incoming());
+            body = RequestBody.coming((int) length, services.link());
             startCall(body);
             return;
         }
@@ -235,11 +233,6 @@
 
     @Override
     public void reply(int status, HttpHeaders headers, ByteBuf bytes) {
-        if (services.link().outgoing().isLarge(bytesLength(bytes))) {
-            replyInTurn(status, headers, bytes);
-            return;
-        }
-        services.link().outgoing().onSent(bytesLength(bytes));
         FullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(status),
@@ -253,22 +246,6 @@
         finishWith(response);
     }
 
-    /** Sends a large answer when it is its turn on the link. */
-    private void replyInTurn(int status, HttpHeaders headers, ByteBuf bytes) {
-        HttpResponse response =
-                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.readableBytes());
-        markConnection(response);
-        channel.write(response);
-        openAnswer();
-        answer.write(bytes);
-        end();
-    }
-
-    private void openAnswer() {
-        answer = services.link().outgoing().open(this, call.dueAt());
-    }
-
     private int bytesLength(ByteBuf bytes) {
         return headRequest ? 0 : bytes.readableBytes();
     }
@@ -280,44 +257,22 @@
         HttpUtil.setTransferEncodingChunked(response, true);
         markConnection(response);
         channel.write(response);
-        openAnswer();
-    }
-
-    @Override
-    public void part(ByteBuf bytes) {
-        answer.write(bytes);
-    }
-
-    @Override
-    public void end() {
-        call = null;
-        answer.end(() -> {
-            answer = null;
-            finishWith(LastHttpContent.EMPTY_LAST_CONTENT);
-        });
-    }
-
-    @Override
-    public void write(ByteBuf part) {
-        channel.writeAndFlush(new DefaultHttpContent(part));
     }
 
     @Override
-    public boolean isWritable() {
+    public boolean part(ByteBuf bytes) {
+        channel.writeAndFlush(new DefaultHttpContent(bytes));
         return channel.isWritable();
     }
 
     @Override
-    public void readOn(boolean on) {
-        if (call != null) {
-            call.readOn(on);
-        }
+    public void end() {
+        finishWith(LastHttpContent.EMPTY_LAST_CONTENT);
     }
 
     @Override
     public void breakOff() {
         call = null;
-        dropAnswer();
         closing = true;
         channel.close();
     }
@@ -407,8 +362,8 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        if (answer != null && channel.isWritable()) {
-            answer.onWritable();
+        if (call != null) {
+            call.readOn(channel.isWritable());
         }
     }
 
@@ -417,7 +372,6 @@
         server.remove(this);
         closing = true;
         abandonCall();
-        dropAnswer();
         dropBody();
         while (!ahead.isEmpty()) {
             ReferenceCountUtil.release(ahead.poll());
@@ -431,13 +385,6 @@
         }
     }
 
-    private void dropAnswer() {
-        if (answer != null) {
-            answer.cancel();
-            answer = null;
-        }
-    }
-
     private void dropBody() {
         head = null;
         if (gathered != null) {
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryServer.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryServer.java
@@ -54,7 +54,7 @@
                         channel.pipeline().addLast(new EntryHandler(EntryServer.this, services));
                     }
                 });
-        ReceiveWindow.limit(server, services.link().incoming());
+        ReceiveWindow.limit(server, services.link());
         listener = server.bind(address).syncUninterruptibly().channel();
         loop.schedule(this::sweep, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryServices.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryServices.java
@@ -5,7 +5,7 @@
 import org.berylwick.node.lib.MeshVersion;
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.EventLog;
-import org.berylwick.node.transport.VmLink;
+import org.berylwick.node.transport.IncomingLink;
 
 /**
  * What the connections of callers share; confined to the event loop.
@@ -17,4 +17,8 @@
  * @param log takes events
  */
 record EntryServices(
-        Supplier<Optional<MeshVersion>> version, EntryCalls calls, VmLink link, Counters counters, EventLog log) {}
+        Supplier<Optional<MeshVersion>> version,
+        EntryCalls calls,
+        IncomingLink link,
+        Counters counters,
+        EventLog log) {}
--- a/org.berylwick.node/src/org/berylwick/node/call/ReplySink.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/ReplySink.java
@@ -17,8 +17,8 @@
     /** Begins an answer whose length is not known. */
     void begin(int status, HttpHeaders headers);
 
-    /** A part of it; the call is told when to read on, and when not. */
-    void part(ByteBuf bytes);
+    /** A part of it; false if the caller should be given time to read. */
+    boolean part(ByteBuf bytes);
 
     /** Its end. */
     void end();
