Read a paced answer on when its own bytes have left, or others were cancelled

An answer whose source was stopped for want of memory was read again only once half of all that waits had left: the most urgent one waited for the least urgent, and kept its slot. One that was stopped since its connection was not writable, and then had to wait for the link, was not read again at all until its connection filled once more. A small write could also move the link's free time back.

--- a/org.berylwick.node/src/org/berylwick/node/transport/OutgoingLink.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/OutgoingLink.java
@@ -87,7 +87,8 @@
     /** Counts a small write. */
     public void onSent(int bytes) {
         long now = clock.now();
-        freeAt = Math.min(now + MOST_DELAYED_NANOS, Math.max(now, freeAt) + nanosOf(bytes));
+        long after = Math.max(now, freeAt) + nanosOf(bytes);
+        freeAt = Math.max(freeAt, Math.min(now + MOST_DELAYED_NANOS, after));
     }
 
     /**
@@ -109,9 +110,7 @@
             }
             int bytes = next.sendPart();
             freeAt = Math.max(now, freeAt) + nanosOf(bytes);
-            if (nanosOf(held) <= MOST_HELD_NANOS / 2) {
-                resumeReading();
-            }
+            resumeReading();
         }
         if (!planned && !flows.isEmpty()) {
             planned = true;
@@ -123,7 +122,7 @@
     }
 
     private void resumeReading() {
-        if (stopped.isEmpty()) {
+        if (stopped.isEmpty() || nanosOf(held) > MOST_HELD_NANOS / 2) {
             return;
         }
         List<Flow> waiting = List.copyOf(stopped);
@@ -201,6 +200,13 @@
             }
         }
 
+        /** Reads its source on, unless its connection takes nothing; one that has nothing to send holds no memory. */
+        private void resumeIfWritable() {
+            if (wire.isWritable()) {
+                resume();
+            }
+        }
+
         /** Drops what waits. */
         public void cancel() {
             flows.remove(this);
@@ -211,6 +217,8 @@
                 part.release();
             }
             waiting.clear();
+            resumeReading();
+            pump();
         }
 
         private int sendPart() {
@@ -222,17 +230,20 @@
             wire.write(part);
             if (waiting.isEmpty()) {
                 flows.remove(this);
-                endIfDone();
+                stopped.remove(this);
+                endOrResume();
             }
             return bytes;
         }
 
-        private void endIfDone() {
-            if (onEnd != null && waiting.isEmpty()) {
-                Runnable task = onEnd;
-                onEnd = null;
-                task.run();
+        private void endOrResume() {
+            if (onEnd == null) {
+                resumeIfWritable();
+                return;
             }
+            Runnable task = onEnd;
+            onEnd = null;
+            task.run();
         }
 
         private void pause() {
--- a/org.berylwick.test/tst/org/berylwick/node/transport/OutgoingLinkTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/transport/OutgoingLinkTest.java
@@ -14,10 +14,7 @@
 import org.berylwick.bench.emulate.VirtualClock;
 import org.junit.jupiter.api.Test;
 
-/**
- * The order in which answers leave over a narrow link. Written as they came, 90 KB of one held up all that was small
- * for 0.1 s at 7 Mbit/s, and several at once for as long as all of them took.
- */
+/** The order in which answers leave over a narrow link. */
 class OutgoingLinkTest {
     private static final long MS = 1_000_000L;
     private static final double NARROW_MBPS = 7;
@@ -149,6 +146,48 @@
         assertTrue(second.ended);
     }
 
+    /** Guards against an answer that is never read on because those before it were cancelled. */
+    @Test
+    void sourceIsReadAgainWhenWhatWaitsIsCancelled() {
+        NotingWire stuck = new NotingWire();
+        stuck.writable = false;
+        OutgoingLink.Flow first = send(stuck, 2_000_000, 1_000 * MS);
+        NotingWire second = new NotingWire();
+        OutgoingLink.Flow flow = link.open(second, 500 * MS);
+        flow.write(Unpooled.wrappedBuffer(new byte[LARGE]));
+        assertTrue(!second.reading);
+        first.cancel();
+        clock.runUntil(300 * MS);
+        assertTrue(second.reading);
+    }
+
+    /** Guards against the most urgent answer waiting for its source while less urgent ones fill the memory. */
+    @Test
+    void sourceIsReadAgainWhenItsOwnBytesHaveLeft() {
+        send(new NotingWire(), 2_000_000, 2_000 * MS);
+        NotingWire urgent = new NotingWire();
+        OutgoingLink.Flow flow = link.open(urgent, 500 * MS);
+        flow.write(Unpooled.wrappedBuffer(new byte[LARGE]));
+        assertTrue(!urgent.reading);
+        clock.runUntil(200 * MS);
+        assertTrue(urgent.reading);
+    }
+
+    /** Guards against a source that stays unread after its connection was not writable for a moment. */
+    @Test
+    void sourceIsReadAgainWhenItsConnectionWasStuckFirst() {
+        NotingWire wire = new NotingWire();
+        wire.writable = false;
+        OutgoingLink.Flow flow = link.open(wire, 1_000 * MS);
+        flow.write(Unpooled.wrappedBuffer(new byte[SMALL]));
+        assertTrue(!wire.reading);
+        flow.write(Unpooled.wrappedBuffer(new byte[LARGE]));
+        wire.writable = true;
+        flow.onWritable();
+        clock.runUntil(300 * MS);
+        assertTrue(wire.reading);
+    }
+
     /** On a wide link nothing waits, but for a connection whose other end does not read. */
     @Test
     void wideLinkSendsAtOnce() {
