--- a/org.berylwick.node/src/org/berylwick/node/call/PeerAttempt.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerAttempt.java
@@ -68,9 +68,16 @@
 
     @Override
     public void onSilent() {
-        if (!over && connection != null) {
+        if (over || connection == null) {
+            return;
+        }
+        if (connection.isSentWhole()) {
             listener.onUnheard();
+            return;
         }
+        // An owner sends nothing on that it does not have whole, and will not get it now.
+        connection.abandon();
+        onFailure("silent");
     }
 
     @Override
--- a/org.berylwick.test/tst/org/berylwick/node/SilentNodeTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/SilentNodeTest.java
@@ -19,6 +19,10 @@
 @Timeout(60)
 class SilentNodeTest {
     private static final int LINK_MBPS = 100;
+    /** Over which a body is sent only when it is asked for. */
+    private static final int NARROW_MBPS = 5;
+
+    private static final int BODY_LENGTH = 60_000;
     /** Longer than a node of a fleet of two may be unheard. */
     private static final int SILENCE_MILLIS = 2_500;
     /** Longer than a round of datagrams, after which unheard nodes are looked for. */
@@ -90,6 +94,32 @@
         }
     }
 
+    /** Guards against an order that waits for its deadline at a node that never asked for its body. */
+    @Test
+    void requestWhoseBodyWasNotAskedForLeavesAnUnheardNode() throws Exception {
+        String body = "b".repeat(BODY_LENGTH);
+        try (RawServer server = new RawServer((c, r) -> {
+                    c.read(BODY_LENGTH);
+                    NodeRig.answerOk(c, r);
+                });
+                NodeRig rig = new NodeRig();
+                ScriptedPeer unheard = new ScriptedPeer(rig)) {
+            rig.configuration.accept(NodeRig.version(
+                    1, b -> b.route(NodeRig.HOST, NodeRig.route("slow", "/slow/", RouteKind.NON_IDEMPOTENT, 12_000))));
+            rig.start(1, Optional.empty());
+            rig.awaitReady(1);
+            unheard.announce(NARROW_MBPS);
+            CompletableFuture<String> answer = CompletableFuture.supplyAsync(
+                    () -> rig.send(1, NodeRig.request("POST", "/slow/x", "b4", 12_000, body)));
+            try (ScriptedPeer.Call call = unheard.accept()) {
+                call.head();
+                rig.start(2, Optional.of(server));
+                assertTrue(answer.join().endsWith("ok"), answer.join());
+                assertEquals(1, server.runs("b4"));
+            }
+        }
+    }
+
     /** The other node refuses the repeat of a request: the run at the unheard node is still the best there is. */
     @Test
     void requestGoesBackToAnUnheardNodeWhenTheOtherRefuses() throws Exception {
