Pace whole versions over a narrow link like large answers

The same cause elsewhere: a version that another node fetches whole was written at once, in front of calls and datagrams; 230 KB take 0.1 s at 18.5 Mbit/s and 0.35 s at 5. It takes its turn now, due 0.2 s after it was asked for, and is dropped when its node must have asked another.

--- a/org.berylwick.node/src/org/berylwick/node/call/PeerHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerHandler.java
@@ -32,7 +32,10 @@
 /** A connection of another node: its requests for the backend server here, or for the version; on the event loop. */
 final class PeerHandler extends ChannelInboundHandlerAdapter implements AttemptListener, OutgoingLink.Wire {
     private static final int MOST_PARTS = 1024;
-    private static final byte[] NOTHING = new byte[0];
+    /** Versions are wanted soon, and before answers whose objective is further off. */
+    private static final long VERSION_DUE_NANOS = 200_000_000L;
+    /** A node that has not taken a version by then has asked another. */
+    private static final long VERSION_TAKEN_NANOS = 1_500_000_000L;
 
     private final Owner owner;
     private final VmLink link;
@@ -138,7 +141,24 @@
         }
         releaseBody();
         Optional<byte[]> delivered = baseOf(request.uri()).flatMap(delivery::apply);
-        write(delivered.isPresent() ? 200 : 404, Unpooled.wrappedBuffer(delivered.orElse(NOTHING)), "");
+        if (delivered.isEmpty()) {
+            write(404, Unpooled.EMPTY_BUFFER, "");
+            return;
+        }
+        deliver(delivered.get());
+    }
+
+    /** Sends a version; a whole one is large for a narrow link, and takes its turn before most answers. */
+    private void deliver(byte[] version) {
+        long now = System.nanoTime();
+        dueAt = now + VERSION_DUE_NANOS;
+        deadlineAt = now + VERSION_TAKEN_NANOS;
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, version.length);
+        channel.write(response);
+        answer = Optional.of(link.outgoing().open(this, dueAt));
+        answer.get().write(Unpooled.wrappedBuffer(version));
+        onEnd();
     }
 
     private static Optional<Long> baseOf(String uri) {
--- a/org.berylwick.test/tst/org/berylwick/node/VersionSpreadTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/VersionSpreadTest.java
@@ -1,5 +1,6 @@
 package org.berylwick.node;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -8,6 +9,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.DatagramSocket;
+import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
@@ -18,13 +20,16 @@
 import org.berylwick.node.member.NodeState;
 import org.berylwick.node.transport.SmallHttpServer;
 import org.berylwick.node.version.VersionDeltaCodec;
+import org.berylwick.node.version.VersionKeeper;
 import org.berylwick.testing.Await;
+import org.berylwick.testing.RawServer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
 /** Versions come to nodes that do not watch the store, at a cost that a narrow link and a slow core can bear. */
 @Timeout(60)
 class VersionSpreadTest {
+    private static final int NARROW_MBPS = 2;
     private static final int BURST = 40;
     private static final int GAP_MILLIS = 25;
 
@@ -144,4 +149,28 @@
                 java.util.List.of());
         rig.tellFirst(socket, state);
     }
+
+    /** Guards against calls and datagrams that wait behind a whole version on a narrow link. */
+    @Test
+    void wholeVersionLeavesAtTheLinksPace() throws IOException {
+        try (RawServer server = new RawServer(NodeRig::answerOk);
+                NodeRig rig = new NodeRig()) {
+            rig.configuration.accept(NodeRig.version(1));
+            rig.startOnLink(1, server, 1, NARROW_MBPS);
+            rig.awaitReady(1);
+            try (Socket node = new Socket()) {
+                node.connect(rig.peers(1));
+                node.setSoTimeout(10_000);
+                long askedAt = System.nanoTime();
+                node.getOutputStream()
+                        .write(("GET " + VersionKeeper.VERSION_PATH + "0 HTTP/1.1\r\n\r\n").getBytes(US_ASCII));
+                String answer = NodeRig.readAnswer(node.getInputStream());
+                long millis = (System.nanoTime() - askedAt) / 1_000_000;
+                assertTrue(answer.startsWith("HTTP/1.1 200") && !answer.endsWith("[closed]"));
+                assertTrue(
+                        millis > answer.length() * 8 / (1_000 * NARROW_MBPS) / 2,
+                        answer.length() + " bytes in " + millis + " ms");
+            }
+        }
+    }
 }
