--- a/org.berylwick.node/src/org/berylwick/node/NodeStop.java
+++ b/org.berylwick.node/src/org/berylwick/node/NodeStop.java
@@ -10,9 +10,8 @@
  * The order of a planned stop; confined to the event loop.
  *
  * <p>The backend server beside this node runs on, and is out of reach from the owner's stop until the node is back. So
- * the owner works on while callers are sent elsewhere, and stops last: with the owner first, each node that was stopped
- * in turn took its backend server away for 5 s, a third of a service of three. Its runs make calls of their own through
- * the port for callers, so that closes only after them.
+ * the owner works on while callers are sent elsewhere, and stops last. Its runs make calls of their own through the
+ * port for callers, so that closes only after them. The stop ends when the last answer has been written.
  */
 final class NodeStop {
     /** Callers are sent elsewhere after this many questions for readiness without a yes. */
--- a/org.berylwick.node/src/org/berylwick/node/call/CandidateChooser.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CandidateChooser.java
@@ -9,11 +9,10 @@
 /**
  * Chooses where a request runs by what its caller stands to lose there; keeps nothing between requests.
  *
- * <p>The load it answers is any: backend servers that differ in speed, queues of which it knows only what it last
- * heard, and bytes that are dear between availability zones. All are put in one measure, parts of what a request is
- * worth: the chance that it ends after its objective, or not at all, by the spread of times that the backend server has
- * shown; the chance that it is lost; and its bytes. Means in place of chances sent requests with 130 of 200 ms expected
- * to the nearest server, where one in five was late.
+ * <p>Backend servers differ in speed, queues are known as they were last told, and bytes are dear between availability
+ * zones. All are put in one measure, parts of what a request is worth: the chance that it ends after its objective, or
+ * not at all, by the spread of times that the backend server has shown; the chance that it is lost; and its bytes.
+ * Chances, not means, since the mean hides the tail that misses the objective.
  */
 public final class CandidateChooser {
     /** What a caller loses when an answer is late, in parts of what it loses without one. */
--- a/org.berylwick.node/src/org/berylwick/node/call/Candidates.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Candidates.java
@@ -16,12 +16,9 @@
 /**
  * Lists some nodes that may run a request: this one, and a few drawn by chance; confined to the event loop.
  *
- * <p>The load it answers is a fleet of many entries, each of which knows the others' loads of a second ago. If all of
- * them compare all, they take the same one until they hear that it is full, and then the next; the quickest backend
- * servers had links and queues that were full for seconds while others stood idle. Two of a few drawn by chance differ
- * enough to be worth comparing, and differ from what other entries compare ("How useful is old information?",
- * Mitzenmacher 2000). With 90 nodes on narrow links this serves 0.92 of the worth where comparing all serves 0.87; with
- * 12 nodes it makes no difference.
+ * <p>Entries know each other's loads with a delay. If all of them compare all nodes, they take the same one until they
+ * hear that it is full, and then the next, while others stand idle. A few drawn by chance differ enough to be worth
+ * comparing, and differ from what other entries compare ("How useful is old information?", Mitzenmacher 2000).
  */
 public final class Candidates implements CandidateSource {
     /** Drawn from this availability zone, and as many from the others of this region. */
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -24,9 +24,8 @@
     /** Owners that refuse cost a round trip each; after so many the fleet is full. */
     private static final int MOST_REFUSALS = 3;
     /**
-     * The part of its objective that a request waits for slots, wherever: longer waits make others late, and whoever is
-     * refused after one could have come back. With 0.3 of the deadline for each slot, calls of 5 s were held for 1.8 s
-     * and then refused; with 0.2 of the objective, half as many again were refused where a service is short of room.
+     * Part of its objective that a request waits for slots, at all nodes together: longer waits make others late, and a
+     * caller that is refused early can still come back.
      */
     private static final double LONGEST_WAIT = 0.4;
     /** An owner's last word may still be on its way when the deadline has passed. */
--- a/org.berylwick.node/src/org/berylwick/node/call/RetryBudget.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/RetryBudget.java
@@ -16,15 +16,11 @@
  * of the allowance is left to them.
  */
 public final class RetryBudget {
-    /**
-     * Part of the allowance that is spent here. With 0.6, and three quarters as many repeats again through calls, a
-     * service was sent 771 repeats in 10 s where 689 were allowed.
-     */
+    /** Part of the allowance that is spent here; calls made by repeats take about as much again. */
     private static final double SHARE_SPENT = 0.4;
     /**
      * Part that repeats of runs may take which a backend server ended with a failure of its own. Mostly a call that
-     * they made failed, and the repeat makes all its calls again, to the service that is short of room already: with
-     * 0.45, 633 arrivals beyond the first in 10 s where 569 were allowed, 340 of them calls of 170 repeats.
+     * they made failed, and the repeat makes all its calls again, to the service that is short of room already.
      */
     private static final double SHARE_SPENT_ON_FAILURES = 0.22;
 
--- a/org.berylwick.node/src/org/berylwick/node/transport/IncomingLink.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/IncomingLink.java
@@ -5,9 +5,8 @@
 /**
  * What bodies that were announced to this VM still have to come over its link; confined to the event loop.
  *
- * <p>The load it answers is bodies that are large for the links: 60 KB take 0.1 s at 5 Mbit/s. A backend server whose
- * link is full gets nothing to do and looks idle, and is sent more the fuller its link is; so what is on its way is
- * told with its load.
+ * <p>A backend server whose link is full of bodies gets nothing to do and looks idle, and would be sent more the fuller
+ * its link is; so what is on its way is told with its load.
  */
 public final class IncomingLink {
     /** For bodies that are there already. */
--- a/org.berylwick.node/src/org/berylwick/node/transport/ReceiveWindow.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/ReceiveWindow.java
@@ -7,9 +7,8 @@
 /**
  * How much one sender may have on its way to this VM.
  *
- * <p>The load it answers is large bodies over a narrow link: with the usual window of 64 KB one body keeps all that is
- * small 0.1 s behind it at 5 Mbit/s, and each further one as long again. On a wide link the system's own window is
- * left.
+ * <p>On a narrow link the system's own window lets each large body queue in front of all that is small; on a wide one
+ * it is left as it is.
  */
 public final class ReceiveWindow {
     /** What a sender may have on its way, in time over the link; many times what the way there and back takes. */
--- a/org.berylwick.node/src/org/berylwick/node/transport/RequestBody.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/RequestBody.java
@@ -11,8 +11,8 @@
  * The body of a request while it comes in, and after; confined to the event loop.
  *
  * <p>It is kept whole until it is released, so that it can be sent to another node after one that refused it. Whoever
- * follows it gets what is there at once and the rest as it comes: 60 KB that were gathered first took 0.1 s for each
- * hop over a link of 5 Mbit/s, and take it once.
+ * follows it gets what is there at once and the rest as it comes, so that a narrow link delays it once, not at each
+ * hop.
  */
 public final class RequestBody {
     /** A shorter one mostly comes with its head, or within some milliseconds. */
--- a/org.berylwick.node/src/org/berylwick/node/version/VersionDeltaCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/version/VersionDeltaCodec.java
@@ -12,10 +12,10 @@
 /**
  * What has to be sent to a node that has an earlier version, so that it gets the bytes of a later one.
  *
- * <p>A version with 1,612 routes is 229 KB, and its successor mostly differs in some routes; whole, it takes a third of
- * a second on a link of 5.25 Mbit/s, and versions may come faster than that. The form is the CRC-32 of the later
- * version (4 bytes), then, deflated, its length and a row of parts: each a number, twice its length, plus one if it is
- * copied from the earlier version; then the offset there, or the bytes. Numbers are unsigned LEB128.
+ * <p>Versions are large, their successors mostly differ in a few routes, and on a narrow link they may come faster than
+ * whole ones can be sent. The form is the CRC-32 of the later version (4 bytes), then, deflated, its length and a row
+ * of parts: each a number, twice its length, plus one if it is copied from the earlier version; then the offset there,
+ * or the bytes. Numbers are unsigned LEB128.
  */
 public final class VersionDeltaCodec {
     /** Bytes that two versions must have in common for a copy to be found; about a quarter of a route. */
