Refuse requests that come too late to end before a planned stop does

While the backend server beside a stopping node works on, its port for callers stays open for the calls of those runs, up to the end of the grace; a request taken just before was cut with the process.

In the last 1.5 s of the grace new requests are refused with 503 and when to come back; those under way go on as before.

--- a/org.berylwick.node/src/org/berylwick/node/NodeStop.java
+++ b/org.berylwick.node/src/org/berylwick/node/NodeStop.java
@@ -27,6 +27,9 @@
     /** Kept back from the grace, for the last answers to leave. */
     private static final long MARGIN_MILLIS = 300;
 
+    /** A request that comes this much before the end may outlast the process, so it is refused. */
+    private static final long LAST_REQUESTS_MILLIS = 1_500;
+
     private static final long CHECK_MILLIS = 50;
     /** Quiet checks in a row before the end: an answer may still be on its way out. */
     private static final int QUIET_CHECKS = 3;
@@ -107,7 +110,11 @@
     }
 
     private void check() {
-        boolean late = System.nanoTime() >= endAt;
+        long now = System.nanoTime();
+        boolean late = now >= endAt;
+        if (now >= endAt - LAST_REQUESTS_MILLIS * 1_000_000) {
+            entry.refuseNew();
+        }
         if (listening && (owner.pending() == 0 || late)) {
             listening = false;
             entry.stopListening();
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
@@ -48,6 +48,9 @@
     private static final int MOST_AHEAD = 64;
 
     private static final long LINGER_MILLIS = 1_000;
+    /** When to come back after a refusal that has nothing to do with load. */
+    private static final double RETRY_ELSEWHERE_S = 0.3;
+
     /** Idle connections are kept a little longer than the limit says, as a request may be on its way. */
     private static final double IDLE_MARGIN = 1.1;
 
@@ -210,11 +213,17 @@
         head = null;
         busy = true;
         services.counters().add(NodeMetricNames.ENTRY_REQUESTS);
+        if (server.isRefusing()) {
+            whole.release();
+            services.counters().add(NodeMetricNames.ENTRY_REFUSED);
+            reply(503, EntryCall.retryAfter(RETRY_ELSEWHERE_S), Unpooled.EMPTY_BUFFER);
+            return;
+        }
         Optional<MeshVersion> version = services.version().get();
         if (version.isEmpty()) {
             whole.release();
             services.counters().add(NodeMetricNames.ENTRY_REFUSED_NO_VERSION);
-            reply(503, EntryCall.retryAfter(0.3), Unpooled.EMPTY_BUFFER);
+            reply(503, EntryCall.retryAfter(RETRY_ELSEWHERE_S), Unpooled.EMPTY_BUFFER);
             return;
         }
         String host = request.headers().get(HttpHeaderNames.HOST, "");
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryServer.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryServer.java
@@ -32,6 +32,7 @@
     private final Set<EntryHandler> connections = new HashSet<>();
     private Channel listener;
     private boolean draining;
+    private boolean refusing;
 
     EntryServer(EntryServices services, EventLoop loop, InetSocketAddress address) {
         this.services = services;
@@ -106,6 +107,15 @@
         draining = true;
     }
 
+    /** Refuses requests that come from now on; those under way go on. */
+    public void refuseNew() {
+        refusing = true;
+    }
+
+    boolean isRefusing() {
+        return refusing;
+    }
+
     /** Takes no more connections, and ends those on which nothing is under way. */
     public void stopListening() {
         draining = true;
--- a/org.berylwick.test/tst/org/berylwick/node/StopTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/StopTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.berylwick.node.lib.RouteKind;
 import org.berylwick.testing.Await;
 import org.berylwick.testing.RawServer;
 import org.junit.jupiter.api.Test;
@@ -26,6 +27,10 @@
     /** Longer than a stop takes with nothing under way. */
     private static final int SLOW_MILLIS = 4_000;
 
+    private static final int HANGS_MILLIS = 12_000;
+    private static final int RUNS_MILLIS = 1_000;
+    private static final int SHORTLY_BEFORE_THE_END_MILLIS = 5_000;
+
     private static final String LARGE = "x".repeat(LENGTH);
 
     private static int wholeAnswersLater(Socket caller) {
@@ -69,6 +74,40 @@
         }
     }
 
+    /**
+     * Guards against a request that is taken a moment before the grace ends, and gets neither an answer nor a refusal.
+     */
+    @Test
+    void requestThatComesJustBeforeTheGraceEndsIsRefused() {
+        RawServer.Script script = (c, r) -> {
+            NodeRig.sleep(r.path().startsWith("/hang/") ? HANGS_MILLIS : RUNS_MILLIS);
+            NodeRig.answerOk(c, r);
+        };
+        try (RawServer here = new RawServer(script);
+                RawServer elsewhere = new RawServer(script);
+                NodeRig rig = new NodeRig()) {
+            rig.configuration.accept(NodeRig.version(
+                    1,
+                    b -> b.route(
+                            NodeRig.HOST, NodeRig.route("hang", "/hang/", RouteKind.NON_IDEMPOTENT, HANGS_MILLIS))));
+            Node node = rig.start(1, Optional.of(here));
+            rig.awaitReady(1);
+            CompletableFuture.runAsync(() -> rig.send(1, NodeRig.request("POST", "/hang/x", "h1", HANGS_MILLIS, "")));
+            Await.until("it hangs", () -> here.runs("h1") == 1, rig::logged);
+            rig.start(2, Optional.of(elsewhere));
+            rig.awaitHeard("i-2");
+            CompletableFuture<Void> stopped = CompletableFuture.runAsync(() -> {
+                node.stop();
+                node.close();
+            });
+            NodeRig.sleep(SHORTLY_BEFORE_THE_END_MILLIS);
+            String answer = rig.call(1, "GET", "/read/x", "r1", "");
+            assertTrue(answer.startsWith("HTTP/1.1 503") && answer.contains("Retry-After"), answer);
+            assertEquals(0, elsewhere.runs("r1"));
+            stopped.join();
+        }
+    }
+
     /** The same for an answer to another node that waits for the link. */
     @Test
     void answerToAnotherNodeLeavesBeforeTheStopEnds() throws IOException {
