Log large answers that leave over the link late, or not at all

ANSWER_LATE_AT_LINK tells, for each large answer to another node that is past its objective when its last bytes are handed on, or that is dropped: bytes sent and waiting, time since its head, how late it is, what is left to its deadline, whether its source is paused, and how busy the link is.

--- a/org.berylwick.node/src/org/berylwick/node/call/PeerHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerHandler.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongFunction;
 import org.berylwick.node.lib.OwnerLoad;
+import org.berylwick.node.log.Event;
 import org.berylwick.node.transport.OutgoingLink;
 import org.berylwick.node.transport.RequestBody;
 import org.berylwick.node.transport.VmLink;
@@ -46,6 +47,8 @@
     private CompositeByteBuf gathered;
     private boolean dropping;
     private Attempt attempt;
+    private String answerId = "";
+    private long answerAt;
     private long dueAt;
     private long deadlineAt;
     private Optional<OutgoingLink.Flow> answer = Optional.empty();
@@ -134,6 +137,7 @@
         Optional<CallSpec> call =
                 PeerCodec.readCall(request, Headers.endToEnd(request.headers()), body, System.nanoTime());
         if (call.isPresent()) {
+            answerId = call.get().id();
             dueAt = call.get().objectiveAt();
             deadlineAt = call.get().deadlineAt();
             attempt = owner.offer(call.get(), this);
@@ -151,6 +155,8 @@
     /** Sends a version; a whole one is large for a narrow link, and takes its turn before most answers. */
     private void deliver(byte[] version) {
         long now = System.nanoTime();
+        answerId = "version";
+        answerAt = now;
         dueAt = now + VERSION_DUE_NANOS;
         deadlineAt = now + VERSION_TAKEN_NANOS;
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
@@ -192,6 +198,7 @@
             // What must run once runs to its end, also when nobody waits for its answer any more.
             return;
         }
+        answerAt = System.nanoTime();
         answer = Optional.of(link.outgoing().open(this, dueAt));
         channel.write(response);
     }
@@ -246,6 +253,7 @@
     public void onEnd() {
         over();
         answer.ifPresent(a -> a.end(() -> {
+            logIfLate(a, true);
             answer = Optional.empty();
             cancelExpiry();
             channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
@@ -256,6 +264,37 @@
         }
     }
 
+    private void logIfLate(OutgoingLink.Flow flow, boolean left) {
+        long now = System.nanoTime();
+        long waiting = flow.waitingBytes();
+        if (left && now <= dueAt || !link.outgoing().isLarge(flow.sentBytes() + waiting)) {
+            return;
+        }
+        owner.log()
+                .write(
+                        Event.ANSWER_LATE_AT_LINK,
+                        "id",
+                        answerId,
+                        "left",
+                        left,
+                        "sentBytes",
+                        flow.sentBytes(),
+                        "waitingBytes",
+                        waiting,
+                        "forMs",
+                        (now - answerAt) / 1_000_000,
+                        "lateMs",
+                        (now - dueAt) / 1_000_000,
+                        "leftMs",
+                        (deadlineAt - now) / 1_000_000,
+                        "paused",
+                        flow.isPaused(),
+                        "linkBusyMs",
+                        link.outgoing().busyNanos() / 1_000_000,
+                        "flows",
+                        link.outgoing().waitingFlows());
+    }
+
     private void cancelExpiry() {
         expiry.ifPresent(e -> e.cancel(false));
         expiry = Optional.empty();
@@ -303,7 +342,10 @@
             attempt.cancel();
         }
         over();
-        answer.ifPresent(OutgoingLink.Flow::cancel);
+        answer.ifPresent(a -> {
+            logIfLate(a, false);
+            a.cancel();
+        });
         answer = Optional.empty();
         cancelExpiry();
         if (gathered != null) {
--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -59,6 +59,8 @@
     RUN_FAILED(7048, 30),
     /** A repeat is sent beside an attempt at a node that is not heard. */
     ATTEMPT_UNHEARD(7049, 30),
+    /** A large answer to another node left over the link after its objective, or not at all. */
+    ANSWER_LATE_AT_LINK(7050, 20),
     /** An unexpected error; the connection it came from was closed. */
     INTERNAL_ERROR(7099, 20);
 
--- a/org.berylwick.node/src/org/berylwick/node/transport/OutgoingLink.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/OutgoingLink.java
@@ -84,6 +84,11 @@
         expected += bytes;
     }
 
+    /** How many answers wait. */
+    public int waitingFlows() {
+        return flows.size();
+    }
+
     /** Counts a small write. */
     public void onSent(int bytes) {
         long now = clock.now();
@@ -154,6 +159,25 @@
             this.dueAt = dueAt;
         }
 
+        /** Bytes handed on so far. */
+        public long sentBytes() {
+            return sent;
+        }
+
+        /** Bytes that wait here. */
+        public long waitingBytes() {
+            long bytes = 0;
+            for (ByteBuf part : waiting) {
+                bytes += part.readableBytes();
+            }
+            return bytes;
+        }
+
+        /** Whether its source is read no further. */
+        public boolean isPaused() {
+            return paused;
+        }
+
         private boolean goesBefore(Flow other, long now) {
             boolean late = now >= dueAt;
             boolean otherLate = now >= other.dueAt;
