Keep the connections that a scripted peer accepts

SilentNodeTest.repeatableRequestLeavesANodeThatLostPower failed once in a run of its class (502 in place of the repeat's answer), and passed in three runs alone. Cause: the test drops the accepted connection, and a Socket that is garbage is closed, so the node that should be silent hangs up and the request ends before the other node is there.

Shown by a run: with five forced collections behind the accept it fails every time in the same way; with the connections kept by the peer the class passes with the same collections. The check is unchanged. Ruled out: the node's repeat itself, which is never reached in the failing run.

--- a/org.berylwick.test/tst/org/berylwick/node/ScriptedPeer.java
+++ b/org.berylwick.test/tst/org/berylwick/node/ScriptedPeer.java
@@ -7,6 +7,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import org.berylwick.node.lib.BackendState;
@@ -24,6 +25,8 @@
     private final NodeRig rig;
     private final DatagramSocket datagrams;
     private final ServerSocket listener;
+    /** Keeps connections that a test does not: one that is garbage would be closed. */
+    private final List<Socket> accepted = new ArrayList<>();
 
     ScriptedPeer(NodeRig rig) throws IOException {
         this.rig = rig;
@@ -55,6 +58,7 @@
     /** Takes the next connection of node 1. */
     Call accept() throws IOException {
         Socket socket = listener.accept();
+        accepted.add(socket);
         socket.setSoTimeout(20_000);
         return new Call(socket, new BufferedInputStream(socket.getInputStream()));
     }
@@ -120,5 +124,8 @@
     public void close() throws IOException {
         datagrams.close();
         listener.close();
+        for (Socket socket : accepted) {
+            socket.close();
+        }
     }
 }
