Give every call its final answer before a planned stop ends

Cause on the entry's side: a stopping entry goes on asking for answers that can come after its own end. The owner is told the caller's deadline (up to 6.4 s), not the entry's end (5.7 s after the signal), and a call that has nothing by then is cut. Evidence: all requests were taken 0.7 to 1.9 s after SIGTERM, and cut 5.7 s after it with 1 s and more of their time left (ANSWER_LATE_AT_LINK, leftMs 965 and 1309, at the owner, 5 ms after STOPPED).

Change: the entry ends with its grace in mind. Calls opened after the signal have the end as their deadline, which owners and backend servers are told; those under way get the best final answer there is 150 ms before the end (a 502 or a failure that was kept; 503 if they have not run).

Ruled out: a stop that forgets calls (STOPPED counts them), the backend server (its run had ended with 200 seconds before), a source that is not read on (paused is false in all lines).

Tests: StopTest.callerIsAnsweredWhenItsOwnerOutlastsTheGrace, "[closed]" before, and ownerIsToldHowLongAStoppingEntryIsThere, "told to be there for 11988 ms" before.

--- a/org.berylwick.node/src/org/berylwick/node/NodeStop.java
+++ b/org.berylwick.node/src/org/berylwick/node/NodeStop.java
@@ -24,8 +24,10 @@
     private static final long CALLERS_MILLIS = 2_600;
     /** Other nodes hear of the stop within this, and send nothing more to the backend server here. */
     private static final long TOLD_MILLIS = 100;
-    /** Kept back from the grace, for the last answers to leave. */
+    /** Kept back from the grace, for the process to end. */
     private static final long MARGIN_MILLIS = 300;
+    /** Calls have their final answer this much before the end, so that it leaves. */
+    private static final long LAST_ANSWERS_MILLIS = 150;
 
     /** A request that comes this much before the end may outlast the process, so it is refused. */
     private static final long LAST_REQUESTS_MILLIS = 1_500;
@@ -78,7 +80,7 @@
     void begin() {
         begun = true;
         endAt = System.nanoTime() + graceNanos - MARGIN_MILLIS * 1_000_000;
-        entry.drain();
+        entry.drain(endAt - LAST_ANSWERS_MILLIS * 1_000_000);
         loop.schedule(this::onCallersGone, CALLERS_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/org.berylwick.node/src/org/berylwick/node/call/CallerCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallerCall.java
@@ -5,6 +5,13 @@
     /** Sends it; its answer may come before this returns. */
     void start();
 
+    /**
+     * The process ends: the caller gets what there is by then, unless its answer is being streamed.
+     *
+     * @param at by when, {@link System#nanoTime} terms
+     */
+    void endBy(long at);
+
     /** The caller has gone. */
     void abandon();
 
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -368,6 +368,18 @@
         }
     }
 
+    @Override
+    public void endBy(long at) {
+        if (done || at >= spec.deadlineAt()) {
+            return;
+        }
+        context.clock().at(at, () -> {
+            if (!done && streaming.isEmpty()) {
+                giveUp("planned stop");
+            }
+        });
+    }
+
     private void onDeadline() {
         if (done) {
             return;
@@ -378,7 +390,11 @@
             onStreamed(attempt, false);
             return;
         }
-        lastCause = lastCause.isEmpty() ? "deadline" : "deadline, before that " + lastCause;
+        giveUp("deadline");
+    }
+
+    private void giveUp(String why) {
+        lastCause = lastCause.isEmpty() ? why : why + ", before that " + lastCause;
         live.ifPresent(a -> {
             // A backend server is sent nothing of a request before all of it is at its owner.
             mayHaveRun += spec.body().isWhole() ? 1 : 0;
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCalls.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCalls.java
@@ -24,6 +24,7 @@
 
     private final EntryContext context;
     private final CallerPatience patience = new CallerPatience();
+    private long endAt = Long.MAX_VALUE;
 
     /**
      * @param clock tells the time; all runs where its tasks do
@@ -67,6 +68,11 @@
         return context.memory().held();
     }
 
+    /** The process ends: calls that are opened from now on have their deadline then at the latest. */
+    void endBy(long at) {
+        endAt = at;
+    }
+
     /**
      * Opens a call, which is still to be started.
      *
@@ -88,6 +94,7 @@
         if (route.timeoutNanos() > 0) {
             deadline = Math.min(deadline, now + route.timeoutNanos());
         }
+        deadline = Math.min(deadline, endAt);
         long objective = route.objectiveNanos() > 0 ? now - waited + route.objectiveNanos() : deadline;
         CallSpec spec = new CallSpec(
                 id,
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
@@ -354,6 +354,13 @@
         channel.close();
     }
 
+    /** The process ends: a call that is under way gets its final answer by then. */
+    void endBy(long at) {
+        if (call != null) {
+            call.endBy(at);
+        }
+    }
+
     /** Closes the connection if nothing is under way on it. */
     void closeIfIdle() {
         if (busy || head != null || body != null || closing) {
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryServer.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryServer.java
@@ -102,9 +102,17 @@
         return pending;
     }
 
-    /** Tells callers with each answer that their connection ends. */
-    public void drain() {
+    /**
+     * Tells callers with each answer that their connection ends, and has every call end in time.
+     *
+     * @param endAt by when calls have their final answer, {@link System#nanoTime} terms
+     */
+    public void drain(long endAt) {
         draining = true;
+        services.calls().endBy(endAt);
+        for (EntryHandler connection : List.copyOf(connections)) {
+            connection.endBy(endAt);
+        }
     }
 
     /** Refuses requests that come from now on; those under way go on. */
--- a/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
+++ b/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
@@ -45,6 +45,7 @@
     static final HeaderNames NAMES = new HeaderNames(
             "x-request-id", "x-deadline", "x-signature", "x-target", "x-load", "x-not-run", "x-caller", "x-instance");
 
+    static final int GRACE_MILLIS = 6_000;
     private static final double WIDE_MBPS = 1_000;
 
     static final String HOST = "shop.example";
@@ -58,6 +59,15 @@
     private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
     private final List<EventLog> logs = new ArrayList<>();
 
+    /** A rig with node 1, which has no backend server. */
+    static NodeRig ofEntry(MeshVersion version) {
+        NodeRig rig = new NodeRig();
+        rig.configuration.accept(version);
+        rig.start(1, Optional.empty());
+        rig.awaitReady(1);
+        return rig;
+    }
+
     private static int[] freePorts() {
         int[] found = new int[6];
         List<ServerSocket> held = new ArrayList<>();
@@ -76,6 +86,10 @@
         return found;
     }
 
+    Node node(int number) {
+        return nodes.get(number - 1);
+    }
+
     String ip(int number) {
         return "127." + net + ".0." + number;
     }
@@ -310,7 +324,7 @@
                 1,
                 200,
                 linkMbps.getOrDefault(number, WIDE_MBPS),
-                new Bounds(2_000_000_000L, 6_000_000_000L, 2_000_000_000L, 0.2, 10_000_000_000L, 60));
+                new Bounds(2_000_000_000L, GRACE_MILLIS * 1_000_000L, 2_000_000_000L, 0.2, 10_000_000_000L, 60));
     }
 
     @Override
--- a/org.berylwick.test/tst/org/berylwick/node/ScriptedPeer.java
+++ b/org.berylwick.test/tst/org/berylwick/node/ScriptedPeer.java
@@ -28,6 +28,13 @@
     /** Keeps connections that a test does not: one that is garbage would be closed. */
     private final List<Socket> accepted = new ArrayList<>();
 
+    /** Node 9, which tells of itself once. */
+    static ScriptedPeer announced(NodeRig rig, int linkMbps) throws IOException {
+        ScriptedPeer peer = new ScriptedPeer(rig);
+        peer.announce(linkMbps);
+        return peer;
+    }
+
     ScriptedPeer(NodeRig rig) throws IOException {
         this.rig = rig;
         this.datagrams = new DatagramSocket(rig.gossip(NUMBER));
@@ -103,15 +110,27 @@
             write("HTTP/1.1 100 Continue\r\n\r\n");
         }
 
+        /** How many milliseconds the caller waits, as a request's head in lower case tells an owner. */
+        static int millisLeft(String head) {
+            int at = head.indexOf("bw-call: ");
+            return Integer.parseInt(head.substring(at, head.indexOf('\r', at)).split(";")[6]);
+        }
+
         /** Says that it did not run the request, and will not. */
         void refuse() throws IOException {
             write("HTTP/1.1 503 Busy\r\nbw-outcome: refused;BUSY;false" + LOAD + "\r\ncontent-length: 0\r\n\r\n");
         }
 
+        /** Passes on the head of an answer of its backend server. */
+        void beginAnswer(String id, int length) throws IOException {
+            write("HTTP/1.1 200 OK\r\nbw-outcome: answered;;false" + LOAD + "\r\nx-request-id: " + id
+                    + "\r\nx-signature: s\r\ncontent-length: " + length + "\r\n\r\n");
+        }
+
         /** Passes on an answer of its backend server. */
         void answer(String id, String body) throws IOException {
-            write("HTTP/1.1 200 OK\r\nbw-outcome: answered;;false" + LOAD + "\r\nx-request-id: " + id
-                    + "\r\nx-signature: s\r\ncontent-length: " + body.length() + "\r\n\r\n" + body);
+            beginAnswer(id, body.length());
+            write(body);
         }
 
         @Override
--- a/org.berylwick.test/tst/org/berylwick/node/SilentNodeTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/SilentNodeTest.java
@@ -33,8 +33,8 @@
     @Test
     void repeatableRequestLeavesANodeThatLostPower() throws IOException, InterruptedException {
         try (RawServer server = new RawServer(NodeRig::answerOk);
-                NodeRig rig = entryOf(versionWith(NodeRig.route("long", "/long/", RouteKind.BULK, 20_000)));
-                ScriptedPeer silent = announced(rig, LINK_MBPS)) {
+                NodeRig rig = NodeRig.ofEntry(versionWith(NodeRig.route("long", "/long/", RouteKind.BULK, 20_000)));
+                ScriptedPeer silent = ScriptedPeer.announced(rig, LINK_MBPS)) {
             String[] answer = new String[1];
             long before = System.nanoTime();
             String request = NodeRig.request("GET", "/long/x", "a1", 20_000, "");
@@ -50,8 +50,8 @@
     /** A node whose datagrams are lost, as on a full link, but which has a request at work: its answer is passed on. */
     @Test
     void requestStaysAtAnUnheardNodeWhenNoOtherCanRunIt() throws Exception {
-        try (NodeRig rig = entryOf(NodeRig.version(1));
-                ScriptedPeer unheard = announced(rig, LINK_MBPS)) {
+        try (NodeRig rig = NodeRig.ofEntry(NodeRig.version(1));
+                ScriptedPeer unheard = ScriptedPeer.announced(rig, LINK_MBPS)) {
             NodeRig.sleep(SILENCE_MILLIS);
             CompletableFuture<String> answer = callLater(rig, "GET", "/read/x", "b1");
             try (ScriptedPeer.Call call = unheard.accept()) {
@@ -67,8 +67,9 @@
     @Test
     void nonIdempotentRequestStaysAtAnUnheardNode() throws Exception {
         try (RawServer server = new RawServer(NodeRig::answerOk);
-                NodeRig rig = entryOf(versionWith(NodeRig.route("slow", "/slow/", RouteKind.NON_IDEMPOTENT, 12_000)));
-                ScriptedPeer unheard = announced(rig, LINK_MBPS)) {
+                NodeRig rig = NodeRig.ofEntry(
+                        versionWith(NodeRig.route("slow", "/slow/", RouteKind.NON_IDEMPOTENT, 12_000)));
+                ScriptedPeer unheard = ScriptedPeer.announced(rig, LINK_MBPS)) {
             CompletableFuture<String> answer = CompletableFuture.supplyAsync(
                     () -> rig.send(1, NodeRig.request("POST", "/slow/x", "b2", 12_000, "")));
             try (ScriptedPeer.Call call = unheard.accept()) {
@@ -90,8 +91,9 @@
                     c.read(BODY_LENGTH);
                     NodeRig.answerOk(c, r);
                 });
-                NodeRig rig = entryOf(versionWith(NodeRig.route("slow", "/slow/", RouteKind.NON_IDEMPOTENT, 12_000)));
-                ScriptedPeer unheard = announced(rig, NARROW_MBPS)) {
+                NodeRig rig = NodeRig.ofEntry(
+                        versionWith(NodeRig.route("slow", "/slow/", RouteKind.NON_IDEMPOTENT, 12_000)));
+                ScriptedPeer unheard = ScriptedPeer.announced(rig, NARROW_MBPS)) {
             CompletableFuture<String> answer = CompletableFuture.supplyAsync(
                     () -> rig.send(1, NodeRig.request("POST", "/slow/x", "b4", 12_000, body)));
             try (ScriptedPeer.Call call = unheard.accept()) {
@@ -108,8 +110,8 @@
     void requestGoesBackToAnUnheardNodeWhenTheOtherRefuses() throws Exception {
         try (RawServer full = new RawServer((c, r) -> c.write("HTTP/1.1 503 Full\r\nx-request-id: " + r.id()
                         + "\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n"));
-                NodeRig rig = entryOf(versionWith(NodeRig.route("long", "/long/", RouteKind.BULK, 20_000)));
-                ScriptedPeer unheard = announced(rig, LINK_MBPS)) {
+                NodeRig rig = NodeRig.ofEntry(versionWith(NodeRig.route("long", "/long/", RouteKind.BULK, 20_000)));
+                ScriptedPeer unheard = ScriptedPeer.announced(rig, LINK_MBPS)) {
             CompletableFuture<String> answer = CompletableFuture.supplyAsync(
                     () -> rig.send(1, NodeRig.request("GET", "/long/x", "b3", 20_000, "")));
             try (ScriptedPeer.Call call = unheard.accept()) {
@@ -127,22 +129,6 @@
         return NodeRig.version(1, b -> b.route(NodeRig.HOST, route));
     }
 
-    /** Node 1, which has no backend server. */
-    private static NodeRig entryOf(MeshVersion version) {
-        NodeRig rig = new NodeRig();
-        rig.configuration.accept(version);
-        rig.start(1, Optional.empty());
-        rig.awaitReady(1);
-        return rig;
-    }
-
-    /** Node 9, which tells of itself once. */
-    private static ScriptedPeer announced(NodeRig rig, int linkMbps) throws IOException {
-        ScriptedPeer peer = new ScriptedPeer(rig);
-        peer.announce(linkMbps);
-        return peer;
-    }
-
     private static CompletableFuture<String> callLater(NodeRig rig, String method, String path, String id) {
         return CompletableFuture.supplyAsync(() -> rig.call(1, method, path, id, ""));
     }
@@ -152,7 +138,8 @@
      */
     @Test
     void callThatEndsByItsDeadlineNamesTheNodeItWaitedFor() throws IOException {
-        try (NodeRig rig = entryOf(versionWith(NodeRig.route("quick", "/quick/", RouteKind.NON_IDEMPOTENT, 300)));
+        try (NodeRig rig =
+                        NodeRig.ofEntry(versionWith(NodeRig.route("quick", "/quick/", RouteKind.NON_IDEMPOTENT, 300)));
                 ScriptedPeer mute = new ScriptedPeer(rig)) {
             mute.announce(LINK_MBPS);
             String answer = rig.send(1, NodeRig.request("POST", "/quick/x", "a2", 20_000, ""));
--- a/org.berylwick.test/tst/org/berylwick/node/StopTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/StopTest.java
@@ -8,7 +8,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.berylwick.node.lib.MeshVersion;
 import org.berylwick.node.lib.RouteKind;
+import org.berylwick.node.log.Event;
 import org.berylwick.testing.Await;
 import org.berylwick.testing.RawServer;
 import org.junit.jupiter.api.Test;
@@ -23,6 +25,7 @@
     private static final int ANSWERS = 8;
 
     private static final double NARROW_MBPS = 30;
+    private static final int WIDE_MBPS = 1_000;
     private static final int PACED_LENGTH = 4_500_000;
     /** Longer than a stop takes with nothing under way. */
     private static final int SLOW_MILLIS = 4_000;
@@ -108,6 +111,50 @@
         }
     }
 
+    /**
+     * Guards against a caller whose connection ends without an answer because the owner's did not come in the grace.
+     */
+    @Test
+    void callerIsAnsweredWhenItsOwnerOutlastsTheGrace() throws IOException {
+        try (NodeRig rig = NodeRig.ofEntry(versionWithSlowRoute());
+                ScriptedPeer owner = ScriptedPeer.announced(rig, WIDE_MBPS)) {
+            CompletableFuture<String> answer = CompletableFuture.supplyAsync(
+                    () -> rig.send(1, NodeRig.request("GET", "/slow/x", "w1", HANGS_MILLIS, "")));
+            try (ScriptedPeer.Call call = owner.accept()) {
+                call.head();
+                call.beginAnswer("w1", LENGTH);
+                rig.node(1).stop();
+                rig.node(1).close();
+                assertTrue(answer.join().startsWith("HTTP/1.1 502"), answer.join());
+            }
+        }
+    }
+
+    /** Guards against an owner that makes an answer which its entry, told to stop, can no longer pass on. */
+    @Test
+    void ownerIsToldHowLongAStoppingEntryIsThere() throws IOException {
+        try (NodeRig rig = NodeRig.ofEntry(versionWithSlowRoute());
+                ScriptedPeer owner = ScriptedPeer.announced(rig, WIDE_MBPS)) {
+            CompletableFuture<Void> stopped =
+                    CompletableFuture.runAsync(() -> rig.node(1).stop());
+            Await.until("it stops", () -> rig.logged().contains(Event.STOPPING.name()), rig::logged);
+            CompletableFuture<String> answer = CompletableFuture.supplyAsync(
+                    () -> rig.send(1, NodeRig.request("GET", "/slow/x", "w2", HANGS_MILLIS, "")));
+            try (ScriptedPeer.Call call = owner.accept()) {
+                int left = ScriptedPeer.Call.millisLeft(call.head());
+                assertTrue(left < NodeRig.GRACE_MILLIS, "told to be there for " + left + " ms");
+                call.answer("w2", "in time");
+                assertTrue(answer.join().endsWith("in time"), answer.join());
+            }
+            stopped.join();
+        }
+    }
+
+    private static MeshVersion versionWithSlowRoute() {
+        return NodeRig.version(
+                1, b -> b.route(NodeRig.HOST, NodeRig.route("slow", "/slow/", RouteKind.BULK, HANGS_MILLIS)));
+    }
+
     /** The same for an answer to another node that waits for the link. */
     @Test
     void answerToAnotherNodeLeavesBeforeTheStopEnds() throws IOException {
