Wait for a request that is being read when a planned stop ends

What callers saw: a request whose body was still coming when all others were over got its connection closed (StopTest: "[closed]" before). A stop counted requests from their last byte on only, so it ended while one was being read, and one that became whole between the last check and the end of the process was begun and cut.

Change: a connection on which a request is being read counts as busy, so the stop goes on until it is answered, or for the grace.

--- a/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
@@ -363,7 +363,7 @@
 
     /** Closes the connection if nothing is under way on it. */
     void closeIfIdle() {
-        if (busy || head != null || body != null || closing) {
+        if (busy || isReading() || closing) {
             return;
         }
         closing = true;
@@ -372,8 +372,13 @@
         }
     }
 
+    /** Whether a request is being read, answered, or its answer has not left. */
     boolean isBusy() {
-        return busy && !closing || unsent > 0;
+        return (busy || isReading()) && !closing || unsent > 0;
+    }
+
+    private boolean isReading() {
+        return head != null || body != null;
     }
 
     @Override
--- a/org.berylwick.test/tst/org/berylwick/node/StopTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/StopTest.java
@@ -130,6 +130,30 @@
         }
     }
 
+    /** Guards against a request whose body is still coming when all else is over, and is cut by the end of the process. */
+    @Test
+    void requestWhoseBodyIsComingIsAnsweredBeforeTheStopEnds() throws IOException {
+        try (NodeRig rig = NodeRig.ofEntry(NodeRig.version(1));
+                Socket caller = new Socket()) {
+            caller.connect(rig.callers(1));
+            caller.setSoTimeout(20_000);
+            String request = NodeRig.request("POST", "/pay/x", "u1", 9_000, "body");
+            String beginning = request.substring(0, request.length() - 2);
+            caller.getOutputStream().write(beginning.getBytes(StandardCharsets.ISO_8859_1));
+            NodeRig.sleep(200);
+            CompletableFuture<Void> stopped = CompletableFuture.runAsync(() -> {
+                rig.node(1).stop();
+                rig.node(1).close();
+            });
+            NodeRig.sleep(SLOW_MILLIS);
+            caller.getOutputStream()
+                    .write(request.substring(beginning.length()).getBytes(StandardCharsets.ISO_8859_1));
+            String answer = NodeRig.readAnswer(caller.getInputStream());
+            assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+            stopped.join();
+        }
+    }
+
     /** Guards against an owner that makes an answer which its entry, told to stop, can no longer pass on. */
     @Test
     void ownerIsToldHowLongAStoppingEntryIsThere() throws IOException {
