Move the trace of a call out of EntryCall

What became of each attempt, and the line in the log, is a class of its own now; nothing else changes.

--- /dev/null
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallTrace.java
@@ -0,0 +1,82 @@
+package org.berylwick.node.call;
+
+import org.berylwick.node.lib.Route;
+import org.berylwick.node.log.Event;
+
+/** What became of each attempt of a call, for its line in the log; confined to the event loop. */
+final class CallTrace {
+    private final EntryContext context;
+    private final CallSpec spec;
+    private final Route route;
+    private final long versionNumber;
+    private final long receivedAt;
+    private final StringBuilder tried = new StringBuilder();
+    private String cause = "";
+
+    CallTrace(EntryContext context, CallSpec spec, Route route, long versionNumber, long receivedAt) {
+        this.context = context;
+        this.spec = spec;
+        this.route = route;
+        this.versionNumber = versionNumber;
+        this.receivedAt = receivedAt;
+    }
+
+    /** An attempt came to something. */
+    void onOutcome(EntryAttempt attempt, String outcome) {
+        String key = attempt.candidate().key();
+        tried.append(tried.isEmpty() ? "" : " ")
+                .append(key.isEmpty() ? "self" : key)
+                .append('=')
+                .append(outcome)
+                .append('+')
+                .append((context.clock().now() - receivedAt) / 1_000_000)
+                .append("ms");
+    }
+
+    /** The same, and it is the reason for what happens next. */
+    void onEnd(EntryAttempt attempt, String outcome) {
+        onOutcome(attempt, outcome);
+        cause = outcome;
+    }
+
+    void setCause(String why) {
+        cause = why;
+    }
+
+    /** The call ends with what there is. */
+    void onGivenUp(String why) {
+        cause = cause.isEmpty() ? why : why + ", before that " + cause;
+    }
+
+    void write(Event event, int status, String at, int attempts, int refusals, boolean repeated) {
+        context.log()
+                .write(
+                        event,
+                        "id",
+                        spec.id(),
+                        "status",
+                        status,
+                        "route",
+                        route.name(),
+                        "version",
+                        versionNumber,
+                        "service",
+                        spec.service(),
+                        "at",
+                        at,
+                        "attempts",
+                        attempts,
+                        "refusals",
+                        refusals,
+                        "repeat",
+                        repeated,
+                        "tried",
+                        tried,
+                        "cause",
+                        cause,
+                        "ms",
+                        (context.clock().now() - receivedAt) / 1_000_000,
+                        "leftMs",
+                        (spec.deadlineAt() - context.clock().now()) / 1_000_000);
+    }
+}
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -36,15 +36,17 @@
     private static final double SHORTEST_RETRY_AFTER_S = 0.05;
     private static final double LONGEST_RETRY_AFTER_S = 1.0;
     private static final double USUAL_RETRY_AFTER_S = 0.25;
+    /** Part of the answers at the first attempt that are logged. */
+    private static final double LOGGED_SHARE = 0.02;
 
     private final EntryContext context;
     private final Route route;
     private final CallSpec spec;
     private final long receivedAt;
     private final long waitUntil;
-    private final long versionNumber;
     private final boolean returned;
     private final ReplySink sink;
+    private final CallTrace trace;
     private final Set<String> tried = new HashSet<>();
     private final Set<String> busy = new HashSet<>();
     private Optional<EntryAttempt> live = Optional.empty();
@@ -59,8 +61,6 @@
     private boolean done;
     private long shortestWaitNanos = Long.MAX_VALUE;
     private Optional<Failure> failure = Optional.empty();
-    private String lastCause = "";
-    private final StringBuilder trail = new StringBuilder();
     private Optional<EntryAttempt> streaming = Optional.empty();
 
     EntryCall(
@@ -76,9 +76,9 @@
         this.spec = spec;
         this.receivedAt = receivedAt;
         this.waitUntil = receivedAt + (long) (LONGEST_WAIT * (spec.objectiveAt() - receivedAt));
-        this.versionNumber = versionNumber;
         this.returned = returned;
         this.sink = sink;
+        this.trace = new CallTrace(context, spec, route, versionNumber, receivedAt);
     }
 
     EntryContext context() {
@@ -152,7 +152,7 @@
         }
         if (leavesOther(attempt)) {
             mayHaveRun--;
-            note(attempt, refusal.reason().name());
+            trace.onOutcome(attempt, refusal.reason().name());
             return;
         }
         refusals++;
@@ -161,8 +161,7 @@
             // It told how busy it is; the others may be busier.
             tried.remove(attempt.candidate().key());
         }
-        lastCause = refusal.reason().name();
-        note(attempt, lastCause);
+        trace.onEnd(attempt, refusal.reason().name());
         context.counters().add(NodeMetricNames.ENTRY_REFUSALS_BY_REASON + refusal.reason());
         if (refusal.load().slots() > 0) {
             long wait = refusal.load().waitNanos()
@@ -202,7 +201,7 @@
         }
         mayHaveRun++;
         unheard = live;
-        note(attempt, "UNHEARD");
+        trace.onOutcome(attempt, "UNHEARD");
         context.log()
                 .write(
                         Event.ATTEMPT_UNHEARD,
@@ -213,26 +212,14 @@
         launch(choice.get(), now);
     }
 
-    /** Keeps what each attempt came to, for the log. */
-    private void note(EntryAttempt attempt, String outcome) {
-        String key = attempt.candidate().key();
-        trail.append(trail.isEmpty() ? "" : " ")
-                .append(key.isEmpty() ? "self" : key)
-                .append('=')
-                .append(outcome)
-                .append('+')
-                .append((context.clock().now() - receivedAt) / 1_000_000)
-                .append("ms");
-    }
-
     /** An attempt may have run, and brought nothing. */
     void onLost(EntryAttempt attempt, String cause) {
         if (done) {
             return;
         }
         boolean repeated = leavesOther(attempt);
-        lastCause = cause;
-        note(attempt, "LOST");
+        trace.onOutcome(attempt, "LOST");
+        trace.setCause(cause);
         context.log()
                 .write(
                         Event.ATTEMPT_FAILED,
@@ -289,8 +276,7 @@
         boolean repeated = leavesOther(attempt);
         mayHaveRun += repeated ? 0 : 1;
         if (status >= 500 && spec.kind().isRepeatable()) {
-            lastCause = "status " + status;
-            note(attempt, lastCause);
+            trace.onEnd(attempt, "status " + status);
             dropFailure();
             failure = Optional.of(new Failure(attempt, status, headers, body));
             if (!repeated) {
@@ -394,13 +380,13 @@
     }
 
     private void giveUp(String why) {
-        lastCause = lastCause.isEmpty() ? why : why + ", before that " + lastCause;
+        trace.onGivenUp(why);
         live.ifPresent(a -> {
             // A backend server is sent nothing of a request before all of it is at its owner.
             mayHaveRun += spec.body().isWhole() ? 1 : 0;
-            note(a, "PENDING");
+            trace.onOutcome(a, "PENDING");
         });
-        unheard.ifPresent(a -> note(a, "PENDING"));
+        unheard.ifPresent(a -> trace.onOutcome(a, "PENDING"));
         cancelAttempts();
         conclude();
     }
@@ -466,37 +452,9 @@
     }
 
     private void log(Event event, int status, String at) {
-        if (event == Event.CALL_ANSWERED && attempts == 1 && context.chance().getAsDouble() >= 0.02) {
+        if (event == Event.CALL_ANSWERED && attempts == 1 && context.chance().getAsDouble() >= LOGGED_SHARE) {
             return;
         }
-        context.log()
-                .write(
-                        event,
-                        "id",
-                        spec.id(),
-                        "status",
-                        status,
-                        "route",
-                        route.name(),
-                        "version",
-                        versionNumber,
-                        "service",
-                        spec.service(),
-                        "at",
-                        at,
-                        "attempts",
-                        attempts,
-                        "refusals",
-                        refusals,
-                        "repeat",
-                        repeatTaken,
-                        "tried",
-                        trail,
-                        "cause",
-                        lastCause,
-                        "ms",
-                        (context.clock().now() - receivedAt) / 1_000_000,
-                        "leftMs",
-                        (spec.deadlineAt() - context.clock().now()) / 1_000_000);
+        trace.write(event, status, at, attempts, refusals, repeatTaken);
     }
 }
--- a/org.berylwick.test/tst/org/berylwick/node/StopTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/StopTest.java
@@ -130,7 +130,9 @@
         }
     }
 
-    /** Guards against a request whose body is still coming when all else is over, and is cut by the end of the process. */
+    /**
+     * Guards against a request whose body is still coming when all else is over, and is cut by the end of the process.
+     */
     @Test
     void requestWhoseBodyIsComingIsAnsweredBeforeTheStopEnds() throws IOException {
         try (NodeRig rig = NodeRig.ofEntry(NodeRig.version(1));
@@ -146,8 +148,7 @@
                 rig.node(1).close();
             });
             NodeRig.sleep(SLOW_MILLIS);
-            caller.getOutputStream()
-                    .write(request.substring(beginning.length()).getBytes(StandardCharsets.ISO_8859_1));
+            caller.getOutputStream().write(request.substring(beginning.length()).getBytes(StandardCharsets.ISO_8859_1));
             String answer = NodeRig.readAnswer(caller.getInputStream());
             assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
             stopped.join();
