Bound the time for which a late answer waits for the link

Cause: OutgoingLink put every answer past its objective behind all that could still meet theirs. Owners admit by the backlog, so under steady load there is always a timely one, and a late answer never gets its turn.

Change: a late answer gives way only to those that are due within half a second after it. So it waits for what is admitted before that, which is bounded.

--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Deployment.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Deployment.java
@@ -170,6 +170,15 @@
      * @param load 1 for two fifths of all slots, and half of the links of those that make large answers
      */
     public static Deployment largeAnswers(double load) {
+        return largeAnswers(load, 90_000);
+    }
+
+    /**
+     * The same with answers of another size, so that links can be asked for more than they carry while slots are free.
+     *
+     * @param answerBytes of a large answer
+     */
+    public static Deployment largeAnswers(double load, int answerBytes) {
         String[] names = {"a", "b", "c", "d", "e", "f"};
         int[] boards = {10, 10, 7, 7, 8, 6};
         int[] books = {6, 6, 7, 6, 6, 7};
@@ -205,7 +214,7 @@
                         .calling("roster", 2, 0.7),
                 RequestKind.read("pull", "files", 53 * load, new Work(200, 0.8, 0.01, 5), new Millis(1_140, 6_800))
                         .as(RouteKind.BULK, 2, new Value(1, 0.3))
-                        .withBytes(90_000, 0)
+                        .withBytes(answerBytes, 0)
                         .withRetries(2),
                 RequestKind.probe("roster", "files", 63).as(RouteKind.IDEMPOTENT, 1, new Value(0, 0)),
                 RequestKind.probe("ledger", "books", 63).as(RouteKind.IDEMPOTENT, 1, new Value(0, 0)));
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulateMeasurement.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulateMeasurement.java
@@ -38,6 +38,7 @@
                 new Scenario("answers.calm", Deployment.largeAnswers(1), e -> e.run(CALM_SECONDS)),
                 new Scenario("answers.busy", Deployment.largeAnswers(1.5), e -> e.run(CALM_SECONDS)),
                 new Scenario("answers.full", Deployment.largeAnswers(1.9), e -> e.run(CALM_SECONDS)),
+                new Scenario("answers.over", Deployment.largeAnswers(1, 300_000), e -> e.run(CALM_SECONDS)),
                 new Scenario("answers.shed", Deployment.largeAnswers(1.5), e -> shed(e, "books")),
                 new Scenario("random.calm", Deployment.random(seed), e -> e.run(CALM_SECONDS)),
                 new Scenario("random.burst", Deployment.random(seed + 1), e -> burst(e, 1.7)));
--- a/org.berylwick.node/src/org/berylwick/node/transport/OutgoingLink.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/OutgoingLink.java
@@ -13,8 +13,8 @@
  *
  * <p>Written as they come, large answers fill the link's queue, so that small answers, new connections and datagrams
  * wait behind them or are dropped, and runs keep their slots until the last byte has left. Here small answers are
- * written at once; large ones wait in bounded memory and are written at the link's pace, earliest objective first among
- * those that can still meet theirs.
+ * written at once; large ones wait in bounded memory and are written at the link's pace, earliest objective first. One
+ * that is late gives way for a bounded time, so that no steady load keeps it here until its deadline.
  */
 public final class OutgoingLink {
     /** Bytes are written this much ahead, so that the link does not run dry before the next turn. */
@@ -24,6 +24,9 @@
     /** Bytes that wait here, as time over the link; beyond that backend servers are not read any further. */
     private static final long MOST_HELD_NANOS = 2_000_000_000L;
 
+    /** An answer past its objective gives way to those that are due within this after it, and to no others. */
+    private static final long LATE_GIVES_WAY_NANOS = 500_000_000L;
+
     private static final int PART_BYTES = 8_192;
     /** The rest of the width is for packet headers and datagrams. */
     private static final double USED_SHARE = 0.93;
@@ -100,7 +103,7 @@
      * Opens an answer.
      *
      * @param wire where it goes
-     * @param dueAt its latency objective; answers that can meet theirs go before those that cannot
+     * @param dueAt its latency objective, {@link System#nanoTime} terms
      */
     public Flow open(Wire wire, long dueAt) {
         return new Flow(wire, dueAt);
@@ -179,9 +182,11 @@
         }
 
         private boolean goesBefore(Flow other, long now) {
-            boolean late = now >= dueAt;
-            boolean otherLate = now >= other.dueAt;
-            return late == otherLate ? dueAt < other.dueAt : otherLate;
+            return turnAt(now) < other.turnAt(now);
+        }
+
+        private long turnAt(long now) {
+            return now < dueAt ? dueAt : dueAt + LATE_GIVES_WAY_NANOS;
         }
 
         /** Sends some bytes when it is their turn; releases them. */
--- a/org.berylwick.test/tst/org/berylwick/node/transport/OutgoingLinkTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/transport/OutgoingLinkTest.java
@@ -114,6 +114,21 @@
         assertEquals(LARGE, late.bytes);
     }
 
+    /** Guards against a late answer that never leaves while answers that can be in time keep coming. */
+    @Test
+    void lateAnswerLeavesUnderSteadyLoad() {
+        clock.runUntil(100 * MS);
+        NotingWire late = new NotingWire();
+        send(late, LARGE, 50 * MS);
+        // As much as the link carries, so that there is always one that can be in time.
+        for (int i = 0; i < 40; i++) {
+            send(new NotingWire(), LARGE, clock.now() + 1_000 * MS);
+            clock.runUntil(clock.now() + 110 * MS);
+        }
+        assertTrue(late.ended, late.bytes + " of " + LARGE + " bytes have left");
+        assertTrue(late.times.getLast() < 1_500 * MS, "left after " + late.times.getLast() / MS + " ms");
+    }
+
     /** A connection whose other end does not read holds up its own answer alone. */
     @Test
     void stuckConnectionHoldsUpNoOther() {
