Wake the log's writer when the log is closed

A planned stop closes the log last, and waited up to 500 ms for a writer that waits for a line: 0.2 s more than what is kept back from the grace.

--- a/org.berylwick.node/src/org/berylwick/node/log/EventLog.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/EventLog.java
@@ -16,6 +16,9 @@
 public final class EventLog implements AutoCloseable {
     /** Lines waiting to be written; at 300 bytes a line this is 300 KB. */
     private static final int RING_LINES = 1024;
+    private static final long CLOSE_MILLIS = 200;
+    /** Ends the writer's wait for a line. */
+    private static final String WAKE_UP = "";
 
     private final ArrayBlockingQueue<String> ring = new ArrayBlockingQueue<>(RING_LINES);
     private final LongAdder dropped = new LongAdder();
@@ -122,12 +125,13 @@
         }
     }
 
-    /** Writes what is left, for half a second at the most. */
+    /** Writes what is left, for a moment at the most: a process that is told to stop has no more. */
     @Override
     public void close() {
         closed = true;
+        ring.offer(WAKE_UP);
         try {
-            writer.join(500);
+            writer.join(CLOSE_MILLIS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
