Read an answer to its last chunk in StopTest, not to the connection's end

StopTest.answerToAnotherNodeLeavesBeforeTheStopEnds failed twice in 17 runs beside busy processes. Traced by a run that repeats it beside eight busy processes and says what came: in 9 of 80 repeats the read timed out with all 4,504,514 bytes there, the last chunk included; only the end of the connection was missing, while the loop of the closed node had terminated. So the answer had left before the stop ended, which is what the test is for; a node that is closed within the test's process may leave a connection open, where a real one ends with its process.

The check is as strict: all bytes, and the last chunk. Ruled out: an answer that is cut or stalls (the counts above).

--- a/org.berylwick.node/src/org/berylwick/node/log/EventLog.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/EventLog.java
@@ -16,6 +16,7 @@
 public final class EventLog implements AutoCloseable {
     /** Lines waiting to be written; at 300 bytes a line this is 300 KB. */
     private static final int RING_LINES = 1024;
+
     private static final long CLOSE_MILLIS = 200;
     /** Ends the writer's wait for a line. */
     private static final String WAKE_UP = "";
--- a/org.berylwick.test/tst/org/berylwick/node/StopTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/StopTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
@@ -27,6 +28,7 @@
     private static final double NARROW_MBPS = 30;
     private static final int WIDE_MBPS = 1_000;
     private static final int PACED_LENGTH = 4_500_000;
+    private static final String LAST_CHUNK = "\r\n0\r\n\r\n";
     /** Longer than a stop takes with nothing under way. */
     private static final int SLOW_MILLIS = 4_000;
 
@@ -201,12 +203,27 @@
 
     private static boolean isWholeLater(Socket node) {
         NodeRig.sleep(SLOW_MILLIS);
+        StringBuilder all = new StringBuilder();
+        byte[] part = new byte[65_536];
         try {
             node.setSoTimeout(20_000);
-            byte[] all = node.getInputStream().readAllBytes();
-            return new String(all, StandardCharsets.ISO_8859_1).endsWith("\r\n0\r\n\r\n");
+            InputStream in = node.getInputStream();
+            // Not until its end: a node that is closed within this process may leave the connection open.
+            while (!isWhole(all)) {
+                int n = in.read(part);
+                if (n < 0) {
+                    return false;
+                }
+                all.append(new String(part, 0, n, StandardCharsets.ISO_8859_1));
+            }
+            return true;
         } catch (IOException e) {
             return false;
         }
     }
+
+    private static boolean isWhole(StringBuilder answer) {
+        return answer.length() > PACED_LENGTH
+                && answer.lastIndexOf(LAST_CHUNK) == answer.length() - LAST_CHUNK.length();
+    }
 }
