Count what is still to be read of a large answer as waiting for the link

Owners withdrew an answer's announcement when its head came, and counted its bytes again as they were read. While a source was not read (2 s of the link are held at most), the rest of its answer was nowhere: the link was told, and admitted to, as nearly free. A 6 MB answer over 5 Mbit/s, ten seconds of the link, counted as 1,637 ms half a second after its head (LargeAnswerTest.allOfAnAnswerCountsUntilItHasLeft, red before).

Not the cause of the requests that were LOST: their sources were not paused.

Change: the head's length takes the place of the expectation, and what is read moves from the announcement to what waits. An answer without a length keeps its expectation until as many bytes came.

--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import org.berylwick.node.lib.Clock;
 import org.berylwick.node.lib.HeaderNames;
@@ -106,9 +107,15 @@
         owner.outgoing().onExpected(expectedBytes);
     }
 
+    /** So many bytes of the answer are still to be read. */
+    private void correctAnswer(long bytes) {
+        long announced = answerNanos == 0 ? 0 : bytes;
+        owner.outgoing().onExpected(announced - expectedBytes);
+        expectedBytes = announced;
+    }
+
     private void withdrawAnswer() {
-        owner.outgoing().onExpected(-expectedBytes);
-        expectedBytes = 0;
+        correctAnswer(0);
     }
 
     /** Whether the backend server has had it for much longer than usual without a word. */
@@ -257,7 +264,7 @@
             return;
         }
         headPassed = true;
-        withdrawAnswer();
+        correctAnswer(HttpUtil.getContentLength(head, expectedBytes));
         listener.onHead(status, Headers.endToEnd(headers), owner.load());
     }
 
@@ -267,6 +274,8 @@
             part.release();
             return;
         }
+        // From here on its bytes count as waiting for the link.
+        correctAnswer(Math.max(0, expectedBytes - part.readableBytes()));
         listener.onBody(part);
     }
 
--- a/org.berylwick.node/src/org/berylwick/node/transport/OutgoingLink.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/OutgoingLink.java
@@ -82,7 +82,7 @@
         return Math.max(0, freeAt - clock.now()) + nanosOf(held + expected);
     }
 
-    /** Announces a large answer of so many bytes; a negative number withdraws one, or tells that it has begun. */
+    /** Announces so many bytes of large answers; a negative number withdraws some, or tells that they were read. */
     public void onExpected(long bytes) {
         expected += bytes;
     }
--- a/org.berylwick.test/tst/org/berylwick/node/LargeAnswerTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/LargeAnswerTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import org.berylwick.node.log.NodeMetricNames;
 import org.berylwick.testing.Await;
 import org.berylwick.testing.RawServer;
 import org.junit.jupiter.api.Test;
@@ -15,6 +16,8 @@
 @Timeout(60)
 class LargeAnswerTest {
     private static final double NARROW_MBPS = 30;
+    /** Takes ten seconds for an answer. */
+    private static final double VERY_NARROW_MBPS = 5;
     /** More than the system takes for a connection whose other end does not read. */
     private static final int LENGTH = 6_000_000;
 
@@ -46,6 +49,23 @@
         }
     }
 
+    /** Guards against a link that is told as nearly free while most of a large answer is still to be read. */
+    @Test
+    void allOfAnAnswerCountsUntilItHasLeft() throws IOException {
+        try (RawServer server = server();
+                NodeRig rig = new NodeRig()) {
+            rig.configuration.accept(NodeRig.version(1));
+            Node owner = rig.startOnLink(1, server, 1, VERY_NARROW_MBPS);
+            rig.awaitReady(1);
+            try (Socket node = rig.askAsNode(1, "l3", LENGTH, 30_000)) {
+                assertEquals('H', node.getInputStream().read(), "the answer did not begin");
+                NodeRig.sleep(500);
+                long busyMillis = NodeRig.gauge(owner, NodeMetricNames.LINK_OUTGOING_BUSY_MS);
+                assertTrue(busyMillis > 8_000, "busy for " + busyMillis + " ms");
+            }
+        }
+    }
+
     private static int bytesUntilClosed(Socket node) {
         int count = 0;
         byte[] part = new byte[65_536];
--- a/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
+++ b/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
@@ -265,6 +265,19 @@
         return head + new String(body, StandardCharsets.ISO_8859_1) + (body.length < length ? "[closed]" : "");
     }
 
+    /** The value of a node's gauge. */
+    static long gauge(Node node, String name) {
+        String text = node.loop()
+                .submit(() -> node.counters().text())
+                .syncUninterruptibly()
+                .getNow();
+        return text.lines()
+                .filter(l -> l.startsWith(name + " "))
+                .mapToLong(l -> Long.parseLong(l.substring(name.length() + 1)))
+                .findFirst()
+                .orElseThrow();
+    }
+
     String logged() {
         return logged.toString(StandardCharsets.UTF_8);
     }
