Log which requests a backend server was running when its process ended

The logs of the incident could not tell a request that crashes what runs it from backend servers that end for another cause: RUN_FAILED did not say whether the process ended or one connection broke, and ids change with each repeat of a caller.

When a connection breaks under a run, the owner opens a new one. Refused: the process has ended, which BACKEND_EXITED (7051) tells with the fingerprints of all runs that broke, and owner.backend.exits counts. A fingerprint is a digest over method, host, path and body, so the same for every repeat at any node. No decision depends on it yet.

--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedServer.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedServer.java
@@ -64,6 +64,11 @@
         onOpen.accept(new Connection());
     }
 
+    @Override
+    public void probe(Consumer<ProbeResult> onResult) {
+        emulation.clock().defer(() -> onResult.accept(ProbeResult.LISTENING));
+    }
+
     @Override
     public long openedCount() {
         return 0;
--- a/org.berylwick.node/src/org/berylwick/node/call/Backend.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Backend.java
@@ -1,7 +1,12 @@
 package org.berylwick.node.call;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
 import org.berylwick.node.lib.BackendReport;
 import org.berylwick.node.lib.BackendState;
+import org.berylwick.node.lib.Clock;
+import org.berylwick.node.lib.RequestFingerprint;
 import org.berylwick.node.transport.ServerConnectionPool;
 
 /**
@@ -21,6 +26,10 @@
     private final ServerConnectionPool pool;
     private final ServiceTimeEstimator serviceTimeEstimator = new ServiceTimeEstimator();
     private final LossRate lossRate = new LossRate();
+    private final ExitDetector exitDetector;
+    /** Requests that were running when this incarnation ended. */
+    private final List<RequestFingerprint> runningAtExit = new ArrayList<>();
+
     private long maxIdleNanos = DEFAULT_MAX_IDLE_NANOS;
     private int slots;
     private BackendState state;
@@ -29,11 +38,18 @@
     private long lastReportAt;
     private long lastResponseAt;
 
-    Backend(BackendReport report, ServerConnectionPool pool, long now) {
+    /**
+     * @param report first report of the incarnation
+     * @param pool connections to it
+     * @param clock time source; its tasks run on the same thread as this object's methods
+     * @param onExit called when the incarnation is found to have ended
+     */
+    Backend(BackendReport report, ServerConnectionPool pool, Clock clock, Consumer<Backend> onExit) {
         this.incarnation = report.incarnation();
         this.service = report.service();
         this.pool = pool;
-        applyReport(report, now);
+        this.exitDetector = new ExitDetector(clock, pool, () -> onExit.accept(this));
+        applyReport(report, clock.now());
     }
 
     /** Id that the backend server chose when it started. */
@@ -95,6 +111,14 @@
         maxIdleNanos = Math.max(MIN_MAX_IDLE_NANOS, Math.min(maxIdleNanos, idleNanos / 2));
     }
 
+    ExitDetector exitDetector() {
+        return exitDetector;
+    }
+
+    List<RequestFingerprint> runningAtExit() {
+        return runningAtExit;
+    }
+
     LossRate lossRate() {
         return lossRate;
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/CallSpec.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallSpec.java
@@ -1,8 +1,11 @@
 package org.berylwick.node.call;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.Optional;
 import org.berylwick.node.lib.RequestClass;
+import org.berylwick.node.lib.RequestFingerprint;
 import org.berylwick.node.lib.RouteKind;
 import org.berylwick.node.transport.RequestBody;
 
@@ -43,6 +46,12 @@
         return requestClass.kind();
     }
 
+    /** Computes the fingerprint of the request; empty if its body is incomplete or was released. */
+    public Optional<RequestFingerprint> fingerprint() {
+        return body.completeBytes()
+                .map(bytes -> RequestFingerprint.of(method.name(), headers.get(HttpHeaderNames.HOST, ""), uri, bytes));
+    }
+
     /** Priority, 0 the highest. */
     public int priority() {
         return requestClass.priority();
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -187,7 +187,7 @@
         if (current != null) {
             retire(current, "replaced by another incarnation");
         }
-        Backend replacement = new Backend(report, poolFactory.apply(report.address()), clock.now());
+        Backend replacement = new Backend(report, poolFactory.apply(report.address()), clock, this::onExit);
         backend = Optional.of(replacement);
         notifyBackendChange(replacement);
         dispatch();
@@ -211,6 +211,23 @@
         retired.pool().close();
     }
 
+    private void onExit(Backend exited) {
+        if (exited.state() == BackendState.DRAINING) {
+            return;
+        }
+        counters.increment(NodeMetricNames.OWNER_BACKEND_EXITS);
+        log.write(
+                Event.BACKEND_EXITED,
+                "incarnation",
+                exited.incarnation(),
+                "service",
+                exited.service(),
+                "state",
+                exited.state(),
+                "requests",
+                exited.runningAtExit());
+    }
+
     private void notifyBackendChange(Backend changed) {
         log.write(
                 Event.BACKEND_CHANGED,
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -7,8 +7,10 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
 import org.berylwick.node.lib.Clock;
 import org.berylwick.node.lib.HeaderNames;
+import org.berylwick.node.lib.RequestFingerprint;
 import org.berylwick.node.lib.RouteKind;
 import org.berylwick.node.lib.ServiceTimeDistribution;
 import org.berylwick.node.log.Event;
@@ -326,6 +328,12 @@
         if (connectionIdleNanos > 0 && !headForwarded && clock.now() - sentAt < IDLE_RESET_WINDOW_NANOS) {
             backend.onIdleConnectionReset(connectionIdleNanos);
         }
+        Optional<RequestFingerprint> fingerprint = call.fingerprint();
+        backend.exitDetector().check(exited -> {
+            if (exited) {
+                fingerprint.ifPresent(backend.runningAtExit()::add);
+            }
+        });
         failAsLost(cause);
     }
 
@@ -361,7 +369,9 @@
                         "cause",
                         cause,
                         "afterMs",
-                        (clock.now() - sentAt) / 1_000_000);
+                        (clock.now() - sentAt) / 1_000_000,
+                        "request",
+                        call.fingerprint().map(RequestFingerprint::toString).orElse(""));
         listener.onLost(cause);
     }
 
--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -61,6 +61,8 @@
     ATTEMPT_UNHEARD(7049, 30),
     /** A large response to another node was sent after its latency objective, or not at all. */
     ANSWER_LATE_AT_LINK(7050, 20),
+    /** The process of this node's backend server has ended, without having announced that it leaves. */
+    BACKEND_EXITED(7051, 20),
     /** An unexpected error occurred; the connection that it came from was closed. */
     INTERNAL_ERROR(7099, 20);
 
--- a/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
@@ -64,6 +64,8 @@
     public static final String OWNER_MEAN_US = "owner.mean_us";
     /** Connections opened to the local backend server since it registered. */
     public static final String OWNER_CONNECTIONS_OPENED = "owner.connections.opened";
+    /** Times that the process of the local backend server was found to have ended. */
+    public static final String OWNER_BACKEND_EXITS = "owner.backend.exits";
     /** Heartbeats of the local backend server that were acknowledged. */
     public static final String HEARTBEATS_ACKNOWLEDGED = "heartbeats.acknowledged";
     /** Configuration version in force on this node, 0 for none. */
--- a/org.berylwick.node/src/org/berylwick/node/transport/ConnectionPool.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/ConnectionPool.java
@@ -5,10 +5,12 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashSet;
@@ -136,24 +138,46 @@
             onFailure.accept("connection pool is closed");
             return;
         }
+        connect(
+                connection -> {
+                    if (closed) {
+                        connection.abort();
+                        onFailure.accept("connection pool is closed");
+                        return;
+                    }
+                    onOpen.accept(connection);
+                },
+                cause -> onFailure.accept("cannot connect: " + cause.getClass().getSimpleName()));
+    }
+
+    private void connect(Consumer<HttpConnection> onConnection, Consumer<Throwable> onFailure) {
         openedCount++;
         ChannelFuture connecting = bootstrap.connect(target);
         connecting.addListener(result -> {
             if (!result.isSuccess()) {
-                onFailure.accept("cannot connect: " + result.cause().getClass().getSimpleName());
+                onFailure.accept(result.cause());
                 return;
             }
             HttpConnection connection = connecting.channel().pipeline().get(HttpConnection.class);
             openConnections.add(connection);
-            if (closed) {
-                connection.abort();
-                onFailure.accept("connection pool is closed");
-                return;
-            }
-            onOpen.accept(connection);
+            onConnection.accept(connection);
         });
     }
 
+    @Override
+    public void probe(Consumer<ProbeResult> onResult) {
+        connect(
+                connection -> {
+                    returnToPool(connection);
+                    onResult.accept(ProbeResult.LISTENING);
+                },
+                cause -> onResult.accept(isRefusal(cause) ? ProbeResult.REFUSED : ProbeResult.UNKNOWN));
+    }
+
+    private static boolean isRefusal(Throwable cause) {
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    }
+
     @Override
     public void acquire(long idleLimitNanos, Consumer<ServerConnection> onConnection, Consumer<String> onFailure) {
         HttpConnection connection = pollIdle(idleLimitNanos);
--- a/org.berylwick.node/src/org/berylwick/node/transport/RequestBody.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/RequestBody.java
@@ -86,6 +86,11 @@
         return length - receivedBytes.readableBytes();
     }
 
+    /** Returns all bytes without transferring ownership; empty if the body is incomplete or was released. */
+    public Optional<ByteBuf> completeBytes() {
+        return complete && !released ? Optional.of(receivedBytes) : Optional.empty();
+    }
+
     /** Returns whether the sender holds the body back until it is requested. */
     public boolean isDeferred() {
         return bodyRequester.isPresent();
--- a/org.berylwick.node/src/org/berylwick/node/transport/ServerConnectionPool.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/ServerConnectionPool.java
@@ -13,6 +13,24 @@
      */
     void acquire(long idleLimitNanos, Consumer<ServerConnection> onConnection, Consumer<String> onFailure);
 
+    /**
+     * Opens a new connection to find out whether a process listens at the server's address. The connection stays in the
+     * pool.
+     *
+     * @param onResult receives the result, at the latest when the time for connecting has passed
+     */
+    void probe(Consumer<ProbeResult> onResult);
+
+    /** Result of {@link #probe}. */
+    enum ProbeResult {
+        /** A connection was opened. */
+        LISTENING,
+        /** The connection was refused: no process listens. */
+        REFUSED,
+        /** The connection failed in another way, which says nothing about the process. */
+        UNKNOWN
+    }
+
     /** Returns how many connections this pool has tried to open so far. */
     long openedCount();
 
--- a/org.berylwick.test/tst/org/berylwick/node/call/OwnerSilenceTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerSilenceTest.java
@@ -75,6 +75,11 @@
             return true;
         }
 
+        @Override
+        public void probe(Consumer<ProbeResult> onResult) {
+            onResult.accept(ProbeResult.LISTENING);
+        }
+
         @Override
         public long openedCount() {
             return 1;
--- a/org.berylwick.test/tst/org/berylwick/testing/RawServer.java
+++ b/org.berylwick.test/tst/org/berylwick/testing/RawServer.java
@@ -111,9 +111,14 @@
 
     /** A server on a free port that does as the script says. */
     public RawServer(Script script) {
+        this(0, script);
+    }
+
+    /** A server on the given port that does as the script says. */
+    public RawServer(int port, Script script) {
         this.script = script;
         try {
-            listener = new ServerSocket(0, 128, InetAddress.getLoopbackAddress());
+            listener = new ServerSocket(port, 128, InetAddress.getLoopbackAddress());
         } catch (IOException e) {
             throw new IllegalStateException(e);
         }
