--- a/org.berylwick.test/tst/org/berylwick/node/CrashingRequestTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/CrashingRequestTest.java
@@ -1,11 +1,13 @@
 package org.berylwick.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.regex.Pattern;
+import org.berylwick.node.RestartedBackend.Arrival;
 import org.berylwick.testing.Await;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -17,6 +19,13 @@
 class CrashingRequestTest {
     private static final int OWNER_COUNT = 4;
     private static final int SLOTS = 4;
+    /** After the third crash and this time, all nodes that can communicate know of the request. */
+    private static final long CONTACT_NANOS = 3_000_000_000L;
+
+    private static final int MAX_ARRIVALS_AFTER_CONTACT = 3;
+    private static final long REPEAT_NANOS = 14_000_000_000L;
+    private static final int REPEAT_INTERVAL_MILLIS = 250;
+
     private final NodeRig rig = new NodeRig();
     private final List<RestartedBackend> backends = new ArrayList<>();
 
@@ -41,6 +50,22 @@
         rig.close();
     }
 
+    private List<Arrival> arrivalsInOrder() {
+        return backends.stream()
+                .flatMap(backend -> backend.arrivals().stream())
+                .sorted((a, b) -> Long.compare(a.at(), b.at()))
+                .toList();
+    }
+
+    private long arrivalsAfterContact() {
+        List<Arrival> all = arrivalsInOrder();
+        if (all.size() <= 3) {
+            return 0;
+        }
+        long contactAt = all.get(2).at() + CONTACT_NANOS;
+        return all.stream().filter(arrival -> arrival.at() > contactAt).count();
+    }
+
     /** Guards against a log that cannot tell a request that crashes backend servers from backend servers that end. */
     @Test
     void exitsOfBackendServersNameTheRequestTheyHaveInCommon() {
@@ -56,4 +81,21 @@
                         .distinct()
                         .count());
     }
+
+    /**
+     * Guards against a crashing request that callers repeat, with other ids and at any node, and that ends the fleet.
+     */
+    @Test
+    void repeatedRequestReachesNoMoreBackendServersOnceItHasCrashedThree() {
+        long endAt = System.nanoTime() + REPEAT_NANOS;
+        for (int i = 0; System.nanoTime() < endAt; i++) {
+            rig.call(1 + i % (OWNER_COUNT + 1), "GET", RestartedBackend.CRASHING_PATH, "c" + i, "");
+            NodeRig.sleep(REPEAT_INTERVAL_MILLIS);
+        }
+        long late = arrivalsAfterContact();
+        assertTrue(
+                late <= MAX_ARRIVALS_AFTER_CONTACT,
+                late + " arrivals later than 3 s after the third crash, "
+                        + arrivalsInOrder().size() + " in all");
+    }
 }
