--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulateMeasurement.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulateMeasurement.java
@@ -27,6 +27,8 @@
                 new Scenario("short.away", shortOnes, e -> away(e, "vault")),
                 new Scenario("short.left", shortOnes, e -> left(e, "vault")),
                 new Scenario("short.lost", shortOnes, e -> lost(e, "desk")),
+                new Scenario("short.crash", shortOnes, e -> crash(e, "lookup")),
+                new Scenario("long.crash", longOnes, e -> crash(e, "confirm")),
                 new Scenario("long.calm", longOnes, e -> e.run(CALM_SECONDS)),
                 new Scenario("long.burst", longOnes, e -> burst(e, 1.7)),
                 new Scenario("long.slow", longOnes, e -> slow(e, "books")),
@@ -87,6 +89,12 @@
         e.run(8);
     }
 
+    private static void crash(Emulation e, String kind) {
+        e.run(4);
+        e.sendCrashing(kind, 0.5);
+        e.run(16);
+    }
+
     @Override
     public String name() {
         return "emulate";
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedAttempt.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedAttempt.java
@@ -6,6 +6,7 @@
 import org.berylwick.node.call.Attempt;
 import org.berylwick.node.call.AttemptListener;
 import org.berylwick.node.call.CallSpec;
+import org.berylwick.node.call.Loss;
 import org.berylwick.node.call.Refusal;
 import org.berylwick.node.lib.OwnerLoad;
 import org.berylwick.node.member.Member;
@@ -204,11 +205,11 @@
     }
 
     @Override
-    public void onLost(String cause) {
+    public void onLost(Loss loss) {
         ended = true;
         later(HEADER_BYTES, () -> {
             done();
-            listener.onLost(cause);
+            listener.onLost(loss);
         });
     }
 
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedCaller.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedCaller.java
@@ -22,6 +22,7 @@
     private final long deadlineAt;
     private final long workNanos;
     private final boolean makesCall;
+    private final String path;
     private String id = "";
     private long sentAt;
     private int attempts;
@@ -32,10 +33,11 @@
     private Optional<EmulatedWay.BodyFlow> flow = Optional.empty();
     private final Clock.Timer leaves;
 
-    EmulatedCaller(Emulation emulation, EmulatedNode node, RequestKind kind) {
+    EmulatedCaller(Emulation emulation, EmulatedNode node, RequestKind kind, String path) {
         this.emulation = emulation;
         this.node = node;
         this.kind = kind;
+        this.path = path;
         this.askedAt = emulation.clock().now();
         this.deadlineAt = askedAt + kind.deadlineNanos();
         this.workNanos = emulation.drawWork(kind);
@@ -58,7 +60,7 @@
                 return;
             }
             id = emulation.add(new EmulatedRequest(
-                    kind, workNanos, makesCall, emulation.clock().now()));
+                    kind, workNanos, makesCall, emulation.clock().now(), path));
             EmulatedSink next = new EmulatedSink((status, retryAfter, body) -> {
                 call = Optional.empty();
                 body.release();
@@ -131,6 +133,8 @@
         over = true;
         flow.ifPresent(EmulatedWay.BodyFlow::stop);
         leaves.cancel();
-        emulation.outcomes().onEnd(kind, askedAt, how);
+        if (!path.equals(Emulation.crashingPath(kind))) {
+            emulation.outcomes().onEnd(kind, askedAt, how);
+        }
     }
 }
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
@@ -27,6 +27,8 @@
 import org.berylwick.node.log.Instruments;
 import org.berylwick.node.member.MemberTable;
 import org.berylwick.node.member.NodeState;
+import org.berylwick.node.quarantine.Quarantine;
+import org.berylwick.node.quarantine.SuspectReport;
 import org.berylwick.node.transport.RequestBody;
 import org.berylwick.node.transport.VmLink;
 
@@ -46,6 +48,7 @@
     private final Deployment.Server place;
     private final MemberTable table;
     private final Owner owner;
+    private final Quarantine quarantine;
     private final EmulatedServer server;
     private final EntryCallFactory entry;
     private final Counters counters = new Counters();
@@ -55,6 +58,7 @@
     private final long gossipNanos;
     private long sequence;
     private boolean away;
+    private int incarnation = 1;
 
     EmulatedNode(Emulation emulation, int number, Deployment.Server place, Random random) {
         this.emulation = emulation;
@@ -67,6 +71,8 @@
                 SHORTEST_GOSSIP_NANOS,
                 GOSSIP_NANOS_PER_NODE * emulation.deployment().servers().size());
         this.table = new MemberTable(address -> null, (m, cause) -> {});
+        this.quarantine = new Quarantine(emulation.clock(), new Instruments(counters, emulation.log()));
+        quarantine.setReportListener(this::tellOthers);
         this.server = new EmulatedServer(emulation, this, place, random.nextLong());
         this.owner = new Owner(
                 emulation.clock(),
@@ -76,7 +82,8 @@
                 HEARTBEAT_NANOS,
                 counters,
                 emulation.log(),
-                this::tellAll);
+                this::tellAll,
+                quarantine);
         Map<String, String> regions =
                 emulation.deployment().zones().stream().collect(Collectors.toMap(Deployment.Zone::name, z -> "r"));
         long silentNanos = (long) (SILENT_ROUNDS * gossipNanos);
@@ -98,6 +105,7 @@
                 this::start,
                 candidates,
                 budget,
+                quarantine,
                 GATHER_BYTES,
                 new Instruments(counters, emulation.log()),
                 random::nextDouble);
@@ -136,10 +144,20 @@
         return away;
     }
 
+    private String incarnation() {
+        return "i-" + ip + "-" + incarnation;
+    }
+
+    /** The backend server has been started anew, as another incarnation. */
+    void rejoin() {
+        incarnation++;
+        join();
+    }
+
     /** The backend server announces itself. */
     void join() {
         owner.onReport(new BackendReport(
-                "i-" + ip,
+                incarnation(),
                 place.service(),
                 new InetSocketAddress("127.0.0.1", 1),
                 place.zone(),
@@ -152,11 +170,11 @@
     /** The backend server says that it leaves. */
     void leave() {
         away = true;
-        owner.onLeave("i-" + ip);
+        owner.onLeave(incarnation());
     }
 
     private void gossip() {
-        if (!away) {
+        if (!away && !server.isDown()) {
             join();
         }
         tellAll();
@@ -173,7 +191,7 @@
                 true,
                 false,
                 place.service(),
-                "i-" + ip,
+                incarnation(),
                 owner.backend().map(b -> b.state()).orElse(BackendState.ABSENT),
                 0,
                 owner.load(),
@@ -190,6 +208,14 @@
         }
     }
 
+    private void tellOthers(SuspectReport report) {
+        for (EmulatedNode other : emulation.nodes()) {
+            if (other != this) {
+                emulation.clock().after(emulation.wayNanos(this, other), () -> other.quarantine.merge(report));
+            }
+        }
+    }
+
     private Attempt start(Candidate candidate, CallSpec call, AttemptListener listener) {
         if (candidate.member().isEmpty()) {
             return owner.offer(call, listener);
@@ -215,8 +241,8 @@
         headers.set(Emulation.NAMES.requestId(), id);
         headers.set(Emulation.NAMES.deadline(), leftNanos / 1_000_000);
         ConfigurationVersion version = emulation.version();
-        EntryCallFactory.CallerRequest request =
-                new EntryCallFactory.CallerRequest(HttpMethod.GET, "/" + kind.name() + "/x", headers, body);
+        EntryCallFactory.CallerRequest request = new EntryCallFactory.CallerRequest(
+                HttpMethod.GET, emulation.request(id).path(), headers, body);
         CallHandle call = entry.create(
                 version, version.route(Emulation.HOST, request.uri()).orElseThrow(), request, sink);
         call.start();
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedRequest.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedRequest.java
@@ -6,13 +6,25 @@
     private final long workNanos;
     private final boolean makesCall;
     private final long cameAt;
+    private final String path;
     private int runs;
 
-    EmulatedRequest(RequestKind kind, long workNanos, boolean makesCall, long cameAt) {
+    EmulatedRequest(RequestKind kind, long workNanos, boolean makesCall, long cameAt, String path) {
         this.kind = kind;
         this.workNanos = workNanos;
         this.makesCall = makesCall;
         this.cameAt = cameAt;
+        this.path = path;
+    }
+
+    /** Path, by which repeats of a request are the same request. */
+    String path() {
+        return path;
+    }
+
+    /** Whether the backend server that runs it ends. */
+    boolean crashes() {
+        return path.equals(Emulation.crashingPath(kind));
     }
 
     RequestKind kind() {
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedServer.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedServer.java
@@ -8,9 +8,11 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.berylwick.node.lib.Clock;
 import org.berylwick.node.transport.HttpResponseHandler;
@@ -21,6 +23,8 @@
 /** A backend server: runs what its owner sends, at its own speed, and makes the calls of its runs. */
 final class EmulatedServer implements ServerConnectionPool {
     private static final long SHED_NANOS = 1_000_000L;
+    private static final long CRASH_AFTER_NANOS = 50_000_000L;
+    private static final long RESTART_NANOS = 3_000_000_000L;
     private static final ByteBuf ZEROS = Unpooled.wrappedBuffer(new byte[EmulatedLink.PART_BYTES]);
 
     private final Emulation emulation;
@@ -31,6 +35,8 @@
     private double shedShare;
     private double lostShare;
     private int running;
+    private boolean down;
+    private final Set<Connection> busyConnections = new LinkedHashSet<>();
 
     EmulatedServer(Emulation emulation, EmulatedNode node, Deployment.Server kind, long seed) {
         this.emulation = emulation;
@@ -59,14 +65,38 @@
         return running;
     }
 
+    boolean isDown() {
+        return down;
+    }
+
+    /** The process ends, and starts again after a while. */
+    private void crash() {
+        if (down) {
+            return;
+        }
+        down = true;
+        emulation.outcomes().onCrash();
+        for (Connection connection : List.copyOf(busyConnections)) {
+            connection.breakOff();
+        }
+        emulation.clock().after(RESTART_NANOS, () -> {
+            down = false;
+            node.rejoin();
+        });
+    }
+
     @Override
     public void acquire(long freshestNanos, Consumer<ServerConnection> onOpen, Consumer<String> onFailure) {
+        if (down) {
+            emulation.clock().defer(() -> onFailure.accept("cannot connect"));
+            return;
+        }
         onOpen.accept(new Connection());
     }
 
     @Override
     public void probe(Consumer<ProbeResult> onResult) {
-        emulation.clock().defer(() -> onResult.accept(ProbeResult.LISTENING));
+        emulation.clock().defer(() -> onResult.accept(down ? ProbeResult.REFUSED : ProbeResult.LISTENING));
     }
 
     @Override
@@ -99,8 +129,13 @@
             }
             busy = true;
             running++;
+            busyConnections.add(this);
             EmulatedRequest asked = emulation.request(id);
             asked.onRun(emulation);
+            if (asked.crashes()) {
+                end = Optional.of(emulation.clock().after(CRASH_AFTER_NANOS, EmulatedServer.this::crash));
+                return;
+            }
             long took = (long) (asked.workNanos() * slowness);
             long left = Long.parseLong(request.headers().get(Emulation.NAMES.deadline())) * 1_000_000L;
             if (took > left) {
@@ -195,7 +230,14 @@
             }
         }
 
+        private void breakOff() {
+            Optional<HttpResponseHandler> exchange = waiter;
+            abort();
+            exchange.ifPresent(e -> e.onFailure("closed before an answer"));
+        }
+
         private void free() {
+            busyConnections.remove(this);
             if (busy) {
                 busy = false;
                 running--;
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Emulation.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Emulation.java
@@ -37,6 +37,7 @@
     private final ConfigurationVersion version;
     private double load = 1;
     private long nextId;
+    private long nextPath;
 
     /**
      * Sets up.
@@ -91,7 +92,7 @@
                     .filter(n -> n.place().zone().equals(zone.name()))
                     .toList();
             List<EmulatedNode> from = near.isEmpty() ? nodes : near;
-            new EmulatedCaller(this, from.get(random.nextInt(from.size())), kind).send();
+            new EmulatedCaller(this, from.get(random.nextInt(from.size())), kind, newPath(kind)).send();
         });
     }
 
@@ -120,6 +121,19 @@
         of(service).stream().limit(count).forEach(n -> n.server().lose(share));
     }
 
+    /**
+     * From now on callers send a request, the same one each time, that ends each backend server that runs it.
+     *
+     * @param kindName kind of the request
+     * @param gapSeconds time between two callers, each of which repeats it as others do
+     */
+    public void sendCrashing(String kindName, double gapSeconds) {
+        EmulatedNode node = nodes.get(random.nextInt(nodes.size()));
+        RequestKind kind = kinds.get(kindName);
+        new EmulatedCaller(this, node, kind, crashingPath(kind)).send();
+        clock.after((long) (gapSeconds * 1e9), () -> sendCrashing(kindName, gapSeconds));
+    }
+
     /** Some backend servers of a service leave, or come back. */
     public void away(String service, int count, boolean leaves) {
         of(service).stream().limit(count).forEach(leaves ? EmulatedNode::leave : EmulatedNode::join);
@@ -176,9 +190,18 @@
         return id;
     }
 
+    /** A path that no other request has. */
+    String newPath(RequestKind kind) {
+        return "/" + kind.name() + "/" + nextPath++;
+    }
+
+    static String crashingPath(RequestKind kind) {
+        return "/" + kind.name() + "/crash";
+    }
+
     /** Draws a request of a kind that comes now. */
     String draw(RequestKind kind) {
-        return add(new EmulatedRequest(kind, drawWork(kind), drawCall(kind), clock.now()));
+        return add(new EmulatedRequest(kind, drawWork(kind), drawCall(kind), clock.now(), newPath(kind)));
     }
 
     /** Its caller has its answer or has gone; what still runs of it ends a little later. */
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Outcomes.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Outcomes.java
@@ -20,6 +20,7 @@
     private long crossZoneBytes;
     private long runs;
     private long wastedRuns;
+    private long crashes;
 
     /** How requests ended. */
     public static final class Tally {
@@ -116,6 +117,15 @@
         heldBeforeRefusal.recordValue(Math.max(0, heldNanos));
     }
 
+    void onCrash() {
+        crashes++;
+    }
+
+    /** Backend servers that ended. */
+    public long crashes() {
+        return crashes;
+    }
+
     void onCrossZone(long bytes) {
         crossZoneBytes += bytes;
     }
@@ -186,6 +196,7 @@
         print(out, name + ".held_before_refusal_p99_ms", heldBeforeRefusalMillis(99));
         print(out, name + ".cross_zone_mb", crossZoneBytes / 1e6);
         print(out, name + ".wasted_runs", wastedShare());
+        print(out, name + ".crashes", crashes);
     }
 
     /** The worth of each window, in order. */
--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -19,6 +19,7 @@
 import org.berylwick.node.call.PeerServer;
 import org.berylwick.node.call.RetryBudget;
 import org.berylwick.node.lib.BackendState;
+import org.berylwick.node.lib.Clock;
 import org.berylwick.node.lib.NodeSettings;
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.Event;
@@ -31,6 +32,8 @@
 import org.berylwick.node.member.MemberTable;
 import org.berylwick.node.member.NodeDiscovery;
 import org.berylwick.node.member.NodeState;
+import org.berylwick.node.quarantine.Quarantine;
+import org.berylwick.node.quarantine.QuarantineExchange;
 import org.berylwick.node.transport.BufferedHttpServer;
 import org.berylwick.node.transport.ConnectionPool;
 import org.berylwick.node.transport.EventLoopClock;
@@ -63,6 +66,7 @@
     private final MemberTable members;
     private final Owner owner;
     private final VmLink link;
+    private final Quarantine quarantine;
     private final Gossip gossip;
     private final VersionUpdater versionUpdater;
     private final NodeDiscovery discovery;
@@ -95,20 +99,14 @@
                 new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop", false), NioIoHandler.newFactory());
         this.loop = (EventLoop) eventLoopGroup.next();
         this.members = new MemberTable(this::createPeerPool, this::onSuspected);
-        this.link = VmLink.of(settings.linkMbps(), new EventLoopClock(loop));
-        this.owner = new Owner(
-                new EventLoopClock(loop),
-                backendAddress -> new ConnectionPool(
-                        loop, backendAddress, BACKEND_CONNECT_TIMEOUT_MILLIS, BACKEND_MAX_IDLE_NANOS),
-                platform.headerNames(),
-                link,
-                settings.heartbeatNanos(),
-                counters,
-                log,
-                this::onBackendChange);
+        Clock clock = new EventLoopClock(loop);
+        this.link = VmLink.of(settings.linkMbps(), clock);
+        this.quarantine = new Quarantine(clock, new Instruments(counters, log));
+        this.owner = createOwner(clock);
         this.backendProbe = new BackendProbe(loop, settings, platform.headerNames(), owner, log);
         this.gossip = new Gossip(
                 loop, settings.ip(), settings.gossipPort(), members, this::localState, counters, log, this::onGossip);
+        new QuarantineExchange(clock, quarantine, gossip);
         this.versionUpdater = new VersionUpdater(
                 loop,
                 platform.configurationSource(loop),
@@ -145,6 +143,20 @@
                 shutdownComplete::countDown);
     }
 
+    private Owner createOwner(Clock clock) {
+        return new Owner(
+                clock,
+                backendAddress -> new ConnectionPool(
+                        loop, backendAddress, BACKEND_CONNECT_TIMEOUT_MILLIS, BACKEND_MAX_IDLE_NANOS),
+                platform.headerNames(),
+                link,
+                settings.heartbeatNanos(),
+                counters,
+                log,
+                this::onBackendChange,
+                quarantine);
+    }
+
     private CandidateSampler createCandidateSampler() {
         return new CandidateSampler(
                 settings.zone(),
@@ -225,6 +237,7 @@
         counters.registerGauge(
                 NodeMetricNames.OWNER_CONNECTIONS_OPENED,
                 () -> owner.backend().map(Backend::connectionsOpened).orElse(0L));
+        counters.registerGauge(NodeMetricNames.QUARANTINE_HELD, quarantine::heldCount);
         counters.registerGauge(NodeMetricNames.LOG_LINES_DROPPED, log::droppedLines);
     }
 
--- a/org.berylwick.node/src/org/berylwick/node/call/AttemptListener.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/AttemptListener.java
@@ -31,7 +31,7 @@
     void onRefused(Refusal refusal);
 
     /** The attempt failed without a complete response; the request may have run. */
-    void onLost(String cause);
+    void onLost(Loss loss);
 
     /**
      * The node that runs the attempt has been silent for a while. The attempt goes on; may be called more than once.
--- a/org.berylwick.node/src/org/berylwick/node/call/CallPath.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallPath.java
@@ -65,6 +65,7 @@
                 starter,
                 candidates,
                 retryBudget,
+                owner.quarantine(),
                 (long) settings.memoryMb() * (1 << 20) / BUFFER_MEMORY_DIVISOR,
                 instruments,
                 () -> ThreadLocalRandom.current().nextDouble());
--- a/org.berylwick.node/src/org/berylwick/node/call/CallSpec.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallSpec.java
@@ -25,6 +25,7 @@
  * @param deadlineAt time after which nobody waits for the response, on the same scale
  * @param maxWaitNanos longest time that the request may wait for a slot at the owner
  * @param attemptNumber number of this attempt, 1 for the first
+ * @param knownCrashes number of backend servers in succession that are known to have ended while they ran the request
  * @param expectedResponseBytes expected size of the response, 0 if the response does not leave the VM
  */
 public record CallSpec(
@@ -40,6 +41,7 @@
         long deadlineAt,
         long maxWaitNanos,
         int attemptNumber,
+        int knownCrashes,
         int expectedResponseBytes) {
     /** Kind of the route, which tells whether the request may be run more than once. */
     public RouteKind kind() {
@@ -72,6 +74,7 @@
                 deadlineAt,
                 maxWaitNanos,
                 attemptNumber,
+                knownCrashes,
                 expectedResponseBytes);
     }
 
@@ -81,8 +84,9 @@
      * @param newAttemptNumber number of the attempt, 1 for the first
      * @param newMaxWaitNanos longest time that the request may wait for a slot at the owner
      * @param newResponseBytes expected size of the response on the owner's link, 0 if it does not use the link
+     * @param newKnownCrashes number of backend servers in succession that are known to have ended while they ran it
      */
-    public CallSpec forAttempt(int newAttemptNumber, long newMaxWaitNanos, int newResponseBytes) {
+    public CallSpec forAttempt(int newAttemptNumber, long newMaxWaitNanos, int newResponseBytes, int newKnownCrashes) {
         return new CallSpec(
                 id,
                 method,
@@ -96,6 +100,7 @@
                 deadlineAt,
                 newMaxWaitNanos,
                 newAttemptNumber,
+                newKnownCrashes,
                 newResponseBytes);
     }
 }
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryAttempt.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryAttempt.java
@@ -121,7 +121,7 @@
     }
 
     @Override
-    public void onLost(String cause) {
+    public void onLost(Loss loss) {
         if (ended) {
             return;
         }
@@ -131,7 +131,7 @@
             call.onStreamingEnded(this, false);
             return;
         }
-        call.onLost(this, cause);
+        call.onLost(this, loss);
     }
 
     @Override
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import org.berylwick.node.lib.Clock;
@@ -40,9 +39,6 @@
     /** A retry needs at least this fraction of the request's expected duration before the deadline. */
     private static final double MIN_RETRY_TIME_SHARE = 0.5;
 
-    private static final double MIN_RETRY_AFTER_S = 0.05;
-    private static final double MAX_RETRY_AFTER_S = 1.0;
-    private static final double DEFAULT_RETRY_AFTER_S = 0.25;
     /** Fraction of the successful calls with a single attempt that are logged. */
     private static final double LOG_SAMPLE_RATE = 0.02;
 
@@ -69,7 +65,7 @@
     private boolean retryGranted;
     private boolean done;
     /** Shortest wait for a slot according to the loads in the refusals; determines the Retry-After time. */
-    private long shortestWaitNanos = Long.MAX_VALUE;
+    private long shortestWaitNanos = RetryAfter.UNKNOWN_NANOS;
 
     private Optional<ServerFailure> serverFailure = Optional.empty();
     private Optional<EntryAttempt> streamingAttempt = Optional.empty();
@@ -123,6 +119,12 @@
      */
     private void sendNext(boolean isRetry) {
         long now = context.clock().now();
+        if (remainingHoldNanos() > 0) {
+            context.counters().increment(NodeMetricNames.ENTRY_QUARANTINED);
+            trace.setCause("quarantined");
+            conclude();
+            return;
+        }
         Optional<CandidateChooser.Choice> choice = refusals >= MAX_REFUSALS ? Optional.empty() : chooseNode(now);
         if (choice.isPresent() && (!isRetry || tryTakeRetry(now))) {
             startAttempt(choice.get(), now);
@@ -131,6 +133,11 @@
         conclude();
     }
 
+    /** Time for which no backend server runs the request, because it has crashed some; 0 if it may be run. */
+    private long remainingHoldNanos() {
+        return context.quarantine().remainingHoldNanos(spec.uri(), spec::fingerprint);
+    }
+
     private Optional<CandidateChooser.Choice> chooseNode(long now) {
         List<Candidate> candidates = context.candidates().candidatesFor(spec.service(), triedNodeKeys, now);
         RequestProfile profile = new RequestProfile(
@@ -151,7 +158,11 @@
         triedNodeKeys.add(candidate.key());
         // A response of the backend server on this VM does not use the network link.
         int linkResponseBytes = candidate.member().isPresent() ? spec.expectedResponseBytes() : 0;
-        CallSpec attemptSpec = spec.forAttempt(attempts, choice.maxWaitNanos(), linkResponseBytes);
+        CallSpec attemptSpec = spec.forAttempt(
+                attempts,
+                choice.maxWaitNanos(),
+                linkResponseBytes,
+                context.quarantine().generation(spec.uri(), spec::fingerprint));
         EntryAttempt attempt = new EntryAttempt(this, candidate, now);
         currentAttempt = Optional.of(attempt);
         attempt.setAttempt(context.starter().start(candidate, attemptSpec, attempt));
@@ -181,7 +192,7 @@
                     + refusal.load().meanNanos() / Math.max(1, refusal.load().slots());
             shortestWaitNanos = Math.min(shortestWaitNanos, waitNanos);
         }
-        if (refusal.reason() != Refusal.Reason.EXPIRED) {
+        if (refusal.reason() != Refusal.Reason.EXPIRED && refusal.reason() != Refusal.Reason.QUARANTINED) {
             sendNext(refusal.rejectedByBackend());
         } else {
             conclude();
@@ -208,7 +219,10 @@
      */
     void onNodeSilent(EntryAttempt attempt) {
         boolean secondAttemptExcluded = done || streamingAttempt.isPresent() || silentAttempt.isPresent();
-        if (secondAttemptExcluded || refusals >= MAX_REFUSALS || !mayRetry(possibleRuns + 1)) {
+        if (secondAttemptExcluded
+                || refusals >= MAX_REFUSALS
+                || !mayRetry(possibleRuns + 1)
+                || remainingHoldNanos() > 0) {
             return;
         }
         long now = context.clock().now();
@@ -230,13 +244,14 @@
     }
 
     /** Called when an attempt that may have run has failed without a response. */
-    void onLost(EntryAttempt attempt, String cause) {
+    void onLost(EntryAttempt attempt, Loss loss) {
+        loss.crash().ifPresent(context.quarantine()::merge);
         if (done) {
             return;
         }
         boolean retryInProgress = removeAttempt(attempt);
         trace.recordOutcome(attempt, "LOST");
-        trace.setCause(cause);
+        trace.setCause(loss.cause());
         context.log()
                 .write(
                         Event.ATTEMPT_FAILED,
@@ -245,7 +260,7 @@
                         "at",
                         attempt.candidate().key(),
                         "cause",
-                        cause,
+                        loss.cause(),
                         "kind",
                         spec.kind());
         if (!retryInProgress) {
@@ -415,20 +430,15 @@
     }
 
     private void refuse() {
+        long holdNanos = remainingHoldNanos();
         finish();
-        double waitSeconds = shortestWaitNanos == Long.MAX_VALUE ? DEFAULT_RETRY_AFTER_S : shortestWaitNanos / 1e9;
-        // Jitter, so that callers refused at the same time do not all retry at the same time.
-        double jitteredSeconds = waitSeconds * (0.75 + 0.5 * context.random().getAsDouble());
-        double retryAfterSeconds = Math.max(MIN_RETRY_AFTER_S, Math.min(MAX_RETRY_AFTER_S, jitteredSeconds));
+        double retryAfterSeconds = holdNanos > 0
+                ? holdNanos / 1e9
+                : RetryAfter.untilSlot(shortestWaitNanos, context.random().getAsDouble());
         context.callerRetryRates().onRefused(spec.requestClass());
         context.counters().increment(NodeMetricNames.ENTRY_REFUSED);
         log(Event.CALL_REFUSED, 503, "");
-        sink.respond(503, retryAfterHeaders(retryAfterSeconds), Unpooled.EMPTY_BUFFER);
-    }
-
-    /** Returns the headers of a refusal, which tell the caller when to retry. */
-    static HttpHeaders retryAfterHeaders(double seconds) {
-        return Headers.empty().set("Retry-After", String.format(Locale.ROOT, "%.3f", seconds));
+        sink.respond(503, RetryAfter.headers(retryAfterSeconds), Unpooled.EMPTY_BUFFER);
     }
 
     private void fail() {
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCallFactory.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCallFactory.java
@@ -10,6 +10,7 @@
 import org.berylwick.node.lib.RequestClass;
 import org.berylwick.node.lib.Route;
 import org.berylwick.node.log.Instruments;
+import org.berylwick.node.quarantine.Quarantine;
 import org.berylwick.node.transport.RequestBody;
 
 /**
@@ -33,6 +34,7 @@
      * @param starter sends attempts to owners
      * @param candidates supplies the nodes that may run a request
      * @param retryBudget limits retries
+     * @param quarantine requests that no backend server should run
      * @param maxBufferedBytes maximum number of bytes that all buffered responses together may take up
      * @param instruments counters and event log
      * @param random supplies random numbers, uniform in [0, 1)
@@ -44,6 +46,7 @@
             AttemptStarter starter,
             CandidateSource candidates,
             RetryBudget retryBudget,
+            Quarantine quarantine,
             long maxBufferedBytes,
             Instruments instruments,
             DoubleSupplier random) {
@@ -58,6 +61,7 @@
                 new ResponseEstimator(),
                 new CallerRetryRate(),
                 new ResponseBufferBudget(maxBufferedBytes),
+                quarantine,
                 instruments.counters(),
                 instruments.log(),
                 random);
@@ -113,6 +117,7 @@
                 deadlineAt,
                 0,
                 1,
+                0,
                 (int) context.responseEstimates().expectedBytes(route));
         return new EntryCall(context, route, spec, now, version.number(), waitedNanos > 0, sink);
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryContext.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryContext.java
@@ -6,6 +6,7 @@
 import org.berylwick.node.lib.HeaderNames;
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.EventLog;
+import org.berylwick.node.quarantine.Quarantine;
 
 /**
  * What all calls of an entry share; confined to the event loop.
@@ -20,6 +21,7 @@
  * @param responseEstimates expected sizes and durations of responses
  * @param callerRetryRates how often callers retry after a refusal
  * @param responseBufferBudget memory limit for buffered responses
+ * @param quarantine requests that no backend server should run
  * @param counters metrics
  * @param log event log
  * @param random supplies random numbers, uniform in [0, 1)
@@ -35,6 +37,7 @@
         ResponseEstimator responseEstimates,
         CallerRetryRate callerRetryRates,
         ResponseBufferBudget responseBufferBudget,
+        Quarantine quarantine,
         Counters counters,
         EventLog log,
         DoubleSupplier random) {}
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
@@ -221,14 +221,14 @@
         if (server.isRefusingNew()) {
             requestBody.release();
             services.counters().increment(NodeMetricNames.ENTRY_REFUSED);
-            respond(503, EntryCall.retryAfterHeaders(UNAVAILABLE_RETRY_AFTER_S), Unpooled.EMPTY_BUFFER);
+            respond(503, RetryAfter.headers(UNAVAILABLE_RETRY_AFTER_S), Unpooled.EMPTY_BUFFER);
             return;
         }
         Optional<ConfigurationVersion> version = services.version().get();
         if (version.isEmpty()) {
             requestBody.release();
             services.counters().increment(NodeMetricNames.ENTRY_REFUSED_NO_VERSION);
-            respond(503, EntryCall.retryAfterHeaders(UNAVAILABLE_RETRY_AFTER_S), Unpooled.EMPTY_BUFFER);
+            respond(503, RetryAfter.headers(UNAVAILABLE_RETRY_AFTER_S), Unpooled.EMPTY_BUFFER);
             return;
         }
         String host = request.headers().get(HttpHeaderNames.HOST, "");
--- a/org.berylwick.node/src/org/berylwick/node/call/Headers.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Headers.java
@@ -12,6 +12,11 @@
     /** Header with which an owner reports the outcome of an attempt to the entry; see {@link PeerCodec}. */
     static final String OUTCOME = "bw-outcome";
 
+    /** Header in which an entry tells an owner how many crashes of a request it knows of, if there are any. */
+    static final String KNOWN_CRASHES = "bw-known-crashes";
+    /** Header with which an owner reports that its backend server ended while it ran the request. */
+    static final String CRASH = "bw-crash";
+
     // AsciiString caches its hash code: all of these are looked up for each request, on both hops in both directions.
     private static final AsciiString[] HOP_BY_HOP = {
         AsciiString.cached("Connection"),
@@ -26,7 +31,9 @@
         AsciiString.cached("Content-Length"),
         AsciiString.cached("Expect"),
         AsciiString.cached(CALL),
-        AsciiString.cached(OUTCOME)
+        AsciiString.cached(OUTCOME),
+        AsciiString.cached(KNOWN_CRASHES),
+        AsciiString.cached(CRASH)
     };
 
     private static final DefaultHttpHeadersFactory WITHOUT_VALIDATION =
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -2,9 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
@@ -13,11 +11,14 @@
 import org.berylwick.node.lib.Clock;
 import org.berylwick.node.lib.HeaderNames;
 import org.berylwick.node.lib.OwnerLoad;
+import org.berylwick.node.lib.RequestFingerprint;
 import org.berylwick.node.lib.ServiceTimeDistribution;
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.Event;
 import org.berylwick.node.log.EventLog;
 import org.berylwick.node.log.NodeMetricNames;
+import org.berylwick.node.quarantine.Quarantine;
+import org.berylwick.node.quarantine.SuspectReport;
 import org.berylwick.node.transport.OutgoingLink;
 import org.berylwick.node.transport.RequestBody;
 import org.berylwick.node.transport.ServerConnectionPool;
@@ -34,8 +35,6 @@
 public final class Owner {
     /** Maximum number of queued requests per slot. */
     private static final int MAX_QUEUED_PER_SLOT = 8;
-    /** Departed incarnations that are remembered, so that a delayed heartbeat does not register one of them again. */
-    private static final int MAX_DEPARTED_INCARNATIONS = 64;
     /**
      * Heartbeat intervals after which a backend server that has neither sent a heartbeat nor answered a request is
      * marked absent.
@@ -60,19 +59,13 @@
     private final Counters counters;
     private final EventLog log;
     private final Runnable onBackendChange;
+    private final Quarantine quarantine;
     private final RequestQueue queue = new RequestQueue();
     private final RequestBodyScheduler bodyScheduler;
 
     private final StartRateBalancer startRateBalancer = new StartRateBalancer();
     private final Set<OwnerRun> running = new HashSet<>();
-    private final Map<String, Boolean> departedIncarnations = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > MAX_DEPARTED_INCARNATIONS;
-        }
-    };
+    private final DepartedIncarnations departedIncarnations = new DepartedIncarnations();
     private Optional<Backend> backend = Optional.empty();
     private boolean stopping;
     private long lastArrivalNumber;
@@ -86,6 +79,7 @@
      * @param counters receives metric counts
      * @param log receives events
      * @param onBackendChange runs after each change of the backend server's state
+     * @param quarantine requests that the backend server should not run
      */
     public Owner(
             Clock clock,
@@ -95,7 +89,8 @@
             long heartbeatNanos,
             Counters counters,
             EventLog log,
-            Runnable onBackendChange) {
+            Runnable onBackendChange,
+            Quarantine quarantine) {
         this.clock = clock;
         this.poolFactory = poolFactory;
         this.headerNames = headerNames;
@@ -105,6 +100,7 @@
         this.counters = counters;
         this.log = log;
         this.onBackendChange = onBackendChange;
+        this.quarantine = quarantine;
     }
 
     /** The current incarnation of the backend server, empty until one is known. */
@@ -158,7 +154,7 @@
 
     /** Processes a heartbeat; ignores one that is older than the current state or from a departed incarnation. */
     public void onReport(BackendReport report) {
-        if (departedIncarnations.containsKey(report.incarnation())) {
+        if (departedIncarnations.contains(report.incarnation())) {
             log.write(Event.BACKEND_REPORT_IGNORED, "incarnation", report.incarnation(), "why", "incarnation has left");
             return;
         }
@@ -195,7 +191,7 @@
 
     /** Processes the announcement of a backend server that it has stopped or is about to stop. */
     public void onLeave(String incarnation) {
-        departedIncarnations.put(incarnation, Boolean.TRUE);
+        departedIncarnations.add(incarnation);
         Backend current = backend.orElse(null);
         if (current == null || !current.incarnation().equals(incarnation)) {
             return;
@@ -206,11 +202,25 @@
     }
 
     private void retire(Backend retired, String reason) {
-        departedIncarnations.put(retired.incarnation(), Boolean.TRUE);
+        departedIncarnations.add(retired.incarnation());
         log.write(Event.BACKEND_CHANGED, "incarnation", retired.incarnation(), "state", "RETIRED", "why", reason);
         retired.pool().close();
     }
 
+    /**
+     * Records that an incarnation ended while it ran a request. The end of one that is draining is planned.
+     *
+     * @param exited the incarnation
+     * @param request the request
+     * @param knownCrashes crashes of the request in succession that were known when it was sent
+     */
+    Optional<SuspectReport.Crashed> onCrashed(Backend exited, RequestFingerprint request, int knownCrashes) {
+        exited.runningAtExit().add(request);
+        return exited.state() == BackendState.DRAINING
+                ? Optional.empty()
+                : Optional.of(quarantine.onCrashed(request, exited.incarnation(), knownCrashes));
+    }
+
     private void onExit(Backend exited) {
         if (exited.state() == BackendState.DRAINING) {
             return;
@@ -356,6 +366,9 @@
         if (!acceptsRequestsFor(call.service())) {
             return Optional.of(Refusal.Reason.NOT_HERE);
         }
+        if (isQuarantined(call)) {
+            return Optional.of(Refusal.Reason.QUARANTINED);
+        }
         Backend server = backend.orElseThrow();
         run.setServiceTime(server.serviceTimeEstimator().distribution(call));
         long now = clock.now();
@@ -378,6 +391,10 @@
         return Optional.empty();
     }
 
+    private boolean isQuarantined(CallSpec call) {
+        return quarantine.remainingHoldNanos(call.uri(), call::fingerprint) > 0;
+    }
+
     /** Whether a request can meet its latency objective after the requests that would run before it. */
     private boolean isTimely(OwnerRun run) {
         Backend server = backend.orElseThrow();
@@ -420,6 +437,12 @@
             run.refuse(Refusal.Reason.NOT_HERE, false);
             return;
         }
+        if (isQuarantined(run.call())) {
+            // The crash became known while the request was queued or its body arrived.
+            counters.increment(NodeMetricNames.OWNER_REFUSED_BY_REASON + Refusal.Reason.QUARANTINED);
+            run.refuse(Refusal.Reason.QUARANTINED, false);
+            return;
+        }
         running.add(run);
         startRateBalancer.onStarted(run.call(), clock.now());
         run.start(server, headerNames);
@@ -446,6 +469,10 @@
         return ++lastArrivalNumber;
     }
 
+    Quarantine quarantine() {
+        return quarantine;
+    }
+
     OutgoingLink outgoingLink() {
         return link.outgoing();
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -15,6 +15,7 @@
 import org.berylwick.node.lib.ServiceTimeDistribution;
 import org.berylwick.node.log.Event;
 import org.berylwick.node.log.NodeMetricNames;
+import org.berylwick.node.quarantine.SuspectReport;
 import org.berylwick.node.transport.HttpConnection;
 import org.berylwick.node.transport.HttpResponseHandler;
 import org.berylwick.node.transport.RequestBody;
@@ -58,6 +59,9 @@
     private HeaderNames headerNames;
     private long sentAt;
     private long connectionIdleNanos;
+    /** Crashes of the request in succession that were known when it was sent. */
+    private int knownCrashes;
+
     private boolean finished;
     private boolean headForwarded;
     private boolean notExecuted;
@@ -217,13 +221,14 @@
             refuse(Refusal.Reason.EXPIRED, false);
             return;
         }
-        failAsLost("deadline passed at the backend server");
+        failAsLost(Loss.of("deadline passed at the backend server"));
     }
 
     /** Sends the request to the backend server; a non-idempotent one only on a new or recently used connection. */
     void start(Backend target, HeaderNames backendHeaderNames) {
         backend = target;
         headerNames = backendHeaderNames;
+        knownCrashes = Math.max(call.knownCrashes(), owner.quarantine().generation(call.uri(), call::fingerprint));
         if (timer != null) {
             timer.cancel();
         }
@@ -286,7 +291,7 @@
         boolean idMissing = headers.get(headerNames.requestId()) == null;
         if (status < 300
                 && (idMissing || !headers.contains(headerNames.signature()) || headers.contains("Content-Encoding"))) {
-            failAsLost("answer without id, signature or plain body");
+            failAsLost(Loss.of("answer without id, signature or plain body"));
             return;
         }
         headForwarded = true;
@@ -316,6 +321,7 @@
         long now = clock.now();
         backend.serviceTimeEstimator().addSample(call, now - sentAt);
         backend.onResponse(now);
+        owner.quarantine().onCompleted(call.uri(), call::fingerprint);
         connection = null;
         finish();
         owner.counters().increment(NodeMetricNames.OWNER_ANSWERED);
@@ -330,11 +336,10 @@
         }
         Optional<RequestFingerprint> fingerprint = call.fingerprint();
         backend.exitDetector().check(exited -> {
-            if (exited) {
-                fingerprint.ifPresent(backend.runningAtExit()::add);
-            }
+            Optional<SuspectReport.Crashed> crash =
+                    exited ? fingerprint.flatMap(f -> owner.onCrashed(backend, f, knownCrashes)) : Optional.empty();
+            failAsLost(new Loss(cause, crash));
         });
-        failAsLost(cause);
     }
 
     /**
@@ -351,7 +356,7 @@
         listener.onRefused(new Refusal(reason, rejectedByBackend, owner.load()));
     }
 
-    private void failAsLost(String cause) {
+    private void failAsLost(Loss loss) {
         if (finished) {
             return;
         }
@@ -367,12 +372,12 @@
                         "incarnation",
                         backend.incarnation(),
                         "cause",
-                        cause,
+                        loss.cause(),
                         "afterMs",
                         (clock.now() - sentAt) / 1_000_000,
                         "request",
                         call.fingerprint().map(RequestFingerprint::toString).orElse(""));
-        listener.onLost(cause);
+        listener.onLost(loss);
     }
 
     private void finish() {
--- a/org.berylwick.node/src/org/berylwick/node/call/PeerAttempt.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerAttempt.java
@@ -60,6 +60,9 @@
         connection = acquired;
         HttpHeaders headers = Headers.copy(call.headers());
         headers.set(Headers.CALL, PeerCodec.encodeCall(call, System.nanoTime()));
+        if (call.knownCrashes() > 0) {
+            headers.set(Headers.KNOWN_CRASHES, call.knownCrashes());
+        }
         HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri(), headers);
         HttpConnection.setContentLength(head, call.body().length());
         // A large body is sent only when the owner asks for it: several at once would delay all small messages behind
@@ -88,7 +91,7 @@
     @Override
     public void onHead(HttpResponse head) {
         member.onResponseProgress(System.nanoTime());
-        outcome = PeerCodec.decodeOutcome(head.headers());
+        outcome = PeerCodec.decodeOutcome(head.headers(), System.nanoTime());
         if (outcome.orElse(null) instanceof PeerCodec.Outcome.Answered answered) {
             member.updateLoad(answered.load(), System.nanoTime());
             listener.onHead(head.status().code(), Headers.endToEnd(head.headers()), answered.load());
@@ -111,14 +114,14 @@
         member.onSuccess();
         finish();
         PeerCodec.Outcome reported =
-                outcome.orElse(new PeerCodec.Outcome.Lost("missing or malformed bw-outcome header"));
+                outcome.orElse(new PeerCodec.Outcome.Lost(Loss.of("missing or malformed bw-outcome header")));
         switch (reported) {
             case PeerCodec.Outcome.Answered answered -> listener.onEnd();
             case PeerCodec.Outcome.Refused refused -> {
                 member.updateLoad(refused.refusal().load(), System.nanoTime());
                 listener.onRefused(refused.refusal());
             }
-            case PeerCodec.Outcome.Lost lost -> listener.onLost(lost.cause());
+            case PeerCodec.Outcome.Lost lost -> listener.onLost(lost.loss());
         }
     }
 
@@ -132,7 +135,7 @@
         member.onFailure(cause, System.nanoTime());
         finish();
         if (requestSent) {
-            listener.onLost("node " + member.ip() + ": " + cause);
+            listener.onLost(Loss.of("node " + member.ip() + ": " + cause));
             return;
         }
         // An owner never forwards an incomplete request to its backend server, so this one was not run.
--- a/org.berylwick.node/src/org/berylwick/node/call/PeerCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerCodec.java
@@ -5,7 +5,9 @@
 import java.util.Optional;
 import org.berylwick.node.lib.OwnerLoad;
 import org.berylwick.node.lib.RequestClass;
+import org.berylwick.node.lib.RequestFingerprint;
 import org.berylwick.node.lib.RouteKind;
+import org.berylwick.node.quarantine.SuspectReport;
 import org.berylwick.node.transport.RequestBody;
 
 /**
@@ -16,6 +18,7 @@
 final class PeerCodec {
     private static final int CALL_FIELDS = 11;
     private static final int OUTCOME_FIELDS = 10;
+    private static final int CRASH_FIELDS = 5;
     private static final String ANSWERED = "answered";
     private static final String REFUSED = "refused";
     private static final String LOST = "lost";
@@ -33,7 +36,7 @@
         record Refused(Refusal refusal) implements Outcome {}
 
         /** The request may have run, but there is no complete response. */
-        record Lost(String cause) implements Outcome {}
+        record Lost(Loss loss) implements Outcome {}
     }
 
     static String encodeCall(CallSpec call, long now) {
@@ -91,6 +94,7 @@
                     now + Long.parseLong(fields[6]) * 1_000_000,
                     Long.parseLong(fields[7]) * 1_000_000,
                     Integer.parseInt(fields[8]),
+                    Integer.parseInt(head.headers().get(Headers.KNOWN_CRASHES, "0")),
                     Integer.parseInt(fields[9])));
         } catch (NumberFormatException | IndexOutOfBoundsException e) {
             return Optional.empty();
@@ -115,7 +119,35 @@
                 + toMillis(load.outgoingLinkBusyNanos());
     }
 
-    static Optional<Outcome> decodeOutcome(HttpHeaders headers) {
+    static String encodeCrash(SuspectReport.Crashed crash, long now) {
+        return crash.request().uriHash()
+                + ";"
+                + crash.request().digest()
+                + ';'
+                + crash.generation()
+                + ';'
+                + toMillis(now - crash.at())
+                + ';'
+                + crash.incarnation();
+    }
+
+    private static Optional<SuspectReport.Crashed> decodeCrash(HttpHeaders headers, long now) {
+        String text = headers.get(Headers.CRASH);
+        if (text == null) {
+            return Optional.empty();
+        }
+        String[] fields = text.split(";");
+        if (fields.length != CRASH_FIELDS) {
+            return Optional.empty();
+        }
+        return Optional.of(new SuspectReport.Crashed(
+                new RequestFingerprint(Integer.parseInt(fields[0]), Long.parseLong(fields[1])),
+                Integer.parseInt(fields[2]),
+                Integer.parseInt(fields[4]),
+                now - Long.parseLong(fields[3]) * 1_000_000));
+    }
+
+    static Optional<Outcome> decodeOutcome(HttpHeaders headers, long now) {
         String text = headers.get(Headers.OUTCOME);
         if (text == null) {
             return Optional.empty();
@@ -138,7 +170,7 @@
                 case REFUSED ->
                     Optional.of(new Outcome.Refused(
                             new Refusal(Refusal.Reason.fromName(fields[1]), Boolean.parseBoolean(fields[2]), load)));
-                case LOST -> Optional.of(new Outcome.Lost(fields[1]));
+                case LOST -> Optional.of(new Outcome.Lost(new Loss(fields[1], decodeCrash(headers, now))));
                 default -> Optional.empty();
             };
         } catch (NumberFormatException e) {
--- a/org.berylwick.node/src/org/berylwick/node/call/PeerHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerHandler.java
@@ -150,7 +150,7 @@
         releaseBody();
         Optional<byte[]> update = parseBaseVersion(request.uri()).flatMap(versionUpdates::apply);
         if (update.isEmpty()) {
-            writeResponse(404, Unpooled.EMPTY_BUFFER, "");
+            writeResponse(404, Unpooled.EMPTY_BUFFER, Headers.empty());
             return;
         }
         sendVersion(update.get());
@@ -185,13 +185,10 @@
         }
     }
 
-    private void writeResponse(int status, ByteBuf bytes, String outcome) {
+    private void writeResponse(int status, ByteBuf bytes, HttpHeaders headers) {
         DefaultFullHttpResponse response =
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), bytes);
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.readableBytes());
-        if (!outcome.isEmpty()) {
-            response.headers().set(Headers.OUTCOME, outcome);
-        }
+        response.headers().add(headers).set(HttpHeaderNames.CONTENT_LENGTH, bytes.readableBytes());
         channel.writeAndFlush(response);
     }
 
@@ -314,17 +311,20 @@
     @Override
     public void onRefused(Refusal refusal) {
         finishAttempt();
-        writeResponse(503, Unpooled.EMPTY_BUFFER, PeerCodec.encodeRefused(refusal));
+        writeResponse(
+                503, Unpooled.EMPTY_BUFFER, Headers.empty().set(Headers.OUTCOME, PeerCodec.encodeRefused(refusal)));
     }
 
     @Override
-    public void onLost(String cause) {
+    public void onLost(Loss loss) {
         finishAttempt();
         if (responseFlow.isPresent()) {
             channel.close();
             return;
         }
-        writeResponse(502, Unpooled.EMPTY_BUFFER, PeerCodec.encodeLost(cause));
+        HttpHeaders headers = Headers.empty().set(Headers.OUTCOME, PeerCodec.encodeLost(loss.cause()));
+        loss.crash().ifPresent(c -> headers.set(Headers.CRASH, PeerCodec.encodeCrash(c, System.nanoTime())));
+        writeResponse(502, Unpooled.EMPTY_BUFFER, headers);
     }
 
     /** Whether a response has begun and has not been written completely. */
--- a/org.berylwick.node/src/org/berylwick/node/call/Refusal.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Refusal.java
@@ -24,6 +24,8 @@
         UNREACHABLE,
         /** The backend server reported that it did not run the request. */
         TURNED_AWAY,
+        /** The request has crashed backend servers, and is run by none for a while. */
+        QUARANTINED,
         /** The caller no longer waits for a response. */
         CANCELLED;
 
--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -63,6 +63,10 @@
     ANSWER_LATE_AT_LINK(7050, 20),
     /** The process of this node's backend server has ended, without having announced that it leaves. */
     BACKEND_EXITED(7051, 20),
+    /** A request that was running on backend servers when they ended is refused for a while. */
+    REQUEST_HELD(7052, 20),
+    /** A backend server has completed a request that was refused before, which is no longer held to crash them. */
+    REQUEST_CLEARED(7053, 20),
     /** An unexpected error occurred; the connection that it came from was closed. */
     INTERNAL_ERROR(7099, 20);
 
--- a/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
@@ -31,6 +31,8 @@
     public static final String ENTRY_REPEATS_DENIED = "entry.repeats.denied";
     /** Attempts that owners refused, by reason. */
     public static final String ENTRY_REFUSALS_BY_REASON = "entry.refusals.";
+    /** Requests not sent to any further backend server because they have crashed some. */
+    public static final String ENTRY_QUARANTINED = "entry.quarantined";
     /** Open connections from callers. */
     public static final String ENTRY_CONNECTIONS = "entry.connections";
     /** Requests from callers that are not answered yet. */
@@ -98,6 +100,12 @@
     public static final String GOSSIP_RECEIVED_DATAGRAMS = "gossip.received.datagrams";
     /** Errors of the gossip socket; most are caused by ports without a listener. */
     public static final String GOSSIP_ERRORS = "gossip.errors";
+    /** Requests that are refused now because they have crashed backend servers. */
+    public static final String QUARANTINE_HELD = "quarantine.held";
+    /** Times that a request began to be refused, or for longer, because it has crashed backend servers. */
+    public static final String QUARANTINE_HOLDS = "quarantine.holds";
+    /** Times that a request which was refused turned out not to have crashed the backend servers. */
+    public static final String QUARANTINE_CLEARED = "quarantine.cleared";
     /** Log lines dropped because the reader of the log stalled. */
     public static final String LOG_LINES_DROPPED = "log.lines.dropped";
 
--- a/org.berylwick.node/src/org/berylwick/node/member/Gossip.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/Gossip.java
@@ -14,6 +14,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -69,6 +70,7 @@
     private final Counters counters;
     private final EventLog log;
     private final BiConsumer<Member, MemberTable.UpdateResult> onStateReceived;
+    private Optional<Extension> extension = Optional.empty();
     /**
      * The addresses to which this node sends its state, and when the latest datagram was received from each. For an
      * address from which none was received yet, it is the time when the address was added.
@@ -111,6 +113,43 @@
         this.onStateReceived = onStateReceived;
     }
 
+    /** What nodes exchange besides their states. Called on the event loop. */
+    public interface Extension {
+        /** First four bytes of its datagrams. */
+        int magic();
+
+        /** Processes a datagram, after its first four bytes. */
+        void receive(String senderIp, ByteBuf datagram);
+
+        /** A number that is sent with each state, and that differs between nodes that have to exchange something. */
+        int checksum();
+
+        /** Processes the number that another node has sent. */
+        void onChecksum(String senderIp, int checksum);
+    }
+
+    /** Sets what is exchanged besides the states; called before the start. */
+    public void setExtension(Extension newExtension) {
+        extension = Optional.of(newExtension);
+    }
+
+    /** Sends a datagram to all other nodes that are responsive, or to one of them; releases it. */
+    public void sendDatagram(ByteBuf datagram, Optional<String> receiver) {
+        List<String> receivers = receiver.map(List::of).orElseGet(this::responsiveAddresses);
+        write(datagram, receivers);
+    }
+
+    private List<String> responsiveAddresses() {
+        long now = System.nanoTime();
+        List<String> responsive = new ArrayList<>(lastDatagramAtByAddress.size());
+        lastDatagramAtByAddress.forEach((address, lastDatagramAt) -> {
+            if (now - lastDatagramAt <= UNRESPONSIVE_NANOS) {
+                responsive.add(address);
+            }
+        });
+        return responsive;
+    }
+
     /** Binds the UDP socket and starts the periodic rounds. */
     public void start() {
         channel = new Bootstrap()
@@ -248,8 +287,18 @@
         }
         boolean includePeerAddresses = replyRequested || round % ROUNDS_PER_PEER_EXCHANGE == 0;
         List<String> peerAddresses = includePeerAddresses ? samplePeerAddresses() : List.of();
+        int checksum = extension.map(Extension::checksum).orElse(0);
         ByteBuf bytes = Unpooled.buffer(INITIAL_BUFFER_BYTES);
-        NodeStateCodec.encode(new NodeStateCodec.Message(ownState.get(), replyRequested, peerAddresses), bytes);
+        NodeStateCodec.encode(
+                new NodeStateCodec.Message(ownState.get(), replyRequested, peerAddresses, checksum), bytes);
+        write(bytes, addresses);
+    }
+
+    private void write(ByteBuf bytes, List<String> addresses) {
+        if (channel == null || !channel.isActive()) {
+            bytes.release();
+            return;
+        }
         counters.add(NodeMetricNames.GOSSIP_SENT_DATAGRAMS, addresses.size());
         counters.add(NodeMetricNames.GOSSIP_SENT_BYTES, (long) bytes.readableBytes() * addresses.size());
         for (String address : addresses) {
@@ -282,6 +331,7 @@
         long now = System.nanoTime();
         boolean newSender = lastDatagramAtByAddress.put(senderIp, now) == null;
         MemberTable.UpdateResult result = table.update(senderIp, message.state(), now);
+        extension.ifPresent(e -> e.onChecksum(senderIp, message.quarantineChecksum()));
         if (newSender || message.replyRequested()) {
             send(List.of(senderIp), false);
         }
@@ -307,7 +357,16 @@
         protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
             counters.increment(NodeMetricNames.GOSSIP_RECEIVED_DATAGRAMS);
             String senderIp = packet.sender().getAddress().getHostAddress();
-            NodeStateCodec.decode(packet.content()).ifPresent(message -> receive(senderIp, message));
+            ByteBuf content = packet.content();
+            if (extension.isPresent() && startsWith(content, extension.get().magic())) {
+                extension.get().receive(senderIp, content.skipBytes(Integer.BYTES));
+                return;
+            }
+            NodeStateCodec.decode(content).ifPresent(message -> receive(senderIp, message));
+        }
+
+        private static boolean startsWith(ByteBuf content, int magic) {
+            return content.readableBytes() >= Integer.BYTES && content.getInt(content.readerIndex()) == magic;
         }
 
         @Override
--- a/org.berylwick.node/src/org/berylwick/node/member/NodeStateCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/NodeStateCodec.java
@@ -47,8 +47,10 @@
      * @param state state of the sender
      * @param replyRequested whether the receiver should send its own state back
      * @param peerAddresses IPv4 addresses of other nodes
+     * @param quarantineChecksum checksum of what the sender knows of crashing requests, 0 if it knows of none
      */
-    public record Message(NodeState state, boolean replyRequested, List<String> peerAddresses) {}
+    public record Message(
+            NodeState state, boolean replyRequested, List<String> peerAddresses, int quarantineChecksum) {}
 
     /** Encodes a datagram. Times are rounded down to microseconds or milliseconds. */
     public static void encode(Message message, ByteBuf out) {
@@ -86,6 +88,10 @@
         for (String ip : message.peerAddresses()) {
             writeString(ip, out);
         }
+        // The last field is left out while it is 0, which is nearly always.
+        if (message.quarantineChecksum() != 0) {
+            out.writeInt(message.quarantineChecksum());
+        }
     }
 
     /** Decodes a datagram; empty if the bytes are not a valid datagram. */
@@ -132,7 +138,9 @@
             for (int i = 0; i < peerAddressCount; i++) {
                 peerAddresses.add(readString(in));
             }
-            return Optional.of(new Message(state, (flags & FLAG_REPLY_REQUESTED) != 0, peerAddresses));
+            int quarantineChecksum = in.readableBytes() >= Integer.BYTES ? in.readInt() : 0;
+            return Optional.of(
+                    new Message(state, (flags & FLAG_REPLY_REQUESTED) != 0, peerAddresses, quarantineChecksum));
         } catch (IndexOutOfBoundsException e) {
             // A truncated datagram is ignored; the node that sent it sends its state again in the next gossip round.
             return Optional.empty();
--- /dev/null
+++ b/org.berylwick.node/src/org/berylwick/node/quarantine/Quarantine.java
@@ -0,0 +1,189 @@
+package org.berylwick.node.quarantine;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.berylwick.node.lib.Clock;
+import org.berylwick.node.lib.RequestFingerprint;
+import org.berylwick.node.log.Counters;
+import org.berylwick.node.log.Event;
+import org.berylwick.node.log.EventLog;
+import org.berylwick.node.log.Instruments;
+import org.berylwick.node.log.NodeMetricNames;
+
+/**
+ * Holds back requests that crash the backend servers that run them; confined to the event loop.
+ *
+ * <p>A request that was running when a backend server ended is a suspect, and so is everything that ran beside it. If
+ * it runs again and that backend server ends, too, it is refused for some seconds; from the third crash on for minutes,
+ * and longer with each further one. A suspect that a backend server completes is cleared. Nodes report crashes and
+ * completions to each other, so that it does not matter which of them gets the request.
+ *
+ * <p>Crashes count in succession only: a request that many callers send may be running on several backend servers that
+ * end at the same time for another cause.
+ */
+public final class Quarantine {
+    private static final int MAX_SUSPECTS = 512;
+
+    private final Clock clock;
+    private final Counters counters;
+    private final EventLog log;
+    private final Map<RequestFingerprint, Suspect> suspects = new HashMap<>();
+    private final Set<Integer> uriHashes = new HashSet<>();
+    private Consumer<SuspectReport> onReport = report -> {};
+
+    /**
+     * @param clock time source
+     * @param instruments metrics and event log of this node
+     */
+    public Quarantine(Clock clock, Instruments instruments) {
+        this.clock = clock;
+        this.counters = instruments.counters();
+        this.log = instruments.log();
+    }
+
+    /** Sets the receiver of reports that originate on this node, to be sent to other nodes. */
+    public void setReportListener(Consumer<SuspectReport> listener) {
+        onReport = listener;
+    }
+
+    /**
+     * Time for which a request is still held back, 0 if it may be run.
+     *
+     * @param uri path and query of the request
+     * @param fingerprint computes its fingerprint if the path is that of a suspect
+     */
+    public long remainingHoldNanos(String uri, Supplier<Optional<RequestFingerprint>> fingerprint) {
+        long now = clock.now();
+        return find(uri, fingerprint)
+                .filter(Suspect::isHoldDue)
+                .map(suspect -> Math.max(0, suspect.heldUntil() - now))
+                .orElse(0L);
+    }
+
+    /** Number of known crashes of a request in succession, 0 for one that is no suspect. */
+    public int generation(String uri, Supplier<Optional<RequestFingerprint>> fingerprint) {
+        return find(uri, fingerprint).map(Suspect::generation).orElse(0);
+    }
+
+    private Optional<Suspect> find(String uri, Supplier<Optional<RequestFingerprint>> fingerprint) {
+        if (suspects.isEmpty() || !uriHashes.contains(uri.hashCode())) {
+            return Optional.empty();
+        }
+        return fingerprint.get().map(suspects::get);
+    }
+
+    /**
+     * Records that the backend server of this node has ended while it ran a request.
+     *
+     * @param request the request
+     * @param incarnation the incarnation that ended
+     * @param priorGeneration number of crashes of the request that were known when the run began
+     * @return the report for other nodes
+     */
+    public SuspectReport.Crashed onCrashed(RequestFingerprint request, String incarnation, int priorGeneration) {
+        SuspectReport.Crashed crash =
+                new SuspectReport.Crashed(request, priorGeneration + 1, incarnation.hashCode(), clock.now());
+        merge(crash);
+        onReport.accept(crash);
+        return crash;
+    }
+
+    /** Records that the backend server of this node has completed a request, which clears it if it is a suspect. */
+    public void onCompleted(String uri, Supplier<Optional<RequestFingerprint>> fingerprint) {
+        find(uri, fingerprint).filter(suspect -> suspect.generation() > 0).ifPresent(suspect -> {
+            SuspectReport.Completed completion = new SuspectReport.Completed(suspect.request(), clock.now());
+            merge(completion);
+            onReport.accept(completion);
+        });
+    }
+
+    /** Adds what this or another node has found. Reports may arrive repeatedly and in any order. */
+    public void merge(SuspectReport report) {
+        removeForgotten();
+        switch (report) {
+            case SuspectReport.Crashed crash -> mergeCrash(crash);
+            case SuspectReport.Completed completion -> mergeCompletion(completion);
+        }
+    }
+
+    private void mergeCrash(SuspectReport.Crashed crash) {
+        Suspect suspect = suspectOf(crash.request());
+        boolean changed = suspect.merge(crash);
+        if (changed && suspect.isHoldDue()) {
+            counters.increment(NodeMetricNames.QUARANTINE_HOLDS);
+            log.write(
+                    Event.REQUEST_HELD,
+                    "request",
+                    suspect.request(),
+                    "crashes",
+                    suspect.generation(),
+                    "holdMs",
+                    (suspect.heldUntil() - clock.now()) / 1_000_000);
+        }
+    }
+
+    private void mergeCompletion(SuspectReport.Completed completion) {
+        Suspect suspect = suspectOf(completion.request());
+        boolean held = suspect.isHoldDue();
+        if (suspect.complete(completion.at()) && held) {
+            counters.increment(NodeMetricNames.QUARANTINE_CLEARED);
+            log.write(Event.REQUEST_CLEARED, "request", suspect.request());
+        }
+    }
+
+    private Suspect suspectOf(RequestFingerprint request) {
+        uriHashes.add(request.uriHash());
+        return suspects.computeIfAbsent(request, Suspect::new);
+    }
+
+    private void removeForgotten() {
+        long now = clock.now();
+        boolean removed = suspects.values().removeIf(suspect -> suspect.forgetAt() - now < 0);
+        while (suspects.size() >= MAX_SUSPECTS) {
+            suspects.values().stream()
+                    .min(Comparator.comparing(Suspect::isHoldDue).thenComparingLong(Suspect::forgetAt))
+                    .ifPresent(oldest -> suspects.remove(oldest.request()));
+            removed = true;
+        }
+        if (removed) {
+            uriHashes.clear();
+            suspects.keySet().forEach(request -> uriHashes.add(request.uriHash()));
+        }
+    }
+
+    /** Number of requests that are held back now. */
+    public int heldCount() {
+        long now = clock.now();
+        return (int) suspects.values().stream()
+                .filter(suspect -> suspect.isHoldDue() && suspect.heldUntil() - now > 0)
+                .count();
+    }
+
+    /** A number that differs between nodes that do not know the same crashes of requests that are held back. */
+    public int checksum() {
+        int sum = 0;
+        for (Suspect suspect : suspects.values()) {
+            sum += suspect.checksum();
+        }
+        return sum;
+    }
+
+    /** Everything that a node must know which has missed reports. */
+    public List<SuspectReport> snapshot() {
+        List<SuspectReport> reports = new ArrayList<>();
+        for (Suspect suspect : suspects.values()) {
+            if (suspect.concernsOthers()) {
+                reports.addAll(suspect.reports());
+            }
+        }
+        return reports;
+    }
+}
--- a/org.berylwick.test/tst/org/berylwick/bench/emulate/DecisionsUnderLoadTest.java
+++ b/org.berylwick.test/tst/org/berylwick/bench/emulate/DecisionsUnderLoadTest.java
@@ -222,6 +222,19 @@
         }
     }
 
+    /** Guards against a request that ends each backend server that runs it, and that callers repeat at all nodes. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void crashingRequestEndsFewBackendServers(long seed) {
+        try (Emulation e = new Emulation(Deployment.shortObjectives(1), seed)) {
+            e.run(4);
+            e.sendCrashing("lookup", 0.5);
+            e.run(16);
+            assertAtMost(6, e.outcomes().crashes(), "backend servers that ended: three, and three retries");
+            assertAtLeast(0.95, e.outcomes().worth(), "worth");
+        }
+    }
+
     /** Deployments that nobody chose: where there is room, nobody is refused and nearly all is served in time. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
--- a/org.berylwick.test/tst/org/berylwick/node/CrashingRequestTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/CrashingRequestTest.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.regex.Pattern;
 import org.berylwick.node.RestartedBackend.Arrival;
+import org.berylwick.node.log.NodeMetricNames;
+import org.berylwick.node.transport.RequestBody;
 import org.berylwick.testing.Await;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -17,6 +19,7 @@
 /** Callers repeat a request that crashes each backend server that runs it. */
 @Timeout(60)
 class CrashingRequestTest {
+    private static final String CRASHING_READ = "/read/crash";
     private static final int OWNER_COUNT = 4;
     private static final int SLOTS = 4;
     /** After the third crash and this time, all nodes that can communicate know of the request. */
@@ -69,8 +72,8 @@
     /** Guards against a log that cannot tell a request that crashes backend servers from backend servers that end. */
     @Test
     void exitsOfBackendServersNameTheRequestTheyHaveInCommon() {
-        rig.call(1, "GET", RestartedBackend.CRASHING_PATH, "c1", "");
-        rig.call(1, "GET", RestartedBackend.CRASHING_PATH, "c2", "");
+        rig.call(1, "GET", CRASHING_READ, "c1", "");
+        rig.call(1, "GET", CRASHING_READ, "c2", "");
         Pattern exit = Pattern.compile("BACKEND_EXITED.*\"requests\":\"\\[(\\w+)]\"");
         Await.until("two exits", () -> exit.matcher(rig.logText()).results().count() >= 2, rig::logText);
         assertEquals(
@@ -89,7 +92,7 @@
     void repeatedRequestReachesNoMoreBackendServersOnceItHasCrashedThree() {
         long endAt = System.nanoTime() + REPEAT_NANOS;
         for (int i = 0; System.nanoTime() < endAt; i++) {
-            rig.call(1 + i % (OWNER_COUNT + 1), "GET", RestartedBackend.CRASHING_PATH, "c" + i, "");
+            rig.call(1 + i % (OWNER_COUNT + 1), "GET", CRASHING_READ, "c" + i, "");
             NodeRig.sleep(REPEAT_INTERVAL_MILLIS);
         }
         long late = arrivalsAfterContact();
@@ -98,4 +101,40 @@
                 late + " arrivals later than 3 s after the third crash, "
                         + arrivalsInOrder().size() + " in all");
     }
+
+    /** Guards against a crashing request that may run once only, with a body that is forwarded while it arrives. */
+    @Test
+    void repeatedUploadReachesNoMoreBackendServersOnceItHasCrashedThree() {
+        String body = "x".repeat(RequestBody.MIN_STREAMED_BYTES + 1);
+        long endAt = System.nanoTime() + REPEAT_NANOS;
+        for (int i = 0; System.nanoTime() < endAt; i++) {
+            rig.call(1 + i % (OWNER_COUNT + 1), "POST", "/pay/crash", "u" + i, body);
+            NodeRig.sleep(REPEAT_INTERVAL_MILLIS);
+        }
+        assertTrue(
+                arrivalsInOrder().size() >= 3,
+                "the upload reached " + arrivalsInOrder().size());
+        assertTrue(
+                arrivalsAfterContact() <= MAX_ARRIVALS_AFTER_CONTACT,
+                arrivalsInOrder().toString());
+    }
+
+    /** Guards against a node that starts after the crashes, knows nothing of them, and sends the request on. */
+    @Test
+    void nodeThatStartsLaterRefusesTheRequest() {
+        for (int i = 0; arrivalsInOrder().size() < 2; i++) {
+            rig.call(1, "GET", CRASHING_READ, "c" + i, "");
+        }
+        int newcomer = OWNER_COUNT + 2;
+        rig.start(newcomer, Optional.empty());
+        rig.awaitReady(newcomer);
+        Await.until(
+                "the newcomer knows",
+                () -> NodeRig.gauge(rig.node(newcomer), NodeMetricNames.QUARANTINE_HELD) == 1,
+                rig::logText);
+        int arrivals = arrivalsInOrder().size();
+        String response = rig.call(newcomer, "GET", CRASHING_READ, "n1", "");
+        assertTrue(response.startsWith("HTTP/1.1 503") && response.contains("Retry-After"), response);
+        assertEquals(arrivals, arrivalsInOrder().size());
+    }
 }
--- a/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
+++ b/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
@@ -175,7 +175,7 @@
     /** Sends a node state to node 1 in a gossip datagram, as another node would. */
     void sendStateToFirstNode(DatagramSocket from, NodeState state) throws IOException {
         ByteBuf bytes = Unpooled.buffer();
-        NodeStateCodec.encode(new NodeStateCodec.Message(state, false, List.of()), bytes);
+        NodeStateCodec.encode(new NodeStateCodec.Message(state, false, List.of(), 0), bytes);
         from.send(new DatagramPacket(bytes.array(), bytes.readableBytes(), gossipAddress(1)));
     }
 
--- a/org.berylwick.test/tst/org/berylwick/node/RestartedBackend.java
+++ b/org.berylwick.test/tst/org/berylwick/node/RestartedBackend.java
@@ -1,5 +1,6 @@
 package org.berylwick.node;
 
+import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -11,17 +12,21 @@
  * supervisor restarts it on the same port as another incarnation.
  */
 final class RestartedBackend implements AutoCloseable {
-    /** Requests below this path crash it; it answers all others. */
-    static final String CRASHING_PATH = "/read/crash";
+    /** Requests whose path contains this crash it; it answers all others. */
+    static final String CRASHING = "crash";
+    /** Requests whose path contains this take a while. */
+    static final String SLOW = "slow";
 
     private static final int RESTART_MILLIS = 1_000;
     private static final int RUN_MILLIS = 60;
+    private static final int SLOW_RUN_MILLIS = 500;
 
     private final NodeRig rig;
     private final int node;
     private final int slots;
     private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
     private final AtomicInteger crashes = new AtomicInteger();
+    private final AtomicInteger slowRuns = new AtomicInteger();
     private RawServer server;
     private boolean closed;
 
@@ -43,10 +48,11 @@
         }
     }
 
-    private void run(RawServer.Connection connection, RawServer.Request request) throws java.io.IOException {
-        if (!request.path().startsWith(CRASHING_PATH)) {
-            NodeRig.sleep(RUN_MILLIS);
-            NodeRig.respondOk(connection, request);
+    private void run(RawServer.Connection connection, RawServer.Request request) throws IOException {
+        String length = request.header("content-length");
+        connection.read(length.isEmpty() ? 0 : Integer.parseInt(length));
+        if (!request.path().contains(CRASHING)) {
+            answer(connection, request);
             return;
         }
         RawServer crashing = server;
@@ -55,6 +61,21 @@
         crash(crashing);
     }
 
+    private void answer(RawServer.Connection connection, RawServer.Request request) throws IOException {
+        if (!request.path().contains(SLOW)) {
+            NodeRig.sleep(RUN_MILLIS);
+            NodeRig.respondOk(connection, request);
+            return;
+        }
+        slowRuns.incrementAndGet();
+        try {
+            NodeRig.sleep(SLOW_RUN_MILLIS);
+            NodeRig.respondOk(connection, request);
+        } finally {
+            slowRuns.decrementAndGet();
+        }
+    }
+
     /** Ends the process; it is restarted after a while. */
     void crash() {
         crash(server);
@@ -85,6 +106,11 @@
         return crashes.get();
     }
 
+    /** Whether it is running a slow request. */
+    boolean isRunningSlowRequest() {
+        return slowRuns.get() > 0;
+    }
+
     /** The crashing requests that it has begun to run. */
     List<Arrival> arrivals() {
         return arrivals;
--- a/org.berylwick.test/tst/org/berylwick/node/call/CandidateSamplerTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/CandidateSamplerTest.java
@@ -17,8 +17,10 @@
 import org.berylwick.node.lib.OwnerLoad;
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.EventLog;
+import org.berylwick.node.log.Instruments;
 import org.berylwick.node.member.MemberTable;
 import org.berylwick.node.member.NodeState;
+import org.berylwick.node.quarantine.Quarantine;
 import org.berylwick.node.transport.VmLink;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -42,7 +44,8 @@
             SILENCE_THRESHOLD_NANOS,
             new Counters(),
             log,
-            () -> {});
+            () -> {},
+            new Quarantine(clock, new Instruments(new Counters(), log)));
     private final Random random = new Random(1);
     private final CandidateSampler sampler = new CandidateSampler(
             "zone-a",
--- a/org.berylwick.test/tst/org/berylwick/node/call/OwnerSilenceTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerSilenceTest.java
@@ -24,6 +24,8 @@
 import org.berylwick.node.lib.RouteKind;
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.EventLog;
+import org.berylwick.node.log.Instruments;
+import org.berylwick.node.quarantine.Quarantine;
 import org.berylwick.node.transport.HttpResponseHandler;
 import org.berylwick.node.transport.RequestBody;
 import org.berylwick.node.transport.ServerConnection;
@@ -49,7 +51,8 @@
             HEARTBEAT_NANOS,
             new Counters(),
             log,
-            () -> {});
+            () -> {},
+            new Quarantine(clock, new Instruments(new Counters(), log)));
     private int responseCount;
 
     /** A backend server that answers each request after 20 ms, on one shared connection. */
@@ -143,8 +146,8 @@
         }
 
         @Override
-        public void onLost(String cause) {
-            throw new AssertionError(cause);
+        public void onLost(Loss loss) {
+            throw new AssertionError(loss.cause());
         }
     }
 
@@ -173,6 +176,7 @@
                 clock.now() + 2 * NANOS_PER_SECOND,
                 0,
                 1,
+                0,
                 0);
         owner.offer(call, new CountingListener());
         clock.after(nanos, () -> sendRequestEvery(nanos));
--- a/org.berylwick.test/tst/org/berylwick/node/member/NodeStateCodecTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/member/NodeStateCodecTest.java
@@ -30,6 +30,7 @@
             @ForAll boolean flag,
             @ForAll BackendState backendState,
             @ForAll @IntRange(max = 60_000) int number,
+            @ForAll int checksum,
             @ForAll @AlphaChars @StringLength(max = 40) String text) {
         NodeState state = new NodeState(
                 bootId,
@@ -48,7 +49,8 @@
                         new ServiceTimeDistribution(
                                 new RequestClass(RouteKind.NON_IDEMPOTENT, 3, number), 1_000L * (number + 1), 0.25),
                         new ServiceTimeDistribution(new RequestClass(RouteKind.BULK, 0, 100), 7_000L, 0.5)));
-        NodeStateCodec.Message message = new NodeStateCodec.Message(state, flag, List.of("10.0.0.1", "10.0.0.2"));
+        NodeStateCodec.Message message =
+                new NodeStateCodec.Message(state, flag, List.of("10.0.0.1", "10.0.0.2"), checksum);
         ByteBuf encoded = Unpooled.buffer();
         NodeStateCodec.encode(message, encoded);
         assertEquals(Optional.of(message), NodeStateCodec.decode(encoded));
@@ -60,7 +62,7 @@
         NodeState state = new NodeState(
                 1, 1, "zone", 100, 1, true, false, "service", "i-1", BackendState.READY, 0, OwnerLoad.NONE, List.of());
         ByteBuf encoded = Unpooled.buffer();
-        NodeStateCodec.encode(new NodeStateCodec.Message(state, false, List.of("10.0.0.1")), encoded);
+        NodeStateCodec.encode(new NodeStateCodec.Message(state, false, List.of("10.0.0.1"), 0), encoded);
         if (truncatedLength < encoded.readableBytes()) {
             assertTrue(NodeStateCodec.decode(encoded.slice(0, truncatedLength)).isEmpty());
         }
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/node/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the quarantine for requests that crash backend servers. */
+package org.berylwick.node.quarantine;
