Mark a backend server absent as soon as its process has ended

Callers were refused while other backend servers had room: after an end of its backend server an owner went on reporting it as ready until heartbeats had been missing for 3 to 9 s or a new incarnation reported.

Cause: only missing heartbeats told an owner that its backend server was gone. Now a refused connection does: the owner checks with a connection of its own, marks the incarnation absent and tells all nodes. The next heartbeat makes it ready again, so a wrong verdict lasts one interval at most. One that is draining stays as it is.

CrashBystanderTest.endedBackendServerIsOfferedNoFurtherRequests failed before with 13 of 60 requests offered to the ended one; at most 2 now. Also green: CrashingRequestTest, OwnerSilenceTest, SilentBackendTest, RestartTest, NodePagesTest.

--- a/org.berylwick.node/src/org/berylwick/node/call/ExitDetector.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/ExitDetector.java
@@ -22,12 +22,11 @@
     private List<Consumer<Boolean>> pending = new ArrayList<>();
     private Clock.Timer timeout;
     private boolean probing;
-    private boolean exited;
 
     /**
      * @param clock time source; its tasks run on the same thread as this object's methods
      * @param pool connections to the incarnation
-     * @param onExit runs when the incarnation is found to have ended, after those who asked
+     * @param onExit runs each time that the incarnation is found to have ended, after those who asked
      */
     ExitDetector(Clock clock, ServerConnectionPool pool, Runnable onExit) {
         this.clock = clock;
@@ -53,11 +52,9 @@
 
     private void onProbed(ServerConnectionPool.ProbeResult result) {
         probing = false;
-        boolean refused = result == ServerConnectionPool.ProbeResult.REFUSED;
-        boolean firstRefusal = refused && !exited;
-        exited = refused;
-        deliver(refused);
-        if (firstRefusal) {
+        boolean exited = result == ServerConnectionPool.ProbeResult.REFUSED;
+        deliver(exited);
+        if (exited) {
             onExit.run();
         }
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -221,8 +221,9 @@
                 : Optional.of(quarantine.onCrashed(request, exited.incarnation(), knownCrashes));
     }
 
+    /** Marks an incarnation absent that has ended, until a heartbeat arrives; one that is draining ends as planned. */
     private void onExit(Backend exited) {
-        if (exited.state() == BackendState.DRAINING) {
+        if (exited != backend.orElse(null) || exited.state() != BackendState.READY) {
             return;
         }
         counters.increment(NodeMetricNames.OWNER_BACKEND_EXITS);
@@ -236,6 +237,9 @@
                 exited.state(),
                 "requests",
                 exited.runningAtExit());
+        exited.markAbsent();
+        notifyBackendChange(exited);
+        dispatch();
     }
 
     private void notifyBackendChange(Backend changed) {
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -242,6 +242,7 @@
             return;
         }
         owner.log().write(Event.RUN_FAILED, "id", call.id(), "incarnation", backend.incarnation(), "cause", cause);
+        backend.exitDetector().check(exited -> {});
         refuse(Refusal.Reason.UNREACHABLE, false);
     }
 
--- a/org.berylwick.node/src/org/berylwick/node/lib/BackendState.java
+++ b/org.berylwick.node/src/org/berylwick/node/lib/BackendState.java
@@ -2,7 +2,7 @@
 
 /** State of the backend server on the same VM as a node. */
 public enum BackendState {
-    /** No backend server has registered, or it has stopped sending heartbeats. */
+    /** No backend server has registered, or it has stopped sending heartbeats, or its process has ended. */
     ABSENT,
     /** Accepts new requests. */
     READY,
--- a/org.berylwick.test/tst/org/berylwick/node/CrashBystanderTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/CrashBystanderTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.berylwick.node.log.NodeMetricNames;
 import org.berylwick.testing.Await;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -18,6 +19,8 @@
     private static final String SLOW_READ = "/read/slow";
     private static final int SLOTS = 4;
     private static final int CRASH_COUNT = 2;
+    private static final int REQUEST_COUNT = 60;
+    private static final int MAX_REFUSALS = 2;
 
     private final NodeRig rig = new NodeRig();
     private final List<RestartedBackend> backends = new ArrayList<>();
@@ -91,4 +94,18 @@
         awaitServed("/read/any");
         assertTrue(isServed(1, SLOW_READ, "s"), rig.logText());
     }
+
+    /** Guards against an owner that goes on offering a backend server whose process has ended. */
+    @Test
+    void endedBackendServerIsOfferedNoFurtherRequests() {
+        start(3);
+        for (int i = 0; i < REQUEST_COUNT; i++) {
+            if (i == 1) {
+                backends.get(0).crash();
+            }
+            assertTrue(isServed(1, "/read/any", "e" + i), rig.logText());
+        }
+        long refusals = rig.counter(1, NodeMetricNames.ENTRY_REFUSALS_BY_REASON + "UNREACHABLE");
+        assertTrue(refusals <= MAX_REFUSALS, refusals + " of " + REQUEST_COUNT + " requests were offered to it");
+    }
 }
--- a/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
+++ b/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
@@ -282,6 +282,15 @@
                 .orElseThrow();
     }
 
+    /** Current value of a counter of a node. */
+    long counter(int number, String name) {
+        Node node = node(number);
+        return node.loop()
+                .submit(() -> node.counters().count(name))
+                .syncUninterruptibly()
+                .getNow();
+    }
+
     String logText() {
         return logOutput.toString(StandardCharsets.UTF_8);
     }
