Keep long holds in the directory, for nodes that start after all were lost

A fleet that loses all its nodes at once knew nothing of a request that had crashed three backend servers, and would have let it end three more. Times are kept by the wall clock there.

CrashingRequestTest.nodesThatStartAfterTheLossOfAllRefuseTheRequest; CodecsTest for the stored form. Not covered: a store that is away when all nodes are lost.

--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
@@ -23,12 +23,12 @@
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.ConfigurationVersion;
 import org.berylwick.node.lib.PlatformBounds;
+import org.berylwick.node.lib.SuspectReport;
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.Instruments;
 import org.berylwick.node.member.MemberTable;
 import org.berylwick.node.member.NodeState;
 import org.berylwick.node.quarantine.Quarantine;
-import org.berylwick.node.quarantine.SuspectReport;
 import org.berylwick.node.transport.RequestBody;
 import org.berylwick.node.transport.VmLink;
 
--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -116,8 +116,7 @@
                 this::onInstalled,
                 counters,
                 log);
-        this.discovery = new NodeDiscovery(
-                loop, platform.directory(loop), gossip, counters, log, settings.vmName(), settings.ip());
+        this.discovery = createDiscovery();
         RetryBudget budget =
                 new RetryBudget(settings.bounds(), this::nodeCount, discovery::isDirectoryRead, System.nanoTime());
         this.entryServer = CallPath.createEntryServer(
@@ -157,6 +156,21 @@
                 quarantine);
     }
 
+    private NodeDiscovery createDiscovery() {
+        NodeDiscovery created = new NodeDiscovery(
+                loop,
+                platform.directory(loop),
+                gossip,
+                counters,
+                log,
+                settings.vmName(),
+                settings.ip(),
+                quarantine::lastingCrashes,
+                crashes -> crashes.forEach(quarantine::merge));
+        quarantine.setLastingHoldListener(created::recordCrashes);
+        return created;
+    }
+
     private CandidateSampler createCandidateSampler() {
         return new CandidateSampler(
                 settings.zone(),
--- a/org.berylwick.node/src/org/berylwick/node/call/Loss.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Loss.java
@@ -1,7 +1,7 @@
 package org.berylwick.node.call;
 
 import java.util.Optional;
-import org.berylwick.node.quarantine.SuspectReport;
+import org.berylwick.node.lib.SuspectReport;
 
 /**
  * How an attempt was lost that may have run.
--- a/org.berylwick.node/src/org/berylwick/node/call/PeerCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerCodec.java
@@ -7,7 +7,7 @@
 import org.berylwick.node.lib.RequestClass;
 import org.berylwick.node.lib.RequestFingerprint;
 import org.berylwick.node.lib.RouteKind;
-import org.berylwick.node.quarantine.SuspectReport;
+import org.berylwick.node.lib.SuspectReport;
 import org.berylwick.node.transport.RequestBody;
 
 /**
--- a/org.berylwick.node/src/org/berylwick/node/member/NodeDiscovery.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/NodeDiscovery.java
@@ -1,8 +1,12 @@
 package org.berylwick.node.member;
 
 import io.netty.channel.EventLoop;
+import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.berylwick.node.lib.SuspectReport;
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.Event;
 import org.berylwick.node.log.EventLog;
@@ -31,8 +35,12 @@
     private final EventLog log;
     private final String vmName;
     private final String ip;
+    private final Supplier<List<SuspectReport.Crashed>> crashes;
+    private final Consumer<List<SuspectReport.Crashed>> onCrashes;
     private long retryMillis = INITIAL_RETRY_MILLIS;
     private boolean directoryRead;
+    private boolean registered;
+    private boolean recording;
 
     /**
      * @param loop event loop on which everything runs
@@ -42,6 +50,8 @@
      * @param log event log of this node
      * @param vmName name of this VM, the key of its directory entry
      * @param ip IP address of this VM
+     * @param crashes supplies the crashes that must outlast the loss of all nodes
+     * @param onCrashes receives those that are recorded in the directory
      */
     public NodeDiscovery(
             EventLoop loop,
@@ -50,7 +60,9 @@
             Counters counters,
             EventLog log,
             String vmName,
-            String ip) {
+            String ip,
+            Supplier<List<SuspectReport.Crashed>> crashes,
+            Consumer<List<SuspectReport.Crashed>> onCrashes) {
         this.loop = loop;
         this.directory = directory;
         this.gossip = gossip;
@@ -58,6 +70,8 @@
         this.log = log;
         this.vmName = vmName;
         this.ip = ip;
+        this.crashes = crashes;
+        this.onCrashes = onCrashes;
     }
 
     /** Registers this node, retrying until that succeeds, and then starts the periodic reads. */
@@ -71,16 +85,39 @@
     }
 
     private void register() {
-        directory.register(vmName, ip, registered -> {
-            if (!registered) {
+        directory.register(vmName, ip, done -> {
+            if (!done) {
                 counters.increment(NodeMetricNames.DIRECTORY_FAILURES);
                 loop.schedule(this::register, nextRetryDelayMillis(), TimeUnit.MILLISECONDS);
                 return;
             }
+            registered = true;
             refresh();
         });
     }
 
+    /** Records the current crashes in the directory, retrying until that succeeds. */
+    public void recordCrashes() {
+        if (!recording) {
+            recording = true;
+            loop.execute(this::tryRecord);
+        }
+    }
+
+    private void tryRecord() {
+        if (!registered) {
+            loop.schedule(this::tryRecord, nextRetryDelayMillis(), TimeUnit.MILLISECONDS);
+            return;
+        }
+        recording = false;
+        directory.record(vmName, ip, crashes.get(), recorded -> {
+            if (!recorded) {
+                counters.increment(NodeMetricNames.DIRECTORY_FAILURES);
+                loop.schedule(this::recordCrashes, nextRetryDelayMillis(), TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
     private void refresh() {
         directory.list(result -> {
             switch (result) {
@@ -88,6 +125,7 @@
                     directoryRead = true;
                     retryMillis = INITIAL_RETRY_MILLIS;
                     found.addresses().forEach(gossip::addPeerAddress);
+                    onCrashes.accept(found.crashes());
                     long refreshMillis =
                             Math.max(MIN_REFRESH_MILLIS, REFRESH_MILLIS_PER_NODE * (gossip.peerAddressCount() + 1));
                     long jitterMillis = ThreadLocalRandom.current().nextLong(refreshMillis / 2);
--- a/org.berylwick.node/src/org/berylwick/node/quarantine/Quarantine.java
+++ b/org.berylwick.node/src/org/berylwick/node/quarantine/Quarantine.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 import org.berylwick.node.lib.Clock;
 import org.berylwick.node.lib.RequestFingerprint;
+import org.berylwick.node.lib.SuspectReport;
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.Event;
 import org.berylwick.node.log.EventLog;
@@ -31,6 +32,7 @@
  */
 public final class Quarantine {
     private static final int MAX_SUSPECTS = 512;
+    private static final int MAX_LASTING = 32;
 
     private final Clock clock;
     private final Counters counters;
@@ -38,6 +40,7 @@
     private final Map<RequestFingerprint, Suspect> suspects = new HashMap<>();
     private final Set<Integer> uriHashes = new HashSet<>();
     private Consumer<SuspectReport> onReport = report -> {};
+    private Runnable onLastingHold = () -> {};
 
     /**
      * @param clock time source
@@ -54,6 +57,11 @@
         onReport = listener;
     }
 
+    /** Sets what runs when a crash at this node makes a hold so long that it should outlast the loss of all nodes. */
+    public void setLastingHoldListener(Runnable listener) {
+        onLastingHold = listener;
+    }
+
     /**
      * Time for which a request is still held back, 0 if it may be run.
      *
@@ -93,6 +101,9 @@
                 new SuspectReport.Crashed(request, priorGeneration + 1, incarnation.hashCode(), clock.now());
         merge(crash);
         onReport.accept(crash);
+        if (suspectOf(request).isLastingHoldDue()) {
+            onLastingHold.run();
+        }
         return crash;
     }
 
@@ -176,6 +187,16 @@
         return sum;
     }
 
+    /** The crashes of requests that are held back for so long that it should outlast the loss of all nodes. */
+    public List<SuspectReport.Crashed> lastingCrashes() {
+        return suspects.values().stream()
+                .filter(Suspect::isLastingHoldDue)
+                .sorted(Comparator.comparingLong(Suspect::heldUntil).reversed())
+                .limit(MAX_LASTING)
+                .flatMap(suspect -> suspect.crashReports().stream())
+                .toList();
+    }
+
     /** Everything that a node must know which has missed reports. */
     public List<SuspectReport> snapshot() {
         List<SuspectReport> reports = new ArrayList<>();
--- a/org.berylwick.node/src/org/berylwick/node/quarantine/QuarantineExchange.java
+++ b/org.berylwick.node/src/org/berylwick/node/quarantine/QuarantineExchange.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.berylwick.node.lib.Clock;
+import org.berylwick.node.lib.SuspectReport;
 import org.berylwick.node.member.Gossip;
 
 /**
--- a/org.berylwick.node/src/org/berylwick/node/quarantine/Suspect.java
+++ b/org.berylwick.node/src/org/berylwick/node/quarantine/Suspect.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.berylwick.node.lib.RequestFingerprint;
+import org.berylwick.node.lib.SuspectReport;
 
 /** What this node knows of one request that was running when a backend server ended. */
 final class Suspect {
@@ -106,6 +107,19 @@
         return strikes() >= MIN_STRIKES;
     }
 
+    /** Whether the hold is long, so that it should outlast the loss of all nodes. */
+    boolean isLastingHoldDue() {
+        return strikes() > MIN_STRIKES;
+    }
+
+    /** The crashes that this node knows of. */
+    List<SuspectReport.Crashed> crashReports() {
+        List<SuspectReport.Crashed> reports = new ArrayList<>();
+        crashes.forEach((incarnation, crash) ->
+                reports.add(new SuspectReport.Crashed(request, crash.generation(), incarnation, crash.at())));
+        return reports;
+    }
+
     /** Time until which the request is held back, on the scale of {@link System#nanoTime}; the past if it is not. */
     long heldUntil() {
         return latestCrashAt() + holdNanos();
@@ -138,9 +152,7 @@
 
     /** All that this node knows of the request. */
     List<SuspectReport> reports() {
-        List<SuspectReport> reports = new ArrayList<>();
-        crashes.forEach((incarnation, crash) ->
-                reports.add(new SuspectReport.Crashed(request, crash.generation(), incarnation, crash.at())));
+        List<SuspectReport> reports = new ArrayList<>(crashReports());
         if (completed) {
             reports.add(new SuspectReport.Completed(request, completedAt));
         }
--- a/org.berylwick.node/src/org/berylwick/node/quarantine/SuspectReportCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/quarantine/SuspectReportCodec.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.berylwick.node.lib.RequestFingerprint;
+import org.berylwick.node.lib.SuspectReport;
 
 /** Encodes and decodes datagrams with reports; times are sent as ages, because clocks differ. */
 public final class SuspectReportCodec {
@@ -13,7 +14,6 @@
     public static final int MAX_REPORTS = 48;
 
     private static final int COMPLETED = 0;
-    private static final int MAX_GENERATION = 255;
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private SuspectReportCodec() {}
@@ -35,7 +35,7 @@
             switch (report) {
                 case SuspectReport.Completed completed -> out.writeByte(COMPLETED);
                 case SuspectReport.Crashed crashed -> {
-                    out.writeByte(Math.min(MAX_GENERATION, crashed.generation()));
+                    out.writeByte(crashed.generation());
                     out.writeInt(crashed.incarnation());
                 }
             }
--- a/org.berylwick.test/tst/org/berylwick/node/CrashingRequestTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/CrashingRequestTest.java
@@ -137,4 +137,23 @@
         assertTrue(response.startsWith("HTTP/1.1 503") && response.contains("Retry-After"), response);
         assertEquals(arrivals, arrivalsInOrder().size());
     }
+
+    /** Guards against nodes that have all been lost, know nothing any more, and let the request end further servers. */
+    @Test
+    void nodesThatStartAfterTheLossOfAllRefuseTheRequest() {
+        for (int i = 0; arrivalsInOrder().size() < 3; i++) {
+            rig.call(1, "GET", CRASHING_READ, "c" + i, "");
+            NodeRig.sleep(REPEAT_INTERVAL_MILLIS);
+        }
+        Await.until("it is recorded", rig::hasRecordedCrashes, rig::logText);
+        for (int node = 1; node <= OWNER_COUNT + 1; node++) {
+            rig.node(node).close();
+        }
+        int newcomer = OWNER_COUNT + 2;
+        rig.start(newcomer, Optional.empty());
+        rig.awaitReady(newcomer);
+        String response = rig.call(newcomer, "GET", CRASHING_READ, "n1", "");
+        assertTrue(response.startsWith("HTTP/1.1 503"), response);
+        assertEquals(1, NodeRig.gauge(rig.node(newcomer), NodeMetricNames.QUARANTINE_HELD));
+    }
 }
--- a/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
+++ b/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
@@ -29,6 +29,7 @@
 import org.berylwick.node.lib.PlatformBounds;
 import org.berylwick.node.lib.Route;
 import org.berylwick.node.lib.RouteKind;
+import org.berylwick.node.lib.SuspectReport;
 import org.berylwick.node.lib.WeightedService;
 import org.berylwick.node.log.Event;
 import org.berylwick.node.log.EventLog;
@@ -56,6 +57,7 @@
 
     final InMemoryConfigurationStore configuration = new InMemoryConfigurationStore();
     private final Map<Integer, Double> linkMbps = new HashMap<>();
+    private volatile List<SuspectReport.Crashed> recordedCrashes = List.of();
     private final int subnet = NEXT_SUBNET.getAndIncrement() % 250 + 1;
     private final int[] ports = freePorts();
     private final List<Node> nodes = new ArrayList<>();
@@ -282,6 +284,11 @@
                 .orElseThrow();
     }
 
+    /** Whether a node has recorded crashes in the directory. */
+    boolean hasRecordedCrashes() {
+        return !recordedCrashes.isEmpty();
+    }
+
     /** Current value of a counter of a node. */
     long counter(int number, String name) {
         Node node = node(number);
@@ -407,13 +414,20 @@
                     loop.execute(() -> onResult.accept(true));
                 }
 
+                @Override
+                public void record(
+                        String name, String ip, List<SuspectReport.Crashed> crashes, Consumer<Boolean> onResult) {
+                    recordedCrashes = List.copyOf(crashes);
+                    loop.execute(() -> onResult.accept(true));
+                }
+
                 @Override
                 public void list(Consumer<ListResult> onResult) {
                     List<String> ips = new ArrayList<>();
                     for (int i = 1; i <= 4; i++) {
                         ips.add(ip(i));
                     }
-                    loop.execute(() -> onResult.accept(new ListResult.Listed(ips)));
+                    loop.execute(() -> onResult.accept(new ListResult.Listed(ips, recordedCrashes)));
                 }
             };
         }
--- a/org.berylwick.test/tst/org/berylwick/node/quarantine/QuarantineTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/quarantine/QuarantineTest.java
@@ -16,6 +16,7 @@
 import net.jqwik.api.constraints.IntRange;
 import org.berylwick.bench.emulate.VirtualClock;
 import org.berylwick.node.lib.RequestFingerprint;
+import org.berylwick.node.lib.SuspectReport;
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.EventLog;
 import org.berylwick.node.log.Instruments;
--- a/org.berylwick.test/tst/org/berylwick/platform/CodecsTest.java
+++ b/org.berylwick.test/tst/org/berylwick/platform/CodecsTest.java
@@ -6,9 +6,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.ConfigurationVersion;
+import org.berylwick.node.lib.RequestFingerprint;
 import org.berylwick.node.lib.RouteKind;
+import org.berylwick.node.lib.SuspectReport;
 import org.berylwick.node.member.HeartbeatProtocol.DecodeResult;
 import org.berylwick.node.version.ConfigurationSource.ReadResult;
 import org.junit.jupiter.api.Test;
@@ -100,4 +104,19 @@
         assertInstanceOf(DecodeResult.Malformed.class, codec.decode("PUT", "/instances/i-1", new byte[3]));
         assertInstanceOf(DecodeResult.Malformed.class, codec.decode("PUT", "/other", body));
     }
+
+    @Test
+    void storedCrashIsDecodedAndInvalidOnesAreNot() {
+        long at = System.nanoTime() - 90_000_000_000L;
+        SuspectReport.Crashed crash = new SuspectReport.Crashed(new RequestFingerprint(-7, Long.MIN_VALUE), 3, -9, at);
+        SuspectReport.Crashed decoded =
+                StoredCrash.decode(StoredCrash.encode(crash)).orElseThrow();
+        assertEquals(crash.request(), decoded.request());
+        assertEquals(3, decoded.generation());
+        assertEquals(-9, decoded.incarnation());
+        assertEquals(90, Math.round((System.nanoTime() - decoded.at()) / 1e9));
+        for (String invalid : List.of("", "1;2;3;4", "1;2;3;4;5;6", "a;2;3;4;5", "1;2;3;4;99999999999999999999")) {
+            assertEquals(Optional.empty(), StoredCrash.decode(invalid), invalid);
+        }
+    }
 }
