Send a crashing request in the soak, and judge how often it reaches backend servers

The stand-in of a backend server ends when it runs a request below /crash, and is started again after a second as another incarnation. The soak has callers at all nodes repeat such requests (drawn apart, so that the other faults of a seed stay the same) and finds it if one arrives more than three times later than 3 s after it has ended three.

--- a/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeJudge.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeJudge.java
@@ -13,6 +13,12 @@
     /** A request may cross the close of its connection, and is not read then. */
     private static final long CROSSING_MILLIS = 200;
 
+    /** After this time all nodes know of a request that ended three backend servers. */
+    private static final long CONTACT_MILLIS = 3_000;
+
+    private static final long MAX_LATE_ARRIVALS = 3;
+    private static final int MAX_COUNTED_CRASHES = 9;
+
     private final RunBook book;
     private final Map<String, String> refusedOnce = new ConcurrentHashMap<>();
     private final Map<String, Boolean> runOnce = new ConcurrentHashMap<>();
@@ -71,6 +77,14 @@
                 find("REFUSED: " + id + " was refused and ran");
             }
         });
+        for (String uri : book.crashingUris()) {
+            count("crashes_" + Math.min(MAX_COUNTED_CRASHES, book.crashes(uri)));
+            long late = book.arrivalsAfterThirdCrash(uri, CONTACT_MILLIS);
+            if (late > MAX_LATE_ARRIVALS) {
+                find("BUDGET: " + uri + " arrived " + late + " times after it had ended three backend servers, "
+                        + book.crashes(uri) + " ended");
+            }
+        }
         if (book.overfilled() > 0) {
             find("OVERFILLED: " + book.overfilled());
         }
--- a/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeSoak.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeSoak.java
@@ -14,6 +14,7 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.berylwick.bench.Measurement;
+import org.berylwick.standin.objects.BackendVm;
 import org.berylwick.standin.objects.ObjectApiServer.Trouble;
 
 /**
@@ -26,6 +27,10 @@
     private static final int CALLER_MILLIS = 1_500;
     private static final int PATIENT_MILLIS = 7_000;
     private static final double NARROW_MBPS = 6;
+    private static final int STEPS_PER_CRASHING_REQUEST = 8;
+    private static final int CRASHING_REQUESTS = 3;
+    private static final int CRASHING_REPEATS = 30;
+    private static final long CRASHING_GAP_MILLIS = 150;
     private static final long CALM_MILLIS = 7_000;
     private static final long START_MILLIS = 60_000;
     /** From the acceptance of a version, while no fault goes on, to its being in force everywhere. */
@@ -77,7 +82,17 @@
      */
     public List<String> soak(long seed, int seconds, int nodes, PrintStream out) throws Exception {
         try (NodeFleet started = new NodeFleet(nodes, netOf(seed))) {
-            return soak(started, seed, seconds, this::fault, out);
+            // Drawn apart, so that the other faults of a seed stay the same.
+            Random crashes = new Random(~seed);
+            return soak(
+                    started,
+                    seed,
+                    seconds,
+                    random -> {
+                        fault(random);
+                        drawCrashingRequest(crashes);
+                    },
+                    out);
         }
     }
 
@@ -387,6 +402,25 @@
         fleet.store().setTrouble(Trouble.NONE);
     }
 
+    private void drawCrashingRequest(Random random) {
+        if (random.nextInt(STEPS_PER_CRASHING_REQUEST) == 0) {
+            String path = "/read" + BackendVm.CRASHING + random.nextInt(CRASHING_REQUESTS);
+            later("crashing_request", () -> sendCrashing(path));
+        }
+    }
+
+    /** Callers at all nodes repeat a request that ends the backend server that runs it. */
+    private void sendCrashing(String path) throws InterruptedException {
+        for (int i = 0; i < CRASHING_REPEATS && !over; i++) {
+            NodeFleet.Vm vm = fleet.vms()
+                    .get(ThreadLocalRandom.current().nextInt(fleet.vms().size()));
+            try (PlainCaller caller = new PlainCaller(fleet.callers(vm))) {
+                call(caller, "GET", path, CALLER_MILLIS, "");
+            }
+            Thread.sleep(CRASHING_GAP_MILLIS);
+        }
+    }
+
     private static void loseAnswers(NodeFleet.Vm vm) throws InterruptedException {
         vm.backend().setLoseShare(0.3);
         Thread.sleep(2_000);
--- a/org.berylwick.standin/src/org/berylwick/standin/objects/BackendVm.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/objects/BackendVm.java
@@ -3,6 +3,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -14,6 +15,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -26,9 +29,15 @@
      */
     private static final int QUEUE = 2;
 
+    /** Requests whose path contains this end the process that runs them. */
+    public static final String CRASHING = "/crash";
+
+    private static final int CRASH_AFTER_MILLIS = 40;
+    private static final int RESTART_MILLIS = 1_000;
+
     private static final AtomicInteger NEXT = new AtomicInteger();
 
-    private final ServerSocket server;
+    private volatile ServerSocket server;
     private final String service;
     private final int slots;
     private final String control;
@@ -39,6 +48,8 @@
     private volatile int sequence;
     private volatile boolean draining;
     private volatile boolean closed;
+    private volatile boolean down;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private volatile int workMillis = 30;
     private volatile double loseShare;
 
@@ -116,6 +127,9 @@
     }
 
     private synchronized boolean report() {
+        if (down) {
+            return false;
+        }
         sequence++;
         String body =
                 "{\"address\":\"%s:%d\",\"info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":\"\",\"slots\":%d},"
@@ -147,6 +161,7 @@
         while (!closed) {
             try {
                 Socket socket = server.accept();
+                sockets.add(socket);
                 Thread.ofVirtual().start(() -> serve(socket));
             } catch (IOException e) {
                 return;
@@ -172,7 +187,47 @@
                 }
             }
         } catch (IOException e) {
-            // The other end broke the connection off.
+            // The other end broke the connection off, or the process ended.
+        } finally {
+            sockets.remove(socket);
+        }
+    }
+
+    /** The process ends while it runs a request, and is started again after a while as another incarnation. */
+    private void crash(String uri, String crashing) throws IOException {
+        synchronized (this) {
+            if (down || closed || !crashing.equals(incarnation)) {
+                return;
+            }
+            down = true;
+        }
+        book.onCrash(uri);
+        int port = port();
+        server.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+        Thread.ofVirtual().start(() -> startAgain(port));
+    }
+
+    private void startAgain(int port) {
+        try {
+            Thread.sleep(RESTART_MILLIS);
+            synchronized (this) {
+                if (closed) {
+                    return;
+                }
+                server = new ServerSocket(port, 128, server.getInetAddress());
+                running = new AtomicInteger();
+                incarnation = newIncarnation();
+                sequence = 0;
+                down = false;
+            }
+            accept();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
@@ -197,6 +252,13 @@
             write(socket, "421 Misdirected Request", "X-Instance-Id: " + incarnation, new byte[0]);
             return true;
         }
+        if (uri.contains(CRASHING)) {
+            book.onCrashingArrival(uri);
+            String crashing = incarnation;
+            sleep(CRASH_AFTER_MILLIS);
+            crash(uri, crashing);
+            return false;
+        }
         AtomicInteger owned = running;
         book.onRun(id, incarnation, owned.incrementAndGet() > slots + QUEUE);
         try {
@@ -215,6 +277,14 @@
         return true;
     }
 
+    private static void sleep(int millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Works as long as it is set to; false if the other end closed meanwhile, which ends the work. */
     private boolean work(Socket socket, InputStream in) throws IOException {
         socket.setSoTimeout(workMillis);
--- a/org.berylwick.standin/src/org/berylwick/standin/objects/RunBook.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/objects/RunBook.java
@@ -1,7 +1,10 @@
 package org.berylwick.standin.objects;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -14,6 +17,7 @@
 
     private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     private final Map<String, Long> leaves = new ConcurrentHashMap<>();
+    private final Map<String, CrashRecord> crashing = new ConcurrentHashMap<>();
     private final AtomicInteger overfilled = new AtomicInteger();
     private final AtomicInteger afterLeave = new AtomicInteger();
     private final long drainNanos;
@@ -38,6 +42,55 @@
         leaves.put(incarnation, System.nanoTime());
     }
 
+    /** A request that ends what runs it: when it arrived at backend servers, and when these ended. */
+    private static final class CrashRecord {
+        private final List<Long> arrivals = new ArrayList<>();
+        private final List<Long> crashes = new ArrayList<>();
+    }
+
+    private CrashRecord crashRecord(String uri) {
+        return crashing.computeIfAbsent(uri, u -> new CrashRecord());
+    }
+
+    void onCrashingArrival(String uri) {
+        CrashRecord record = crashRecord(uri);
+        synchronized (record) {
+            record.arrivals.add(System.nanoTime());
+        }
+    }
+
+    void onCrash(String uri) {
+        CrashRecord record = crashRecord(uri);
+        synchronized (record) {
+            record.crashes.add(System.nanoTime());
+        }
+    }
+
+    /** The requests that end what runs them. */
+    public Set<String> crashingUris() {
+        return crashing.keySet();
+    }
+
+    /** How many backend servers ended while they ran a request. */
+    public int crashes(String uri) {
+        CrashRecord record = crashRecord(uri);
+        synchronized (record) {
+            return record.crashes.size();
+        }
+    }
+
+    /** How often a request arrived at backend servers later than this time after it had ended the third. */
+    public long arrivalsAfterThirdCrash(String uri, long contactMillis) {
+        CrashRecord record = crashRecord(uri);
+        synchronized (record) {
+            if (record.crashes.size() < 3) {
+                return 0;
+            }
+            long contactAt = record.crashes.get(2) + contactMillis * 1_000_000;
+            return record.arrivals.stream().filter(at -> at - contactAt > 0).count();
+        }
+    }
+
     /** How often a request was run. */
     public int runs(String id) {
         AtomicInteger count = runs.get(id);
