--- a/org.berylwick.test/tst/org/berylwick/node/quarantine/QuarantineTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/quarantine/QuarantineTest.java
@@ -1,6 +1,7 @@
 package org.berylwick.node.quarantine;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
@@ -14,6 +15,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
 import org.berylwick.bench.emulate.VirtualClock;
 import org.berylwick.node.lib.RequestFingerprint;
 import org.berylwick.node.lib.SuspectReport;
@@ -152,4 +154,19 @@
         reports.forEach(newQuarantine()::merge);
         assertTrue(reports.size() <= bytes.length);
     }
+
+    /** Guards against a request that is taken for another one because its body arrived in other parts. */
+    @Property(tries = 200)
+    void fingerprintDependsOnTheBytesAndNotOnTheirParts(
+            @ForAll @Size(min = 1, max = 300) byte[] body, @ForAll @IntRange(max = 300) int split) {
+        int at = Math.min(split, body.length);
+        ByteBuf whole = Unpooled.wrappedBuffer(body);
+        ByteBuf parts = Unpooled.wrappedBuffer(whole.copy(0, at), whole.copy(at, body.length - at));
+        RequestFingerprint fingerprint = RequestFingerprint.of("POST", "Shop.example", URI, whole);
+        assertEquals(fingerprint, RequestFingerprint.of("POST", "shop.EXAMPLE", URI, parts));
+        byte[] other = body.clone();
+        other[at % other.length]++;
+        assertNotEquals(fingerprint, RequestFingerprint.of("POST", "shop.example", URI, Unpooled.wrappedBuffer(other)));
+        assertNotEquals(fingerprint, RequestFingerprint.of("PUT", "shop.example", URI, whole));
+    }
 }
