Record a crash that is found out late

A third crash that is not counted leaves the hold short and writes nothing to the directory.

The loss is still reported after 50 ms at the latest; the crash is recorded whenever the check ends. OwnerExitTest.crashIsReportedEvenIfItIsFoundOutLate fails without (no report after 400 ms, where the check takes 300).

--- a/org.berylwick.node/src/org/berylwick/node/call/Backend.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Backend.java
@@ -5,7 +5,6 @@
 import java.util.function.Consumer;
 import org.berylwick.node.lib.BackendReport;
 import org.berylwick.node.lib.BackendState;
-import org.berylwick.node.lib.Clock;
 import org.berylwick.node.lib.RequestFingerprint;
 import org.berylwick.node.transport.ServerConnectionPool;
 
@@ -41,15 +40,15 @@
     /**
      * @param report first report of the incarnation
      * @param pool connections to it
-     * @param clock time source; its tasks run on the same thread as this object's methods
+     * @param now time of the report
      * @param onExit called when the incarnation is found to have ended
      */
-    Backend(BackendReport report, ServerConnectionPool pool, Clock clock, Consumer<Backend> onExit) {
+    Backend(BackendReport report, ServerConnectionPool pool, long now, Consumer<Backend> onExit) {
         this.incarnation = report.incarnation();
         this.service = report.service();
         this.pool = pool;
-        this.exitDetector = new ExitDetector(clock, pool, () -> onExit.accept(this));
-        applyReport(report, clock.now());
+        this.exitDetector = new ExitDetector(pool, () -> onExit.accept(this));
+        applyReport(report, now);
     }
 
     /** Id that the backend server chose when it started. */
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -183,7 +183,7 @@
         if (current != null) {
             retire(current, "replaced by another incarnation");
         }
-        Backend replacement = new Backend(report, poolFactory.apply(report.address()), clock, this::onExit);
+        Backend replacement = new Backend(report, poolFactory.apply(report.address()), clock.now(), this::onExit);
         backend = Optional.of(replacement);
         notifyBackendChange(replacement);
         dispatch();
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -41,6 +41,8 @@
     private static final int OVERDUE_FACTOR = 5;
 
     private static final long MIN_OVERDUE_NANOS = 300_000_000L;
+    /** Time for which a loss is not reported while it is checked whether the backend server has ended. */
+    private static final long MAX_EXIT_CHECK_NANOS = 50_000_000L;
 
     private final Owner owner;
     private final Clock clock;
@@ -341,6 +343,8 @@
                     exited ? fingerprint.flatMap(f -> owner.onCrashed(backend, f, knownCrashes)) : Optional.empty();
             failAsLost(new Loss(cause, crash));
         });
+        // The entry does not wait for a check that takes long; a crash that is found out later is still recorded.
+        clock.schedule(clock.now() + MAX_EXIT_CHECK_NANOS, () -> failAsLost(Loss.of(cause)));
     }
 
     /**
