--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
@@ -28,6 +28,7 @@
 import org.berylwick.node.log.Instruments;
 import org.berylwick.node.member.MemberTable;
 import org.berylwick.node.member.NodeState;
+import org.berylwick.node.quarantine.HoldLog;
 import org.berylwick.node.quarantine.Quarantine;
 import org.berylwick.node.transport.RequestBody;
 import org.berylwick.node.transport.VmLink;
@@ -71,7 +72,8 @@
                 SHORTEST_GOSSIP_NANOS,
                 GOSSIP_NANOS_PER_NODE * emulation.deployment().servers().size());
         this.table = new MemberTable(address -> null, (m, cause) -> {});
-        this.quarantine = new Quarantine(emulation.clock(), new Instruments(counters, emulation.log()));
+        this.quarantine =
+                new Quarantine(emulation.clock()::now, new HoldLog(new Instruments(counters, emulation.log())));
         quarantine.setReportListener(this::tellOthers);
         this.server = new EmulatedServer(emulation, this, place, random.nextLong());
         this.owner = new Owner(
--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -32,6 +32,7 @@
 import org.berylwick.node.member.MemberTable;
 import org.berylwick.node.member.NodeDiscovery;
 import org.berylwick.node.member.NodeState;
+import org.berylwick.node.quarantine.HoldLog;
 import org.berylwick.node.quarantine.Quarantine;
 import org.berylwick.node.quarantine.QuarantineExchange;
 import org.berylwick.node.transport.BufferedHttpServer;
@@ -101,7 +102,7 @@
         this.members = new MemberTable(this::createPeerPool, this::onSuspected);
         Clock clock = new EventLoopClock(loop);
         this.link = VmLink.of(settings.linkMbps(), clock);
-        this.quarantine = new Quarantine(clock, new Instruments(counters, log));
+        this.quarantine = new Quarantine(clock::now, new HoldLog(new Instruments(counters, log)));
         this.owner = createOwner(clock);
         this.backendProbe = new BackendProbe(loop, settings, platform.headerNames(), owner, log);
         this.gossip = new Gossip(
--- a/org.berylwick.node/src/org/berylwick/node/quarantine/Quarantine.java
+++ b/org.berylwick.node/src/org/berylwick/node/quarantine/Quarantine.java
@@ -9,15 +9,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
-import org.berylwick.node.lib.Clock;
 import org.berylwick.node.lib.RequestFingerprint;
 import org.berylwick.node.lib.SuspectReport;
-import org.berylwick.node.log.Counters;
-import org.berylwick.node.log.Event;
-import org.berylwick.node.log.EventLog;
-import org.berylwick.node.log.Instruments;
-import org.berylwick.node.log.NodeMetricNames;
 
 /**
  * Holds back requests that crash the backend servers that run them; confined to the event loop.
@@ -34,22 +29,35 @@
     private static final int MAX_SUSPECTS = 512;
     private static final int MAX_LASTING = 32;
 
-    private final Clock clock;
-    private final Counters counters;
-    private final EventLog log;
+    private final LongSupplier nanoTime;
+    private final Listener listener;
     private final Map<RequestFingerprint, Suspect> suspects = new HashMap<>();
     private final Set<Integer> uriHashes = new HashSet<>();
     private Consumer<SuspectReport> onReport = report -> {};
     private Runnable onLastingHold = () -> {};
 
+    /** Is notified of what changes for callers. */
+    public interface Listener {
+        /**
+         * A request is held back, or for longer than before.
+         *
+         * @param request the request
+         * @param crashes number of crashes in succession
+         * @param holdNanos time for which it is held back from now on
+         */
+        void onHeld(RequestFingerprint request, int crashes, long holdNanos);
+
+        /** A request that was held back has been completed by a backend server. */
+        void onCleared(RequestFingerprint request);
+    }
+
     /**
-     * @param clock time source
-     * @param instruments metrics and event log of this node
+     * @param nanoTime current time, on the scale of {@link System#nanoTime}
+     * @param listener is notified of holds
      */
-    public Quarantine(Clock clock, Instruments instruments) {
-        this.clock = clock;
-        this.counters = instruments.counters();
-        this.log = instruments.log();
+    public Quarantine(LongSupplier nanoTime, Listener listener) {
+        this.nanoTime = nanoTime;
+        this.listener = listener;
     }
 
     /** Sets the receiver of reports that originate on this node, to be sent to other nodes. */
@@ -69,7 +77,7 @@
      * @param fingerprint computes its fingerprint if the path is that of a suspect
      */
     public long remainingHoldNanos(String uri, Supplier<Optional<RequestFingerprint>> fingerprint) {
-        long now = clock.now();
+        long now = nanoTime.getAsLong();
         return find(uri, fingerprint)
                 .filter(Suspect::isHoldDue)
                 .map(suspect -> Math.max(0, suspect.heldUntil() - now))
@@ -98,7 +106,7 @@
      */
     public SuspectReport.Crashed onCrashed(RequestFingerprint request, String incarnation, int priorGeneration) {
         SuspectReport.Crashed crash =
-                new SuspectReport.Crashed(request, priorGeneration + 1, incarnation.hashCode(), clock.now());
+                new SuspectReport.Crashed(request, priorGeneration + 1, incarnation.hashCode(), nanoTime.getAsLong());
         merge(crash);
         onReport.accept(crash);
         if (suspectOf(request).isLastingHoldDue()) {
@@ -110,7 +118,7 @@
     /** Records that the backend server of this node has completed a request, which clears it if it is a suspect. */
     public void onCompleted(String uri, Supplier<Optional<RequestFingerprint>> fingerprint) {
         find(uri, fingerprint).filter(suspect -> suspect.generation() > 0).ifPresent(suspect -> {
-            SuspectReport.Completed completion = new SuspectReport.Completed(suspect.request(), clock.now());
+            SuspectReport.Completed completion = new SuspectReport.Completed(suspect.request(), nanoTime.getAsLong());
             merge(completion);
             onReport.accept(completion);
         });
@@ -129,15 +137,7 @@
         Suspect suspect = suspectOf(crash.request());
         boolean changed = suspect.merge(crash);
         if (changed && suspect.isHoldDue()) {
-            counters.increment(NodeMetricNames.QUARANTINE_HOLDS);
-            log.write(
-                    Event.REQUEST_HELD,
-                    "request",
-                    suspect.request(),
-                    "crashes",
-                    suspect.generation(),
-                    "holdMs",
-                    (suspect.heldUntil() - clock.now()) / 1_000_000);
+            listener.onHeld(suspect.request(), suspect.generation(), suspect.heldUntil() - nanoTime.getAsLong());
         }
     }
 
@@ -145,8 +145,7 @@
         Suspect suspect = suspectOf(completion.request());
         boolean held = suspect.isHoldDue();
         if (suspect.complete(completion.at()) && held) {
-            counters.increment(NodeMetricNames.QUARANTINE_CLEARED);
-            log.write(Event.REQUEST_CLEARED, "request", suspect.request());
+            listener.onCleared(suspect.request());
         }
     }
 
@@ -156,7 +155,7 @@
     }
 
     private void removeForgotten() {
-        long now = clock.now();
+        long now = nanoTime.getAsLong();
         boolean removed = suspects.values().removeIf(suspect -> suspect.forgetAt() - now < 0);
         while (suspects.size() >= MAX_SUSPECTS) {
             suspects.values().stream()
@@ -172,7 +171,7 @@
 
     /** Number of requests that are held back now. */
     public int heldCount() {
-        long now = clock.now();
+        long now = nanoTime.getAsLong();
         return (int) suspects.values().stream()
                 .filter(suspect -> suspect.isHoldDue() && suspect.heldUntil() - now > 0)
                 .count();
--- a/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
+++ b/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
@@ -40,6 +40,7 @@
 import org.berylwick.node.version.ConfigurationSource;
 import org.berylwick.testing.Await;
 import org.berylwick.testing.RawServer;
+import org.berylwick.testing.RestartingServer;
 
 /**
  * Test fixture that runs the nodes of one fleet in this process, each on its own loopback address, and sends them raw
@@ -130,6 +131,19 @@
         return node;
     }
 
+    /** Starts a backend server beside a running node; each start of its process reports as another incarnation. */
+    RestartingServer startBackend(int number, int slots) {
+        return new RestartingServer(
+                NodeRig::respondOk,
+                backend -> report(
+                        number,
+                        backend.server(),
+                        "i-" + number + "-" + backend.crashes(),
+                        1,
+                        BackendState.READY,
+                        slots));
+    }
+
     void report(int number, RawServer backend, String incarnation, long sequence, BackendState state, int slots) {
         report(number, "work", backend, incarnation, sequence, state, slots);
     }
--- a/org.berylwick.test/tst/org/berylwick/node/RestartedBackend.java
+++ b/org.berylwick.test/tst/org/berylwick/testing/RestartingServer.java
@@ -1,29 +1,27 @@
-package org.berylwick.node;
+package org.berylwick.testing;
 
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.berylwick.node.lib.BackendState;
-import org.berylwick.testing.RawServer;
+import java.util.function.Consumer;
 
 /**
- * A backend server beside a node of the rig. It ends when it runs a crashing request or when it is told to, and a
- * supervisor restarts it on the same port as another incarnation.
+ * A backend server whose process ends when it runs a crashing request or when it is told to, and that a supervisor
+ * restarts on the same port after a while.
  */
-final class RestartedBackend implements AutoCloseable {
+public final class RestartingServer implements AutoCloseable {
     /** Requests whose path contains this crash it; it answers all others. */
-    static final String CRASHING = "crash";
+    public static final String CRASHING = "crash";
     /** Requests whose path contains this take a while. */
-    static final String SLOW = "slow";
+    public static final String SLOW = "slow";
 
     private static final int RESTART_MILLIS = 1_000;
     private static final int RUN_MILLIS = 60;
     private static final int SLOW_RUN_MILLIS = 500;
 
-    private final NodeRig rig;
-    private final int node;
-    private final int slots;
+    private final RawServer.Script answer;
+    private final Consumer<RestartingServer> onStart;
     private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
     private final AtomicInteger crashes = new AtomicInteger();
     private final AtomicInteger slowRuns = new AtomicInteger();
@@ -31,53 +29,56 @@
     private boolean closed;
 
     /** A crashing request that arrived, and when, in {@link System#nanoTime} terms. */
-    record Arrival(String path, long at) {}
-
-    /** Starts it; its node must be running. */
-    RestartedBackend(NodeRig rig, int node, int slots) {
-        this.rig = rig;
-        this.node = node;
-        this.slots = slots;
+    public record Arrival(String path, long at) {}
+
+    /**
+     * Starts it.
+     *
+     * @param answer answers the requests that do not crash it, whose bodies have been read
+     * @param onStart called after each start
+     */
+    public RestartingServer(RawServer.Script answer, Consumer<RestartingServer> onStart) {
+        this.answer = answer;
+        this.onStart = onStart;
         this.server = new RawServer(this::run);
-        report();
+        onStart.accept(this);
     }
 
-    private synchronized void report() {
-        if (!closed) {
-            rig.report(node, server, "i-" + node + "-" + crashes, 1, BackendState.READY, slots);
-        }
+    /** The server of the current process. */
+    public synchronized RawServer server() {
+        return server;
     }
 
     private void run(RawServer.Connection connection, RawServer.Request request) throws IOException {
         String length = request.header("content-length");
         connection.read(length.isEmpty() ? 0 : Integer.parseInt(length));
         if (!request.path().contains(CRASHING)) {
-            answer(connection, request);
+            serve(connection, request);
             return;
         }
         RawServer crashing = server;
         arrivals.add(new Arrival(request.path(), System.nanoTime()));
-        NodeRig.sleep(RUN_MILLIS);
+        sleep(RUN_MILLIS);
         crash(crashing);
     }
 
-    private void answer(RawServer.Connection connection, RawServer.Request request) throws IOException {
+    private void serve(RawServer.Connection connection, RawServer.Request request) throws IOException {
         if (!request.path().contains(SLOW)) {
-            NodeRig.sleep(RUN_MILLIS);
-            NodeRig.respondOk(connection, request);
+            sleep(RUN_MILLIS);
+            answer.run(connection, request);
             return;
         }
         slowRuns.incrementAndGet();
         try {
-            NodeRig.sleep(SLOW_RUN_MILLIS);
-            NodeRig.respondOk(connection, request);
+            sleep(SLOW_RUN_MILLIS);
+            answer.run(connection, request);
         } finally {
             slowRuns.decrementAndGet();
         }
     }
 
     /** Ends the process; it is restarted after a while. */
-    void crash() {
+    public void crash() {
         crash(server);
     }
 
@@ -89,7 +90,7 @@
         server.close();
         crashes.incrementAndGet();
         Thread.ofPlatform().daemon(true).start(() -> {
-            NodeRig.sleep(RESTART_MILLIS);
+            sleep(RESTART_MILLIS);
             restart(port);
         });
     }
@@ -97,25 +98,33 @@
     private synchronized void restart(int port) {
         if (!closed) {
             server = new RawServer(port, this::run);
-            report();
+            onStart.accept(this);
         }
     }
 
     /** Number of times that the process has ended. */
-    int crashes() {
+    public int crashes() {
         return crashes.get();
     }
 
     /** Whether it is running a slow request. */
-    boolean isRunningSlowRequest() {
+    public boolean isRunningSlowRequest() {
         return slowRuns.get() > 0;
     }
 
     /** The crashing requests that it has begun to run. */
-    List<Arrival> arrivals() {
+    public List<Arrival> arrivals() {
         return arrivals;
     }
 
+    private static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Override
     public synchronized void close() {
         closed = true;
