--- a/org.berylwick.node/src/org/berylwick/node/call/PeerCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerCodec.java
@@ -5,9 +5,9 @@
 import java.util.Optional;
 import org.berylwick.node.lib.OwnerLoad;
 import org.berylwick.node.lib.RequestClass;
-import org.berylwick.node.lib.RequestFingerprint;
 import org.berylwick.node.lib.RouteKind;
 import org.berylwick.node.lib.SuspectReport;
+import org.berylwick.node.quarantine.CrashText;
 import org.berylwick.node.transport.RequestBody;
 
 /**
@@ -18,7 +18,6 @@
 final class PeerCodec {
     private static final int CALL_FIELDS = 11;
     private static final int OUTCOME_FIELDS = 10;
-    private static final int CRASH_FIELDS = 5;
     private static final String ANSWERED = "answered";
     private static final String REFUSED = "refused";
     private static final String LOST = "lost";
@@ -120,31 +119,12 @@
     }
 
     static String encodeCrash(SuspectReport.Crashed crash, long now) {
-        return crash.request().uriHash()
-                + ";"
-                + crash.request().digest()
-                + ';'
-                + crash.generation()
-                + ';'
-                + toMillis(now - crash.at())
-                + ';'
-                + crash.incarnation();
+        return CrashText.encode(crash, toMillis(now - crash.at()));
     }
 
     private static Optional<SuspectReport.Crashed> decodeCrash(HttpHeaders headers, long now) {
-        String text = headers.get(Headers.CRASH);
-        if (text == null) {
-            return Optional.empty();
-        }
-        String[] fields = text.split(";");
-        if (fields.length != CRASH_FIELDS) {
-            return Optional.empty();
-        }
-        return Optional.of(new SuspectReport.Crashed(
-                new RequestFingerprint(Integer.parseInt(fields[0]), Long.parseLong(fields[1])),
-                Integer.parseInt(fields[2]),
-                Integer.parseInt(fields[4]),
-                now - Long.parseLong(fields[3]) * 1_000_000));
+        return Optional.ofNullable(headers.get(Headers.CRASH))
+                .flatMap(text -> CrashText.decode(text, ageMillis -> now - ageMillis * 1_000_000));
     }
 
     static Optional<Outcome> decodeOutcome(HttpHeaders headers, long now) {
