Refuse requests that crash backend servers in the daemon, too

The daemon had the cause of the incident as well: an attempt that ends with its backend server is retried on the next member, keyed and unkeyed requests alike, and a caller's repeat begins anew at any daemon.

CrashGuard uses the node's Quarantine, so the rule stands once. Owners find the end of their backend server by a refused connection, entries name each request by its fingerprint, and daemons tell each other what they hold back in headers of the calls between them, since there is no channel between all of them in the default mode. A refusal is as not run (quarantined), so an idempotency key is released. The module org.berylwick.daemon depends on org.berylwick.node for it, which it is to become.

Not covered: bodies over 64 KB, which are streamed and have no fingerprint; daemons that exchange no calls; a loss of all daemons, which nothing outlasts here.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/Call.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/Call.java
@@ -1,12 +1,15 @@
 package org.berylwick.daemon.call;
 
+import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import io.netty.channel.Channel;
+import java.util.Optional;
 import org.berylwick.internal.routing.RouteMatch;
 import org.berylwick.lib.Deadline;
 import org.berylwick.lib.MembershipView;
+import org.berylwick.node.lib.RequestFingerprint;
 
 /**
  * A caller's request, with the configuration and the members that were current when it arrived.
@@ -40,6 +43,14 @@
         };
     }
 
+    /** Returns the fingerprint of the request, which needs the whole body; empty if that is streamed. */
+    Optional<RequestFingerprint> fingerprint() {
+        return body instanceof CallBody.Buffered(HttpData content)
+                ? Optional.of(RequestFingerprint.of(
+                        headers.method().name(), headers.authority(), headers.path(), content.byteBuf()))
+                : Optional.empty();
+    }
+
     /** Returns this call with another route match. */
     Call withMatch(RouteMatch newMatch) {
         return new Call(requestId, newMatch, members, deadline, limit, headers, body, context);
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/CallHeaders.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/CallHeaders.java
@@ -23,6 +23,15 @@
     /** Request, entry to owner, bulk transfers only: maximum milliseconds without progress of the body. */
     static final AsciiString STALL_TIMEOUT_MILLIS = AsciiString.cached("berylwick-stall-ms");
 
+    /** Request, entry to owner: fingerprint of the request, if its body is buffered. */
+    static final AsciiString FINGERPRINT = AsciiString.cached("berylwick-fingerprint");
+
+    /** Request, entry to owner: crashes of the request in succession that the entry knows of, if there are any. */
+    static final AsciiString KNOWN_CRASHES = AsciiString.cached("berylwick-known-crashes");
+
+    /** Both ways, any number: a crash of a request that the sender holds back; see {@link CrashGuard}. */
+    static final AsciiString CRASH = AsciiString.cached("berylwick-crash");
+
     /** Response, owner to entry: one of the {@code OUTCOME_} values. */
     static final AsciiString OUTCOME = AsciiString.cached("berylwick-outcome");
 
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/CallMetrics.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/CallMetrics.java
@@ -42,6 +42,15 @@
     /** Timer: from receiving a call to the headers of its final response. */
     public static final String RESPONSE_START_LATENCY = "call.latency.head";
 
+    /** Counter: times that the process of the backend server was found to have ended. */
+    public static final String BACKEND_EXITS = "call.backend.exits";
+
+    /** Counter: times that a request began to be refused, or for longer, because backend servers ended running it. */
+    public static final String QUARANTINE_HOLDS = "call.quarantine.holds";
+
+    /** Gauge: requests refused now because backend servers ended while they ran them. */
+    public static final String QUARANTINE_HELD = "call.quarantine.held";
+
     /** Gauge: calls in progress in this daemon, as entry or as owner. */
     public static final String RUNNING = "call.running";
 
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/CallPath.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/CallPath.java
@@ -80,10 +80,12 @@
         PeerLoads loads =
                 new PeerLoads(membership::view, new PeerLoads.LocalLoad(instance, limiter::load), time, registry);
         MemberChooser chooser = new MemberChooser(settings.place(), loads, time, registry, ThreadLocalRandom::current);
-        Owner localOwner = new Owner(limiter, backendClient, localState, metrics, invariants, time);
-        PeerSender sender = new PeerSender(peerClients, time);
-        Forwarder forwarder =
-                new Forwarder(instance, localOwner, sender, chooser, loads, membership, metrics, invariants, time);
+        CrashGuard crashGuard =
+                new CrashGuard(instance, settings.backendServer().address(), registry, time);
+        Owner localOwner = new Owner(limiter, backendClient, localState, metrics, invariants, time, crashGuard);
+        PeerSender sender = new PeerSender(peerClients, time, crashGuard);
+        Forwarder forwarder = new Forwarder(
+                instance, localOwner, sender, chooser, loads, membership, metrics, invariants, time, crashGuard);
         entryService = new EntryService(
                 installed, membership, new IdempotencyKeyForwarder(forwarder, keys, time), metrics, time);
         ownerService = new OwnerService(instance, localOwner, time);
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/Forwarder.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/Forwarder.java
@@ -33,6 +33,7 @@
     private final CallMetrics metrics;
     private final Invariants invariants;
     private final TimeSource time;
+    private final CrashGuard crashGuard;
 
     /**
      * Creates the forwarder of a daemon.
@@ -49,7 +50,8 @@
             MembershipTable membership,
             CallMetrics metrics,
             Invariants invariants,
-            TimeSource time) {
+            TimeSource time,
+            CrashGuard crashGuard) {
         this.instance = instance;
         this.localOwner = localOwner;
         this.peers = peers;
@@ -60,6 +62,7 @@
         this.metrics = metrics;
         this.invariants = invariants;
         this.time = time;
+        this.crashGuard = crashGuard;
     }
 
     /** Forwards the call and returns its final response; cancelling the response cancels the call. */
@@ -94,6 +97,8 @@
                 call.match().policy().trafficClass(),
                 deadline,
                 call.limit(),
+                call.fingerprint(),
+                crashGuard.knownCrashes(call.fingerprint()),
                 call.newRequest(call.headers())));
         attempt.outcome().thenRun(loadAttempt::close);
         return attempt;
@@ -138,6 +143,10 @@
         return budgets.forService(call.match().service().name());
     }
 
+    CrashGuard crashGuard() {
+        return crashGuard;
+    }
+
     CallMetrics metrics() {
         return metrics;
     }
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/Forwarding.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/Forwarding.java
@@ -83,6 +83,12 @@
     }
 
     private void sendToChosenMember(MembershipView members) {
+        Optional<Long> holdMillis = forwarder.crashGuard().holdMillis(call.fingerprint());
+        if (holdMillis.isPresent()) {
+            history = history.plus(new Outcome.RefusedNotRun<>(RefusalReason.QUARANTINED, holdMillis));
+            completeWithProblem(history.finalOutcome());
+            return;
+        }
         switch (forwarder.choose(members, call, triedInstances)) {
             case MemberChoice.Chosen(Member member) -> sendTo(member);
             case MemberChoice.AllTried(Member member) -> retryTriedMembers();
@@ -115,6 +121,7 @@
 
     private void handleOutcome(Member member, Outcome<StreamedResponse> outcome) {
         if (outcome instanceof Outcome.Answered<StreamedResponse> answered) {
+            call.fingerprint().ifPresent(forwarder.crashGuard()::onCompleted);
             deliver(answered, member);
             return;
         }
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/Owner.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/Owner.java
@@ -30,6 +30,7 @@
     private final CallMetrics metrics;
     private final Invariants invariants;
     private final TimeSource time;
+    private final CrashGuard crashGuard;
     private volatile Deadline leaveGraceEnd;
 
     /**
@@ -43,13 +44,15 @@
             Supplier<Member.State> memberState,
             CallMetrics metrics,
             Invariants invariants,
-            TimeSource time) {
+            TimeSource time,
+            CrashGuard crashGuard) {
         this.limiter = limiter;
         this.backendClient = backendClient;
         this.memberState = memberState;
         this.metrics = metrics;
         this.invariants = invariants;
         this.time = time;
+        this.crashGuard = crashGuard;
     }
 
     /** Starts a request: waits for a slot and then sends it to the backend server. */
@@ -99,6 +102,10 @@
                 Invariant.REFUSAL_TRUE, !sent, () -> "request " + requestId + " was sent but is reported as not run");
     }
 
+    CrashGuard crashGuard() {
+        return crashGuard;
+    }
+
     SlotLimiter limiter() {
         return limiter;
     }
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerRequest.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerRequest.java
@@ -1,8 +1,10 @@
 package org.berylwick.daemon.call;
 
 import com.linecorp.armeria.common.HttpRequest;
+import java.util.Optional;
 import org.berylwick.lib.Deadline;
 import org.berylwick.lib.TrafficClass;
+import org.berylwick.node.lib.RequestFingerprint;
 
 /**
  * A request to the owner of a backend server, from another daemon or from the entry of the same daemon.
@@ -11,6 +13,8 @@
  * @param trafficClass determines the priority of the request for a slot
  * @param headDeadline deadline for the head of the response
  * @param transferLimit time limit of the transfer after the head of the response
+ * @param fingerprint fingerprint of the request, empty if its body is streamed
+ * @param knownCrashes crashes of the request in succession that the entry knows of
  * @param httpRequest request with the headers to forward to the backend server
  */
 record OwnerRequest(
@@ -18,4 +22,6 @@
         TrafficClass trafficClass,
         Deadline headDeadline,
         TransferLimit transferLimit,
+        Optional<RequestFingerprint> fingerprint,
+        int knownCrashes,
         HttpRequest httpRequest) {}
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerRun.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerRun.java
@@ -1,5 +1,6 @@
 package org.berylwick.daemon.call;
 
+import com.linecorp.armeria.client.ResponseTimeoutException;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
@@ -26,6 +27,9 @@
     private final ExchangeTimeout exchangeTimeout;
     private final CompletableFuture<Outcome<StreamedResponse>> outcome = new CompletableFuture<>();
     private volatile boolean cancelled;
+    /** Crashes of the request in succession that were known when it was sent. */
+    private volatile int knownCrashes;
+
     private volatile Exchange exchange;
     private volatile CompletableFuture<Admission> pendingAdmission;
 
@@ -46,6 +50,11 @@
             refuse(refusalReason.get());
             return;
         }
+        Optional<Long> holdMillis = owner.crashGuard().holdMillis(request.fingerprint());
+        if (holdMillis.isPresent()) {
+            refuse(RefusalReason.QUARANTINED, holdMillis.get());
+            return;
+        }
         pendingAdmission = owner.limiter().acquire(request.trafficClass(), request.headDeadline());
         pendingAdmission.whenComplete((admission, failure) -> {
             if (failure != null) {
@@ -82,6 +91,13 @@
             refuse(refusalReason.get());
             return;
         }
+        Optional<Long> holdMillis = owner.crashGuard().holdMillis(request.fingerprint());
+        if (holdMillis.isPresent()) {
+            permit.closeUnused();
+            refuse(RefusalReason.QUARANTINED, holdMillis.get());
+            return;
+        }
+        knownCrashes = Math.max(request.knownCrashes(), owner.crashGuard().knownCrashes(request.fingerprint()));
         owner.checkSendAllowed(request.requestId());
         owner.metrics().callStarted();
         Exchange newExchange = owner.backendClient()
@@ -125,6 +141,7 @@
     }
 
     private void onResponseHead(ResponseHeaders responseHeaders, SplitHttpResponse split, SlotLimiter.Permit permit) {
+        owner.crashGuard().onBackendResponse();
         String echoedRequestId = responseHeaders.get(CallHeaders.REQUEST_ID, request.requestId());
         if (!echoedRequestId.equals(request.requestId())) {
             // Responses and requests of this connection no longer match; every later response would be wrong as well.
@@ -143,6 +160,10 @@
             refuse(RefusalReason.SHED);
             return;
         }
+        request.fingerprint()
+                .ifPresent(f -> exchange.response()
+                        .whenComplete()
+                        .thenRun(() -> owner.crashGuard().onCompleted(f)));
         ResponseHeadersBuilder headers = responseHeaders.toBuilder();
         CallHeaders.removeHopByHop(headers);
         CallHeaders.removeInternal(headers);
@@ -165,7 +186,18 @@
             refuse(deadlinePassed ? RefusalReason.DEADLINE : RefusalReason.SERVER_UNREACHABLE);
             return;
         }
-        outcome.complete(new Outcome.Unknown<>(Exchange.describe(failure)));
+        Outcome<StreamedResponse> unknown = new Outcome.Unknown<>(Exchange.describe(failure));
+        if (cancelled || failure instanceof ResponseTimeoutException) {
+            outcome.complete(unknown);
+            return;
+        }
+        // The entry must know of a crash before it decides on a retry.
+        owner.crashGuard().checkExit().whenComplete((exited, checkFailure) -> {
+            if (checkFailure == null && exited) {
+                owner.crashGuard().onCrashed(request.fingerprint(), knownCrashes);
+            }
+            outcome.complete(unknown);
+        });
     }
 
     private void refuse(RefusalReason reason) {
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerService.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerService.java
@@ -15,6 +15,7 @@
 import org.berylwick.lib.RefusalReason;
 import org.berylwick.lib.TimeSource;
 import org.berylwick.lib.TrafficClass;
+import org.berylwick.node.lib.RequestFingerprint;
 
 /**
  * HTTP service through which other daemons send requests to the backend server of this daemon.
@@ -76,7 +77,12 @@
         TransferLimit transferLimit = stallMillis < 0
                 ? new TransferLimit.CompletionDeadline(callerDeadline.orElse(headDeadline))
                 : new TransferLimit.StallTimeout(stallMillis, callerDeadline);
-        return new OwnerRequest(requestId, trafficClass, headDeadline, transferLimit, request);
+        owner.crashGuard().learn(headers);
+        Optional<RequestFingerprint> fingerprint =
+                Optional.ofNullable(headers.get(CallHeaders.FINGERPRINT)).flatMap(RequestFingerprint::parse);
+        int knownCrashes = headers.getInt(CallHeaders.KNOWN_CRASHES, 0);
+        return new OwnerRequest(
+                requestId, trafficClass, headDeadline, transferLimit, fingerprint, knownCrashes, request);
     }
 
     private HttpResponse toHttpResponse(String requestId, Outcome<StreamedResponse> outcome) {
@@ -85,6 +91,7 @@
                 ResponseHeadersBuilder headers = answer.headers().toBuilder();
                 headers.set(CallHeaders.OUTCOME, CallHeaders.OUTCOME_ANSWERED);
                 headers.setInt(CallHeaders.LOAD, owner.load());
+                owner.crashGuard().tell(headers);
                 yield answer.withHeaders(headers.build()).toHttpResponse();
             }
             case Outcome.RefusedNotRun<StreamedResponse>(RefusalReason reason, Optional<Long> retryAfter) -> {
@@ -101,10 +108,12 @@
     }
 
     private ResponseHeadersBuilder responseHead(HttpStatus status, String outcome, String requestId, String reason) {
-        return ResponseHeaders.builder(status)
+        ResponseHeadersBuilder headers = ResponseHeaders.builder(status)
                 .set(CallHeaders.OUTCOME, outcome)
                 .set(CallHeaders.REASON, reason)
                 .set(CallHeaders.REQUEST_ID, requestId)
                 .setInt(CallHeaders.LOAD, owner.load());
+        owner.crashGuard().tell(headers);
+        return headers;
     }
 }
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/PeerSender.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/PeerSender.java
@@ -29,10 +29,12 @@
 
     private final PeerClients peerClients;
     private final TimeSource time;
+    private final CrashGuard crashGuard;
 
-    PeerSender(PeerClients peerClients, TimeSource time) {
+    PeerSender(PeerClients peerClients, TimeSource time, CrashGuard crashGuard) {
         this.peerClients = peerClients;
         this.time = time;
+        this.crashGuard = crashGuard;
     }
 
     /**
@@ -50,6 +52,12 @@
                 CallHeaders.RESPONSE_START_TIMEOUT_MILLIS,
                 headTimeoutMillis - Math.min(MAX_HOP_MARGIN_MILLIS, headTimeoutMillis / HOP_MARGIN_DIVISOR));
         headers.remove(CallHeaders.TIMEOUT_MILLIS);
+        call.fingerprint().ifPresent(f -> headers.set(CallHeaders.FINGERPRINT, f.encode()));
+        int knownCrashes = crashGuard.knownCrashes(call.fingerprint());
+        if (knownCrashes > 0) {
+            headers.setInt(CallHeaders.KNOWN_CRASHES, knownCrashes);
+        }
+        crashGuard.tell(headers);
         switch (call.limit()) {
             case TransferLimit.CompletionDeadline(Deadline deadline) ->
                 headers.setLong(CallHeaders.TIMEOUT_MILLIS, deadline.remainingMillis(time));
@@ -83,6 +91,7 @@
             SplitHttpResponse split,
             Exchange exchange,
             ExchangeTimeout exchangeTimeout) {
+        crashGuard.learn(responseHeaders);
         loadTracker.reportLoad(responseHeaders.getInt(CallHeaders.LOAD, 0));
         String answeredRequestId = responseHeaders.get(CallHeaders.REQUEST_ID, "");
         if (!answeredRequestId.equals(call.requestId()) && responseHeaders.contains(CallHeaders.OUTCOME)) {
--- a/org.berylwick.node/src/org/berylwick/node/lib/RequestFingerprint.java
+++ b/org.berylwick.node/src/org/berylwick/node/lib/RequestFingerprint.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.zip.CRC32;
 import java.util.zip.CRC32C;
 import java.util.zip.Checksum;
@@ -49,6 +50,25 @@
         checksum.update(SEPARATOR);
     }
 
+    /** Returns the form that {@link #parse} reads. */
+    public String encode() {
+        return uriHash + ";" + digest;
+    }
+
+    /** Reads {@link #encode()}; empty if the text is not valid. */
+    public static Optional<RequestFingerprint> parse(String text) {
+        int separator = text.indexOf(';');
+        if (separator < 0) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new RequestFingerprint(
+                    Integer.parseInt(text.substring(0, separator)), Long.parseLong(text.substring(separator + 1))));
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
+    }
+
     /** Returns the digest as 16 hexadecimal digits. */
     @Override
     public String toString() {
--- a/org.berylwick.node/src/org/berylwick/node/quarantine/Quarantine.java
+++ b/org.berylwick.node/src/org/berylwick/node/quarantine/Quarantine.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.berylwick.node.lib.RequestFingerprint;
 import org.berylwick.node.lib.SuspectReport;
@@ -79,11 +80,22 @@
     public long remainingHoldNanos(String uri, Supplier<Optional<RequestFingerprint>> fingerprint) {
         long now = nanoTime.getAsLong();
         return find(uri, fingerprint)
-                .filter(Suspect::isHoldDue)
-                .map(suspect -> Math.max(0, suspect.heldUntil() - now))
+                .map(suspect -> suspect.remainingHoldNanos(now))
                 .orElse(0L);
     }
 
+    /** Time for which a request is still held back, 0 if it may be run. */
+    public long remainingHoldNanos(RequestFingerprint request) {
+        Suspect suspect = suspects.get(request);
+        return suspect == null ? 0 : suspect.remainingHoldNanos(nanoTime.getAsLong());
+    }
+
+    /** Number of known crashes of a request in succession, 0 for one that is no suspect. */
+    public int generation(RequestFingerprint request) {
+        Suspect suspect = suspects.get(request);
+        return suspect == null ? 0 : suspect.generation();
+    }
+
     /** Number of known crashes of a request in succession, 0 for one that is no suspect. */
     public int generation(String uri, Supplier<Optional<RequestFingerprint>> fingerprint) {
         return find(uri, fingerprint).map(Suspect::generation).orElse(0);
@@ -117,11 +129,16 @@
 
     /** Records that the backend server of this node has completed a request, which clears it if it is a suspect. */
     public void onCompleted(String uri, Supplier<Optional<RequestFingerprint>> fingerprint) {
-        find(uri, fingerprint).filter(suspect -> suspect.generation() > 0).ifPresent(suspect -> {
-            SuspectReport.Completed completion = new SuspectReport.Completed(suspect.request(), nanoTime.getAsLong());
+        find(uri, fingerprint).ifPresent(suspect -> onCompleted(suspect.request()));
+    }
+
+    /** Records that a backend server has completed a request, which clears it if it is a suspect. */
+    public void onCompleted(RequestFingerprint request) {
+        if (generation(request) > 0) {
+            SuspectReport.Completed completion = new SuspectReport.Completed(request, nanoTime.getAsLong());
             merge(completion);
             onReport.accept(completion);
-        });
+        }
     }
 
     /** Adds what this or another node has found. Reports may arrive repeatedly and in any order. */
@@ -173,7 +190,7 @@
     public int heldCount() {
         long now = nanoTime.getAsLong();
         return (int) suspects.values().stream()
-                .filter(suspect -> suspect.isHoldDue() && suspect.heldUntil() - now > 0)
+                .filter(suspect -> suspect.remainingHoldNanos(now) > 0)
                 .count();
     }
 
@@ -188,10 +205,24 @@
 
     /** The crashes of requests that are held back for so long that it should outlast the loss of all nodes. */
     public List<SuspectReport.Crashed> lastingCrashes() {
+        return crashesOf(Suspect::isLastingHoldDue, MAX_LASTING);
+    }
+
+    /**
+     * The crashes of requests that are held back now.
+     *
+     * @param maxRequests number of requests, those that are held back longest
+     */
+    public List<SuspectReport.Crashed> heldCrashes(int maxRequests) {
+        long now = nanoTime.getAsLong();
+        return crashesOf(suspect -> suspect.remainingHoldNanos(now) > 0, maxRequests);
+    }
+
+    private List<SuspectReport.Crashed> crashesOf(Predicate<Suspect> filter, int maxRequests) {
         return suspects.values().stream()
-                .filter(Suspect::isLastingHoldDue)
+                .filter(filter)
                 .sorted(Comparator.comparingLong(Suspect::heldUntil).reversed())
-                .limit(MAX_LASTING)
+                .limit(maxRequests)
                 .flatMap(suspect -> suspect.crashReports().stream())
                 .toList();
     }
--- a/org.berylwick.node/src/org/berylwick/node/quarantine/Suspect.java
+++ b/org.berylwick.node/src/org/berylwick/node/quarantine/Suspect.java
@@ -125,6 +125,10 @@
         return latestCrashAt() + holdNanos();
     }
 
+    long remainingHoldNanos(long now) {
+        return isHoldDue() ? Math.max(0, heldUntil() - now) : 0;
+    }
+
     private long latestCrashAt() {
         return crashes.values().stream().mapToLong(Crash::at).max().orElse(completedAt);
     }
--- a/org.berylwick.test/tst/org/berylwick/daemon/call/CallPathCluster.java
+++ b/org.berylwick.test/tst/org/berylwick/daemon/call/CallPathCluster.java
@@ -52,6 +52,7 @@
         final MembershipTable membership = new MembershipTable();
         final InstalledVersion installed = new InstalledVersion(TIME);
         final CallPath callPath;
+        private final KeyDuty keyDuty;
         final Server callerServer;
         final Server peerServer;
         volatile Member.State state = Member.State.UP;
@@ -66,7 +67,8 @@
                     new DaemonSettings.Platform(URI.create("http://127.0.0.1:1")),
                     new DaemonSettings.Spread(DaemonSettings.SpreadMode.WATCH, SpreadTuning.DEFAULT, 0, List.of()),
                     new DaemonSettings.Admin(Optional.empty(), 1));
-            KeyDuty keyDuty = new KeyDuty(new MemoryStore(TIME), instance, invariants, metrics, TIME);
+            keyDuty = new KeyDuty(new MemoryStore(TIME), instance, invariants, metrics, TIME);
+            keyDuty.start();
             callPath = new CallPath(settings, installed, membership, keyDuty, () -> state, metrics, invariants, TIME);
             installed.install(version);
             callerServer = serve(callPath.entryService());
@@ -113,6 +115,7 @@
             callerServer.stop();
             peerServer.stop();
             callPath.close();
+            keyDuty.close();
         }
     }
 
--- a/org.berylwick/src/org/berylwick/internal/event/CallEvent.java
+++ b/org.berylwick/src/org/berylwick/internal/event/CallEvent.java
@@ -32,6 +32,15 @@
 
     /** A member that was ejected takes requests again. */
     MEMBER_RETURNED(4044, Level.INFO, "{} of {} takes requests again"),
+
+    /** The process of the backend server has ended. */
+    BACKEND_EXITED(4045, Level.WARN, "backend server at {} has ended: connections are refused"),
+
+    /** A request that was running on backend servers when they ended is refused for a while. */
+    REQUEST_HELD(4046, Level.WARN, "request {} is refused for {} ms: {} backend servers ended while they ran it"),
+
+    /** A backend server has completed a request that was refused before. */
+    REQUEST_CLEARED(4047, Level.INFO, "request {} is not refused any more: a backend server has completed it"),
     /** The store did not decide who runs a request with an idempotency key, which was refused as not run. */
     KEY_NOT_CLAIMED(4021, Level.WARN, "key {} not claimed: {}"),
     /** What became of a request with an idempotency key is not in the store; repeats are told that it is unknown. */
--- a/org.berylwick/src/org/berylwick/lib/RefusalReason.java
+++ b/org.berylwick/src/org/berylwick/lib/RefusalReason.java
@@ -21,6 +21,8 @@
     DEADLINE,
     /** No member of the service can take the request. */
     NO_MEMBER,
+    /** Backend servers ended while they ran the request; it is not sent on for a while. */
+    QUARANTINED,
     /** The platform's store, which decides who runs a request with an idempotency key, did not decide. */
     STORE_UNAVAILABLE;
 
