Handle HUP from the first line of the program on

Main installs the handler first; a signal that arrives before the node has started is kept for it. What is left is the start of the JVM itself, before any of our code runs: HUP ends it as before.

--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -468,12 +468,16 @@
         eventLoopGroup.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
     }
 
-    /** Starts a node that runs until the process is asked to stop. */
-    public static void run(NodePlatform platform) {
+    /**
+     * Starts a node that runs until the process is asked to stop.
+     *
+     * @param platform platform on which the node runs
+     * @param reloadSignal asks for the settings to be read again
+     */
+    public static void run(NodePlatform platform, ReloadSignal reloadSignal) {
         EventLog log =
                 new EventLog(platform.settings().vmName(), new java.io.FileOutputStream(java.io.FileDescriptor.out));
         Node node = new Node(platform, log);
-        Signals.handle("HUP", node::reload);
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(
                         () -> {
@@ -482,5 +486,6 @@
                         },
                         "stop"));
         node.start();
+        reloadSignal.forwardTo(node::reload);
     }
 }
