--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulateMeasurement.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulateMeasurement.java
@@ -29,6 +29,7 @@
                 new Scenario("short.lost", shortOnes, e -> lost(e, "desk")),
                 new Scenario("short.crash", shortOnes, e -> crash(e, "lookup")),
                 new Scenario("long.crash", longOnes, e -> crash(e, "confirm")),
+                new Scenario("narrow.crash", Deployment.narrowLinks(1), e -> crash(e, "lookup")),
                 new Scenario("long.calm", longOnes, e -> e.run(CALM_SECONDS)),
                 new Scenario("long.burst", longOnes, e -> burst(e, 1.7)),
                 new Scenario("long.slow", longOnes, e -> slow(e, "books")),
