Take no process for running that accepts a last connection while it ends

Its log has RUN_FAILED of node-2 and no BACKEND_EXITED: the check found its backend server listening. A process that ends closes its sockets one after the other, and may still accept, or have the system accept for it, the very connection with which its owner asks.

A probe now waits 10 ms for its connection to stay open, and asks again if it does not, three times at most; the same in the daemon. A retry after a loss that is no crash starts 10 ms later for it.

The test that failed waits for the third crash now, as the hold after the second is over in 5 s, which a busy machine may need for a start.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/CrashGuard.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/CrashGuard.java
@@ -9,6 +9,8 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
@@ -30,6 +32,8 @@
 final class CrashGuard implements Quarantine.Listener {
     private static final EventLog EVENTS = new EventLog(CrashGuard.class);
     private static final int CONNECT_TIMEOUT_MILLIS = 200;
+    private static final int PROBE_WAIT_MILLIS = 10;
+    private static final int MAX_PROBE_CONNECTIONS = 3;
     private static final long NANOS_PER_MILLI = 1_000_000L;
     /** Number of requests that daemons tell each other of with one call. */
     private static final int MAX_TOLD_REQUESTS = 4;
@@ -91,8 +95,12 @@
     }
 
     private boolean isConnectionRefused() {
-        try (Socket socket = new Socket()) {
-            socket.connect(new InetSocketAddress(backend.host(), backend.port()), CONNECT_TIMEOUT_MILLIS);
+        try {
+            for (int i = 0; i < MAX_PROBE_CONNECTIONS; i++) {
+                if (staysOpen()) {
+                    return false;
+                }
+            }
             return false;
         } catch (ConnectException e) {
             return true;
@@ -102,6 +110,21 @@
         }
     }
 
+    /** Opens a connection, and tells whether it stays open. A process that is ending may accept a last one. */
+    private boolean staysOpen() throws IOException {
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(backend.host(), backend.port()), CONNECT_TIMEOUT_MILLIS);
+            socket.setSoTimeout(PROBE_WAIT_MILLIS);
+            return socket.getInputStream().read() >= 0;
+        } catch (SocketTimeoutException e) {
+            return true;
+        } catch (ConnectException e) {
+            throw e;
+        } catch (SocketException e) {
+            return false;
+        }
+    }
+
     /**
      * Records that the backend server ended while it ran a request.
      *
--- a/org.berylwick.node/src/org/berylwick/node/transport/ConnectionPool.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/ConnectionPool.java
@@ -15,6 +15,7 @@
 import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import jdk.net.ExtendedSocketOptions;
 
@@ -36,6 +37,12 @@
     private static final int KEEPALIVE_INTERVAL_S = 1;
     private static final int KEEPALIVE_PROBES = 2;
 
+    /** A process that is ending may accept a last connection, which it closes within this time. */
+    private static final long PROBE_WAIT_MILLIS = 10;
+
+    private static final int MAX_PROBE_CONNECTIONS = 3;
+
+    private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final InetSocketAddress target;
     private final long maxIdleNanos;
@@ -53,6 +60,7 @@
      * @param maxIdleNanos idle time after which a connection is not reused
      */
     public ConnectionPool(EventLoop loop, InetSocketAddress target, int connectTimeoutMillis, long maxIdleNanos) {
+        this.loop = loop;
         this.target = target;
         this.maxIdleNanos = maxIdleNanos;
         this.bootstrap = new Bootstrap()
@@ -166,11 +174,26 @@
 
     @Override
     public void probe(Consumer<ProbeResult> onResult) {
+        probe(MAX_PROBE_CONNECTIONS, onResult);
+    }
+
+    private void probe(int maxConnections, Consumer<ProbeResult> onResult) {
+        if (maxConnections == 0) {
+            onResult.accept(ProbeResult.UNKNOWN);
+            return;
+        }
         connect(
-                connection -> {
-                    returnToPool(connection);
-                    onResult.accept(ProbeResult.LISTENING);
-                },
+                connection -> loop.schedule(
+                        () -> {
+                            if (connection.isIdle()) {
+                                returnToPool(connection);
+                                onResult.accept(ProbeResult.LISTENING);
+                            } else {
+                                probe(maxConnections - 1, onResult);
+                            }
+                        },
+                        PROBE_WAIT_MILLIS,
+                        TimeUnit.MILLISECONDS),
                 cause -> onResult.accept(isRefusal(cause) ? ProbeResult.REFUSED : ProbeResult.UNKNOWN));
     }
 
--- a/org.berylwick.node/src/org/berylwick/node/transport/ServerConnectionPool.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/ServerConnectionPool.java
@@ -23,7 +23,7 @@
 
     /** Result of {@link #probe}. */
     enum ProbeResult {
-        /** A connection was opened. */
+        /** A connection was opened and stayed open for some milliseconds. */
         LISTENING,
         /** The connection was refused: no process listens. */
         REFUSED,
--- a/org.berylwick.test/tst/org/berylwick/node/CrashingRequestTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/CrashingRequestTest.java
@@ -123,8 +123,9 @@
     /** Guards against a node that starts after the crashes, knows nothing of them, and sends the request on. */
     @Test
     void nodeThatStartsLaterRefusesTheRequest() {
-        for (int i = 0; arrivalsInOrder().size() < 2; i++) {
+        for (int i = 0; arrivalsInOrder().size() < 3; i++) {
             rig.call(1, "GET", CRASHING_READ, "c" + i, "");
+            NodeRig.sleep(REPEAT_INTERVAL_MILLIS);
         }
         int newcomer = OWNER_COUNT + 2;
         rig.start(newcomer, Optional.empty());
