--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/CrashGuard.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/CrashGuard.java
@@ -13,7 +13,6 @@
 import java.net.SocketTimeoutException;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicLong;
 import org.berylwick.internal.event.CallEvent;
 import org.berylwick.internal.event.EventLog;
 import org.berylwick.lib.HostPort;
@@ -44,7 +43,7 @@
     private final TimeSource time;
     private final Counter exits;
     private final Counter holds;
-    private final AtomicLong exitNumber = new AtomicLong();
+    private long exitCount;
     private volatile boolean exited;
 
     /**
@@ -96,10 +95,9 @@
 
     private boolean isConnectionRefused() {
         try {
-            for (int i = 0; i < MAX_PROBE_CONNECTIONS; i++) {
-                if (staysOpen()) {
-                    return false;
-                }
+            int connections = 1;
+            while (!staysOpen() && connections < MAX_PROBE_CONNECTIONS) {
+                connections++;
             }
             return false;
         } catch (ConnectException e) {
@@ -133,11 +131,11 @@
     synchronized void onCrashed(Optional<RequestFingerprint> request, int knownCrashes) {
         if (!exited) {
             exited = true;
-            exitNumber.incrementAndGet();
+            exitCount++;
             exits.inc();
             EVENTS.log(CallEvent.BACKEND_EXITED, backend);
         }
-        request.ifPresent(r -> quarantine.onCrashed(r, instance + "/" + exitNumber.get(), knownCrashes));
+        request.ifPresent(r -> quarantine.onCrashed(r, instance + "/" + exitCount, knownCrashes));
     }
 
     /** Adds what this daemon holds back to the headers of a message to another daemon. */
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/Forwarding.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/Forwarding.java
@@ -19,6 +19,7 @@
 import org.berylwick.lib.MembershipView;
 import org.berylwick.lib.Outcome;
 import org.berylwick.lib.RefusalReason;
+import org.berylwick.node.lib.RequestFingerprint;
 
 /**
  * Forwards one call: sends attempts one after another until one gets a response or no further retry is allowed.
@@ -33,6 +34,7 @@
     private final Forwarder forwarder;
     private final Call call;
     private final RetryRule rule;
+    private final Optional<RequestFingerprint> fingerprint;
     private final long startNanos;
     private final CompletableFuture<HttpResponse> result = new CompletableFuture<>();
     private final Set<String> triedInstances = new HashSet<>();
@@ -49,6 +51,7 @@
                 call.isReplayable(),
                 call.match().policy().maxAttempts(),
                 call.deadline());
+        this.fingerprint = call.fingerprint();
         this.startNanos = forwarder.time().nanoTime();
     }
 
@@ -83,7 +86,7 @@
     }
 
     private void sendToChosenMember(MembershipView members) {
-        Optional<Long> holdMillis = forwarder.crashGuard().holdMillis(call.fingerprint());
+        Optional<Long> holdMillis = forwarder.crashGuard().holdMillis(fingerprint);
         if (holdMillis.isPresent()) {
             history = history.plus(new Outcome.RefusedNotRun<>(RefusalReason.QUARANTINED, holdMillis));
             completeWithProblem(history.finalOutcome());
@@ -121,7 +124,7 @@
 
     private void handleOutcome(Member member, Outcome<StreamedResponse> outcome) {
         if (outcome instanceof Outcome.Answered<StreamedResponse> answered) {
-            call.fingerprint().ifPresent(forwarder.crashGuard()::onCompleted);
+            fingerprint.ifPresent(forwarder.crashGuard()::onCompleted);
             deliver(answered, member);
             return;
         }
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/Owner.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/Owner.java
@@ -80,11 +80,15 @@
         return deadline.remainingMillis(time) <= 0 ? Optional.of(RefusalReason.DEADLINE) : Optional.empty();
     }
 
+    /** Returns whether the backend server is leaving, so that the end of its process is planned. */
+    boolean isLeaving() {
+        Member.State currentState = memberState.get();
+        return currentState == Member.State.LEAVING || currentState == Member.State.GONE;
+    }
+
     /** Checks the invariant that no request is sent once the leave grace period has passed. */
     void checkSendAllowed(String requestId) {
-        Member.State currentState = memberState.get();
-        boolean leaving = currentState == Member.State.LEAVING || currentState == Member.State.GONE;
-        if (!leaving) {
+        if (!isLeaving()) {
             leaveGraceEnd = null;
         } else if (leaveGraceEnd == null) {
             leaveGraceEnd = Deadline.afterMillis(time, LEAVE_GRACE_MILLIS);
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerRun.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerRun.java
@@ -193,7 +193,7 @@
         }
         // The entry must know of a crash before it decides on a retry.
         owner.crashGuard().checkExit().whenComplete((exited, checkFailure) -> {
-            if (checkFailure == null && exited) {
+            if (checkFailure == null && exited && !owner.isLeaving()) {
                 owner.crashGuard().onCrashed(request.fingerprint(), knownCrashes);
             }
             outcome.complete(unknown);
