--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/Owner.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/Owner.java
@@ -30,6 +30,7 @@
     private final CallMetrics metrics;
     private final Invariants invariants;
     private final TimeSource time;
+    private final CrashGuard crashGuard;
     private volatile Deadline leaveGraceEnd;
 
     /**
@@ -43,13 +44,15 @@
             Supplier<Member.State> memberState,
             CallMetrics metrics,
             Invariants invariants,
-            TimeSource time) {
+            TimeSource time,
+            CrashGuard crashGuard) {
         this.limiter = limiter;
         this.backendClient = backendClient;
         this.memberState = memberState;
         this.metrics = metrics;
         this.invariants = invariants;
         this.time = time;
+        this.crashGuard = crashGuard;
     }
 
     /** Starts a request: waits for a slot and then sends it to the backend server. */
@@ -77,11 +80,15 @@
         return deadline.remainingMillis(time) <= 0 ? Optional.of(RefusalReason.DEADLINE) : Optional.empty();
     }
 
+    /** Returns whether the backend server is leaving, so that the end of its process is planned. */
+    boolean isLeaving() {
+        Member.State currentState = memberState.get();
+        return currentState == Member.State.LEAVING || currentState == Member.State.GONE;
+    }
+
     /** Checks the invariant that no request is sent once the leave grace period has passed. */
     void checkSendAllowed(String requestId) {
-        Member.State currentState = memberState.get();
-        boolean leaving = currentState == Member.State.LEAVING || currentState == Member.State.GONE;
-        if (!leaving) {
+        if (!isLeaving()) {
             leaveGraceEnd = null;
         } else if (leaveGraceEnd == null) {
             leaveGraceEnd = Deadline.afterMillis(time, LEAVE_GRACE_MILLIS);
@@ -99,6 +106,10 @@
                 Invariant.REFUSAL_TRUE, !sent, () -> "request " + requestId + " was sent but is reported as not run");
     }
 
+    CrashGuard crashGuard() {
+        return crashGuard;
+    }
+
     SlotLimiter limiter() {
         return limiter;
     }
--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -32,6 +32,7 @@
 import org.berylwick.node.member.MemberTable;
 import org.berylwick.node.member.NodeDiscovery;
 import org.berylwick.node.member.NodeState;
+import org.berylwick.node.quarantine.HoldLog;
 import org.berylwick.node.quarantine.Quarantine;
 import org.berylwick.node.quarantine.QuarantineExchange;
 import org.berylwick.node.transport.BufferedHttpServer;
@@ -101,7 +102,7 @@
         this.members = new MemberTable(this::createPeerPool, this::onSuspected);
         Clock clock = new EventLoopClock(loop);
         this.link = VmLink.of(settings.linkMbps(), clock);
-        this.quarantine = new Quarantine(clock, new Instruments(counters, log));
+        this.quarantine = new Quarantine(clock::now, new HoldLog(new Instruments(counters, log)));
         this.owner = createOwner(clock);
         this.backendProbe = new BackendProbe(loop, settings, platform.headerNames(), owner, log);
         this.gossip = new Gossip(
@@ -467,12 +468,16 @@
         eventLoopGroup.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
     }
 
-    /** Starts a node that runs until the process is asked to stop. */
-    public static void run(NodePlatform platform) {
+    /**
+     * Starts a node that runs until the process is asked to stop.
+     *
+     * @param platform platform on which the node runs
+     * @param reloadSignal asks for the settings to be read again
+     */
+    public static void run(NodePlatform platform, ReloadSignal reloadSignal) {
         EventLog log =
                 new EventLog(platform.settings().vmName(), new java.io.FileOutputStream(java.io.FileDescriptor.out));
         Node node = new Node(platform, log);
-        Signals.handle("HUP", node::reload);
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(
                         () -> {
@@ -481,5 +486,6 @@
                         },
                         "stop"));
         node.start();
+        reloadSignal.forwardTo(node::reload);
     }
 }
--- a/org.berylwick.node/src/org/berylwick/node/quarantine/Quarantine.java
+++ b/org.berylwick.node/src/org/berylwick/node/quarantine/Quarantine.java
@@ -9,15 +9,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
-import org.berylwick.node.lib.Clock;
 import org.berylwick.node.lib.RequestFingerprint;
 import org.berylwick.node.lib.SuspectReport;
-import org.berylwick.node.log.Counters;
-import org.berylwick.node.log.Event;
-import org.berylwick.node.log.EventLog;
-import org.berylwick.node.log.Instruments;
-import org.berylwick.node.log.NodeMetricNames;
 
 /**
  * Holds back requests that crash the backend servers that run them; confined to the event loop.
@@ -34,22 +30,35 @@
     private static final int MAX_SUSPECTS = 512;
     private static final int MAX_LASTING = 32;
 
-    private final Clock clock;
-    private final Counters counters;
-    private final EventLog log;
+    private final LongSupplier nanoTime;
+    private final Listener listener;
     private final Map<RequestFingerprint, Suspect> suspects = new HashMap<>();
     private final Set<Integer> uriHashes = new HashSet<>();
     private Consumer<SuspectReport> onReport = report -> {};
     private Runnable onLastingHold = () -> {};
 
+    /** Is notified of what changes for callers. */
+    public interface Listener {
+        /**
+         * A request is held back, or for longer than before.
+         *
+         * @param request the request
+         * @param crashes number of crashes in succession
+         * @param holdNanos time for which it is held back from now on
+         */
+        void onHeld(RequestFingerprint request, int crashes, long holdNanos);
+
+        /** A request that was held back has been completed by a backend server. */
+        void onCleared(RequestFingerprint request);
+    }
+
     /**
-     * @param clock time source
-     * @param instruments metrics and event log of this node
+     * @param nanoTime current time, on the scale of {@link System#nanoTime}
+     * @param listener is notified of holds
      */
-    public Quarantine(Clock clock, Instruments instruments) {
-        this.clock = clock;
-        this.counters = instruments.counters();
-        this.log = instruments.log();
+    public Quarantine(LongSupplier nanoTime, Listener listener) {
+        this.nanoTime = nanoTime;
+        this.listener = listener;
     }
 
     /** Sets the receiver of reports that originate on this node, to be sent to other nodes. */
@@ -69,13 +78,24 @@
      * @param fingerprint computes its fingerprint if the path is that of a suspect
      */
     public long remainingHoldNanos(String uri, Supplier<Optional<RequestFingerprint>> fingerprint) {
-        long now = clock.now();
+        long now = nanoTime.getAsLong();
         return find(uri, fingerprint)
-                .filter(Suspect::isHoldDue)
-                .map(suspect -> Math.max(0, suspect.heldUntil() - now))
+                .map(suspect -> suspect.remainingHoldNanos(now))
                 .orElse(0L);
     }
 
+    /** Time for which a request is still held back, 0 if it may be run. */
+    public long remainingHoldNanos(RequestFingerprint request) {
+        Suspect suspect = suspects.get(request);
+        return suspect == null ? 0 : suspect.remainingHoldNanos(nanoTime.getAsLong());
+    }
+
+    /** Number of known crashes of a request in succession, 0 for one that is no suspect. */
+    public int generation(RequestFingerprint request) {
+        Suspect suspect = suspects.get(request);
+        return suspect == null ? 0 : suspect.generation();
+    }
+
     /** Number of known crashes of a request in succession, 0 for one that is no suspect. */
     public int generation(String uri, Supplier<Optional<RequestFingerprint>> fingerprint) {
         return find(uri, fingerprint).map(Suspect::generation).orElse(0);
@@ -98,7 +118,7 @@
      */
     public SuspectReport.Crashed onCrashed(RequestFingerprint request, String incarnation, int priorGeneration) {
         SuspectReport.Crashed crash =
-                new SuspectReport.Crashed(request, priorGeneration + 1, incarnation.hashCode(), clock.now());
+                new SuspectReport.Crashed(request, priorGeneration + 1, incarnation.hashCode(), nanoTime.getAsLong());
         merge(crash);
         onReport.accept(crash);
         if (suspectOf(request).isLastingHoldDue()) {
@@ -109,11 +129,16 @@
 
     /** Records that the backend server of this node has completed a request, which clears it if it is a suspect. */
     public void onCompleted(String uri, Supplier<Optional<RequestFingerprint>> fingerprint) {
-        find(uri, fingerprint).filter(suspect -> suspect.generation() > 0).ifPresent(suspect -> {
-            SuspectReport.Completed completion = new SuspectReport.Completed(suspect.request(), clock.now());
+        find(uri, fingerprint).ifPresent(suspect -> onCompleted(suspect.request()));
+    }
+
+    /** Records that a backend server has completed a request, which clears it if it is a suspect. */
+    public void onCompleted(RequestFingerprint request) {
+        if (generation(request) > 0) {
+            SuspectReport.Completed completion = new SuspectReport.Completed(request, nanoTime.getAsLong());
             merge(completion);
             onReport.accept(completion);
-        });
+        }
     }
 
     /** Adds what this or another node has found. Reports may arrive repeatedly and in any order. */
@@ -129,15 +154,7 @@
         Suspect suspect = suspectOf(crash.request());
         boolean changed = suspect.merge(crash);
         if (changed && suspect.isHoldDue()) {
-            counters.increment(NodeMetricNames.QUARANTINE_HOLDS);
-            log.write(
-                    Event.REQUEST_HELD,
-                    "request",
-                    suspect.request(),
-                    "crashes",
-                    suspect.generation(),
-                    "holdMs",
-                    (suspect.heldUntil() - clock.now()) / 1_000_000);
+            listener.onHeld(suspect.request(), suspect.generation(), suspect.heldUntil() - nanoTime.getAsLong());
         }
     }
 
@@ -145,8 +162,7 @@
         Suspect suspect = suspectOf(completion.request());
         boolean held = suspect.isHoldDue();
         if (suspect.complete(completion.at()) && held) {
-            counters.increment(NodeMetricNames.QUARANTINE_CLEARED);
-            log.write(Event.REQUEST_CLEARED, "request", suspect.request());
+            listener.onCleared(suspect.request());
         }
     }
 
@@ -156,7 +172,7 @@
     }
 
     private void removeForgotten() {
-        long now = clock.now();
+        long now = nanoTime.getAsLong();
         boolean removed = suspects.values().removeIf(suspect -> suspect.forgetAt() - now < 0);
         while (suspects.size() >= MAX_SUSPECTS) {
             suspects.values().stream()
@@ -172,9 +188,9 @@
 
     /** Number of requests that are held back now. */
     public int heldCount() {
-        long now = clock.now();
+        long now = nanoTime.getAsLong();
         return (int) suspects.values().stream()
-                .filter(suspect -> suspect.isHoldDue() && suspect.heldUntil() - now > 0)
+                .filter(suspect -> suspect.remainingHoldNanos(now) > 0)
                 .count();
     }
 
@@ -189,10 +205,24 @@
 
     /** The crashes of requests that are held back for so long that it should outlast the loss of all nodes. */
     public List<SuspectReport.Crashed> lastingCrashes() {
+        return crashesOf(Suspect::isLastingHoldDue, MAX_LASTING);
+    }
+
+    /**
+     * The crashes of requests that are held back now.
+     *
+     * @param maxRequests number of requests, those that are held back longest
+     */
+    public List<SuspectReport.Crashed> heldCrashes(int maxRequests) {
+        long now = nanoTime.getAsLong();
+        return crashesOf(suspect -> suspect.remainingHoldNanos(now) > 0, maxRequests);
+    }
+
+    private List<SuspectReport.Crashed> crashesOf(Predicate<Suspect> filter, int maxRequests) {
         return suspects.values().stream()
-                .filter(Suspect::isLastingHoldDue)
+                .filter(filter)
                 .sorted(Comparator.comparingLong(Suspect::heldUntil).reversed())
-                .limit(MAX_LASTING)
+                .limit(maxRequests)
                 .flatMap(suspect -> suspect.crashReports().stream())
                 .toList();
     }
