Log requests without a route, and how long a version was known before it came into force

The three hypotheses (fetch held up on a full link, news lost between two fetches, a started node that lags) leave different traces in knownMs, nodesAhead and versions.fetch_failures. No change of logic.

--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -123,7 +123,8 @@
         this.entryServer = CallPath.createEntryServer(
                 loop,
                 settings,
-                new CallPath.Callers(platform.headerNames(), versionUpdater::version, () -> service),
+                new CallPath.Callers(
+                        platform.headerNames(), versionUpdater::version, versionUpdater.freshness(), () -> service),
                 owner,
                 link,
                 createCandidateSampler(),
@@ -246,6 +247,9 @@
         counters.registerGauge(
                 NodeMetricNames.VERSION_IN_FORCE,
                 () -> versionUpdater.version().map(v -> v.number()).orElse(0L));
+        counters.registerGauge(
+                NodeMetricNames.VERSION_NEWEST_KNOWN,
+                () -> versionUpdater.freshness().newestNumber());
         counters.registerGauge(
                 NodeMetricNames.MEMBERS_HEARD,
                 () -> members.countReachableWithin(gossip.silenceTimeoutNanos(), System.nanoTime()));
--- a/org.berylwick.node/src/org/berylwick/node/call/CallPath.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallPath.java
@@ -12,6 +12,7 @@
 import org.berylwick.node.log.NodeMetricNames;
 import org.berylwick.node.transport.EventLoopClock;
 import org.berylwick.node.transport.VmLink;
+import org.berylwick.node.version.VersionFreshness;
 
 /** Assembles the components that handle the requests of callers on a node. */
 public final class CallPath {
@@ -23,11 +24,13 @@
      *
      * @param headerNames names of the headers that they use
      * @param version the configuration version in force, empty until the first one is installed
+     * @param freshness what is known of newer versions on other nodes
      * @param callerService service on this VM, which the callers belong to
      */
     public record Callers(
             HeaderNames headerNames,
             Supplier<Optional<ConfigurationVersion>> version,
+            VersionFreshness freshness,
             Supplier<String> callerService) {}
 
     private CallPath() {}
@@ -71,7 +74,13 @@
                 () -> ThreadLocalRandom.current().nextDouble());
         counters.registerGauge(NodeMetricNames.ENTRY_GATHERED_BYTES, callFactory::bufferedBytes);
         EntryServer server = new EntryServer(
-                new EntryServices(callers.version(), callFactory, link.incoming(), counters, instruments.log()),
+                new EntryServices(
+                        callers.version(),
+                        callers.freshness(),
+                        callFactory,
+                        link.incoming(),
+                        counters,
+                        instruments.log()),
                 eventLoop,
                 settings.callerAddress());
         counters.registerGauge(NodeMetricNames.ENTRY_CONNECTIONS, server::connectionCount);
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCallFactory.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCallFactory.java
@@ -92,7 +92,7 @@
     public CallHandle create(ConfigurationVersion version, Route route, CallerRequest request, ResponseSink sink) {
         long now = context.clock().now();
         HttpHeaders headers = Headers.endToEnd(request.headers());
-        String id = headers.get(context.headerNames().requestId(), "");
+        String id = requestId(headers);
         long callerTimeoutNanos = callerTimeoutNanos(headers);
         long waitedNanos = callerWaitEstimator.waitedNanos(route.name(), callerTimeoutNanos);
         long deadlineAt = now + Math.max(1_000_000L, callerTimeoutNanos - RESPONSE_TRANSIT_NANOS);
@@ -122,6 +122,11 @@
         return new EntryCall(context, route, spec, now, version.number(), waitedNanos > 0, sink);
     }
 
+    /** Returns the id of a request from its headers, empty if it has none. */
+    String requestId(HttpHeaders headers) {
+        return headers.get(context.headerNames().requestId(), "");
+    }
+
     private long callerTimeoutNanos(HttpHeaders headers) {
         String text = headers.get(context.headerNames().deadline());
         if (text == null) {
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
@@ -236,6 +236,7 @@
         if (route.isEmpty()) {
             requestBody.release();
             services.counters().increment(NodeMetricNames.ENTRY_NO_ROUTE);
+            logRouteNotFound(request, version.get());
             respond(404, Headers.empty(), Unpooled.EMPTY_BUFFER);
             return;
         }
@@ -245,6 +246,20 @@
         call.start();
     }
 
+    private void logRouteNotFound(HttpRequest request, ConfigurationVersion version) {
+        services.log()
+                .write(
+                        Event.ROUTE_NOT_FOUND,
+                        "id",
+                        services.callFactory().requestId(request.headers()),
+                        "version",
+                        version.number(),
+                        "newest",
+                        services.freshness().newestNumber(),
+                        "nodesAhead",
+                        services.freshness().membersAhead(version.number()));
+    }
+
     @Override
     public void respond(int status, HttpHeaders headers, ByteBuf body) {
         FullHttpResponse response = new DefaultFullHttpResponse(
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryServices.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryServices.java
@@ -6,11 +6,13 @@
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.EventLog;
 import org.berylwick.node.transport.IncomingLink;
+import org.berylwick.node.version.VersionFreshness;
 
 /**
  * What all connections of callers share; confined to the event loop.
  *
  * @param version configuration version in force, empty until the first one is installed
+ * @param freshness what is known of newer versions on other nodes
  * @param callFactory creates calls
  * @param incomingLink incoming link of this VM
  * @param counters metrics
@@ -18,6 +20,7 @@
  */
 record EntryServices(
         Supplier<Optional<ConfigurationVersion>> version,
+        VersionFreshness freshness,
         EntryCallFactory callFactory,
         IncomingLink incomingLink,
         Counters counters,
--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -67,6 +67,8 @@
     REQUEST_HELD(7052, 20),
     /** A backend server has completed a request that was refused before, which is no longer held to crash them. */
     REQUEST_CLEARED(7053, 20),
+    /** A caller asked for a path that has no route in the version in force. */
+    ROUTE_NOT_FOUND(7054, 10),
     /** An unexpected error occurred; the connection that it came from was closed. */
     INTERNAL_ERROR(7099, 20);
 
--- a/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
@@ -72,6 +72,8 @@
     public static final String HEARTBEATS_ACKNOWLEDGED = "heartbeats.acknowledged";
     /** Configuration version in force on this node, 0 for none. */
     public static final String VERSION_IN_FORCE = "version.in_force";
+    /** Highest configuration version in force on another node, 0 if none is known. */
+    public static final String VERSION_NEWEST_KNOWN = "version.newest_known";
     /** Configuration versions installed since the start. */
     public static final String VERSIONS_INSTALLED = "versions.installed";
     /** Bytes of complete versions and of version deltas that other nodes delivered. */
--- a/org.berylwick.node/src/org/berylwick/node/version/VersionUpdater.java
+++ b/org.berylwick.node/src/org/berylwick/node/version/VersionUpdater.java
@@ -14,6 +14,7 @@
 import org.berylwick.node.log.NodeMetricNames;
 import org.berylwick.node.member.Member;
 import org.berylwick.node.member.MemberTable;
+import org.berylwick.node.transport.EventLoopClock;
 
 /**
  * Keeps this node on the newest accepted configuration version. Confined to the event loop.
@@ -47,6 +48,7 @@
     private final Consumer<Origin> onInstalled;
     private final Counters counters;
     private final EventLog log;
+    private final VersionFreshness freshness;
     private final VersionHistory history = new VersionHistory();
     private final VersionFetcher fetcher;
     private Optional<ConfigurationVersion> version = Optional.empty();
@@ -84,6 +86,7 @@
         this.onInstalled = onInstalled;
         this.counters = counters;
         this.log = log;
+        this.freshness = new VersionFreshness(new EventLoopClock(loop), table);
         this.fetcher = new VersionFetcher(
                 loop, table, zone, history, this::currentNumber, this::onFetched, new Instruments(counters, log));
     }
@@ -93,6 +96,11 @@
         return version;
     }
 
+    /** What is known of newer versions on other nodes. */
+    public VersionFreshness freshness() {
+        return freshness;
+    }
+
     /** Whether the store responded to the latest call. */
     public boolean isStoreReachable() {
         return storeReachable;
@@ -284,12 +292,15 @@
                 "bytes",
                 candidate.encoded().length,
                 "revision",
-                revision);
+                revision,
+                "knownMs",
+                freshness.knownForMillis(candidate.number()));
         onInstalled.accept(origin);
     }
 
     /** Fetches the version in force on another node if it is newer than the one here. */
     public void onMemberUpdated(Member member) {
+        freshness.onMemberUpdated(member);
         fetcher.onMemberUpdated(
                 member, version.isEmpty() ? System.nanoTime() : lastInstalledAt + MIN_INSTALL_INTERVAL_NANOS);
     }
