--- a/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
+++ b/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
@@ -33,6 +33,7 @@
 import org.berylwick.node.lib.WeightedService;
 import org.berylwick.node.log.Event;
 import org.berylwick.node.log.EventLog;
+import org.berylwick.node.log.NodeMetricNames;
 import org.berylwick.node.member.HeartbeatProtocol;
 import org.berylwick.node.member.NodeDirectory;
 import org.berylwick.node.member.NodeState;
@@ -178,6 +179,14 @@
         Await.until("readiness of node " + number, () -> isReady(number), this::logText);
     }
 
+    /** Waits until a version is in force on a node. */
+    void awaitVersion(int number, long version) {
+        Await.until(
+                "version " + version + " on node " + number,
+                () -> gauge(node(number), NodeMetricNames.VERSION_IN_FORCE) == version,
+                this::logText);
+    }
+
     /** Waits until a node has learned by gossip of a backend server on the VM of another node. */
     void awaitMemberKnown(String incarnation) {
         Await.until(
