Fetch a version that was announced during the fetch of an earlier one

Callers would see a configuration that is up to a gossip round (1.9 s with 76 nodes) older than it could be. Cause: announcements that arrived while a fetch ran were dropped, and a fetch for which all sources were suspect was given up; the next look waited for another datagram. Class: an event that is dropped because an earlier one is being processed. Change: after an installation the members' numbers are looked at again; suspect nodes are sources of last resort. Evidence: VersionFetchTest.versionAnnouncedDuringFetchIsFetchedNext waited 60 s in vain before, and passes now.

--- a/org.berylwick.node/src/org/berylwick/node/version/VersionFetcher.java
+++ b/org.berylwick.node/src/org/berylwick/node/version/VersionFetcher.java
@@ -85,6 +85,17 @@
         loop.schedule(this::fetch, Math.max(delay, notBefore - System.nanoTime()), TimeUnit.NANOSECONDS);
     }
 
+    /**
+     * Schedules a fetch if any node is known to have a newer version than the one in force.
+     *
+     * @param notBefore earliest time of the fetch, in {@link System#nanoTime} terms
+     */
+    void fetchIfOutdated(long notBefore) {
+        for (Member member : table.all()) {
+            onMemberUpdated(member, notBefore);
+        }
+    }
+
     private void fetch() {
         fetchScheduled = false;
         if (fetching) {
@@ -110,13 +121,18 @@
         long now = System.nanoTime();
         List<Member> sameZone = new ArrayList<>();
         List<Member> otherZones = new ArrayList<>();
+        List<Member> suspects = new ArrayList<>();
         for (Member member : table.all()) {
-            if (member.state().version() <= currentNumber.getAsLong() || member.isSuspect(now)) {
+            if (member.state().version() <= currentNumber.getAsLong()) {
+                continue;
+            }
+            if (member.isSuspect(now)) {
+                suspects.add(member);
                 continue;
             }
             (member.state().zone().equals(zone) ? sameZone : otherZones).add(member);
         }
-        List<Member> candidates = sameZone.isEmpty() ? otherZones : sameZone;
+        List<Member> candidates = firstNonEmpty(sameZone, otherZones, suspects);
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
@@ -129,6 +145,16 @@
         return Optional.of(candidates.get(ThreadLocalRandom.current().nextInt(candidates.size())));
     }
 
+    @SafeVarargs
+    private static List<Member> firstNonEmpty(List<Member>... lists) {
+        for (List<Member> list : lists) {
+            if (!list.isEmpty()) {
+                return list;
+            }
+        }
+        return List.of();
+    }
+
     private void onResult(Member source, BufferedHttpCall.Result result) {
         fetching = false;
         if (!(result instanceof BufferedHttpCall.Result.Completed response) || response.status() != 200) {
--- a/org.berylwick.node/src/org/berylwick/node/version/VersionUpdater.java
+++ b/org.berylwick.node/src/org/berylwick/node/version/VersionUpdater.java
@@ -318,6 +318,7 @@
 
     private void onFetched(Member sender, byte[] encoded) {
         Origin origin = sender.state().zone().equals(zone) ? Origin.NEAR : Origin.FAR;
+        long previousNumber = currentNumber();
         switch (store.decode(encoded)) {
             case ConfigurationSource.ReadResult.Found found -> install(found.version(), sender.ip(), origin);
             case ConfigurationSource.ReadResult.Invalid invalid ->
@@ -330,5 +331,10 @@
                         "why",
                         "decoder returned neither a version nor an error");
         }
+        // Newer versions may have been announced meanwhile, and the next announcement may be seconds away. A sender
+        // whose version is not newer than the previous one is not asked again until then.
+        if (currentNumber() > previousNumber) {
+            fetcher.fetchIfOutdated(lastInstalledAt + MIN_INSTALL_INTERVAL_NANOS);
+        }
     }
 }
