Do not wait for one source of a version: hedge the fetch, then read the store

Cause: one fetch at a time, for up to 1.2 s, and a retry that may choose the same silent node again. Class: a sequence of time-outs that is longer than the bound, with nothing tried beside it. Change: after 300 ms without a response a second node is asked; after 600 ms the store is read.

--- a/org.berylwick.node/src/org/berylwick/node/version/VersionFetcher.java
+++ b/org.berylwick.node/src/org/berylwick/node/version/VersionFetcher.java
@@ -5,8 +5,10 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -19,7 +21,8 @@
 import org.berylwick.node.transport.BufferedHttpCall;
 
 /**
- * Fetches a newer version from another node, preferably one in the same availability zone. Confined to the event loop.
+ * Fetches a newer version from another node, preferably one in the same availability zone, and from a second one if the
+ * first does not respond soon. Confined to the event loop.
  */
 final class VersionFetcher {
     /**
@@ -30,6 +33,13 @@
 
     private static final long RETRY_MILLIS = 150;
     private static final long TIMEOUT_MILLIS = 1_200;
+    /**
+     * Time without a response after which the version is requested from a second node as well. The link of the first
+     * may be saturated, or the node may have failed.
+     */
+    private static final long HEDGE_DELAY_MILLIS = 300;
+    /** Time without a response after which the store is read instead. */
+    private static final long OVERDUE_MILLIS = 600;
 
     private final EventLoop loop;
     private final MemberTable table;
@@ -37,8 +47,9 @@
     private final VersionHistory history;
     private final LongSupplier currentNumber;
     private final BiConsumer<Member, byte[]> onFetched;
+    private final Runnable onOverdue;
     private final Instruments instruments;
-    private boolean fetching;
+    private Optional<Fetch> running = Optional.empty();
     private boolean fetchScheduled;
     private boolean fullVersionRequired;
     private String lastSourceIp = "";
@@ -50,6 +61,7 @@
      * @param history versions that were recently in force on this node
      * @param currentNumber supplies the number of the version in force, 0 for none
      * @param onFetched called with the node that sent a version and the complete encoded version
+     * @param onOverdue called if no node has delivered a version within {@link #OVERDUE_MILLIS}
      * @param instruments metrics and event log of this node
      */
     VersionFetcher(
@@ -59,6 +71,7 @@
             VersionHistory history,
             LongSupplier currentNumber,
             BiConsumer<Member, byte[]> onFetched,
+            Runnable onOverdue,
             Instruments instruments) {
         this.loop = loop;
         this.table = table;
@@ -66,6 +79,7 @@
         this.history = history;
         this.currentNumber = currentNumber;
         this.onFetched = onFetched;
+        this.onOverdue = onOverdue;
         this.instruments = instruments;
     }
 
@@ -77,7 +91,7 @@
      *     installed earlier
      */
     void onMemberUpdated(Member member, long notBefore) {
-        if (fetchScheduled || fetching || member.state().version() <= currentNumber.getAsLong()) {
+        if (fetchScheduled || running.isPresent() || member.state().version() <= currentNumber.getAsLong()) {
             return;
         }
         fetchScheduled = true;
@@ -98,32 +112,73 @@
 
     private void fetch() {
         fetchScheduled = false;
-        if (fetching) {
+        if (running.isPresent()) {
             return;
         }
-        Optional<Member> source = chooseSource();
-        if (source.isEmpty()) {
+        Fetch fetch = new Fetch();
+        running = Optional.of(fetch);
+        if (!fetch.tryNextSource()) {
+            running = Optional.empty();
             return;
         }
-        fetching = true;
-        Member member = source.get();
-        long baseNumber = fullVersionRequired ? 0 : currentNumber.getAsLong();
-        BufferedHttpCall.start(
-                loop,
-                member.pool(),
-                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, VersionUpdater.VERSION_PATH + baseNumber),
-                new byte[0],
-                TIMEOUT_MILLIS,
-                result -> onResult(member, result));
+        loop.schedule(fetch::tryNextSource, HEDGE_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(fetch::reportOverdue, OVERDUE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** The attempts to fetch one version from different nodes; the first complete version counts. */
+    private final class Fetch {
+        private final Set<String> triedIps = new HashSet<>();
+        private int pendingAttempts;
+        private boolean finished;
+
+        /** Sends a request to a node that was not tried yet; false if there is none or it is not needed any more. */
+        boolean tryNextSource() {
+            Optional<Member> source = finished ? Optional.empty() : chooseSource(triedIps);
+            if (source.isEmpty()) {
+                return false;
+            }
+            Member member = source.get();
+            triedIps.add(member.ip());
+            pendingAttempts++;
+            long baseNumber = fullVersionRequired ? 0 : currentNumber.getAsLong();
+            BufferedHttpCall.start(
+                    loop,
+                    member.pool(),
+                    new DefaultHttpRequest(
+                            HttpVersion.HTTP_1_1, HttpMethod.GET, VersionUpdater.VERSION_PATH + baseNumber),
+                    new byte[0],
+                    TIMEOUT_MILLIS,
+                    result -> onResult(this, member, result));
+            return true;
+        }
+
+        void reportOverdue() {
+            if (!finished) {
+                onOverdue.run();
+            }
+        }
+
+        /** Records the end of an attempt; returns whether its result is still of use. */
+        boolean onAttemptEnded(boolean delivered) {
+            pendingAttempts--;
+            if (finished) {
+                return false;
+            }
+            finished = delivered || pendingAttempts == 0;
+            if (finished) {
+                running = Optional.empty();
+            }
+            return true;
+        }
     }
 
-    private Optional<Member> chooseSource() {
+    private Optional<Member> chooseSource(Set<String> excludedIps) {
         long now = System.nanoTime();
         List<Member> sameZone = new ArrayList<>();
         List<Member> otherZones = new ArrayList<>();
         List<Member> suspects = new ArrayList<>();
         for (Member member : table.all()) {
-            if (member.state().version() <= currentNumber.getAsLong()) {
+            if (member.state().version() <= currentNumber.getAsLong() || excludedIps.contains(member.ip())) {
                 continue;
             }
             if (member.isSuspect(now)) {
@@ -155,15 +210,22 @@
         return List.of();
     }
 
-    private void onResult(Member source, BufferedHttpCall.Result result) {
-        fetching = false;
-        if (!(result instanceof BufferedHttpCall.Result.Completed response) || response.status() != 200) {
+    private void onResult(Fetch fetch, Member source, BufferedHttpCall.Result result) {
+        boolean delivered = result instanceof BufferedHttpCall.Result.Completed completed && completed.status() == 200;
+        boolean useful = fetch.onAttemptEnded(delivered);
+        if (!delivered) {
             // Not reported as a failure of the node: its link may be saturated with this very version, which does not
             // mean that it cannot serve requests.
             instruments.counters().increment(NodeMetricNames.VERSIONS_FETCH_FAILURES);
-            scheduleRetry();
+            if (useful && running.isEmpty()) {
+                scheduleRetry();
+            }
+            return;
+        }
+        if (!useful) {
             return;
         }
+        BufferedHttpCall.Result.Completed response = (BufferedHttpCall.Result.Completed) result;
         instruments.counters().add(NodeMetricNames.VERSIONS_FETCHED_BYTES, response.body().length);
         Optional<byte[]> encoded =
                 VersionHistory.VersionDelta.decode(response.body()).flatMap(history::apply);
--- a/org.berylwick.node/src/org/berylwick/node/version/VersionUpdater.java
+++ b/org.berylwick.node/src/org/berylwick/node/version/VersionUpdater.java
@@ -88,7 +88,14 @@
         this.log = log;
         this.freshness = new VersionFreshness(new EventLoopClock(loop), table, this::currentNumber, this::read);
         this.fetcher = new VersionFetcher(
-                loop, table, zone, history, this::currentNumber, this::onFetched, new Instruments(counters, log));
+                loop,
+                table,
+                zone,
+                history,
+                this::currentNumber,
+                this::onFetched,
+                this::read,
+                new Instruments(counters, log));
     }
 
     /** The version in force on this node; empty until the first one is installed. */
--- a/org.berylwick.test/tst/org/berylwick/node/InMemoryConfigurationStore.java
+++ b/org.berylwick.test/tst/org/berylwick/node/InMemoryConfigurationStore.java
@@ -35,6 +35,12 @@
         waiting.forEach(Runnable::run);
     }
 
+    /** Stores a version as the newest accepted one and notifies nobody, as if all watches were dead. */
+    synchronized void publishWithoutNotice(ConfigurationVersion version) {
+        versions.put(version.number(), version);
+        newestNumber = version.number();
+    }
+
     /** Adds a version that the nodes can decode but not read from the store, as if only another node had it. */
     synchronized void addUnpublished(ConfigurationVersion version) {
         versions.put(version.number(), version);
--- a/org.berylwick.test/tst/org/berylwick/node/VersionFetchTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/VersionFetchTest.java
@@ -45,4 +45,35 @@
             awaitInForceWithinHop(rig, 7, announcedAt);
         }
     }
+
+    /** Guards against a source that does not respond holding up a version that another node has. */
+    @Test
+    void silentSourceDoesNotHoldUpVersion() throws IOException {
+        try (NodeRig rig = rigWithVersionFive();
+                VersionPeer silent = new VersionPeer(rig, 8, "zone-a");
+                VersionPeer responsive = new VersionPeer(rig, 9, "zone-a")) {
+            silent.hold();
+            long announcedAt = System.nanoTime();
+            silent.announce(6);
+            silent.awaitRequest();
+            responsive.announce(6);
+            awaitInForceWithinHop(rig, 6, announcedAt);
+        }
+    }
+
+    /** Guards against waiting for nodes of which none delivers the version, although the store has it. */
+    @Test
+    void versionIsReadFromStoreIfNoSourceDelivers() throws IOException {
+        try (NodeRig rig = rigWithVersionFive();
+                VersionPeer first = new VersionPeer(rig, 8, "zone-a");
+                VersionPeer second = new VersionPeer(rig, 9, "zone-b")) {
+            first.hold();
+            second.hold();
+            rig.configuration.publishWithoutNotice(NodeRig.version(6));
+            long announcedAt = System.nanoTime();
+            first.announce(6);
+            second.announce(6);
+            awaitInForceWithinHop(rig, 6, announcedAt);
+        }
+    }
 }
