--- a/org.berylwick.test/tst/org/berylwick/node/UnknownRouteTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/UnknownRouteTest.java
@@ -34,6 +34,7 @@
             rig.configuration.addUnpublished(versionWithNewRoute(6));
             rig.start(1, Optional.of(server));
             rig.awaitReady(1);
+            rig.configuration.setUnavailable(true);
             peer.hold();
             peer.announce(6);
             peer.awaitRequest();
@@ -93,6 +94,7 @@
             rig.configuration.addUnpublished(versionWithNewRoute(6));
             rig.start(1, Optional.of(server));
             rig.awaitReady(1);
+            rig.configuration.setUnavailable(true);
             peer.hold();
             peer.announce(6);
             peer.awaitRequest();
