Make a started node ready only with the newest version it knows of

Callers of a VM whose node had just started could be served by the version of a node that lags itself. Cause: readiness asked for any version and one other node. Class: a component that serves before it has caught up. Change: a node that knows of a newer version is not ready, for 3 s from its start at most, so that a number that nobody can deliver does not keep it out. Evidence: RestartTest.startedNodeIsReadyOnlyWithNewestVersionThatItKnowsOf failed before: ready with version 5, version 6 known and being fetched.

--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -56,6 +56,9 @@
     /** A node that has not heard from any other node becomes ready only after this time, counted from its start. */
     private static final long READY_WITHOUT_PEERS_AFTER_NANOS = 1_500_000_000L;
 
+    /** A node that has not got the newest version it knows of becomes ready only after this time from its start. */
+    private static final long READY_THOUGH_OUTDATED_AFTER_NANOS = 3_000_000_000L;
+
     private final NodePlatform platform;
     private final NodeSettings settings;
     private final long startedAt = System.nanoTime();
@@ -84,6 +87,8 @@
     private boolean leaving;
 
     private boolean wasReady;
+    /** The newest version that this node knew of has been in force since its start. */
+    private boolean caughtUp;
 
     /**
      * Creates a node that is not started.
@@ -287,7 +292,9 @@
         if (shuttingDown || versionUpdater.version().isEmpty()) {
             return false;
         }
-        return !members.all().isEmpty() || System.nanoTime() - startedAt > READY_WITHOUT_PEERS_AFTER_NANOS;
+        long sinceStartNanos = System.nanoTime() - startedAt;
+        caughtUp |= !versionUpdater.freshness().isOutdated() || sinceStartNanos > READY_THOUGH_OUTDATED_AFTER_NANOS;
+        return caughtUp && (!members.all().isEmpty() || sinceStartNanos > READY_WITHOUT_PEERS_AFTER_NANOS);
     }
 
     private BufferedHttpServer.Response handleReadinessRequest() {
--- a/org.berylwick.test/tst/org/berylwick/node/RestartTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/RestartTest.java
@@ -1,6 +1,7 @@
 package org.berylwick.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -70,6 +71,28 @@
         }
     }
 
+    /** Guards against a node that has just started serving callers by the version of a node that lags. */
+    @Test
+    void startedNodeIsReadyOnlyWithNewestVersionThatItKnowsOf() throws Exception {
+        try (NodeRig rig = new NodeRig();
+                VersionPeer lagging = new VersionPeer(rig, 8, "zone-a");
+                VersionPeer current = new VersionPeer(rig, 9, "zone-a")) {
+            rig.configuration.addUnpublished(NodeRig.version(5));
+            rig.configuration.addUnpublished(NodeRig.version(6));
+            rig.configuration.setUnavailable(true);
+            current.hold();
+            rig.start(1, Optional.empty());
+            current.announce(6);
+            current.awaitRequest();
+            lagging.announce(5);
+            rig.awaitVersion(1, 5);
+            assertFalse(rig.isReady(1));
+            current.release();
+            rig.awaitReady(1);
+            rig.awaitVersion(1, 6);
+        }
+    }
+
     /**
      * A backend server that is shutting down fails the health check, and must not get requests from a restarted node.
      */
