Refuse instead of denying a path in a daemon that lags

It is refused as not run, with Retry-After, for 11 s after the number became known, which is the time within which a version is to be in force everywhere; a number that cannot be installed does not count for longer. Evidence: HeaderTest.newRouteIsNotDeniedWhileDaemonLags gets 404 with the check taken out, and 503 with it.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/EntryService.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/EntryService.java
@@ -79,6 +79,10 @@
         String host = callerRequest.host();
         Optional<RouteMatch> match =
                 snapshot.table().find(host, request.method().name(), ctx.path());
+        if (match.isEmpty() && installed.isOutdated()) {
+            // The route may be part of the newer version.
+            return Problem.notRun(requestId, RefusalReason.OUTDATED, Optional.of(STARTING_RETRY_AFTER_MILLIS));
+        }
         if (match.isEmpty()) {
             metrics.countRejected();
             return Problem.noRoute(requestId, "no route for " + request.method() + " " + host + ctx.path());
--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/VersionPull.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/VersionPull.java
@@ -57,6 +57,7 @@
 
     @Override
     public void onNewerVersion(HostPort address, long version) {
+        installed.onNewerVersionKnown(version);
         if (ring.offer(new Offer(address, version)) == Ring.Offer.FULL) {
             metrics.onEventRefused();
         }
--- a/org.berylwick.test/tst/org/berylwick/daemon/call/HeaderTest.java
+++ b/org.berylwick.test/tst/org/berylwick/daemon/call/HeaderTest.java
@@ -46,6 +46,15 @@
         return server.requests().getLast();
     }
 
+    /** Guards against a daemon that lags denying a route of a version that its peers have in force. */
+    @Test
+    void newRouteIsNotDeniedWhileDaemonLags() throws IOException {
+        assertEquals("404", statusOf(entry.callerAddress(), "/no-route", ""));
+        entry.installed.onNewerVersionKnown(entry.installed.snapshot().id().number() + 1);
+        assertEquals("503", statusOf(entry.callerAddress(), "/no-route", ""));
+        assertEquals("200", statusOf(entry.callerAddress(), "/orders/1", ""));
+    }
+
     @Test
     void internalHeadersFromCallersAreRemoved() throws IOException {
         // A caller sets headers that only daemons may set. They must not reach the backend server, which must receive
--- a/org.berylwick/src/org/berylwick/internal/version/InstalledVersion.java
+++ b/org.berylwick/src/org/berylwick/internal/version/InstalledVersion.java
@@ -11,6 +11,7 @@
 import org.berylwick.internal.invariant.Invariant;
 import org.berylwick.internal.invariant.Invariants;
 import org.berylwick.internal.kernel.KernelService;
+import org.berylwick.lib.Deadline;
 import org.berylwick.lib.Digest;
 import org.berylwick.lib.Result;
 import org.berylwick.lib.Snapshot;
@@ -28,11 +29,14 @@
     public static final String NAME = "installed-version";
 
     private static final EventLog EVENTS = new EventLog(InstalledVersion.class);
+    /** Time within which a version that a peer has is expected to be in force here. */
+    private static final long MAX_INSTALL_MILLIS = 11_000;
 
     private final TimeSource time;
     private final Invariants invariants;
     private final Optional<StoreLineage> lineage;
     private final List<Consumer<InForce>> listeners = new CopyOnWriteArrayList<>();
+    private volatile NewerVersion newest;
     private volatile InForce current = new InForce(Snapshot.NONE, Map.of(), new byte[0], 0);
 
     /**
@@ -45,6 +49,13 @@
      */
     public record InForce(Snapshot snapshot, Map<Digest, byte[]> parts, byte[] manifestBytes, long sinceEpochMillis) {}
 
+    /**
+     * A version that a peer has in force.
+     *
+     * @param countsUntil when it no longer counts, as it can evidently not be installed here
+     */
+    private record NewerVersion(long number, Deadline countsUntil) {}
+
     /** What became of an install. */
     public sealed interface Install {
         /** It is in force now. */
@@ -78,6 +89,7 @@
         this.time = time;
         this.invariants = invariants;
         this.lineage = lineage;
+        newest = new NewerVersion(0, Deadline.afterMillis(time, 0));
     }
 
     @Override
@@ -95,6 +107,19 @@
         return current.snapshot();
     }
 
+    /** Records that a peer has a version in force that is newer than the one here. */
+    public synchronized void onNewerVersionKnown(long number) {
+        if (number > newest.number()) {
+            newest = new NewerVersion(number, Deadline.afterMillis(time, MAX_INSTALL_MILLIS));
+        }
+    }
+
+    /** Whether a newer version than the one in force is known to exist, and may still be installed. */
+    public boolean isOutdated() {
+        NewerVersion known = newest;
+        return known.number() > snapshot().id().number() && !known.countsUntil().isPast(time);
+    }
+
     /** Is told of each version after it came into force, on the installing thread. */
     public void addListener(Consumer<InForce> listener) {
         listeners.add(listener);
--- a/org.berylwick/src/org/berylwick/lib/RefusalReason.java
+++ b/org.berylwick/src/org/berylwick/lib/RefusalReason.java
@@ -17,6 +17,8 @@
     LEAVING,
     /** The backend server is not ready yet. */
     STARTING,
+    /** No route matches, and a newer configuration version, which may have one, is not in force here yet. */
+    OUTDATED,
     /** The deadline passed before the request was sent to the backend server. */
     DEADLINE,
     /** No member of the service can take the request. */
