Log the limit on its requests that a backend server states

Read from the head of each response by the owner, which passes all requests to the backend server; a limit that is no decimal number, or several in one response, are logged and disregarded. Nothing is decided by it yet.

--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Emulation.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Emulation.java
@@ -15,8 +15,8 @@
 /** Plays the callers of a deployment on its nodes; the same seed gives the same, one thread only. */
 public final class Emulation implements AutoCloseable {
     static final String HOST = "any.example";
-    static final HeaderNames NAMES =
-            new HeaderNames("id", "deadline", "signature", "target", "load", "not-run", "caller", "instance");
+    static final HeaderNames NAMES = new HeaderNames(
+            "id", "deadline", "signature", "target", "load", "not-run", "caller", "instance", "limit", "leaving");
 
     /** A hop within a zone, with the processor time that it takes at both ends. */
     private static final long HOP_NANOS = 700_000L;
--- a/org.berylwick.node/src/org/berylwick/node/call/Backend.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Backend.java
@@ -29,6 +29,7 @@
     /** Requests that were running when this incarnation ended. */
     private final List<RequestFingerprint> runningAtExit = new ArrayList<>();
 
+    private RequestLimit requestLimit = RequestLimit.NONE;
     private long maxIdleNanos = DEFAULT_MAX_IDLE_NANOS;
     private int slots;
     private BackendState state;
@@ -98,6 +99,20 @@
         return pool;
     }
 
+    /** Rate of requests that it accepts, as stated in its latest response with a valid statement. */
+    RequestLimit requestLimit() {
+        return requestLimit;
+    }
+
+    /** Stores the limit of a response; returns whether it differs from the previous one. */
+    boolean updateRequestLimit(RequestLimit stated) {
+        if (stated instanceof RequestLimit.Invalid || stated.equals(requestLimit)) {
+            return false;
+        }
+        requestLimit = stated;
+        return true;
+    }
+
     /** Maximum idle time of a connection that is used for a non-idempotent request. */
     long maxIdleNanos() {
         return maxIdleNanos;
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -1,5 +1,6 @@
 package org.berylwick.node.call;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
@@ -201,6 +202,25 @@
         dispatch();
     }
 
+    /** Processes what a backend server states about itself in the head of a response. */
+    void onResponseHead(Backend responder, HttpHeaders headers) {
+        RequestLimit stated = RequestLimit.parse(headers.getAll(headerNames.requestLimit()));
+        if (stated instanceof RequestLimit.Invalid invalid) {
+            log.write(Event.BACKEND_LIMIT_IGNORED, "incarnation", responder.incarnation(), "limit", invalid.text());
+        }
+        RequestLimit previous = responder.requestLimit();
+        if (responder.updateRequestLimit(stated)) {
+            log.write(
+                    Event.BACKEND_LIMIT_CHANGED,
+                    "incarnation",
+                    responder.incarnation(),
+                    "limit",
+                    stated,
+                    "previous",
+                    previous);
+        }
+    }
+
     private void retire(Backend retired, String reason) {
         departedIncarnations.add(retired.incarnation());
         log.write(Event.BACKEND_CHANGED, "incarnation", retired.incarnation(), "state", "RETIRED", "why", reason);
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -287,6 +287,7 @@
     public void onHead(HttpResponse head) {
         int status = head.status().code();
         HttpHeaders headers = head.headers();
+        owner.onResponseHead(backend, headers);
         if (headers.contains(headerNames.notExecuted()) || status == 421) {
             notExecuted = true;
             return;
--- a/org.berylwick.node/src/org/berylwick/node/lib/HeaderNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/lib/HeaderNames.java
@@ -11,6 +11,8 @@
  * @param notExecuted marks a response to a request that was not executed
  * @param callerService service of the VM on which the request originated
  * @param incarnation incarnation of the backend server that responds
+ * @param requestLimit requests per second that a backend server accepts from all nodes together, a decimal number
+ * @param leaving {@code 1} if a backend server is about to stop
  */
 public record HeaderNames(
         String requestId,
@@ -20,4 +22,6 @@
         String load,
         String notExecuted,
         String callerService,
-        String incarnation) {}
+        String incarnation,
+        String requestLimit,
+        String leaving) {}
--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -69,6 +69,10 @@
     REQUEST_CLEARED(7053, 20),
     /** A caller asked for a path that has no route in the version in force. */
     ROUTE_NOT_FOUND(7054, 10),
+    /** The backend server stated another limit on its requests, or none any more. */
+    BACKEND_LIMIT_CHANGED(7055, 20),
+    /** The limit that the backend server stated is not a number, or it stated several. */
+    BACKEND_LIMIT_IGNORED(7056, 5),
     /** An unexpected error occurred; the connection that it came from was closed. */
     INTERNAL_ERROR(7099, 20);
 
--- a/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
+++ b/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
@@ -49,7 +49,16 @@
  */
 final class NodeRig implements AutoCloseable {
     static final HeaderNames HEADER_NAMES = new HeaderNames(
-            "x-request-id", "x-deadline", "x-signature", "x-target", "x-load", "x-not-run", "x-caller", "x-instance");
+            "x-request-id",
+            "x-deadline",
+            "x-signature",
+            "x-target",
+            "x-load",
+            "x-not-run",
+            "x-caller",
+            "x-instance",
+            "x-limit",
+            "x-leaving");
 
     static final int GRACE_PERIOD_MILLIS = 6_000;
     private static final double DEFAULT_LINK_MBPS = 1_000;
--- a/org.berylwick.test/tst/org/berylwick/node/call/OwnerExitTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerExitTest.java
@@ -36,8 +36,8 @@
 /** Tests what an owner reports when the connection to its backend server breaks under a request. */
 class OwnerExitTest {
     private static final long NANOS_PER_MILLISECOND = 1_000_000L;
-    private static final HeaderNames HEADER_NAMES =
-            new HeaderNames("id", "deadline", "signature", "target", "load", "not-run", "caller", "instance");
+    private static final HeaderNames HEADER_NAMES = new HeaderNames(
+            "id", "deadline", "signature", "target", "load", "not-run", "caller", "instance", "limit", "leaving");
 
     private final VirtualClock clock = new VirtualClock();
     private final EventLog log = new EventLog("test", OutputStream.nullOutputStream());
--- a/org.berylwick.test/tst/org/berylwick/node/call/OwnerSilenceTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerSilenceTest.java
@@ -39,8 +39,8 @@
     private static final long NANOS_PER_MILLISECOND = 1_000_000L;
     private static final long NANOS_PER_SECOND = 1_000 * NANOS_PER_MILLISECOND;
     private static final long HEARTBEAT_NANOS = 1_500 * NANOS_PER_MILLISECOND;
-    private static final HeaderNames HEADER_NAMES =
-            new HeaderNames("id", "deadline", "signature", "target", "load", "not-run", "caller", "instance");
+    private static final HeaderNames HEADER_NAMES = new HeaderNames(
+            "id", "deadline", "signature", "target", "load", "not-run", "caller", "instance", "limit", "leaving");
 
     private final VirtualClock clock = new VirtualClock();
     private final EventLog log = new EventLog("test", OutputStream.nullOutputStream());
