Keep the limit on its requests that a backend server states

Cause: nothing read the limit. Class: a backend server's statement about itself that does not reach the decisions about it. Ruled out: entries that keep a limit each (arrivals did not fall), calls that pass it by (there was nothing to pass). The limit ends with a response that does not state it, and with the incarnation; a limit of 0 is tried every 5 s; statements that are no rate change nothing. Weighed: shares handed to the entries, which need a protocol of their own and leave the share of an idle entry unused.

--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -248,6 +248,8 @@
                 NodeMetricNames.LINK_OUTGOING_BUSY_MS, () -> link.outgoing().busyNanos() / 1_000_000);
         counters.registerGauge(NodeMetricNames.OWNER_QUEUED, () -> owner.load().queued());
         counters.registerGauge(NodeMetricNames.OWNER_SLOTS, () -> owner.load().slots());
+        counters.registerGauge(
+                NodeMetricNames.OWNER_START_INTERVAL_US, () -> owner.load().startIntervalNanos() / 1_000);
         counters.registerGauge(NodeMetricNames.OWNER_MEAN_US, () -> owner.load().meanNanos() / 1_000);
         counters.registerGauge(
                 NodeMetricNames.VERSION_IN_FORCE,
--- a/org.berylwick.node/src/org/berylwick/node/call/Backend.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Backend.java
@@ -29,6 +29,7 @@
     /** Requests that were running when this incarnation ended. */
     private final List<RequestFingerprint> runningAtExit = new ArrayList<>();
 
+    private final StartLimiter startLimiter = new StartLimiter();
     private RequestLimit requestLimit = RequestLimit.NONE;
     private long maxIdleNanos = DEFAULT_MAX_IDLE_NANOS;
     private int slots;
@@ -105,14 +106,20 @@
     }
 
     /** Stores the limit of a response; returns whether it differs from the previous one. */
-    boolean updateRequestLimit(RequestLimit stated) {
+    boolean updateRequestLimit(RequestLimit stated, long now) {
         if (stated instanceof RequestLimit.Invalid || stated.equals(requestLimit)) {
             return false;
         }
         requestLimit = stated;
+        startLimiter.setLimit(stated, now);
         return true;
     }
 
+    /** Spaces the requests that are sent to this incarnation. */
+    StartLimiter startLimiter() {
+        return startLimiter;
+    }
+
     /** Maximum idle time of a connection that is used for a non-idempotent request. */
     long maxIdleNanos() {
         return maxIdleNanos;
--- a/org.berylwick.node/src/org/berylwick/node/call/Candidate.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Candidate.java
@@ -14,6 +14,7 @@
  * @param load last known load of its backend server
  * @param serviceTimes service times of its backend server, for each request class that it has processed
  * @param pendingRequests estimated number of requests that are running or queued there now
+ * @param limitWaitNanos estimated wait because of the limit on requests that its backend server states, 0 without one
  * @param warmUpNanos remaining duration of the slow phase after the start of its backend server
  * @param link load of the network link of its VM
  * @param distance network distance to the node
@@ -25,6 +26,7 @@
         OwnerLoad load,
         List<ServiceTimeDistribution> serviceTimes,
         int pendingRequests,
+        long limitWaitNanos,
         long warmUpNanos,
         LinkLoad link,
         Distance distance,
@@ -45,6 +47,11 @@
         OTHER_REGION
     }
 
+    /** Returns how long one more request would wait there for a slot and the limit. */
+    public long waitNanos() {
+        return Math.max(limitWaitNanos, load.waitNanos(pendingRequests));
+    }
+
     /** Returns the IP address of the VM, or {@link #SELF_KEY} for the local node. */
     public String key() {
         return member.map(Member::ip).orElse(SELF_KEY);
--- a/org.berylwick.node/src/org/berylwick/node/call/CandidateChooser.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CandidateChooser.java
@@ -121,7 +121,7 @@
      */
     private static long expectedWaitNanos(Candidate candidate, RequestProfile profile, double averageMeanNanos) {
         LinkLoad link = candidate.link();
-        long waitNanos = Math.max(candidate.load().waitNanos(candidate.pendingRequests()), link.inTransitNanos());
+        long waitNanos = Math.max(candidate.waitNanos(), link.inTransitNanos());
         if (!link.isLarge(profile.expectedBytes())) {
             return waitNanos;
         }
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -350,7 +350,7 @@
     private void respond(EntryAttempt attempt, int status, HttpHeaders headers, ByteBuf body) {
         context.responseEstimates().recordBytes(route, body.readableBytes());
         Candidate candidate = attempt.candidate();
-        if (candidate.load().waitNanos(candidate.pendingRequests()) == 0) {
+        if (candidate.waitNanos() == 0) {
             context.responseEstimates().recordNanos(route, context.clock().now() - attempt.startedAt());
         }
         finish();
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -68,6 +68,8 @@
     private final Set<OwnerRun> running = new HashSet<>();
     private final DepartedIncarnations departedIncarnations = new DepartedIncarnations();
     private Optional<Backend> backend = Optional.empty();
+    private Optional<Clock.Timer> dispatchTimer = Optional.empty();
+    private long scheduledDispatchAt;
     private boolean stopping;
     private long lastArrivalNumber;
 
@@ -119,7 +121,9 @@
                         server.serviceTimeEstimator().meanNanos(),
                         lostPerMille(server, now),
                         link.incoming().busyNanos(),
-                        link.outgoing().busyNanos()))
+                        link.outgoing().busyNanos(),
+                        server.startLimiter().intervalNanos(),
+                        server.startLimiter().waitNanos(queuedCount(), now)))
                 .orElse(OwnerLoad.NONE);
     }
 
@@ -209,7 +213,7 @@
             log.write(Event.BACKEND_LIMIT_IGNORED, "incarnation", responder.incarnation(), "limit", invalid.text());
         }
         RequestLimit previous = responder.requestLimit();
-        if (responder.updateRequestLimit(stated)) {
+        if (responder.updateRequestLimit(stated, clock.now())) {
             log.write(
                     Event.BACKEND_LIMIT_CHANGED,
                     "incarnation",
@@ -218,6 +222,7 @@
                     stated,
                     "previous",
                     previous);
+            clock.defer(this::dispatch);
         }
     }
 
@@ -400,7 +405,10 @@
             return Optional.of(Refusal.Reason.EXPIRED);
         }
         long linkWaitNanos = run.linkWaitNanos();
-        if (running.size() < server.slots() && call.body().isComplete() && linkWaitNanos == 0) {
+        if (running.size() < server.slots()
+                && call.body().isComplete()
+                && linkWaitNanos == 0
+                && server.startLimiter().waitNanos(queue.size(), now) == 0) {
             return Optional.empty();
         }
         long waitNanos = Math.max(
@@ -410,6 +418,9 @@
         if (queueFull
                 || waitNanos > call.maxWaitNanos()
                 || !run.canMeetDeadline(now + waitNanos + bodyScheduler.transferNanos(call.body()))) {
+            if (server.startLimiter().waitNanos(queue.size(), now) > 0) {
+                counters.increment(NodeMetricNames.OWNER_REFUSED_BY_LIMIT);
+            }
             return Optional.of(Refusal.Reason.BUSY);
         }
         return Optional.empty();
@@ -422,10 +433,9 @@
     /** Whether a request can meet its latency objective after the requests that would run before it. */
     private boolean isTimely(OwnerRun run) {
         Backend server = backend.orElseThrow();
-        int requestsAhead = running.size() + queue.countTimelyAhead(run);
         RequestBody body = run.call().body();
         long slotWaitNanos = Math.max(
-                slotWaitNanos(requestsAhead, server),
+                startWaitNanos(queue.countTimelyAhead(run), server),
                 bodyScheduler.transferNanosAhead(body) + bodyScheduler.transferNanos(body));
         long waitNanos = Math.max(slotWaitNanos, run.linkWaitNanos());
         return run.canMeetObjective(clock.now() + waitNanos);
@@ -433,7 +443,16 @@
 
     private long expectedWaitNanos(OwnerRun run, Backend server) {
         int queuedAhead = isTimely(run) ? queue.countTimelyAhead(run) : queue.size();
-        return slotWaitNanos(running.size() + queuedAhead, server);
+        return startWaitNanos(queuedAhead, server);
+    }
+
+    /**
+     * Time until a request is sent that has so many queued ones ahead: until a slot is free, and the limit allows it.
+     */
+    private long startWaitNanos(int queuedAhead, Backend server) {
+        return Math.max(
+                slotWaitNanos(running.size() + queuedAhead, server),
+                server.startLimiter().waitNanos(queuedAhead, clock.now()));
     }
 
     private static long slotWaitNanos(int requestsAhead, Backend server) {
@@ -448,6 +467,11 @@
         }
         long now = clock.now();
         while (running.size() < server.slots()) {
+            long limitWaitNanos = server.startLimiter().waitNanos(0, now);
+            if (limitWaitNanos > 0) {
+                dispatchAt(now + limitWaitNanos);
+                return;
+            }
             Optional<OwnerRun> next = queue.poll(now);
             if (next.isEmpty()) {
                 return;
@@ -456,6 +480,19 @@
         }
     }
 
+    /** Schedules a dispatch, unless one is scheduled that is not later. */
+    private void dispatchAt(long time) {
+        if (queue.size() == 0 || dispatchTimer.isPresent() && scheduledDispatchAt <= time) {
+            return;
+        }
+        dispatchTimer.ifPresent(Clock.Timer::cancel);
+        scheduledDispatchAt = time;
+        dispatchTimer = Optional.of(clock.schedule(time, () -> {
+            dispatchTimer = Optional.empty();
+            dispatch();
+        }));
+    }
+
     private void startRun(OwnerRun run, Backend server) {
         if (!run.call().service().equals(server.service())) {
             run.refuse(Refusal.Reason.NOT_HERE, false);
@@ -469,6 +506,7 @@
         }
         running.add(run);
         startRateBalancer.onStarted(run.call(), clock.now());
+        server.startLimiter().onStarted(clock.now());
         run.start(server, headerNames);
     }
 
--- a/org.berylwick.node/src/org/berylwick/node/call/PeerCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerCodec.java
@@ -18,6 +18,9 @@
 final class PeerCodec {
     private static final int CALL_FIELDS = 11;
     private static final int OUTCOME_FIELDS = 10;
+    /** Number of fields with the two that follow while the backend server states a limit on its requests. */
+    private static final int LIMITED_OUTCOME_FIELDS = 12;
+
     private static final String ANSWERED = "answered";
     private static final String REFUSED = "refused";
     private static final String LOST = "lost";
@@ -115,7 +118,13 @@
     private static String encodeLoad(OwnerLoad load) {
         return ";" + load.running() + ';' + load.queued() + ';' + load.slots() + ';' + load.meanNanos() / 1_000 + ';'
                 + load.lostPerMille() + ';' + toMillis(load.incomingLinkBusyNanos()) + ';'
-                + toMillis(load.outgoingLinkBusyNanos());
+                + toMillis(load.outgoingLinkBusyNanos()) + encodeLimit(load);
+    }
+
+    private static String encodeLimit(OwnerLoad load) {
+        return load.startIntervalNanos() == 0
+                ? ""
+                : ";" + toMillis(load.startIntervalNanos()) + ';' + toMillis(load.limitWaitNanos());
     }
 
     static String encodeCrash(SuspectReport.Crashed crash, long now) {
@@ -133,9 +142,10 @@
             return Optional.empty();
         }
         String[] fields = text.split(";");
-        if (fields.length != OUTCOME_FIELDS) {
+        if (fields.length != OUTCOME_FIELDS && fields.length != LIMITED_OUTCOME_FIELDS) {
             return Optional.empty();
         }
+        boolean limited = fields.length == LIMITED_OUTCOME_FIELDS;
         try {
             OwnerLoad load = new OwnerLoad(
                     Integer.parseInt(fields[3]),
@@ -144,7 +154,9 @@
                     Long.parseLong(fields[6]) * 1_000,
                     Integer.parseInt(fields[7]),
                     Long.parseLong(fields[8]) * 1_000_000,
-                    Long.parseLong(fields[9]) * 1_000_000);
+                    Long.parseLong(fields[9]) * 1_000_000,
+                    limited ? Long.parseLong(fields[10]) * 1_000_000 : 0,
+                    limited ? Long.parseLong(fields[11]) * 1_000_000 : 0);
             return switch (fields[0]) {
                 case ANSWERED -> Optional.of(new Outcome.Answered(load));
                 case REFUSED ->
--- a/org.berylwick.node/src/org/berylwick/node/lib/OwnerLoad.java
+++ b/org.berylwick.node/src/org/berylwick/node/lib/OwnerLoad.java
@@ -11,6 +11,9 @@
  * @param incomingLinkBusyNanos time until the request bodies in transit to the VM have been received over its link
  * @param outgoingLinkBusyNanos time until the large responses that are ready or being produced have been sent over its
  *     link
+ * @param startIntervalNanos minimum time between two requests that are sent to the backend server, 0 if it states no
+ *     limit on their rate
+ * @param limitWaitNanos time until one more request, queued after all others, may be sent by that limit
  */
 public record OwnerLoad(
         int running,
@@ -19,18 +22,34 @@
         long meanNanos,
         int lostPerMille,
         long incomingLinkBusyNanos,
-        long outgoingLinkBusyNanos) {
+        long outgoingLinkBusyNanos,
+        long startIntervalNanos,
+        long limitWaitNanos) {
     /** Load of a backend server of which nothing is known yet. */
-    public static final OwnerLoad NONE = new OwnerLoad(0, 0, 0, 0, 0, 0, 0);
+    public static final OwnerLoad NONE = new OwnerLoad(0, 0, 0, 0, 0, 0, 0, 0, 0);
 
-    /** Creates the load of a backend server that loses no requests and whose link is idle. */
+    /** Creates the load of a backend server that loses no requests, states no limit, and whose link is idle. */
     public OwnerLoad(int running, int queued, int slots, long meanNanos) {
-        this(running, queued, slots, meanNanos, 0, 0, 0);
+        this(running, queued, slots, meanNanos, 0, 0, 0, 0, 0);
     }
 
-    /** Returns how long one more request would wait for a slot. */
+    /** Returns this load with the limit that the backend server states. */
+    public OwnerLoad withLimit(long intervalNanos, long waitNanos) {
+        return new OwnerLoad(
+                running,
+                queued,
+                slots,
+                meanNanos,
+                lostPerMille,
+                incomingLinkBusyNanos,
+                outgoingLinkBusyNanos,
+                intervalNanos,
+                waitNanos);
+    }
+
+    /** Returns how long one more request would wait for a slot and the limit. */
     public long waitNanos() {
-        return waitNanos(running + queued);
+        return Math.max(limitWaitNanos, waitNanos(running + queued));
     }
 
     /**
--- a/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
@@ -60,6 +60,10 @@
     public static final String PEERS_UNSENT_BYTES = "peers.unsent.bytes";
     /** Time until all queued and expected large responses have been sent over this VM's outgoing link. */
     public static final String LINK_OUTGOING_BUSY_MS = "link.outgoing.busy_ms";
+    /** Requests refused as busy while the limit that the local backend server states left no room. */
+    public static final String OWNER_REFUSED_BY_LIMIT = "owner.refused_by_limit";
+    /** Least time between two requests to the local backend server, 0 if it states no limit. */
+    public static final String OWNER_START_INTERVAL_US = "owner.start_interval_us";
     /** Requests waiting on this node for a slot. */
     public static final String OWNER_QUEUED = "owner.queued";
     /** Slots of the local backend server. */
--- a/org.berylwick.node/src/org/berylwick/node/member/Member.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/Member.java
@@ -39,6 +39,9 @@
     /** When all large responses that the node is known to produce will have been sent over its VM's link. */
     private long outgoingLinkFreeAt;
 
+    /** When the limit that the backend server states is expected to allow one more request. */
+    private long limitAllowsAt;
+
     private ConnectionPool pool;
 
     Member(String ip, NodeState state, long now, BiConsumer<Member, String> onSuspected) {
@@ -125,6 +128,15 @@
         inFlightAtLoadReport = inFlight;
         incomingLinkFreeAt = now + received.incomingLinkBusyNanos();
         outgoingLinkFreeAt = now + received.outgoingLinkBusyNanos();
+        limitAllowsAt = now + received.limitWaitNanos();
+    }
+
+    /**
+     * Estimates how long one more request would wait there because of the limit that the backend server states, from
+     * the latest load that was received, and the requests that this node has sent since; 0 without a limit.
+     */
+    public long limitWaitNanos(long now) {
+        return load.startIntervalNanos() == 0 ? 0 : Math.max(0, limitAllowsAt - now);
     }
 
     /**
@@ -164,6 +176,7 @@
         if (link.isLarge(expectedResponseBytes)) {
             outgoingLinkFreeAt = Math.max(now, outgoingLinkFreeAt) + link.transferNanos(expectedResponseBytes);
         }
+        limitAllowsAt = Math.max(now, limitAllowsAt) + load.startIntervalNanos();
         inFlight++;
         pendingRequests.put(request, now);
         lastUsedIncarnation = state.incarnation();
--- a/org.berylwick.node/src/org/berylwick/node/member/NodeStateCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/NodeStateCodec.java
@@ -17,9 +17,12 @@
     private static final int FLAG_STORE_REACHABLE = 1;
     private static final int FLAG_LEAVING = 2;
     private static final int FLAG_REPLY_REQUESTED = 4;
+    /** The backend server states a limit on the rate of its requests. */
+    private static final int FLAG_LIMITED = 8;
 
     private static final double PER_MILLE = 1e3;
     private static final long MAX_LINK_BUSY_MILLIS = 65_535;
+    private static final long MAX_LIMIT_WAIT_MILLIS = 65_535;
     private static final RouteKind[] ROUTE_KINDS = RouteKind.values();
 
     private NodeStateCodec() {}
@@ -58,7 +61,8 @@
         out.writeInt(MAGIC);
         int flags = (state.storeReachable() ? FLAG_STORE_REACHABLE : 0)
                 | (state.leaving() ? FLAG_LEAVING : 0)
-                | (message.replyRequested() ? FLAG_REPLY_REQUESTED : 0);
+                | (message.replyRequested() ? FLAG_REPLY_REQUESTED : 0)
+                | (state.load().startIntervalNanos() > 0 ? FLAG_LIMITED : 0);
         out.writeByte(flags);
         out.writeLong(state.bootId());
         out.writeLong(state.sequence());
@@ -88,10 +92,15 @@
         for (String ip : message.peerAddresses()) {
             writeString(ip, out);
         }
-        // The last field is left out while it is 0, which is nearly always.
-        if (message.quarantineChecksum() != 0) {
+        // The last fields are left out while they are 0, which is nearly always.
+        boolean limited = state.load().startIntervalNanos() > 0;
+        if (message.quarantineChecksum() != 0 || limited) {
             out.writeInt(message.quarantineChecksum());
         }
+        if (limited) {
+            out.writeInt((int) (state.load().startIntervalNanos() / 1_000));
+            out.writeShort((int) Math.min(MAX_LIMIT_WAIT_MILLIS, state.load().limitWaitNanos() / 1_000_000));
+        }
     }
 
     /** Decodes a datagram; empty if the bytes are not a valid datagram. */
@@ -114,11 +123,22 @@
                     in.readInt() * 1_000L,
                     in.readUnsignedShort(),
                     in.readUnsignedShort() * 1_000_000L,
-                    in.readUnsignedShort() * 1_000_000L);
+                    in.readUnsignedShort() * 1_000_000L,
+                    0,
+                    0);
             String zone = readString(in);
             String service = readString(in);
             String incarnation = readString(in);
             List<ServiceTimeDistribution> serviceTimes = readServiceTimes(in);
+            int peerAddressCount = in.readUnsignedByte();
+            List<String> peerAddresses = new ArrayList<>(peerAddressCount);
+            for (int i = 0; i < peerAddressCount; i++) {
+                peerAddresses.add(readString(in));
+            }
+            int quarantineChecksum = in.readableBytes() >= Integer.BYTES ? in.readInt() : 0;
+            if ((flags & FLAG_LIMITED) != 0) {
+                load = load.withLimit(in.readInt() * 1_000L, in.readUnsignedShort() * 1_000_000L);
+            }
             NodeState state = new NodeState(
                     bootId,
                     sequence,
@@ -133,12 +153,6 @@
                     warmUpRemainingNanos,
                     load,
                     serviceTimes);
-            int peerAddressCount = in.readUnsignedByte();
-            List<String> peerAddresses = new ArrayList<>(peerAddressCount);
-            for (int i = 0; i < peerAddressCount; i++) {
-                peerAddresses.add(readString(in));
-            }
-            int quarantineChecksum = in.readableBytes() >= Integer.BYTES ? in.readInt() : 0;
             return Optional.of(
                     new Message(state, (flags & FLAG_REPLY_REQUESTED) != 0, peerAddresses, quarantineChecksum));
         } catch (IndexOutOfBoundsException e) {
--- a/org.berylwick.test/tst/org/berylwick/node/call/CandidateChooserTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/CandidateChooserTest.java
@@ -36,7 +36,7 @@
     private static Candidate candidate(Distance distance, int pendingRequests, long meanMillis) {
         OwnerLoad load = new OwnerLoad(pendingRequests, 0, 12, meanMillis * MS);
         return new Candidate(
-                Optional.empty(), load, List.of(), pendingRequests, 0, LinkLoad.NONE, distance, false, false);
+                Optional.empty(), load, List.of(), pendingRequests, 0, 0, LinkLoad.NONE, distance, false, false);
     }
 
     private Distance chosenDistance(RequestProfile profile, Candidate... candidates) {
@@ -91,8 +91,8 @@
     }
 
     private static Candidate lossyCandidate(Distance distance, int perMille) {
-        OwnerLoad load = new OwnerLoad(2, 0, 12, 200 * MS, perMille, 0, 0);
-        return new Candidate(Optional.empty(), load, List.of(), 2, 0, LinkLoad.NONE, distance, false, false);
+        OwnerLoad load = new OwnerLoad(2, 0, 12, 200 * MS, perMille, 0, 0, 0, 0);
+        return new Candidate(Optional.empty(), load, List.of(), 2, 0, 0, LinkLoad.NONE, distance, false, false);
     }
 
     /** Guards against large responses queueing at the link of one VM while another is idle, even in another zone. */
@@ -118,7 +118,7 @@
     private static Candidate candidateBehindLink(Distance distance, long pendingResponsesNanos) {
         OwnerLoad load = new OwnerLoad(0, 0, 12, 200 * MS);
         LinkLoad link = new LinkLoad(0, pendingResponsesNanos, 7);
-        return new Candidate(Optional.empty(), load, List.of(), 0, 0, link, distance, false, false);
+        return new Candidate(Optional.empty(), load, List.of(), 0, 0, 0, link, distance, false, false);
     }
 
     @Test
@@ -129,6 +129,7 @@
                 List.of(),
                 0,
                 0,
+                0,
                 LinkLoad.NONE,
                 Distance.SELF,
                 false,
@@ -170,16 +171,15 @@
                     List.of(),
                     random.nextInt(100),
                     random.nextInt(1 << 30),
+                    random.nextInt(1 << 30),
                     LinkLoad.NONE,
                     distance,
                     random.nextBoolean(),
                     random.nextBoolean()));
         }
         if (randomChooser.choose(candidates, SMALL_RESPONSE).isEmpty()) {
-            long shortestWaitNanos = candidates.stream()
-                    .mapToLong(c -> c.load().waitNanos(c.pendingRequests()))
-                    .min()
-                    .orElseThrow();
+            long shortestWaitNanos =
+                    candidates.stream().mapToLong(Candidate::waitNanos).min().orElseThrow();
             assertTrue(
                     shortestWaitNanos > 300 * MS,
                     "refused, although the shortest wait is " + shortestWaitNanos + " ns");
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerLimitTest.java
@@ -0,0 +1,331 @@
+package org.berylwick.node.call;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Consumer;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import org.berylwick.bench.emulate.VirtualClock;
+import org.berylwick.node.lib.BackendReport;
+import org.berylwick.node.lib.BackendState;
+import org.berylwick.node.lib.HeaderNames;
+import org.berylwick.node.lib.OwnerLoad;
+import org.berylwick.node.lib.RequestClass;
+import org.berylwick.node.lib.RouteKind;
+import org.berylwick.node.log.Counters;
+import org.berylwick.node.log.EventLog;
+import org.berylwick.node.log.Instruments;
+import org.berylwick.node.quarantine.HoldLog;
+import org.berylwick.node.quarantine.Quarantine;
+import org.berylwick.node.transport.HttpResponseHandler;
+import org.berylwick.node.transport.RequestBody;
+import org.berylwick.node.transport.ServerConnection;
+import org.berylwick.node.transport.ServerConnectionPool;
+import org.berylwick.node.transport.VmLink;
+import org.junit.jupiter.api.Test;
+
+/** Tests how an owner treats the limit on its requests that a backend server states in its responses. */
+class OwnerLimitTest {
+    private static final long MILLIS = 1_000_000L;
+    private static final long WINDOW_MILLIS = 4_000;
+    private static final int SLOTS = 12;
+    private static final HeaderNames NAMES = new HeaderNames(
+            "id", "deadline", "signature", "target", "load", "not-run", "caller", "instance", "limit", "leaving");
+
+    private final VirtualClock clock = new VirtualClock();
+    private final EventLog log = new EventLog("test", OutputStream.nullOutputStream());
+    /** Headers that the backend server adds to each response. */
+    private final List<String[]> stated = new ArrayList<>();
+
+    private final List<Long> arrivals = new ArrayList<>();
+    private int refused;
+    private long responseMillis = 20;
+    private int lastId;
+    private final Owner owner = new Owner(
+            clock,
+            address -> new StatingServer(),
+            NAMES,
+            VmLink.of(1_000, clock),
+            1_500 * MILLIS,
+            new Counters(),
+            log,
+            () -> {},
+            new Quarantine(clock::now, new HoldLog(new Instruments(new Counters(), log))));
+
+    /** A backend server that responds after a while, with the headers that a test has set. */
+    private final class StatingServer implements ServerConnectionPool, ServerConnection {
+        @Override
+        public void acquire(long idleLimitNanos, Consumer<ServerConnection> onConnection, Consumer<String> onFailure) {
+            onConnection.accept(this);
+        }
+
+        @Override
+        public void probe(Consumer<ProbeResult> onResult) {
+            onResult.accept(ProbeResult.LISTENING);
+        }
+
+        @Override
+        public void send(HttpRequest request, RequestBody body, HttpResponseHandler handler) {
+            arrivals.add(clock.now() / MILLIS);
+            String id = request.headers().get(NAMES.requestId());
+            clock.after(responseMillis * MILLIS, () -> {
+                HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+                head.headers().set(NAMES.requestId(), id).set(NAMES.signature(), "s");
+                stated.forEach(header -> head.headers().add(header[0], header[1]));
+                handler.onHead(head);
+                handler.onEnd();
+            });
+        }
+
+        @Override
+        public boolean isRequestFullySent() {
+            return true;
+        }
+
+        @Override
+        public long openedCount() {
+            return 1;
+        }
+
+        @Override
+        public void evictIdle() {
+            // No idle connections to close.
+        }
+
+        @Override
+        public void close() {
+            // Connections are not kept.
+        }
+
+        @Override
+        public void returnUnused() {
+            // Connections are not reused.
+        }
+
+        @Override
+        public void setAutoRead(boolean enabled) {
+            // Responses have no body.
+        }
+
+        @Override
+        public void abort() {
+            // The response is disregarded.
+        }
+
+        @Override
+        public int servedRequests() {
+            return 0;
+        }
+
+        @Override
+        public long idleSince() {
+            return clock.now();
+        }
+    }
+
+    private final class CountingListener implements AttemptListener {
+        @Override
+        public void onHead(int status, HttpHeaders headers, OwnerLoad load) {
+            // Only arrivals and refusals count.
+        }
+
+        @Override
+        public void onBody(ByteBuf part) {
+            part.release();
+        }
+
+        @Override
+        public void onEnd() {
+            // Only arrivals and refusals count.
+        }
+
+        @Override
+        public void onRefused(Refusal refusal) {
+            refused++;
+        }
+
+        @Override
+        public void onLost(Loss loss) {
+            // Counted by nobody.
+        }
+    }
+
+    private void state(String limit) {
+        stated.clear();
+        stated.add(new String[] {NAMES.requestLimit(), limit});
+    }
+
+    private void startIncarnation(String incarnation) {
+        owner.onReport(new BackendReport(
+                incarnation, "work", new InetSocketAddress("127.0.0.1", 1), "zone", SLOTS, BackendState.READY, 1, 0));
+    }
+
+    private void offer(long maxWaitMillis) {
+        String id = "r" + ++lastId;
+        CallSpec call = new CallSpec(
+                id,
+                HttpMethod.GET,
+                "/x",
+                Headers.empty().set(NAMES.requestId(), id),
+                RequestBody.of(Unpooled.EMPTY_BUFFER),
+                "work",
+                "caller",
+                new RequestClass(RouteKind.IDEMPOTENT, 1, 600),
+                clock.now() + 600 * MILLIS,
+                clock.now() + 2_000 * MILLIS,
+                maxWaitMillis * MILLIS,
+                1,
+                0,
+                0);
+        owner.offer(call, new CountingListener());
+    }
+
+    /** Offers requests at a steady rate for some time. */
+    private void offerFor(long millis, int perSecond) {
+        long end = clock.now() / MILLIS + millis;
+        long gapMillis = 1_000 / perSecond;
+        for (long at = clock.now() / MILLIS; at < end; at += gapMillis) {
+            clock.runUntil(at * MILLIS);
+            offer(300);
+        }
+        clock.runUntil(end * MILLIS);
+    }
+
+    private long arrivalsBetween(long fromMillis, long toMillis) {
+        return arrivals.stream().filter(at -> at >= fromMillis && at < toMillis).count();
+    }
+
+    private void assertLimitKept(double limit, long fromMillis) {
+        double allowed = 1.5 * limit * WINDOW_MILLIS / 1_000 + 5;
+        for (long begin : arrivals) {
+            if (begin >= fromMillis) {
+                long count = arrivalsBetween(begin, begin + WINDOW_MILLIS);
+                assertTrue(count <= allowed, count + " requests in 4 s from " + begin + " ms, allowed " + allowed);
+            }
+        }
+    }
+
+    /** Guards against sending more than the limit allows, and against leaving a part of it unused. */
+    @Property(tries = 40)
+    void limitIsKeptAndUsed(@ForAll @DoubleRange(min = 0.3, max = 60) double limit, @ForAll long seed) {
+        arrivals.clear();
+        Random random = new Random(seed);
+        responseMillis = 1 + random.nextInt(150);
+        startIncarnation("i-" + seed);
+        state(Double.toString(limit));
+        long from = clock.now() / MILLIS;
+        offerFor(13_000, 100);
+        assertLimitKept(limit, from + 1_000);
+        long used = arrivalsBetween(from + 1_000, from + 13_000);
+        assertTrue(used >= 0.9 * limit * 12 - 1, used + " of " + limit * 12);
+    }
+
+    /** Guards against a limit that outlasts its statement. */
+    @Test
+    void responseWithoutLimitLiftsIt() {
+        startIncarnation("i-1");
+        state("5");
+        offerFor(2_000, 50);
+        stated.clear();
+        offerFor(1_000, 50);
+        long before = arrivals.size();
+        offerFor(1_000, 50);
+        assertEquals(50, arrivals.size() - before);
+    }
+
+    /** Guards against a limit of 0 that no response would ever lift. */
+    @Test
+    void limitOfZeroIsTriedNowAndThenAndCanBeLifted() {
+        startIncarnation("i-1");
+        state("0");
+        offerFor(2_000, 50);
+        long before = arrivals.size();
+        offerFor(20_000, 50);
+        long trials = arrivals.size() - before;
+        assertTrue(trials >= 2 && trials <= 5, trials + " trials in 20 s");
+        stated.clear();
+        offerFor(10_000, 50);
+        before = arrivals.size();
+        offerFor(1_000, 50);
+        assertEquals(50, arrivals.size() - before);
+    }
+
+    /** Guards against a limit that changes each second being kept by its old value, or the rate adding up. */
+    @Test
+    void limitThatChangesEachSecondIsFollowed() {
+        startIncarnation("i-1");
+        for (int i = 0; i < 8; i++) {
+            state(i % 2 == 0 ? "4" : "20");
+            offerFor(1_000, 100);
+        }
+        long perTwoSeconds = arrivalsBetween(2_000, 8_000) / 3;
+        assertTrue(perTwoSeconds >= 18 && perTwoSeconds <= 36, perTwoSeconds + " in 2 s, limits 4 and 20 a second");
+    }
+
+    /** Guards against a damaged statement lifting the limit, failing the response or stopping the backend server. */
+    @Test
+    void invalidStatementsLeaveTheLimitAsItIs() {
+        startIncarnation("i-1");
+        state("5");
+        offerFor(2_000, 50);
+        for (String invalid : List.of("", "-1", "NaN", "1e309", "0x10", "five", "5,6", "Infinity", "7d")) {
+            state(invalid);
+            offerFor(400, 50);
+        }
+        state("8");
+        stated.add(new String[] {NAMES.requestLimit(), "900"});
+        offerFor(400, 50);
+        assertLimitKept(5, 1_000);
+        stated.clear();
+        offerFor(2_000, 50);
+        long before = arrivals.size();
+        offerFor(1_000, 50);
+        assertEquals(50, arrivals.size() - before);
+    }
+
+    /** Guards against the limit of an incarnation that has ended being applied to the next one. */
+    @Test
+    void newIncarnationStartsWithoutLimit() {
+        startIncarnation("i-1");
+        responseMillis = 500;
+        state("2");
+        offerFor(1_000, 20);
+        startIncarnation("i-2");
+        responseMillis = 20;
+        stated.clear();
+        long before = arrivals.size();
+        // Responses of the first incarnation arrive meanwhile, and state its limit.
+        offerFor(1_000, 50);
+        assertEquals(50, arrivals.size() - before);
+    }
+
+    /** Guards against holding requests that the limit does not let through in time, instead of returning them. */
+    @Test
+    void requestThatCannotStartInTimeIsRefusedAtOnce() {
+        startIncarnation("i-1");
+        state("1");
+        offerFor(2_000, 10);
+        int before = refused;
+        for (int i = 0; i < 20; i++) {
+            offer(300);
+        }
+        clock.runUntil(clock.now() + MILLIS);
+        assertTrue(refused - before >= 18, refused - before + " of 20 refused");
+    }
+}
--- a/org.berylwick.test/tst/org/berylwick/node/member/NodeStateCodecTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/member/NodeStateCodecTest.java
@@ -44,7 +44,16 @@
                 text,
                 backendState,
                 3_000_000L,
-                new OwnerLoad(number, number, number, 5_000L, number, number * 1_000_000L, number * 1_000_000L),
+                new OwnerLoad(
+                        number,
+                        number,
+                        number,
+                        5_000L,
+                        number,
+                        number * 1_000_000L,
+                        number * 1_000_000L,
+                        number * 1_000L,
+                        number * 1_000_000L),
                 List.of(
                         new ServiceTimeDistribution(
                                 new RequestClass(RouteKind.NON_IDEMPOTENT, 3, number), 1_000L * (number + 1), 0.25),
