Send no requests to a backend server that states in a response that it leaves

Callers would see requests cut by the end of a backend server that had said so (DRAIN): a third way to learn of it, beside the heartbeat and the announcement, and the only one where its heartbeats do not get through. Cause: nothing read the statement. The owner takes it like the announcement of a leave: queued and new requests are refused as not run, running ones are finished, entries learn by gossip at once. Later reports and responses of the incarnation do not take it back; a started node does not take such a backend server for ready. Evidence: OwnerLimitTest.backendServerThatStatesThatItLeavesGetsNoMoreRequests failed before: all requests were sent on.

--- a/org.berylwick.node/src/org/berylwick/node/call/BackendProbe.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/BackendProbe.java
@@ -114,7 +114,8 @@
         }
         String incarnation = response.headers().get(headerNames.incarnation(), "");
         int slots = parseSlots(response.headers().get(headerNames.load(), ""));
-        if (incarnation.isBlank() || slots < 1) {
+        boolean leaving = Owner.LEAVING.equals(response.headers().get(headerNames.leaving()));
+        if (incarnation.isBlank() || slots < 1 || leaving) {
             return Optional.empty();
         }
         return Optional.of(new BackendReport(
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -52,6 +52,9 @@
      */
     private static final int MIN_RUNNING_FOR_LOSS_RATE = 4;
 
+    /** Value of the header with which a backend server states that it is about to stop. */
+    static final String LEAVING = "1";
+
     private final Clock clock;
     private final Function<InetSocketAddress, ServerConnectionPool> poolFactory;
     private final HeaderNames headerNames;
@@ -208,6 +211,11 @@
 
     /** Processes what a backend server states about itself in the head of a response. */
     void onResponseHead(Backend responder, HttpHeaders headers) {
+        boolean leaving = LEAVING.equals(headers.get(headerNames.leaving()));
+        if (leaving && !departedIncarnations.contains(responder.incarnation())) {
+            log.write(Event.BACKEND_LEAVING, "incarnation", responder.incarnation());
+            onLeave(responder.incarnation());
+        }
         RequestLimit stated = RequestLimit.parse(headers.getAll(headerNames.requestLimit()));
         if (stated instanceof RequestLimit.Invalid invalid) {
             log.write(Event.BACKEND_LIMIT_IGNORED, "incarnation", responder.incarnation(), "limit", invalid.text());
--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -73,6 +73,8 @@
     BACKEND_LIMIT_CHANGED(7055, 20),
     /** The limit that the backend server stated is not a number, or it stated several. */
     BACKEND_LIMIT_IGNORED(7056, 5),
+    /** The backend server stated in a response that it is about to stop. */
+    BACKEND_LEAVING(7057, 20),
     /** An unexpected error occurred; the connection that it came from was closed. */
     INTERNAL_ERROR(7099, 20);
 
--- a/org.berylwick.test/tst/org/berylwick/node/call/OwnerLimitTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerLimitTest.java
@@ -40,7 +40,7 @@
 import org.berylwick.node.transport.VmLink;
 import org.junit.jupiter.api.Test;
 
-/** Tests how an owner treats the limit on its requests that a backend server states in its responses. */
+/** Tests how an owner treats what a backend server states about itself in its responses: a limit, or that it leaves. */
 class OwnerLimitTest {
     private static final long MILLIS = 1_000_000L;
     private static final long WINDOW_MILLIS = 4_000;
@@ -315,6 +315,36 @@
         assertEquals(50, arrivals.size() - before);
     }
 
+    /** Guards against sending requests to a backend server that has said in a response that it leaves. */
+    @Test
+    void backendServerThatStatesThatItLeavesGetsNoMoreRequests() {
+        startIncarnation("i-1");
+        offerFor(1_000, 50);
+        stated.add(new String[] {NAMES.leaving(), "1"});
+        offerFor(100, 50);
+        stated.clear();
+        int before = arrivals.size();
+        int refusedBefore = refused;
+        offerFor(1_000, 50);
+        // A report that was sent earlier, or a response without the statement, does not take it back.
+        startIncarnation("i-1");
+        offerFor(1_000, 50);
+        assertEquals(before, arrivals.size());
+        assertEquals(100, refused - refusedBefore);
+        startIncarnation("i-2");
+        offerFor(1_000, 50);
+        assertEquals(50, arrivals.size() - before);
+    }
+
+    /** Guards against any other value of the header stopping a backend server. */
+    @Test
+    void otherValueOfTheLeavingHeaderIsDisregarded() {
+        startIncarnation("i-1");
+        stated.add(new String[] {NAMES.leaving(), "0"});
+        offerFor(1_000, 50);
+        assertEquals(50, arrivals.size());
+    }
+
     /** Guards against holding requests that the limit does not let through in time, instead of returning them. */
     @Test
     void requestThatCannotStartInTimeIsRefusedAtOnce() {
