Keep the rate that a backend server states in the daemon, too

SlotLimiter spaces the requests at the stated rate, refuses at once what cannot start in time, names the wait in Retry-After, and reports itself full while the rate leaves no room.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/CallHeaders.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/CallHeaders.java
@@ -68,6 +68,12 @@
     /** Response, from the backend server: it shed the request without running it. */
     static final AsciiString SHED = AsciiString.cached("x-shed");
 
+    /** Response, from the backend server: requests per second that it accepts from all daemons together. */
+    static final AsciiString RATE = AsciiString.cached("x-request-rate");
+
+    /** Response, from the backend server: {@code 1} if it is about to stop. */
+    static final AsciiString LEAVING = AsciiString.cached("x-leaving");
+
     private static final Set<AsciiString> HOP_BY_HOP = Set.of(
             HttpHeaderNames.CONNECTION,
             AsciiString.cached("keep-alive"),
--- a/org.berylwick/src/org/berylwick/internal/event/CallEvent.java
+++ b/org.berylwick/src/org/berylwick/internal/event/CallEvent.java
@@ -27,6 +27,9 @@
     /** All declared slots are used again. */
     SLOTS_RESTORED(4042, Level.DEBUG, "all {} slots are used again"),
 
+    /** The backend server states another limit on its rate of requests, or none any more. */
+    RATE_STATED(4048, Level.INFO, "backend server accepts {} requests a second"),
+
     /** A member is given no requests for a while, as those sent there failed. */
     MEMBER_EJECTED(4043, Level.WARN, "{} of {} ejected for {} ms: {}"),
 
--- a/org.berylwick/src/org/berylwick/internal/limit/SlotLimiter.java
+++ b/org.berylwick/src/org/berylwick/internal/limit/SlotLimiter.java
@@ -42,6 +42,7 @@
     private final Invariants invariants;
     private final Map<TrafficClass, TrafficClassQueue> queuesByClass = new EnumMap<>(TrafficClass.class);
     private final UsableSlots usableSlots;
+    private final RequestSpacing spacing = new RequestSpacing();
     private SlotLimits limits;
     private TrafficClassShares slotShares;
     private TrafficClassShares queueShares;
@@ -134,6 +135,20 @@
         completeAll(decisions);
     }
 
+    /** Applies the rate that the backend server states in a response. */
+    public void setRate(StatedRate rate) {
+        List<Decision> decisions = new ArrayList<>();
+        synchronized (this) {
+            if (!spacing.setRate(rate, time.nanoTime())) {
+                return;
+            }
+            EVENTS.log(CallEvent.RATE_STATED, rate);
+            refuseUnservable(decisions);
+            dispatch(decisions);
+        }
+        completeAll(decisions);
+    }
+
     /**
      * Requests a slot.
      *
@@ -175,9 +190,11 @@
      * the load equals the declared slots when all usable slots are in use.
      *
      * <p>A backend server that sheds requests holds few of them; without scaling it would look idle and attract more.
+     * So would one that accepts a limited rate only; while that leaves no room, it counts as full.
      */
     public synchronized int load() {
-        return (inUse + waiting) * usableSlots.declared() / usableSlots.usable();
+        int load = (inUse + waiting) * usableSlots.declared() / usableSlots.usable();
+        return spacing.waitNanos(0, time.nanoTime()) > 0 ? Math.max(load, usableSlots.declared() + waiting) : load;
     }
 
     /** Number of slots in use by one class. */
@@ -203,7 +220,10 @@
     private void enqueue(TrafficClassQueue queue, SlotRequest request, List<Decision> decisions) {
         long nanosUntilLatestStart = request.latestStartAtNanos() - time.nanoTime();
         if (nanosUntilLatestStart
-                < queue.estimateWaitNanos(queue.countAhead(request), slotShares.guarantee(request.trafficClass()))) {
+                < Math.max(
+                        queue.estimateWaitNanos(
+                                queue.countAhead(request), slotShares.guarantee(request.trafficClass())),
+                        spacing.waitNanos(waiting, time.nanoTime()))) {
             decisions.add(refuse(request, RefusalCause.TOO_SLOW));
             return;
         }
@@ -239,7 +259,7 @@
     }
 
     private boolean mayAcquire(TrafficClassQueue queue) {
-        if (inUse >= usableSlots.usable()) {
+        if (inUse >= usableSlots.usable() || spacing.waitNanos(0, time.nanoTime()) > 0) {
             return false;
         }
         int guarantee = slotShares.guarantee(queue.trafficClass());
@@ -295,6 +315,7 @@
 
     private Decision admit(SlotRequest request) {
         inUse++;
+        spacing.onStarted(time.nanoTime());
         queuesByClass.get(request.trafficClass()).acquireSlot();
         metrics.admitted(request.trafficClass());
         int heldByClass = queuesByClass.values().stream()
@@ -316,10 +337,12 @@
 
     private long retryAfterMillis(TrafficClass trafficClass) {
         TrafficClassQueue queue = queuesByClass.get(trafficClass);
-        if (queue.meanHoldNanos() == 0) {
+        long spacingNanos = spacing.waitNanos(waiting, time.nanoTime());
+        if (queue.meanHoldNanos() == 0 && spacingNanos == 0) {
             return DEFAULT_RETRY_AFTER.toMillis();
         }
-        long nanos = queue.estimateWaitNanos(queue.waiting(), slotShares.guarantee(trafficClass));
+        long slotNanos = queue.estimateWaitNanos(queue.waiting(), slotShares.guarantee(trafficClass));
+        long nanos = Math.max(slotNanos, spacingNanos);
         return Math.clamp(Duration.ofNanos(nanos).toMillis(), 1, MAX_RETRY_AFTER.toMillis());
     }
 
@@ -392,6 +415,12 @@
             return;
         }
         Optional<Deadline> earliest = usableSlots.nextRaise();
+        long now = time.nanoTime();
+        long spacingNanos = spacing.waitNanos(0, now);
+        if (spacingNanos > 0) {
+            Deadline spaced = new Deadline(now + spacingNanos);
+            earliest = Optional.of(earliest.map(spaced::earlier).orElse(spaced));
+        }
         for (TrafficClassQueue q : queuesByClass.values()) {
             if (q.waiting() > 0) {
                 Deadline latestStart = new Deadline(q.peekFirst().orElseThrow().latestStartAtNanos());
