Send no requests to a backend server that states that it leaves, in the daemon

A response that states the leave makes its member LEAVING at once; it is taken back in when the health endpoint, silent or ill in between, is well again, which belongs to a replacement. The stand-in states a rate and a leave on demand.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
@@ -79,7 +79,9 @@
             kernel.register(new VersionWatch(repository, installed, time));
             kernel.register(new MembershipWatch(store, membership, self, time));
         }
-        kernel.register(new BackendServerProbe(settings.backendServer().address(), installed, self));
+        BackendServerProbe probe =
+                kernel.register(new BackendServerProbe(settings.backendServer().address(), installed, self));
+        calls.setLeaveListener(probe::onLeaveStated);
     }
 
     /** Starts every service and announces the backend server. */
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/CallHeaders.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/CallHeaders.java
@@ -74,6 +74,9 @@
     /** Response, from the backend server: {@code 1} if it is about to stop. */
     static final AsciiString LEAVING = AsciiString.cached("x-leaving");
 
+    /** Value of {@link #LEAVING}. */
+    static final String LEAVING_STATED = "1";
+
     private static final Set<AsciiString> HOP_BY_HOP = Set.of(
             HttpHeaderNames.CONNECTION,
             AsciiString.cached("keep-alive"),
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/CallPath.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/CallPath.java
@@ -41,6 +41,7 @@
     private final PeerClients peerClients = new PeerClients();
     private final BackendServerClient backendClient;
     private final SlotLimiter limiter;
+    private final Owner localOwner;
     private final EntryService entryService;
     private final OwnerService ownerService;
     private final MembershipTable membership;
@@ -82,7 +83,7 @@
         MemberChooser chooser = new MemberChooser(settings.place(), loads, time, registry, ThreadLocalRandom::current);
         CrashGuard crashGuard =
                 new CrashGuard(instance, settings.backendServer().address(), registry, time);
-        Owner localOwner = new Owner(limiter, backendClient, localState, metrics, invariants, time, crashGuard);
+        localOwner = new Owner(limiter, backendClient, localState, metrics, invariants, time, crashGuard);
         PeerSender sender = new PeerSender(peerClients, time, crashGuard);
         Forwarder forwarder = new Forwarder(
                 instance, localOwner, sender, chooser, loads, membership, metrics, invariants, time, crashGuard);
@@ -104,6 +105,11 @@
         return NAME;
     }
 
+    /** Sets what to do when the backend server states in a response that it is about to stop. */
+    public void setLeaveListener(Runnable listener) {
+        localOwner.setLeaveListener(listener);
+    }
+
     /** Returns the service for callers. */
     public EntryService entryService() {
         return entryService;
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/Owner.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/Owner.java
@@ -1,10 +1,12 @@
 package org.berylwick.daemon.call;
 
+import com.linecorp.armeria.common.ResponseHeaders;
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.berylwick.internal.invariant.Invariant;
 import org.berylwick.internal.invariant.Invariants;
 import org.berylwick.internal.limit.SlotLimiter;
+import org.berylwick.internal.limit.StatedRate;
 import org.berylwick.lib.Deadline;
 import org.berylwick.lib.Member;
 import org.berylwick.lib.RefusalReason;
@@ -32,6 +34,7 @@
     private final TimeSource time;
     private final CrashGuard crashGuard;
     private volatile Deadline leaveGraceEnd;
+    private volatile Runnable leaveListener = () -> {};
 
     /**
      * Creates the owner of one backend server.
@@ -62,6 +65,19 @@
         return new Attempt(run.outcome(), run::cancel);
     }
 
+    /** Sets what to do when the backend server states in a response that it is about to stop. */
+    void setLeaveListener(Runnable listener) {
+        leaveListener = listener;
+    }
+
+    /** Processes what the backend server states about itself in the head of a response. */
+    void onResponseHead(ResponseHeaders headers) {
+        limiter.setRate(StatedRate.parse(headers.getAll(CallHeaders.RATE)));
+        if (CallHeaders.LEAVING_STATED.equals(headers.get(CallHeaders.LEAVING))) {
+            leaveListener.run();
+        }
+    }
+
     /** Load of the backend server, see {@link SlotLimiter#load()}. */
     int load() {
         return limiter.load();
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerRun.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerRun.java
@@ -13,7 +13,6 @@
 import org.berylwick.internal.event.EventLog;
 import org.berylwick.internal.limit.SlotLimiter;
 import org.berylwick.internal.limit.SlotLimiter.Admission;
-import org.berylwick.internal.limit.StatedRate;
 import org.berylwick.lib.Deadline;
 import org.berylwick.lib.Outcome;
 import org.berylwick.lib.RefusalReason;
@@ -153,7 +152,7 @@
             outcome.complete(new Outcome.Unknown<>("the answer was another request's"));
             return;
         }
-        owner.limiter().setRate(StatedRate.parse(responseHeaders.getAll(CallHeaders.RATE)));
+        owner.onResponseHead(responseHeaders);
         if (responseHeaders.status().equals(HttpStatus.SERVICE_UNAVAILABLE)
                 && responseHeaders.contains(CallHeaders.SHED)) {
             permit.closeAfterShed();
--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/BackendServerProbe.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/BackendServerProbe.java
@@ -40,6 +40,11 @@
     private Health last = Health.SILENT;
     private int alike;
     private boolean draining;
+    /** The backend server has stated in a response that it leaves, and its replacement was not seen yet. */
+    private volatile boolean leaveStated;
+    /** The health endpoint was silent since then, so that a healthy one belongs to a replacement. */
+    private boolean silentSinceLeave;
+
     private Duty duty;
 
     /** Probes {@code GET /health} at {@code address} from {@link #start()} on. */
@@ -59,6 +64,15 @@
         duty = new Duty(NAME, this::round);
     }
 
+    /** The backend server has stated in a response that it is about to stop. May be called from any thread. */
+    public void onLeaveStated() {
+        if (!leaveStated) {
+            leaveStated = true;
+            self.setServerDraining(true);
+            EVENTS.log(ProcessEvent.SERVER_DRAINING);
+        }
+    }
+
     private void round() throws InterruptedException {
         if (installed.snapshot().id().number() > 0) {
             take(ask());
@@ -73,6 +87,10 @@
             self.setState(Member.State.UP);
             EVENTS.log(ProcessEvent.SERVER_READY);
         }
+        if (leaveStated) {
+            awaitReplacement(health);
+            return;
+        }
         // One answer may be a slip; a server that really drains goes on saying so. Silence says nothing: whether the
         // server still works is seen by the calls themselves.
         if (alike < ANSWERS_ALIKE || health == Health.SILENT || draining == (health == Health.DRAINING)) {
@@ -86,6 +104,17 @@
         EVENTS.log(draining ? ProcessEvent.SERVER_DRAINING : ProcessEvent.SERVER_BACK);
     }
 
+    private void awaitReplacement(Health health) {
+        silentSinceLeave |= health != Health.WELL;
+        if (silentSinceLeave && health == Health.WELL && alike >= ANSWERS_ALIKE) {
+            leaveStated = false;
+            silentSinceLeave = false;
+            draining = false;
+            self.setServerDraining(false);
+            EVENTS.log(ProcessEvent.SERVER_BACK);
+        }
+    }
+
     private Health ask() {
         try {
             HttpStatus status = client.get("/health").aggregate().join().status();
--- a/org.berylwick.standin/src/org/berylwick/standin/backend/BackendControl.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/backend/BackendControl.java
@@ -42,6 +42,8 @@
         switch (path) {
             case "/drain" -> faults.setDraining(Boolean.parseBoolean(q.get("on", "true")));
             case "/shed" -> faults.setShedding(Boolean.parseBoolean(q.get("on", "true")));
+            case "/rate" -> faults.setStatedRate(Optional.ofNullable(q.get("per_second")));
+            case "/leaving" -> faults.setLeaveStated(Boolean.parseBoolean(q.get("on", "true")));
             case "/slow" -> faults.setExtraServiceTime(Duration.ofMillis(q.getLong("ms", 0)));
             case "/daemon" -> chain.setDaemon(HostPort.fromString(q.get("callers", "")));
             case "/health" ->
--- a/org.berylwick.standin/src/org/berylwick/standin/backend/BackendFaults.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/backend/BackendFaults.java
@@ -23,6 +23,8 @@
     private volatile Duration lateness = Duration.ofSeconds(1);
     private volatile Duration extraServiceTime = Duration.ZERO;
     private volatile boolean shedding;
+    private volatile Optional<String> statedRate = Optional.empty();
+    private volatile boolean leaveStated;
     private volatile Deadline drainSeen;
 
     /** What the health endpoint says. */
@@ -63,6 +65,16 @@
         shedding = all;
     }
 
+    /** States in each answer how many requests a second it takes; empty states nothing. */
+    public void setStatedRate(Optional<String> perSecond) {
+        statedRate = perSecond;
+    }
+
+    /** States in each answer that it leaves, or stops to; the health endpoint goes on as before. */
+    public void setLeaveStated(boolean stated) {
+        leaveStated = stated;
+    }
+
     /** Makes every request take longer. */
     public void setExtraServiceTime(Duration extra) {
         extraServiceTime = extra;
@@ -119,6 +131,14 @@
         return claimedBusy;
     }
 
+    Optional<String> statedRate() {
+        return statedRate;
+    }
+
+    boolean leaveStated() {
+        return leaveStated;
+    }
+
     boolean shedding() {
         return shedding;
     }
--- a/org.berylwick.standin/src/org/berylwick/standin/backend/BackendServer.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/backend/BackendServer.java
@@ -25,9 +25,10 @@
  * {@code x-standin-fault: WORD} spoils this answer as {@link AnswerFault} says.
  *
  * <p>{@code GET /health}: 200 with {@code {"status":"ok"}}, or 503 with {@code draining}. {@code GET /load}: slots and
- * those taken. Under {@code /control}, whatever the method: {@code drain?on=}, {@code shed?on=}, {@code slow?ms=},
- * {@code daemon?callers=HOST:PORT}, {@code health?says=true|well|ill|silent&lag_ms=}, {@code load?busy=},
- * {@code answers?fault=WORD&count=&late_ms=}, {@code runs}, {@code runs?id=&key=}.
+ * those taken. Under {@code /control}, whatever the method: {@code drain?on=}, {@code shed?on=},
+ * {@code rate?per_second=}, {@code leaving?on=}, {@code slow?ms=}, {@code daemon?callers=HOST:PORT},
+ * {@code health?says=true|well|ill|silent&lag_ms=}, {@code load?busy=}, {@code answers?fault=WORD&count=&late_ms=},
+ * {@code runs}, {@code runs?id=&key=}.
  */
 public final class BackendServer implements AutoCloseable {
     private final BackendFaults faults = new BackendFaults(TimeSource.SYSTEM);
--- a/org.berylwick.standin/src/org/berylwick/standin/backend/BackendService.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/backend/BackendService.java
@@ -28,6 +28,8 @@
     static final String TIMEOUT_MILLIS = "x-request-timeout-ms";
     private static final String IDEMPOTENCY_KEY = "idempotency-key";
     private static final String SHED = "x-shed";
+    private static final String RATE = "x-request-rate";
+    private static final String LEAVING = "x-leaving";
     private static final String FAULT = "x-standin-fault";
 
     private final String instance;
@@ -71,6 +73,23 @@
 
     @Override
     public HttpResponse serve(ServiceRequestContext ctx, HttpRequest request) {
+        return run(ctx, request).mapHeaders(this::withStatements);
+    }
+
+    private ResponseHeaders withStatements(ResponseHeaders headers) {
+        Optional<String> rate = faults.statedRate();
+        if (rate.isEmpty() && !faults.leaveStated()) {
+            return headers;
+        }
+        ResponseHeadersBuilder stated = headers.toBuilder();
+        rate.ifPresent(r -> stated.set(RATE, r));
+        if (faults.leaveStated()) {
+            stated.set(LEAVING, "1");
+        }
+        return stated.build();
+    }
+
+    private HttpResponse run(ServiceRequestContext ctx, HttpRequest request) {
         ledger.countArrival();
         long timeout = request.headers().getLong(TIMEOUT_MILLIS, -1);
         if (timeout == 0 || faults.shedding() || !takeSlot()) {
