State limits and leaves in the soak of real nodes

Backend servers of the soak state a limit in their answers (2 to 12 a second, 0, no number), change it and withdraw it, or state that they leave and say so nowhere else; the judge counts arrivals beyond one and a half times the limit in 4 s, and five, from 3 s after it was stated, and arrivals later than the drain time after a stated leave. A node that has just started knows of no limit: the count begins anew.

--- a/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeJudge.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeJudge.java
@@ -88,6 +88,9 @@
         if (book.overfilled() > 0) {
             find("OVERFILLED: " + book.overfilled());
         }
+        if (book.beyondLimit() > 0) {
+            find("LIMIT: " + book.beyondLimit());
+        }
         if (book.afterLeave() > 0) {
             find("DRAIN: " + book.afterLeave());
         }
--- a/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeSoak.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeSoak.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +32,9 @@
     private static final int CRASHING_REQUESTS = 3;
     private static final int CRASHING_REPEATS = 30;
     private static final long CRASHING_GAP_MILLIS = 150;
+    private static final long STATEMENT_SEED_OFFSET = 1_000_003;
+    private static final int STEPS_PER_STATEMENT = 4;
+    private static final String[] LIMITS = {"2", "5.5", "12", "0", "NaN"};
     private static final long CALM_MILLIS = 7_000;
     private static final long START_MILLIS = 60_000;
     /** From the acceptance of a version, while no fault goes on, to its being in force everywhere. */
@@ -84,6 +88,7 @@
         try (NodeFleet started = new NodeFleet(nodes, netOf(seed))) {
             // Drawn apart, so that the other faults of a seed stay the same.
             Random crashes = new Random(~seed);
+            Random statements = new Random(seed + STATEMENT_SEED_OFFSET);
             return soak(
                     started,
                     seed,
@@ -91,6 +96,7 @@
                     random -> {
                         fault(random);
                         drawCrashingRequest(crashes);
+                        drawStatement(statements);
                     },
                     out);
         }
@@ -409,6 +415,30 @@
         }
     }
 
+    /** Backend servers state in their answers what they take, change it and withdraw it, or that they leave. */
+    private void drawStatement(Random random) {
+        if (random.nextInt(STEPS_PER_STATEMENT) != 0) {
+            return;
+        }
+        NodeFleet.Vm vm = fleet.vms().get(random.nextInt(fleet.vms().size()));
+        if (random.nextInt(3) == 0) {
+            later("leave_stated", () -> vm.backend().replaceByStatement(1_300));
+            return;
+        }
+        String first = LIMITS[random.nextInt(LIMITS.length)];
+        String second = LIMITS[random.nextInt(LIMITS.length)];
+        long millis = 1_000 + random.nextInt(6_000);
+        later("limit_stated", () -> stateLimits(vm, millis, first, second));
+    }
+
+    private static void stateLimits(NodeFleet.Vm vm, long millis, String... limits) throws InterruptedException {
+        for (String limit : limits) {
+            vm.backend().setStatedLimit(Optional.of(limit));
+            Thread.sleep(millis);
+        }
+        vm.backend().setStatedLimit(Optional.empty());
+    }
+
     /** Callers at all nodes repeat a request that ends the backend server that runs it. */
     private void sendCrashing(String path) throws InterruptedException {
         for (int i = 0; i < CRASHING_REPEATS && !over; i++) {
--- a/org.berylwick.standin/src/org/berylwick/standin/objects/BackendVm.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/objects/BackendVm.java
@@ -52,6 +52,8 @@
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private volatile int workMillis = 30;
     private volatile double loseShare;
+    private volatile Optional<String> statedLimit = Optional.empty();
+    private volatile boolean leaveStated;
 
     /**
      * Starts it.
@@ -91,6 +93,26 @@
         loseShare = share;
     }
 
+    /**
+     * States in each answer how many requests a second it takes from all nodes together.
+     *
+     * @param perSecond as it stands in the answers; empty states nothing, and what is no number says nothing
+     */
+    public void setStatedLimit(Optional<String> perSecond) {
+        statedLimit = perSecond;
+    }
+
+    /** States in each answer that it leaves, says so nowhere else, and starts anew as another incarnation. */
+    public void replaceByStatement(long drainMillis) throws InterruptedException {
+        leaveStated = true;
+        Thread.sleep(drainMillis);
+        String leaving = incarnation;
+        leaveStated = false;
+        call("DELETE", leaving, Optional.empty());
+        incarnation = newIncarnation();
+        sequence = 0;
+    }
+
     /** Drains, leaves once that is acknowledged, and starts anew as another incarnation. */
     public void replace(long drainMillis) throws InterruptedException {
         draining = true;
@@ -113,6 +135,7 @@
     /** The node beside it was started anew: what still runs here, its successor cannot know of. */
     public void disown() {
         running = new AtomicInteger();
+        book.onNodeStarted(incarnation);
     }
 
     private void beat() {
@@ -259,6 +282,8 @@
             crash(uri, crashing);
             return false;
         }
+        String runningIncarnation = incarnation;
+        book.onArrival(runningIncarnation);
         AtomicInteger owned = running;
         book.onRun(id, incarnation, owned.incrementAndGet() > slots + QUEUE);
         try {
@@ -273,10 +298,18 @@
         }
         byte[] answer = RunBook.answerTo(id, uri, body);
         String signature = RunBook.SIGNATURE_HEADER + ": " + RunBook.signature(answer);
-        write(socket, "200 OK", signature + "\r\nX-Request-Id: " + id, answer);
+        write(socket, "200 OK", signature + "\r\nX-Request-Id: " + id + statements(runningIncarnation), answer);
         return true;
     }
 
+    /** Headers in which an incarnation says what it takes, and that it leaves. */
+    private String statements(String answering) {
+        boolean leaves = leaveStated && answering.equals(incarnation);
+        Optional<String> limit = statedLimit;
+        book.onStated(answering, limit, leaves);
+        return limit.map(l -> "\r\nServer-Limit: " + l).orElse("") + (leaves ? "\r\nServer-Leaving: 1" : "");
+    }
+
     private static void sleep(int millis) {
         try {
             Thread.sleep(millis);
--- a/org.berylwick.standin/src/org/berylwick/standin/objects/RunBook.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/objects/RunBook.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -14,10 +15,15 @@
     public static final String SIGNATURE_HEADER = "x-response-signature";
 
     private static final int BULK_COPIES = 50;
+    /** From the first statement of a limit until it must be kept. */
+    private static final long CONTACT_NANOS = 3_000_000_000L;
+
+    private static final long LIMIT_WINDOW_NANOS = 4_000_000_000L;
 
     private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     private final Map<String, Long> leaves = new ConcurrentHashMap<>();
     private final Map<String, CrashRecord> crashing = new ConcurrentHashMap<>();
+    private final Map<String, LimitRecord> limits = new ConcurrentHashMap<>();
     private final AtomicInteger overfilled = new AtomicInteger();
     private final AtomicInteger afterLeave = new AtomicInteger();
     private final long drainNanos;
@@ -42,6 +48,82 @@
         leaves.put(incarnation, System.nanoTime());
     }
 
+    /** What an incarnation has stated that it takes, and when requests arrived meanwhile. */
+    private static final class LimitRecord {
+        private double perSecond;
+        private long statedAt;
+        private final List<Long> arrivals = new ArrayList<>();
+        private int excess;
+
+        void forget() {
+            perSecond = 0;
+            arrivals.clear();
+        }
+    }
+
+    private LimitRecord limitRecord(String incarnation) {
+        return limits.computeIfAbsent(incarnation, i -> new LimitRecord());
+    }
+
+    /** An answer goes out in which an incarnation states a limit, or none, and whether it leaves. */
+    void onStated(String incarnation, Optional<String> limit, boolean leaves) {
+        if (leaves) {
+            leaves(incarnation);
+        }
+        double perSecond = limit.filter(text -> text.matches("[0-9.]+"))
+                .map(Double::parseDouble)
+                .orElse(0.0);
+        LimitRecord record = limitRecord(incarnation);
+        synchronized (record) {
+            if (limit.isEmpty()) {
+                record.forget();
+            } else if (perSecond > 0 && perSecond != record.perSecond) {
+                record.forget();
+                record.perSecond = perSecond;
+                record.statedAt = System.nanoTime();
+            }
+        }
+    }
+
+    private void leaves(String incarnation) {
+        leaves.putIfAbsent(incarnation, System.nanoTime());
+    }
+
+    /** The node beside an incarnation knows nothing of what it stated before. */
+    void onNodeStarted(String incarnation) {
+        LimitRecord record = limitRecord(incarnation);
+        synchronized (record) {
+            record.forget();
+        }
+    }
+
+    void onArrival(String incarnation) {
+        LimitRecord record = limitRecord(incarnation);
+        long now = System.nanoTime();
+        synchronized (record) {
+            if (record.perSecond == 0 || now - record.statedAt < CONTACT_NANOS) {
+                return;
+            }
+            record.arrivals.add(now);
+            record.arrivals.removeIf(at -> now - at > LIMIT_WINDOW_NANOS);
+            double allowed = 1.5 * record.perSecond * LIMIT_WINDOW_NANOS / 1e9 + 5;
+            if (record.arrivals.size() > allowed) {
+                record.excess++;
+            }
+        }
+    }
+
+    /** Requests beyond one and a half times what an incarnation stated that it takes in 4 s, and five. */
+    public int beyondLimit() {
+        int count = 0;
+        for (LimitRecord record : limits.values()) {
+            synchronized (record) {
+                count += record.excess;
+            }
+        }
+        return count;
+    }
+
     /** A request that ends what runs it: when it arrived at backend servers, and when these ended. */
     private static final class CrashRecord {
         private final List<Long> arrivals = new ArrayList<>();
