--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulateMeasurement.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulateMeasurement.java
@@ -30,6 +30,9 @@
                 new Scenario("short.crash", shortOnes, e -> crash(e, "lookup")),
                 new Scenario("long.crash", longOnes, e -> crash(e, "confirm")),
                 new Scenario("narrow.crash", Deployment.narrowLinks(1), e -> crash(e, "lookup")),
+                new Scenario("short.limited", shortOnes, e -> limited(e, "desk", 2)),
+                new Scenario("long.limited", longOnes, e -> limited(e, "board", 2)),
+                new Scenario("narrow.limited", Deployment.narrowLinks(1), e -> limited(e, "desk", 10)),
                 new Scenario("long.calm", longOnes, e -> e.run(CALM_SECONDS)),
                 new Scenario("long.burst", longOnes, e -> burst(e, 1.7)),
                 new Scenario("long.slow", longOnes, e -> slow(e, "books")),
@@ -96,6 +99,14 @@
         e.run(16);
     }
 
+    private static void limited(Emulation e, String service, int servers) {
+        e.run(4);
+        e.limit(service, servers, 10);
+        e.run(10);
+        e.limit(service, servers, Double.POSITIVE_INFINITY);
+        e.run(4);
+    }
+
     @Override
     public String name() {
         return "emulate";
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedServer.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedServer.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -24,6 +25,10 @@
 final class EmulatedServer implements ServerConnectionPool {
     private static final long SHED_NANOS = 1_000_000L;
     private static final long CRASH_AFTER_NANOS = 50_000_000L;
+    /** From the statement of a limit until it must be kept. */
+    private static final long CONTACT_NANOS = 3_000_000_000L;
+
+    private static final long LIMIT_WINDOW_NANOS = 4_000_000_000L;
     private static final long RESTART_NANOS = 3_000_000_000L;
     private static final ByteBuf ZEROS = Unpooled.wrappedBuffer(new byte[EmulatedLink.PART_BYTES]);
 
@@ -34,6 +39,11 @@
     private double slowness;
     private double shedShare;
     private double lostShare;
+    private double limitPerSecond = Double.POSITIVE_INFINITY;
+    private long limitedSince;
+    /** When requests arrived while a limit held, from the contact time on. */
+    private final ArrayDeque<Long> limitedArrivals = new ArrayDeque<>();
+
     private int running;
     private boolean down;
     private final Set<Connection> busyConnections = new LinkedHashSet<>();
@@ -61,6 +71,26 @@
         lostShare = share;
     }
 
+    /** States in each answer how many requests a second it takes; infinity states nothing. */
+    void limit(double perSecond) {
+        limitPerSecond = perSecond;
+        limitedSince = emulation.clock().now();
+        limitedArrivals.clear();
+    }
+
+    private void countLimited() {
+        long now = emulation.clock().now();
+        if (Double.isInfinite(limitPerSecond) || now - limitedSince < CONTACT_NANOS) {
+            return;
+        }
+        limitedArrivals.add(now);
+        while (now - limitedArrivals.peek() > LIMIT_WINDOW_NANOS) {
+            limitedArrivals.poll();
+        }
+        double stated = limitPerSecond * LIMIT_WINDOW_NANOS / 1e9;
+        emulation.outcomes().onLimitedArrival(limitedArrivals.size() > 1.5 * stated + 5);
+    }
+
     int running() {
         return running;
     }
@@ -122,6 +152,7 @@
         @Override
         public void send(HttpRequest request, RequestBody body, HttpResponseHandler exchange) {
             waiter = Optional.of(exchange);
+            countLimited();
             String id = request.headers().get(Emulation.NAMES.requestId());
             if (random.nextDouble() < shedShare) {
                 end = Optional.of(emulation.clock().after(SHED_NANOS, () -> answer(id, 503, 0, true)));
@@ -206,6 +237,9 @@
             HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
             head.headers().set(Emulation.NAMES.requestId(), id);
             head.headers().set(Emulation.NAMES.signature(), "s");
+            if (!Double.isInfinite(limitPerSecond)) {
+                head.headers().set(Emulation.NAMES.requestLimit(), Double.toString(limitPerSecond));
+            }
             if (notRun) {
                 head.headers().set(Emulation.NAMES.notExecuted(), "1");
             }
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Emulation.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Emulation.java
@@ -116,6 +116,11 @@
         of(service).stream().limit(count).forEach(n -> n.server().slowDown(factor));
     }
 
+    /** From now on some backend servers of a service state how many requests a second they take. */
+    public void limit(String service, int count, double perSecond) {
+        of(service).stream().limit(count).forEach(n -> n.server().limit(perSecond));
+    }
+
     /** From now on some backend servers of a service lose a part of their answers. */
     public void lose(String service, int count, double share) {
         of(service).stream().limit(count).forEach(n -> n.server().lose(share));
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Outcomes.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Outcomes.java
@@ -20,6 +20,8 @@
     private long crossZoneBytes;
     private long runs;
     private long wastedRuns;
+    private long limitedArrivals;
+    private long beyondLimit;
     private long crashes;
 
     /** How requests ended. */
@@ -117,6 +119,22 @@
         heldBeforeRefusal.recordValue(Math.max(0, heldNanos));
     }
 
+    /** A request arrived at a backend server that states a limit, perhaps beyond what it allows. */
+    void onLimitedArrival(boolean beyondLimit) {
+        limitedArrivals++;
+        this.beyondLimit += beyondLimit ? 1 : 0;
+    }
+
+    /** Requests that arrived at backend servers that stated a limit. */
+    public long limitedArrivals() {
+        return limitedArrivals;
+    }
+
+    /** Of these, beyond one and a half times the limit in 4 s, and five. */
+    public long beyondLimit() {
+        return beyondLimit;
+    }
+
     void onCrash() {
         crashes++;
     }
@@ -197,6 +215,8 @@
         print(out, name + ".cross_zone_mb", crossZoneBytes / 1e6);
         print(out, name + ".wasted_runs", wastedShare());
         print(out, name + ".crashes", crashes);
+        print(out, name + ".limited_arrivals", limitedArrivals);
+        print(out, name + ".beyond_limit", beyondLimit);
     }
 
     /** The worth of each window, in order. */
--- a/org.berylwick.test/tst/org/berylwick/bench/emulate/DecisionsUnderLoadTest.java
+++ b/org.berylwick.test/tst/org/berylwick/bench/emulate/DecisionsUnderLoadTest.java
@@ -235,6 +235,22 @@
         }
     }
 
+    /** Guards against a limit that two of five backend servers state being broken, left unused, or felt by callers. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void statedLimitIsKeptAndUsed(long seed) {
+        try (Emulation e = new Emulation(Deployment.longObjectives(0.8), seed)) {
+            e.run(4);
+            e.limit("board", 2, 10);
+            e.run(13);
+            assertEquals(0, e.outcomes().beyondLimit());
+            // Two servers for the 10 s after the contact time.
+            assertAtLeast(0.9 * 2 * 10 * 10, e.outcomes().limitedArrivals(), "requests at limited servers");
+            Outcomes.Tally lookups = e.outcomes().of("lookup");
+            assertAtMost(0.03, lookups.refusedShare() + lookups.failedShare(), "lookups not served");
+        }
+    }
+
     /** Deployments that nobody chose: where there is room, nobody is refused and nearly all is served in time. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
