--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -53,15 +53,10 @@
     private static final int BACKEND_CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final long BACKEND_MAX_IDLE_NANOS = 30_000_000_000L;
     private static final long TICK_INTERVAL_MILLIS = 1_000;
-    /** A node that has not heard from any other node becomes ready only after this time, counted from its start. */
-    private static final long READY_WITHOUT_PEERS_AFTER_NANOS = 1_500_000_000L;
-
-    /** A node that has not got the newest version it knows of becomes ready only after this time from its start. */
-    private static final long READY_THOUGH_OUTDATED_AFTER_NANOS = 3_000_000_000L;
-
     private final NodePlatform platform;
     private final NodeSettings settings;
     private final long startedAt = System.nanoTime();
+    private final StartupGate startupGate = new StartupGate(startedAt);
     private final long bootId = ThreadLocalRandom.current().nextLong(Long.MAX_VALUE);
     private final Counters counters = new Counters();
     private final EventLog log;
@@ -87,8 +82,6 @@
     private boolean leaving;
 
     private boolean wasReady;
-    /** The newest version that this node knew of has been in force since its start. */
-    private boolean caughtUp;
 
     /**
      * Creates a node that is not started.
@@ -294,9 +287,8 @@
         if (shuttingDown || versionUpdater.version().isEmpty()) {
             return false;
         }
-        long sinceStartNanos = System.nanoTime() - startedAt;
-        caughtUp |= !versionUpdater.freshness().isOutdated() || sinceStartNanos > READY_THOUGH_OUTDATED_AFTER_NANOS;
-        return caughtUp && (!members.all().isEmpty() || sinceStartNanos > READY_WITHOUT_PEERS_AFTER_NANOS);
+        return startupGate.isOpen(
+                !members.all().isEmpty(), versionUpdater.freshness().isOutdated());
     }
 
     private BufferedHttpServer.Response handleReadinessRequest() {
--- a/org.berylwick.node/src/org/berylwick/node/call/BackendProbe.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/BackendProbe.java
@@ -114,7 +114,7 @@
         }
         String incarnation = response.headers().get(headerNames.incarnation(), "");
         int slots = parseSlots(response.headers().get(headerNames.load(), ""));
-        boolean leaving = Owner.LEAVING.equals(response.headers().get(headerNames.leaving()));
+        boolean leaving = BackendStatements.isLeaving(response.headers(), headerNames);
         if (incarnation.isBlank() || slots < 1 || leaving) {
             return Optional.empty();
         }
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -2,10 +2,8 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Function;
 import org.berylwick.node.lib.BackendReport;
 import org.berylwick.node.lib.BackendState;
@@ -21,7 +19,6 @@
 import org.berylwick.node.log.NodeMetricNames;
 import org.berylwick.node.quarantine.Quarantine;
 import org.berylwick.node.transport.OutgoingLink;
-import org.berylwick.node.transport.RequestBody;
 import org.berylwick.node.transport.ServerConnectionPool;
 import org.berylwick.node.transport.VmLink;
 
@@ -46,14 +43,6 @@
      * alone may be accidental, but both together are not.
      */
     private static final int MAX_MISSED_HEARTBEATS_WHEN_OVERDUE = 2;
-    /**
-     * Smallest number of running requests assumed when computing the share of overdue ones, because one overdue request
-     * among few is weak evidence.
-     */
-    private static final int MIN_RUNNING_FOR_LOSS_RATE = 4;
-
-    /** Value of the header with which a backend server states that it is about to stop. */
-    static final String LEAVING = "1";
 
     private final Clock clock;
     private final Function<InetSocketAddress, ServerConnectionPool> poolFactory;
@@ -66,13 +55,13 @@
     private final Quarantine quarantine;
     private final RequestQueue queue = new RequestQueue();
     private final RequestBodyScheduler bodyScheduler;
-
+    private final OwnerWaits waits;
+    private final DispatchTimer dispatchTimer;
+    private final BackendStatements statements;
     private final StartRateBalancer startRateBalancer = new StartRateBalancer();
-    private final Set<OwnerRun> running = new HashSet<>();
+    private final RunningRequests running = new RunningRequests();
     private final DepartedIncarnations departedIncarnations = new DepartedIncarnations();
     private Optional<Backend> backend = Optional.empty();
-    private Optional<Clock.Timer> dispatchTimer = Optional.empty();
-    private long scheduledDispatchAt;
     private boolean stopping;
     private long lastArrivalNumber;
 
@@ -102,6 +91,9 @@
         this.headerNames = headerNames;
         this.link = link;
         this.bodyScheduler = new RequestBodyScheduler(link.incoming());
+        this.waits = new OwnerWaits(clock, queue, bodyScheduler, running::size);
+        this.dispatchTimer = new DispatchTimer(clock, this::dispatch);
+        this.statements = new BackendStatements(clock, headerNames, log, this::onStatedLeave, this::dispatch);
         this.heartbeatNanos = heartbeatNanos;
         this.counters = counters;
         this.log = log;
@@ -146,18 +138,7 @@
      * taken, and answer none of them.
      */
     private int lostPerMille(Backend server, long now) {
-        int overduePerMille = 1_000 * overdueCount(now) / Math.max(MIN_RUNNING_FOR_LOSS_RATE, running.size());
-        return Math.max(server.lossRate().perMille(now), overduePerMille);
-    }
-
-    private int overdueCount(long now) {
-        int count = 0;
-        for (OwnerRun run : running) {
-            if (run.isOverdue(now)) {
-                count++;
-            }
-        }
-        return count;
+        return Math.max(server.lossRate().perMille(now), running.overduePerMille(now));
     }
 
     /** Processes a heartbeat; ignores one that is older than the current state or from a departed incarnation. */
@@ -209,28 +190,15 @@
         dispatch();
     }
 
-    /** Processes what a backend server states about itself in the head of a response. */
+    /** Processes the head of a response of a backend server. */
     void onResponseHead(Backend responder, HttpHeaders headers) {
-        boolean leaving = LEAVING.equals(headers.get(headerNames.leaving()));
-        if (leaving && !departedIncarnations.contains(responder.incarnation())) {
-            log.write(Event.BACKEND_LEAVING, "incarnation", responder.incarnation());
-            onLeave(responder.incarnation());
-        }
-        RequestLimit stated = RequestLimit.parse(headers.getAll(headerNames.requestLimit()));
-        if (stated instanceof RequestLimit.Invalid invalid) {
-            log.write(Event.BACKEND_LIMIT_IGNORED, "incarnation", responder.incarnation(), "limit", invalid.text());
-        }
-        RequestLimit previous = responder.requestLimit();
-        if (responder.updateRequestLimit(stated, clock.now())) {
-            log.write(
-                    Event.BACKEND_LIMIT_CHANGED,
-                    "incarnation",
-                    responder.incarnation(),
-                    "limit",
-                    stated,
-                    "previous",
-                    previous);
-            clock.defer(this::dispatch);
+        statements.onResponseHead(responder, headers);
+    }
+
+    private void onStatedLeave(Backend leaving) {
+        if (!departedIncarnations.contains(leaving.incarnation())) {
+            log.write(Event.BACKEND_LEAVING, "incarnation", leaving.incarnation());
+            onLeave(leaving.incarnation());
         }
     }
 
@@ -304,7 +272,7 @@
         if (current == null || current.state() == BackendState.ABSENT) {
             return;
         }
-        boolean allOverdue = !running.isEmpty() && overdueCount(now) == running.size();
+        boolean allOverdue = running.areAllOverdue(now);
         if (!allOverdue && !running.isEmpty()) {
             return;
         }
@@ -324,13 +292,7 @@
 
     /** Number of running requests whose response head has been forwarded. */
     public int respondingCount() {
-        int count = 0;
-        for (OwnerRun run : running) {
-            if (run.isResponding()) {
-                count++;
-            }
-        }
-        return count;
+        return running.respondingCount();
     }
 
     /** Number of running and queued requests. */
@@ -368,7 +330,7 @@
             enqueue(run);
         } else {
             run.awaitBody();
-            bodyScheduler.add(run, isTimely(run), clock.now());
+            bodyScheduler.add(run, waits.isTimely(run, backend.orElseThrow()), clock.now());
         }
         return run;
     }
@@ -386,7 +348,7 @@
     }
 
     private void enqueue(OwnerRun run) {
-        if (isTimely(run)) {
+        if (waits.isTimely(run, backend.orElseThrow())) {
             queue.addTimely(run);
         } else {
             queue.addLate(run);
@@ -413,58 +375,31 @@
             return Optional.of(Refusal.Reason.EXPIRED);
         }
         long linkWaitNanos = run.linkWaitNanos();
-        if (running.size() < server.slots()
-                && call.body().isComplete()
-                && linkWaitNanos == 0
-                && server.startLimiter().waitNanos(queue.size(), now) == 0) {
+        if (waits.canStartNow(server) && call.body().isComplete() && linkWaitNanos == 0) {
             return Optional.empty();
         }
         long waitNanos = Math.max(
-                Math.max(expectedWaitNanos(run, server), linkWaitNanos), bodyScheduler.transferNanosAhead(call.body()));
+                Math.max(waits.expectedNanos(run, server), linkWaitNanos),
+                bodyScheduler.transferNanosAhead(call.body()));
         boolean queueFull = queuedCount() >= MAX_QUEUED_PER_SLOT * server.slots()
-                || !(isTimely(run) || queue.acceptsLate(server.slots()));
+                || !(waits.isTimely(run, server) || queue.acceptsLate(server.slots()));
         if (queueFull
                 || waitNanos > call.maxWaitNanos()
                 || !run.canMeetDeadline(now + waitNanos + bodyScheduler.transferNanos(call.body()))) {
-            if (server.startLimiter().waitNanos(queue.size(), now) > 0) {
-                counters.increment(NodeMetricNames.OWNER_REFUSED_BY_LIMIT);
-            }
+            countIfLimited(server, now);
             return Optional.of(Refusal.Reason.BUSY);
         }
         return Optional.empty();
     }
 
-    private boolean isQuarantined(CallSpec call) {
-        return quarantine.remainingHoldNanos(call.uri(), call::fingerprint) > 0;
-    }
-
-    /** Whether a request can meet its latency objective after the requests that would run before it. */
-    private boolean isTimely(OwnerRun run) {
-        Backend server = backend.orElseThrow();
-        RequestBody body = run.call().body();
-        long slotWaitNanos = Math.max(
-                startWaitNanos(queue.countTimelyAhead(run), server),
-                bodyScheduler.transferNanosAhead(body) + bodyScheduler.transferNanos(body));
-        long waitNanos = Math.max(slotWaitNanos, run.linkWaitNanos());
-        return run.canMeetObjective(clock.now() + waitNanos);
-    }
-
-    private long expectedWaitNanos(OwnerRun run, Backend server) {
-        int queuedAhead = isTimely(run) ? queue.countTimelyAhead(run) : queue.size();
-        return startWaitNanos(queuedAhead, server);
-    }
-
-    /**
-     * Time until a request is sent that has so many queued ones ahead: until a slot is free, and the limit allows it.
-     */
-    private long startWaitNanos(int queuedAhead, Backend server) {
-        return Math.max(
-                slotWaitNanos(running.size() + queuedAhead, server),
-                server.startLimiter().waitNanos(queuedAhead, clock.now()));
+    private void countIfLimited(Backend server, long now) {
+        if (server.startLimiter().waitNanos(queue.size(), now) > 0) {
+            counters.increment(NodeMetricNames.OWNER_REFUSED_BY_LIMIT);
+        }
     }
 
-    private static long slotWaitNanos(int requestsAhead, Backend server) {
-        return new OwnerLoad(0, 0, server.slots(), server.serviceTimeEstimator().meanNanos()).waitNanos(requestsAhead);
+    private boolean isQuarantined(CallSpec call) {
+        return quarantine.remainingHoldNanos(call.uri(), call::fingerprint) > 0;
     }
 
     private void dispatch() {
@@ -477,7 +412,9 @@
         while (running.size() < server.slots()) {
             long limitWaitNanos = server.startLimiter().waitNanos(0, now);
             if (limitWaitNanos > 0) {
-                dispatchAt(now + limitWaitNanos);
+                if (queue.size() > 0) {
+                    dispatchTimer.runBy(now + limitWaitNanos);
+                }
                 return;
             }
             Optional<OwnerRun> next = queue.poll(now);
@@ -488,19 +425,6 @@
         }
     }
 
-    /** Schedules a dispatch, unless one is scheduled that is not later. */
-    private void dispatchAt(long time) {
-        if (queue.size() == 0 || dispatchTimer.isPresent() && scheduledDispatchAt <= time) {
-            return;
-        }
-        dispatchTimer.ifPresent(Clock.Timer::cancel);
-        scheduledDispatchAt = time;
-        dispatchTimer = Optional.of(clock.schedule(time, () -> {
-            dispatchTimer = Optional.empty();
-            dispatch();
-        }));
-    }
-
     private void startRun(OwnerRun run, Backend server) {
         if (!run.call().service().equals(server.service())) {
             run.refuse(Refusal.Reason.NOT_HERE, false);
