--- a/org.berylwick.test/tst/org/berylwick/node/call/OwnerExitTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerExitTest.java
@@ -28,7 +28,6 @@
 import org.berylwick.node.quarantine.Quarantine;
 import org.berylwick.node.transport.HttpResponseHandler;
 import org.berylwick.node.transport.RequestBody;
-import org.berylwick.node.transport.ServerConnection;
 import org.berylwick.node.transport.ServerConnectionPool;
 import org.berylwick.node.transport.VmLink;
 import org.junit.jupiter.api.Test;
@@ -58,10 +57,9 @@
             quarantine);
 
     /** A backend server that breaks each connection 20 ms after a request, and refuses or accepts new ones. */
-    private final class BreakingServer implements ServerConnectionPool, ServerConnection {
-        @Override
-        public void acquire(long idleLimitNanos, Consumer<ServerConnection> onConnection, Consumer<String> onFailure) {
-            onConnection.accept(this);
+    private final class BreakingServer extends InMemoryBackendServer {
+        BreakingServer() {
+            super(clock);
         }
 
         @Override
@@ -73,51 +71,6 @@
         public void send(HttpRequest request, RequestBody body, HttpResponseHandler handler) {
             clock.after(20 * NANOS_PER_MILLISECOND, () -> handler.onFailure("closed before an answer"));
         }
-
-        @Override
-        public boolean isRequestFullySent() {
-            return true;
-        }
-
-        @Override
-        public long openedCount() {
-            return 1;
-        }
-
-        @Override
-        public void evictIdle() {
-            // No idle connections to close.
-        }
-
-        @Override
-        public void close() {
-            // Every connection is closed by the server.
-        }
-
-        @Override
-        public void returnUnused() {
-            // Connections are not reused.
-        }
-
-        @Override
-        public void setAutoRead(boolean enabled) {
-            // There are no responses.
-        }
-
-        @Override
-        public void abort() {
-            // Every connection is closed by the server.
-        }
-
-        @Override
-        public int servedRequests() {
-            return 0;
-        }
-
-        @Override
-        public long idleSince() {
-            return clock.now();
-        }
     }
 
     private final class LossListener implements AttemptListener {
--- a/org.berylwick.test/tst/org/berylwick/node/call/OwnerLimitTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerLimitTest.java
@@ -17,7 +17,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-import java.util.function.Consumer;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
@@ -35,8 +34,6 @@
 import org.berylwick.node.quarantine.Quarantine;
 import org.berylwick.node.transport.HttpResponseHandler;
 import org.berylwick.node.transport.RequestBody;
-import org.berylwick.node.transport.ServerConnection;
-import org.berylwick.node.transport.ServerConnectionPool;
 import org.berylwick.node.transport.VmLink;
 import org.junit.jupiter.api.Test;
 
@@ -69,15 +66,9 @@
             new Quarantine(clock::now, new HoldLog(new Instruments(new Counters(), log))));
 
     /** A backend server that responds after a while, with the headers that a test has set. */
-    private final class StatingServer implements ServerConnectionPool, ServerConnection {
-        @Override
-        public void acquire(long idleLimitNanos, Consumer<ServerConnection> onConnection, Consumer<String> onFailure) {
-            onConnection.accept(this);
-        }
-
-        @Override
-        public void probe(Consumer<ProbeResult> onResult) {
-            onResult.accept(ProbeResult.LISTENING);
+    private final class StatingServer extends InMemoryBackendServer {
+        StatingServer() {
+            super(clock);
         }
 
         @Override
@@ -92,51 +83,6 @@
                 handler.onEnd();
             });
         }
-
-        @Override
-        public boolean isRequestFullySent() {
-            return true;
-        }
-
-        @Override
-        public long openedCount() {
-            return 1;
-        }
-
-        @Override
-        public void evictIdle() {
-            // No idle connections to close.
-        }
-
-        @Override
-        public void close() {
-            // Connections are not kept.
-        }
-
-        @Override
-        public void returnUnused() {
-            // Connections are not reused.
-        }
-
-        @Override
-        public void setAutoRead(boolean enabled) {
-            // Responses have no body.
-        }
-
-        @Override
-        public void abort() {
-            // The response is disregarded.
-        }
-
-        @Override
-        public int servedRequests() {
-            return 0;
-        }
-
-        @Override
-        public long idleSince() {
-            return clock.now();
-        }
     }
 
     private final class CountingListener implements AttemptListener {
--- a/org.berylwick.test/tst/org/berylwick/node/call/OwnerSilenceTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerSilenceTest.java
@@ -14,7 +14,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
-import java.util.function.Consumer;
 import org.berylwick.bench.emulate.VirtualClock;
 import org.berylwick.node.lib.BackendReport;
 import org.berylwick.node.lib.BackendState;
@@ -29,8 +28,6 @@
 import org.berylwick.node.quarantine.Quarantine;
 import org.berylwick.node.transport.HttpResponseHandler;
 import org.berylwick.node.transport.RequestBody;
-import org.berylwick.node.transport.ServerConnection;
-import org.berylwick.node.transport.ServerConnectionPool;
 import org.berylwick.node.transport.VmLink;
 import org.junit.jupiter.api.Test;
 
@@ -57,10 +54,9 @@
     private int responseCount;
 
     /** A backend server that answers each request after 20 ms, on one shared connection. */
-    private final class RespondingServer implements ServerConnectionPool, ServerConnection {
-        @Override
-        public void acquire(long idleLimitNanos, Consumer<ServerConnection> onConnection, Consumer<String> onFailure) {
-            onConnection.accept(this);
+    private final class RespondingServer extends InMemoryBackendServer {
+        RespondingServer() {
+            super(clock);
         }
 
         @Override
@@ -74,55 +70,10 @@
             });
         }
 
-        @Override
-        public boolean isRequestFullySent() {
-            return true;
-        }
-
-        @Override
-        public void probe(Consumer<ProbeResult> onResult) {
-            onResult.accept(ProbeResult.LISTENING);
-        }
-
-        @Override
-        public long openedCount() {
-            return 1;
-        }
-
-        @Override
-        public void evictIdle() {
-            // No idle connections to close.
-        }
-
-        @Override
-        public void close() {
-            // The shared connection stays open.
-        }
-
-        @Override
-        public void returnUnused() {
-            // All requests share one connection.
-        }
-
-        @Override
-        public void setAutoRead(boolean enabled) {
-            // Responses have no body.
-        }
-
-        @Override
-        public void abort() {
-            // Every request is answered.
-        }
-
         @Override
         public int servedRequests() {
             return 1;
         }
-
-        @Override
-        public long idleSince() {
-            return clock.now();
-        }
     }
 
     private final class CountingListener implements AttemptListener {
