--- a/org.berylwick.test/tst/org/berylwick/bench/emulate/DecisionsUnderLoadTest.java
+++ b/org.berylwick.test/tst/org/berylwick/bench/emulate/DecisionsUnderLoadTest.java
@@ -235,6 +235,18 @@
         }
     }
 
+    /** Guards against all callers of a crashing request getting a trial at the moment at which its hold ends. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void endOfAHoldIsTriedByFewBackendServers(long seed) {
+        try (Emulation e = new Emulation(Deployment.longObjectives(1), seed)) {
+            e.run(4);
+            e.sendCrashing("lookup", 0.15);
+            e.run(16);
+            assertAtMost(6, e.outcomes().crashes(), "backend servers that ended: three, and three retries");
+        }
+    }
+
     /** Guards against a limit that two of five backend servers state being broken, left unused, or felt by callers. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
