Spread the trials of a crashing request after its hold

Cause: the hold ends on all nodes at one moment, and nothing limits trials. Class: a thundering herd at the end of a wait that all were told. Change: each entry delays its trials by its share of 0.4 s a node, and makes one a second at most.

--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
@@ -41,6 +41,9 @@
     private static final long GOSSIP_NANOS_PER_NODE = 25_000_000L;
 
     private static final long SHORTEST_GOSSIP_NANOS = 500_000_000L;
+    /** Delay of trials of a crashing request for each node, as nodes do it. */
+    private static final long TRIAL_SPREAD_PER_NODE_NANOS = 400_000_000L;
+
     private static final double SILENT_ROUNDS = 3.5;
     private static final long WINDOW_NANOS = 10_000_000_000L;
 
@@ -74,6 +77,8 @@
         this.table = new MemberTable(address -> null, (m, cause) -> {});
         this.quarantine =
                 new Quarantine(emulation.clock()::now, new HoldLog(new Instruments(counters, emulation.log())));
+        quarantine.setTrialSpread(
+                () -> TRIAL_SPREAD_PER_NODE_NANOS * emulation.nodes().size(), random::nextDouble);
         quarantine.setReportListener(this::tellOthers);
         this.server = new EmulatedServer(emulation, this, place, random.nextLong());
         this.owner = new Owner(
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -135,7 +135,7 @@
 
     /** Time for which no backend server runs the request, because it has crashed some; 0 if it may be run. */
     private long remainingHoldNanos() {
-        return context.quarantine().remainingHoldNanos(spec.uri(), spec::fingerprint);
+        return context.quarantine().untilNextTrialNanos(spec.uri(), spec::fingerprint);
     }
 
     private Optional<CandidateChooser.Choice> chooseNode(long now) {
@@ -161,6 +161,7 @@
 
     private void startAttempt(CandidateChooser.Choice choice, long now) {
         attempts++;
+        context.quarantine().onAttemptStarted(spec.uri(), spec::fingerprint);
         Candidate candidate = choice.candidate();
         triedNodeKeys.add(candidate.key());
         // A response of the backend server on this VM does not use the network link.
--- a/org.berylwick.node/src/org/berylwick/node/quarantine/Quarantine.java
+++ b/org.berylwick.node/src/org/berylwick/node/quarantine/Quarantine.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -34,6 +35,8 @@
     private final Listener listener;
     private final Map<RequestFingerprint, Suspect> suspects = new HashMap<>();
     private final Set<Integer> uriHashes = new HashSet<>();
+    private LongSupplier trialSpreadNanos = () -> 0;
+    private DoubleSupplier random = () -> 0;
     private Consumer<SuspectReport> onReport = report -> {};
     private Runnable onLastingHold = () -> {};
 
@@ -66,6 +69,18 @@
         onReport = listener;
     }
 
+    /**
+     * Makes the entries of a fleet try a request again at different times after its hold, so that the first of them can
+     * report a further crash before the next one tries.
+     *
+     * @param spreadNanos longest delay of an entry after the hold
+     * @param newRandom supplies random numbers, uniform in [0, 1)
+     */
+    public void setTrialSpread(LongSupplier spreadNanos, DoubleSupplier newRandom) {
+        trialSpreadNanos = spreadNanos;
+        random = newRandom;
+    }
+
     /** Sets what runs when a crash at this node makes a hold so long that it should outlast the loss of all nodes. */
     public void setLastingHoldListener(Runnable listener) {
         onLastingHold = listener;
@@ -84,6 +99,25 @@
                 .orElse(0L);
     }
 
+    /**
+     * Time for which an entry sends a request to no owner, 0 if it may send it: the hold, and then the delay of this
+     * entry and the time since its last trial.
+     *
+     * @param uri path and query of the request
+     * @param fingerprint computes its fingerprint if the path is that of a suspect
+     */
+    public long untilNextTrialNanos(String uri, Supplier<Optional<RequestFingerprint>> fingerprint) {
+        long now = nanoTime.getAsLong();
+        return find(uri, fingerprint)
+                .map(suspect -> suspect.untilNextTrialNanos(now, trialSpreadNanos.getAsLong()))
+                .orElse(0L);
+    }
+
+    /** Records that an entry sends a request to an owner. */
+    public void onAttemptStarted(String uri, Supplier<Optional<RequestFingerprint>> fingerprint) {
+        find(uri, fingerprint).ifPresent(suspect -> suspect.onTrialStarted(nanoTime.getAsLong()));
+    }
+
     /** Time for which a request is still held back, 0 if it may be run. */
     public long remainingHoldNanos(RequestFingerprint request) {
         Suspect suspect = suspects.get(request);
@@ -168,7 +202,7 @@
 
     private Suspect suspectOf(RequestFingerprint request) {
         uriHashes.add(request.uriHash());
-        return suspects.computeIfAbsent(request, Suspect::new);
+        return suspects.computeIfAbsent(request, r -> new Suspect(r, random.getAsDouble()));
     }
 
     private void removeForgotten() {
--- a/org.berylwick.node/src/org/berylwick/node/quarantine/QuarantineExchange.java
+++ b/org.berylwick.node/src/org/berylwick/node/quarantine/QuarantineExchange.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import org.berylwick.node.lib.Clock;
 import org.berylwick.node.lib.SuspectReport;
 import org.berylwick.node.member.Gossip;
@@ -22,6 +23,9 @@
     /** Least time between two snapshots for the same node. */
     private static final long SNAPSHOT_INTERVAL_NANOS = 400_000_000L;
 
+    /** Delay of trials for each node of the fleet, so that a crash is mostly known before the next node tries. */
+    private static final long TRIAL_SPREAD_PER_NODE_NANOS = 400_000_000L;
+
     private static final int INITIAL_BUFFER_BYTES = 256;
 
     private final Clock clock;
@@ -40,6 +44,9 @@
         this.quarantine = quarantine;
         this.gossip = gossip;
         quarantine.setReportListener(this::onReport);
+        quarantine.setTrialSpread(
+                () -> TRIAL_SPREAD_PER_NODE_NANOS * (gossip.peerAddressCount() + 1L),
+                () -> ThreadLocalRandom.current().nextDouble());
         gossip.setExtension(this);
     }
 
--- a/org.berylwick.node/src/org/berylwick/node/quarantine/Suspect.java
+++ b/org.berylwick.node/src/org/berylwick/node/quarantine/Suspect.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.berylwick.node.lib.RequestFingerprint;
 import org.berylwick.node.lib.SuspectReport;
@@ -25,7 +26,12 @@
 
     private static final int MAX_CRASHES = 8;
 
+    /** Least time between two trials of one entry; a crash becomes known to all nodes within it. */
+    private static final long TRIAL_INTERVAL_NANOS = NANOS_PER_SECOND;
+
     private final RequestFingerprint request;
+    private final double trialDelayShare;
+    private Optional<Long> lastTrialAt = Optional.empty();
     /** Crashes since the latest completed run, by hash code of the incarnation that ended. */
     private final Map<Integer, Crash> crashes = new TreeMap<>();
 
@@ -41,8 +47,13 @@
         }
     }
 
-    Suspect(RequestFingerprint request) {
+    /**
+     * @param request the request
+     * @param trialDelayShare share of the longest delay by which this node delays trials, in [0, 1)
+     */
+    Suspect(RequestFingerprint request, double trialDelayShare) {
         this.request = request;
+        this.trialDelayShare = trialDelayShare;
     }
 
     RequestFingerprint request() {
@@ -129,6 +140,24 @@
         return isHoldDue() ? Math.max(0, heldUntil() - now) : 0;
     }
 
+    /** Time until an entry may try the request, 0 if it may now; the longest delay after the hold is given. */
+    long untilNextTrialNanos(long now, long spreadNanos) {
+        if (!isHoldDue()) {
+            return 0;
+        }
+        long firstTrialAt = heldUntil() + (long) (trialDelayShare * spreadNanos);
+        long nextTrialAt = lastTrialAt
+                .map(at -> Math.max(firstTrialAt, at + TRIAL_INTERVAL_NANOS))
+                .orElse(firstTrialAt);
+        return Math.max(0, nextTrialAt - now);
+    }
+
+    void onTrialStarted(long now) {
+        if (isHoldDue()) {
+            lastTrialAt = Optional.of(now);
+        }
+    }
+
     private long latestCrashAt() {
         return crashes.values().stream().mapToLong(Crash::at).max().orElse(completedAt);
     }
