--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -150,11 +150,8 @@
                 callerRetried ? 0 : context.callerRetryRates().retryRate(spec.requestClass()),
                 refusals + 1 >= MAX_REFUSALS);
         Optional<CandidateChooser.Choice> choice = context.chooser().choose(candidates, profile);
-        boolean limited = candidates.stream().anyMatch(candidate -> candidate.limitWaitNanos() > 0);
-        if (choice.isEmpty() && limited) {
-            for (Candidate candidate : candidates) {
-                shortestWaitNanos = Math.min(shortestWaitNanos, candidate.waitNanos());
-            }
+        if (choice.isEmpty() && candidates.stream().anyMatch(c -> c.limitWaitNanos() > 0)) {
+            candidates.forEach(c -> shortestWaitNanos = Math.min(shortestWaitNanos, c.waitNanos()));
         }
         return choice;
     }
