Keep more of the output of the soak's processes, so that the line of their start is found

Cause: NodeSoak waits after the faults for each process's line STARTED, past or to come, and 200 lines were kept; a node that was not restarted had written more since, with the limits and leaves of the soak and what follows from them. No check changed.

--- a/org.berylwick.bench/src/org/berylwick/bench/fleet/ChildProcess.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/fleet/ChildProcess.java
@@ -17,7 +17,7 @@
 
 /** One child process whose output is read line by line. */
 public final class ChildProcess implements AutoCloseable {
-    private static final int KEPT_LINES = 200;
+    private static final int KEPT_LINES = 5_000;
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(20);
 
     private final String name;
