--- a/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeFleet.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeFleet.java
@@ -1,6 +1,7 @@
 package org.berylwick.bench.nodes;
 
 import java.io.IOException;
+import java.io.PrintWriter;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -39,11 +40,19 @@
         private final Path settings;
         private volatile ChildProcess process;
         private volatile int life;
+        private final PrintWriter log;
 
-        private Vm(int number, BackendVm backend, Path settings) {
+        private Vm(int number, BackendVm backend, Path settings) throws IOException {
             this.number = number;
             this.backend = backend;
             this.settings = settings;
+            this.log =
+                    new PrintWriter(Files.newBufferedWriter(settings.resolveSibling("node-" + number + ".log")), true);
+        }
+
+        /** Writes a line of the soak among those of the node. */
+        void note(String line) {
+            log.println(System.currentTimeMillis() + " " + line);
         }
 
         int number() {
@@ -122,6 +131,11 @@
         return "127." + net + ".0." + (FIRST_HOST + number);
     }
 
+    /** Holds the settings and the log of each node. */
+    Path folder() {
+        return folder;
+    }
+
     List<Vm> vms() {
         return vms;
     }
@@ -160,6 +174,8 @@
         vm.backend().disown();
         vm.process = ChildProcess.start(
                 "node-" + vm.number(), Map.of(PlatformFiles.SETTINGS_VARIABLE, vm.settings.toString()), command);
+        vm.note("started");
+        vm.process.onLine(vm.log::println);
     }
 
     /** The number of the newest version. */
@@ -179,6 +195,7 @@
         for (Vm vm : vms) {
             vm.process().process().destroyForcibly();
             vm.backend().close();
+            vm.log.close();
         }
         store.close();
     }
--- a/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeSoak.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeSoak.java
@@ -149,6 +149,9 @@
         judge.close();
         judge.counts().forEach((what, count) -> out.println(what + ": " + count));
         judge.findings().forEach(f -> out.println("finding (seed " + seed + "): " + f));
+        if (!judge.findings().isEmpty()) {
+            out.println("logs: " + fleet.folder());
+        }
         return new ArrayList<>(judge.findings());
     }
 
@@ -215,8 +218,8 @@
                 int draw = ThreadLocalRandom.current().nextInt(10);
                 String path = (draw < 4 ? "/pay/" : draw < 9 ? "/read/" : "/bulk/") + draw;
                 boolean answered = draw < 4
-                        ? call(caller, "POST", path, CALLER_MILLIS, "pay")
-                        : call(caller, "GET", path, CALLER_MILLIS, "");
+                        ? call(vm, caller, "POST", path, CALLER_MILLIS, "pay")
+                        : call(vm, caller, "GET", path, CALLER_MILLIS, "");
                 Thread.sleep(answered ? 20 : 150);
             }
         } catch (InterruptedException e) {
@@ -228,7 +231,7 @@
     private void callForBulkOn(NodeFleet.Vm vm) {
         try (PlainCaller caller = new PlainCaller(fleet.callers(vm))) {
             while (!over) {
-                boolean answered = call(caller, "GET", "/bulk/x", PATIENT_MILLIS, "");
+                boolean answered = call(vm, caller, "GET", "/bulk/x", PATIENT_MILLIS, "");
                 Thread.sleep(answered ? 5 : 100);
             }
         } catch (InterruptedException e) {
@@ -236,7 +239,8 @@
         }
     }
 
-    private boolean call(PlainCaller caller, String method, String path, int deadlineMillis, String body) {
+    private boolean call(
+            NodeFleet.Vm vm, PlainCaller caller, String method, String path, int deadlineMillis, String body) {
         String id = "q" + nextId.incrementAndGet();
         switch (caller.call(method, path, id, deadlineMillis, body)) {
             case PlainCaller.Result.Answer answer -> {
@@ -247,6 +251,7 @@
             case PlainCaller.Result.Broken broken -> {
                 judge.count("broken");
                 if (planned) {
+                    vm.note("broken: " + id + " after " + broken.afterMillis() + " ms");
                     judge.onBrokenByPlannedWork(id, broken.afterMillis());
                 }
             }
@@ -328,6 +333,7 @@
 
     private static void reload(NodeFleet.Vm vm) {
         if (vm.process().process().isAlive()) {
+            vm.note("SIGHUP");
             vm.process().signal("HUP");
         }
     }
@@ -382,11 +388,14 @@
     private void plannedStop(NodeFleet.Vm vm) throws InterruptedException {
         synchronized (vm) {
             long before = System.nanoTime();
-            vm.process().process().destroy();
+            vm.note("SIGTERM");
+            vm.process().process().toHandle().destroy();
             if (!vm.process().process().waitFor(NodeFleet.GRACE_MILLIS, TimeUnit.MILLISECONDS)) {
                 judge.find("a planned stop of node " + vm.number() + " outlasted its grace");
+                vm.note("SIGKILL");
                 vm.process().process().destroyForcibly().waitFor();
             }
+            vm.note("ended with " + vm.process().process().exitValue());
             judge.count("stop_under_" + ((System.nanoTime() - before) / 1_000_000_000 + 1) + "s");
             if (!over) {
                 fleet.start(vm);
@@ -445,7 +454,7 @@
             NodeFleet.Vm vm = fleet.vms()
                     .get(ThreadLocalRandom.current().nextInt(fleet.vms().size()));
             try (PlainCaller caller = new PlainCaller(fleet.callers(vm))) {
-                call(caller, "GET", path, CALLER_MILLIS, "");
+                call(vm, caller, "GET", path, CALLER_MILLIS, "");
             }
             Thread.sleep(CRASHING_GAP_MILLIS);
         }
--- a/org.berylwick.node/src/org/berylwick/node/GracefulShutdown.java
+++ b/org.berylwick.node/src/org/berylwick/node/GracefulShutdown.java
@@ -5,6 +5,8 @@
 import org.berylwick.node.call.EntryServer;
 import org.berylwick.node.call.Owner;
 import org.berylwick.node.call.PeerServer;
+import org.berylwick.node.log.Event;
+import org.berylwick.node.log.EventLog;
 
 /**
  * Shuts a node down in stages; confined to the event loop.
@@ -48,7 +50,18 @@
     /** Consecutive checks without pending requests until the shutdown ends, as a response may still be in transit. */
     private static final int REQUIRED_IDLE_CHECKS = 3;
 
+    /** What a shutdown has reached, as logged. */
+    private enum Stage {
+        STARTED,
+        CALLERS_DRAINED,
+        OWNER_STOPPED,
+        PORT_CLOSED,
+        IDLE,
+        END_REACHED
+    }
+
     private final EventLoop loop;
+    private final EventLog log;
     private final long graceNanos;
     private final Owner owner;
     private final EntryServer entryServer;
@@ -62,11 +75,16 @@
     private long lastFailedProbeAt;
     private long endAt;
     private int consecutiveIdleChecks;
+    private long startedAt;
+    private long nextCheckAt;
+    /** Longest delay of a check since the last log line: for so long the event loop was busy. */
+    private long maxCheckDelayNanos;
 
     /**
      * Creates a shutdown that has not started.
      *
      * @param loop event loop on which everything runs
+     * @param log receives the stages
      * @param graceNanos grace period from the signal until the process is killed
      * @param owner owner of the backend server
      * @param entryServer server for callers
@@ -76,6 +94,7 @@
      */
     GracefulShutdown(
             EventLoop loop,
+            EventLog log,
             long graceNanos,
             Owner owner,
             EntryServer entryServer,
@@ -83,6 +102,7 @@
             Runnable announceLeaving,
             Runnable onComplete) {
         this.loop = loop;
+        this.log = log;
         this.graceNanos = graceNanos;
         this.owner = owner;
         this.entryServer = entryServer;
@@ -93,9 +113,31 @@
 
     void start() {
         started = true;
+        startedAt = System.nanoTime();
         endAt = System.nanoTime() + graceNanos - PROCESS_EXIT_MARGIN_MILLIS * 1_000_000;
         entryServer.drain(endAt - RESPONSE_FLUSH_MILLIS * 1_000_000);
         loop.schedule(this::onCallersDrained, CALLER_DRAIN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        logStage(Stage.STARTED);
+    }
+
+    private void logStage(Stage stage) {
+        log.write(
+                Event.STOP_STAGE,
+                "stage",
+                stage,
+                "sinceStopMs",
+                (System.nanoTime() - startedAt) / 1_000_000,
+                "loopDelayMs",
+                maxCheckDelayNanos / 1_000_000,
+                "owner",
+                owner.pendingCount(),
+                "entry",
+                entryServer.pendingRequests(),
+                "connections",
+                entryServer.connectionCount(),
+                "sending",
+                peerServer.isSending());
+        maxCheckDelayNanos = 0;
     }
 
     /** Called when a readiness probe was answered with "not ready". */
@@ -116,17 +158,21 @@
             return;
         }
         callersDrained = true;
+        logStage(Stage.CALLERS_DRAINED);
         announceLeaving.run();
         loop.schedule(this::stopOwner, LEAVE_PROPAGATION_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void stopOwner() {
         owner.stop();
+        logStage(Stage.OWNER_STOPPED);
+        nextCheckAt = System.nanoTime();
         checkProgress();
     }
 
     private void checkProgress() {
         long now = System.nanoTime();
+        maxCheckDelayNanos = Math.max(maxCheckDelayNanos, now - nextCheckAt);
         boolean endReached = now >= endAt;
         if (now >= endAt - REFUSE_REQUESTS_BEFORE_END_MILLIS * 1_000_000) {
             entryServer.refuseNewRequests();
@@ -134,12 +180,15 @@
         if (callerPortOpen && (owner.pendingCount() == 0 || endReached)) {
             callerPortOpen = false;
             entryServer.stopListening();
+            logStage(Stage.PORT_CLOSED);
         }
         consecutiveIdleChecks = isIdle() ? consecutiveIdleChecks + 1 : 0;
         if (consecutiveIdleChecks >= REQUIRED_IDLE_CHECKS || endReached) {
+            logStage(endReached ? Stage.END_REACHED : Stage.IDLE);
             onComplete.run();
             return;
         }
+        nextCheckAt = now + CHECK_INTERVAL_MILLIS * 1_000_000;
         loop.schedule(this::checkProgress, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -131,6 +131,7 @@
         this.peerServer = new PeerServer(loop, settings.peerAddress(), owner, link, versionUpdater::encodeDeltaFrom);
         this.shutdown = new GracefulShutdown(
                 loop,
+                log,
                 settings.bounds().graceNanos(),
                 owner,
                 entryServer,
@@ -443,7 +444,12 @@
      * Returns when that is done, or when the grace period is nearly over.
      */
     public void stop() {
-        log.write(Event.STOPPING, "graceMs", settings.bounds().graceNanos() / 1_000_000);
+        log.write(
+                Event.STOPPING,
+                "graceMs",
+                settings.bounds().graceNanos() / 1_000_000,
+                "sinceStartMs",
+                (System.nanoTime() - startedAt) / 1_000_000);
         loop.execute(() -> {
             shuttingDown = true;
             logReadinessChange();
--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -19,6 +19,8 @@
     SETTINGS_REFUSED(7005, Integer.MAX_VALUE),
     /** The node became ready or stopped being ready. */
     READY_CHANGED(7006, Integer.MAX_VALUE),
+    /** A stop has reached a stage. */
+    STOP_STAGE(7007, Integer.MAX_VALUE),
     /** A configuration version came into force on this node. */
     VERSION_INSTALLED(7010, Integer.MAX_VALUE),
     /** A configuration version that was read is invalid or incomplete. */
