--- a/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeSoak.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeSoak.java
@@ -85,7 +85,7 @@
      * @param out takes figures and findings
      */
     public List<String> soak(long seed, int seconds, int nodes, PrintStream out) throws Exception {
-        try (NodeFleet started = new NodeFleet(nodes, netOf(seed))) {
+        try (NodeFleet started = new NodeFleet(nodes, ownNet())) {
             // Drawn apart, so that the other faults of a seed stay the same.
             Random crashes = new Random(~seed);
             Random statements = new Random(seed + STATEMENT_SEED_OFFSET);
@@ -113,13 +113,14 @@
      */
     public List<String> soakPlanned(long seed, int seconds, int nodes, PrintStream out) throws Exception {
         planned = true;
-        try (NodeFleet started = new NodeFleet(nodes, netOf(seed), NARROW_MBPS)) {
+        try (NodeFleet started = new NodeFleet(nodes, ownNet(), NARROW_MBPS)) {
             return soak(started, seed, seconds, this::plannedWork, out);
         }
     }
 
-    private static int netOf(long seed) {
-        return 100 + Math.floorMod(seed, 100);
+    /** Soaks that run side by side have addresses of their own, since each picks its ports by itself. */
+    private static int ownNet() {
+        return 100 + (int) (ProcessHandle.current().pid() % 100);
     }
 
     private interface Draw {
