--- a/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeFleet.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeFleet.java
@@ -158,9 +158,11 @@
 
     /** Starts the node of a VM; the one before it has ended. */
     void start(Vm vm) {
-        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        Path launcher =
+                Path.of(System.getProperty("berylwick.top", "."), "org.berylwick.node", "target", "berylwick-node");
         List<String> command = List.of(
-                java,
+                launcher.toString(),
+                System.getProperty("java.home"),
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
                 "-XX:+PerfDisableSharedMem",
--- a/org.berylwick.node/src/org/berylwick/node/ReloadSignal.java
+++ b/org.berylwick.node/src/org/berylwick/node/ReloadSignal.java
@@ -5,8 +5,8 @@
 /**
  * The signal HUP, which asks the process to read its settings again. Thread-safe.
  *
- * <p>It is to be handled from the first moment of the process on, because until then it ends the process. One that
- * arrives before the node has started is kept for it.
+ * <p>It is to be handled from the first line of the program on; before that, the launcher of the process ignores it.
+ * One that arrives before the node has started is kept for it.
  */
 public final class ReloadSignal {
     private Optional<Runnable> reload = Optional.empty();
