--- a/org.berylwick.node/src/org/berylwick/node/GracefulShutdown.java
+++ b/org.berylwick.node/src/org/berylwick/node/GracefulShutdown.java
@@ -111,13 +111,22 @@
         this.onComplete = onComplete;
     }
 
-    void start() {
+    /**
+     * Starts the shutdown.
+     *
+     * @param hasCallers whether callers can have connected to this node
+     */
+    void start(boolean hasCallers) {
         started = true;
         startedAt = System.nanoTime();
-        endAt = System.nanoTime() + graceNanos - PROCESS_EXIT_MARGIN_MILLIS * 1_000_000;
+        endAt = startedAt + graceNanos - PROCESS_EXIT_MARGIN_MILLIS * 1_000_000;
         entryServer.drain(endAt - RESPONSE_FLUSH_MILLIS * 1_000_000);
-        loop.schedule(this::onCallersDrained, CALLER_DRAIN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         logStage(Stage.STARTED);
+        if (hasCallers) {
+            loop.schedule(this::onCallersDrained, CALLER_DRAIN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            onCallersDrained();
+        }
     }
 
     private void logStage(Stage stage) {
--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -6,6 +6,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
@@ -82,6 +83,11 @@
     private boolean leaving;
 
     private boolean wasReady;
+    /** Held during each step of a start, so that none is taken any more once the node has been asked to stop. */
+    private final Object startLock = new Object();
+
+    private volatile boolean stopRequested;
+    private boolean callerPortOpened;
 
     /**
      * Creates a node that is not started.
@@ -194,23 +200,22 @@
         return new ConnectionPool(loop, target, PEER_CONNECT_TIMEOUT_MILLIS, PEER_MAX_IDLE_NANOS);
     }
 
-    /** Opens the ports and starts all components. */
+    /** Opens the ports and starts all components, unless the node has been asked to stop, also in the meantime. */
     public void start() {
         registerGauges();
-        BufferedHttpServer.open(loop, settings.heartbeatAddress(), this::handleHeartbeat);
-        gossip.start();
-        peerServer.start();
-        entryServer.start();
-        BufferedHttpServer.open(loop, settings.readinessAddress(), request -> handleReadinessRequest());
-        if (settings.metricsPort() > 0) {
-            InetSocketAddress metricsAddress = new InetSocketAddress(settings.ip(), settings.metricsPort());
-            BufferedHttpServer.open(
-                    loop,
-                    metricsAddress,
-                    request -> BufferedHttpServer.Response.of(
-                            "text/plain", counters.render().getBytes(StandardCharsets.UTF_8)));
+        List<Runnable> steps = List.of(
+                () -> BufferedHttpServer.open(loop, settings.heartbeatAddress(), this::handleHeartbeat),
+                gossip::start,
+                peerServer::start,
+                this::openMetricsPort,
+                () -> loop.execute(this::startBackgroundTasks),
+                this::openCallerPort,
+                () -> BufferedHttpServer.open(loop, settings.readinessAddress(), request -> handleReadinessRequest()));
+        for (Runnable step : steps) {
+            if (!runUnlessStopping(step)) {
+                return;
+            }
         }
-        loop.execute(this::startBackgroundTasks);
         log.write(
                 Event.STARTED,
                 "ip",
@@ -225,6 +230,31 @@
                 (System.nanoTime() - startedAt) / 1_000_000);
     }
 
+    private boolean runUnlessStopping(Runnable step) {
+        synchronized (startLock) {
+            if (!stopRequested) {
+                step.run();
+            }
+            return !stopRequested;
+        }
+    }
+
+    private void openMetricsPort() {
+        if (settings.metricsPort() > 0) {
+            InetSocketAddress metricsAddress = new InetSocketAddress(settings.ip(), settings.metricsPort());
+            BufferedHttpServer.open(
+                    loop,
+                    metricsAddress,
+                    request -> BufferedHttpServer.Response.of(
+                            "text/plain", counters.render().getBytes(StandardCharsets.UTF_8)));
+        }
+    }
+
+    private void openCallerPort() {
+        entryServer.start();
+        callerPortOpened = true;
+    }
+
     private void startBackgroundTasks() {
         for (InetSocketAddress seed : settings.seeds()) {
             gossip.addPeerAddress(seed.getAddress().getHostAddress());
@@ -444,16 +474,20 @@
      * Returns when that is done, or when the grace period is nearly over.
      */
     public void stop() {
+        long stopAt = System.nanoTime();
+        boolean hasCallers = requestStop();
         log.write(
                 Event.STOPPING,
                 "graceMs",
                 settings.bounds().graceNanos() / 1_000_000,
                 "sinceStartMs",
-                (System.nanoTime() - startedAt) / 1_000_000);
+                (stopAt - startedAt) / 1_000_000,
+                "callers",
+                hasCallers);
         loop.execute(() -> {
             shuttingDown = true;
             logReadinessChange();
-            shutdown.start();
+            shutdown.start(hasCallers);
         });
         try {
             shutdownComplete.await(settings.bounds().graceNanos(), TimeUnit.NANOSECONDS);
@@ -463,6 +497,14 @@
         log.write(Event.STOPPED, "pending", owner.pendingCount() + entryServer.pendingRequests());
     }
 
+    /** Ends a start that is in progress; returns whether callers can have connected. */
+    private boolean requestStop() {
+        stopRequested = true;
+        synchronized (startLock) {
+            return callerPortOpened;
+        }
+    }
+
     /** Returns the event loop on which all components run. */
     public EventLoop loop() {
         return loop;
--- a/org.berylwick.node/src/org/berylwick/node/member/Gossip.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/Gossip.java
@@ -282,7 +282,7 @@
 
     /** Sends the current state to the addresses; it is encoded only once. */
     private void send(List<String> addresses, boolean replyRequested) {
-        if (!channel.isActive() || addresses.isEmpty()) {
+        if (channel == null || !channel.isActive() || addresses.isEmpty()) {
             return;
         }
         boolean includePeerAddresses = replyRequested || round % ROUNDS_PER_PEER_EXCHANGE == 0;
--- a/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
+++ b/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
@@ -133,11 +133,21 @@
     }
 
     private Node startWithoutReport(int number, String zone, Optional<RawServer> backend) {
+        Node node = create(number, zone, backend);
+        node.start();
+        return node;
+    }
+
+    /** Creates a node in zone-a without a backend server, which is to be started. */
+    Node create(int number) {
+        return create(number, "zone-a", Optional.empty());
+    }
+
+    private Node create(int number, String zone, Optional<RawServer> backend) {
         EventLog log = new EventLog("node-" + number, logOutput);
         logs.add(log);
         Node node = new Node(new TestNodePlatform(settings(number, zone, backend)), log);
         nodes.add(node);
-        node.start();
         return node;
     }
 
--- a/org.berylwick.test/tst/org/berylwick/node/StopTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/StopTest.java
@@ -39,6 +39,9 @@
     /** Time after the start of the stop, shortly before the end of the grace period. */
     private static final int LATE_IN_GRACE_MILLIS = 5_000;
 
+    /** Less than a stop that waits until callers have been routed to other nodes. */
+    private static final int LONGEST_STOP_WITHOUT_CALLERS_MILLIS = 2_000;
+
     private static final String LARGE_BODY = "x".repeat(RESPONSE_BYTES);
 
     private static int countCompleteResponsesAfterPause(Socket caller) {
@@ -186,6 +189,22 @@
         }
     }
 
+    /** Guards against callers who connect to a process that has already been asked to stop. */
+    @Test
+    void nodeThatIsStoppedDuringItsStartOpensNoPortForCallers() {
+        try (NodeRig rig = new NodeRig()) {
+            rig.configuration.publish(NodeRig.version(1));
+            Node node = rig.create(1);
+            long startedAt = System.nanoTime();
+            node.stop();
+            long stopMillis = (System.nanoTime() - startedAt) / 1_000_000;
+            node.start();
+            String response = rig.call(1, "GET", "/read/x", "n1", "");
+            assertTrue(response.startsWith("connection failed"), response);
+            assertTrue(stopMillis < LONGEST_STOP_WITHOUT_CALLERS_MILLIS, "the stop took " + stopMillis + " ms");
+        }
+    }
+
     private static ConfigurationVersion versionWithSlowRoute() {
         return NodeRig.version(
                 1, b -> b.route(NodeRig.HOST, NodeRig.route("slow", "/slow/", RouteKind.BULK, HANG_MILLIS)));
