--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -54,6 +54,8 @@
     private static final int BACKEND_CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final long BACKEND_MAX_IDLE_NANOS = 30_000_000_000L;
     private static final long TICK_INTERVAL_MILLIS = 1_000;
+    private static final long CLOSE_TIMEOUT_MILLIS = 100;
+
     private final NodePlatform platform;
     private final NodeSettings settings;
     private final long startedAt = System.nanoTime();
@@ -519,7 +521,20 @@
     /** Closes everything immediately; call {@link #stop} first if calls may be pending. */
     @Override
     public void close() {
-        eventLoopGroup.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+        eventLoopGroup.shutdownGracefully(0, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Closes everything and waits until the event loop has ended. A JVM that exits while a thread waits for events in
+     * the operating system would wait for that thread, for up to 300 ms.
+     */
+    private void closeBeforeExit() {
+        close();
+        try {
+            eventLoopGroup.awaitTermination(CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /**
@@ -537,6 +552,7 @@
                         () -> {
                             node.stop();
                             log.close();
+                            node.closeBeforeExit();
                         },
                         "stop"));
         node.start();
