--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SingleThreadEventLoop;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
@@ -64,7 +65,7 @@
     private final Counters counters = new Counters();
     private final EventLog log;
     private final MultiThreadIoEventLoopGroup eventLoopGroup;
-    private final EventLoop loop;
+    private final SingleThreadEventLoop loop;
     private final MemberTable members;
     private final Owner owner;
     private final VmLink link;
@@ -104,7 +105,7 @@
         this.log = log;
         this.eventLoopGroup =
                 new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop", false), NioIoHandler.newFactory());
-        this.loop = (EventLoop) eventLoopGroup.next();
+        this.loop = (SingleThreadEventLoop) eventLoopGroup.next();
         this.members = new MemberTable(this::createPeerPool, this::onSuspected);
         Clock clock = new EventLoopClock(loop);
         this.link = VmLink.of(settings.linkMbps(), clock);
--- a/org.berylwick.node/src/org/berylwick/node/call/CallPath.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallPath.java
@@ -1,6 +1,6 @@
 package org.berylwick.node.call;
 
-import io.netty.channel.EventLoop;
+import io.netty.channel.SingleThreadEventLoop;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
@@ -48,7 +48,7 @@
      * @param instruments counters and event log
      */
     public static EntryServer createEntryServer(
-            EventLoop eventLoop,
+            SingleThreadEventLoop eventLoop,
             NodeSettings settings,
             Callers callers,
             Owner owner,
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
@@ -412,9 +412,12 @@
         }
     }
 
-    /** Closes the connection if no request is in progress on it. */
+    /** Closes the connection if no request is in progress on it, and none has arrived. */
     void closeIfIdle() {
-        if (responsePending || isReceiving() || closing) {
+        if (isIdle()) {
+            EntryServer.readNow(channel);
+        }
+        if (!isIdle()) {
             return;
         }
         closing = true;
@@ -423,6 +426,10 @@
         }
     }
 
+    private boolean isIdle() {
+        return !responsePending && !isReceiving() && !closing;
+    }
+
     /** Whether a request is being read or answered, or a response has not been handed to the operating system. */
     boolean isBusy() {
         return (responsePending || isReceiving()) && !closing || unsentResponses > 0;
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryServer.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryServer.java
@@ -4,7 +4,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
+import io.netty.channel.SingleThreadEventLoop;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
@@ -27,14 +28,14 @@
     private static final int ACCEPT_BACKLOG = 1024;
 
     private final EntryServices services;
-    private final EventLoop eventLoop;
+    private final SingleThreadEventLoop eventLoop;
     private final InetSocketAddress address;
     private final Set<EntryHandler> connections = new HashSet<>();
     private Channel listenChannel;
     private boolean draining;
     private boolean refusingNew;
 
-    EntryServer(EntryServices services, EventLoop eventLoop, InetSocketAddress address) {
+    EntryServer(EntryServices services, SingleThreadEventLoop eventLoop, InetSocketAddress address) {
         this.services = services;
         this.eventLoop = eventLoop;
         this.address = address;
@@ -127,7 +128,14 @@
     /** Stops accepting connections, and closes those without a request in progress. */
     public void stopListening() {
         draining = true;
-        if (listenChannel != null) {
+        // The operating system accepts connections until the event loop polls again after the close, and resets them
+        // then. So the close comes last before that.
+        eventLoop.executeAfterEventLoopIteration(this::closeIdle);
+    }
+
+    private void closeIdle() {
+        if (listenChannel != null && listenChannel.isOpen()) {
+            readNow(listenChannel);
             listenChannel.close();
         }
         for (EntryHandler connection : List.copyOf(connections)) {
@@ -135,6 +143,11 @@
         }
     }
 
+    /** Accepts or reads what has arrived since the event loop has last looked. */
+    static void readNow(Channel channel) {
+        ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+    }
+
     @Override
     public void close() {
         stopListening();
--- a/org.berylwick.test/tst/org/berylwick/node/StopTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/StopTest.java
@@ -3,12 +3,18 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.berylwick.node.lib.ConfigurationVersion;
 import org.berylwick.node.lib.RouteKind;
 import org.berylwick.node.log.Event;
@@ -45,7 +51,10 @@
     /** Time for which a JVM waits for its threads at its end. */
     private static final int MAX_EXIT_MILLIS = 300;
 
+    private static final int CALLERS = 4;
     private static final int PASS_MILLIS = 400;
+    /** A request that crosses the end of its connection may go unanswered. */
+    private static final int MAX_CROSSING_MILLIS = 200;
 
     private static final String LARGE_BODY = "x".repeat(RESPONSE_BYTES);
 
@@ -230,6 +239,53 @@
         }
     }
 
+    /**
+     * Guards against requests that are cut off unread because they arrive while the event loop is busy, just before the
+     * port for callers is closed.
+     */
+    @Test
+    void requestsThatArriveDuringALongPassOfTheEventLoopAreAnswered() throws InterruptedException {
+        try (RawServer server = new RawServer(NodeRig::respondOk);
+                NodeRig rig = new NodeRig()) {
+            rig.configuration.publish(NodeRig.version(1));
+            Node node = rig.start(1, Optional.of(server));
+            rig.awaitReady(1);
+            ConcurrentLinkedQueue<String> cutOff = new ConcurrentLinkedQueue<>();
+            List<Thread> callers = IntStream.range(0, CALLERS)
+                    .mapToObj(i -> Thread.ofVirtual().start(() -> callUntilRefused(rig, "c" + i, cutOff)))
+                    .toList();
+            lengthenPasses(node.loop());
+            node.stop();
+            node.close();
+            for (Thread caller : callers) {
+                caller.join();
+            }
+            assertEquals(List.of(), List.copyOf(cutOff));
+        }
+    }
+
+    /** Keeps the event loop busy in each pass, between what it reads and the other tasks that are due. */
+    private static void lengthenPasses(EventLoop loop) {
+        if (!loop.isShuttingDown()) {
+            loop.schedule(() -> lengthenPasses(loop), 0, TimeUnit.NANOSECONDS);
+            NodeRig.sleep(PASS_MILLIS);
+        }
+    }
+
+    private static void callUntilRefused(NodeRig rig, String caller, Queue<String> cutOff) {
+        for (int i = 0; ; i++) {
+            long sentAt = System.nanoTime();
+            String response = rig.call(1, "GET", "/read/x", caller + "-" + i, "");
+            long millis = (System.nanoTime() - sentAt) / 1_000_000;
+            if (!response.startsWith("HTTP/1.1") || response.endsWith("[closed]")) {
+                if (millis > MAX_CROSSING_MILLIS) {
+                    cutOff.add(caller + "-" + i + " after " + millis + " ms: " + response);
+                }
+                return;
+            }
+        }
+    }
+
     private static ConfigurationVersion versionWithSlowRoute() {
         return NodeRig.version(
                 1, b -> b.route(NodeRig.HOST, NodeRig.route("slow", "/slow/", RouteKind.BULK, HANG_MILLIS)));
