--- a/org.berylwick.node/src/org/berylwick/node/GracefulShutdown.java
+++ b/org.berylwick.node/src/org/berylwick/node/GracefulShutdown.java
@@ -30,10 +30,14 @@
      */
     private static final long CALLER_REROUTE_DELAY_MILLIS = 100;
     /**
-     * Time in which the platform makes {@link #FAILED_PROBES_UNTIL_DRAINED} probes. If it makes none, callers are
-     * assumed to have been routed to other nodes after this time.
+     * Time from the signal in which the platform makes {@link #FAILED_PROBES_UNTIL_DRAINED} probes. If it makes none,
+     * callers are assumed to have been routed to other nodes after this time.
      */
-    private static final long CALLER_DRAIN_TIMEOUT_MILLIS = 2_600;
+    private static final long CALLER_DRAIN_TIMEOUT_NANOS = 2_600_000_000L;
+    /**
+     * Time before the shutdown ends at which callers are considered drained in any case, so that the port is closed.
+     */
+    private static final long MIN_CLOSE_NANOS = 600_000_000L;
     /** Time in which other nodes learn by gossip that this node is leaving, and stop sending it requests to run. */
     private static final long LEAVE_PROPAGATION_MILLIS = 100;
     /** Part of the grace period that is reserved for the end of the process. */
@@ -43,6 +47,8 @@
      * much longer as the event loop takes to begin the shutdown.
      */
     private static final int START_DELAYS_RESERVED = 2;
+
+    private static final long MAX_DELAY_RESERVE_NANOS = 500_000_000L;
     /** Calls get their final response this long before the shutdown ends, so that it can still be sent. */
     private static final long RESPONSE_FLUSH_MILLIS = 150;
 
@@ -126,11 +132,15 @@
         started = true;
         startedAt = signalledAt;
         long startDelayNanos = System.nanoTime() - signalledAt;
-        endAt = signalledAt + graceNanos - PROCESS_EXIT_MARGIN_NANOS - START_DELAYS_RESERVED * startDelayNanos;
+        endAt = signalledAt
+                + graceNanos
+                - PROCESS_EXIT_MARGIN_NANOS
+                - Math.min(START_DELAYS_RESERVED * startDelayNanos, MAX_DELAY_RESERVE_NANOS);
         entryServer.drain(endAt - RESPONSE_FLUSH_MILLIS * 1_000_000);
         logStage(Stage.STARTED);
         if (hasCallers) {
-            loop.schedule(this::onCallersDrained, CALLER_DRAIN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            long drainedAt = Math.min(signalledAt + CALLER_DRAIN_TIMEOUT_NANOS, endAt - MIN_CLOSE_NANOS);
+            loop.schedule(this::onCallersDrained, drainedAt - System.nanoTime(), TimeUnit.NANOSECONDS);
         } else {
             onCallersDrained();
         }
