--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -86,11 +86,8 @@
     private boolean leaving;
 
     private boolean wasReady;
-    /** Held during each step of a start, so that none is taken any more once the node has been asked to stop. */
-    private final Object startLock = new Object();
-
-    private volatile boolean stopRequested;
-    private boolean callerPortOpened;
+    private final StartSequence startSequence = new StartSequence();
+    private volatile boolean callerPortOpened;
 
     /**
      * Creates a node that is not started.
@@ -205,7 +202,8 @@
 
     /** Opens the ports and starts all components, unless the node has been asked to stop, also in the meantime. */
     public void start() {
-        registerGauges();
+        NodeGauges.register(
+                new Instruments(counters, log), owner, peerServer, link, versionUpdater, members, gossip, quarantine);
         List<Runnable> steps = List.of(
                 () -> BufferedHttpServer.open(loop, settings.heartbeatAddress(), this::handleHeartbeat),
                 gossip::start,
@@ -214,10 +212,8 @@
                 () -> loop.execute(this::startBackgroundTasks),
                 this::openCallerPort,
                 () -> BufferedHttpServer.open(loop, settings.readinessAddress(), request -> handleReadinessRequest()));
-        for (Runnable step : steps) {
-            if (!runUnlessStopping(step)) {
-                return;
-            }
+        if (!startSequence.run(steps)) {
+            return;
         }
         log.write(
                 Event.STARTED,
@@ -233,15 +229,6 @@
                 (System.nanoTime() - startedAt) / 1_000_000);
     }
 
-    private boolean runUnlessStopping(Runnable step) {
-        synchronized (startLock) {
-            if (!stopRequested) {
-                step.run();
-            }
-            return !stopRequested;
-        }
-    }
-
     private void openMetricsPort() {
         if (settings.metricsPort() > 0) {
             InetSocketAddress metricsAddress = new InetSocketAddress(settings.ip(), settings.metricsPort());
@@ -267,33 +254,6 @@
         loop.scheduleAtFixedRate(this::tick, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void registerGauges() {
-        counters.registerGauge(NodeMetricNames.OWNER_RUNNING, () -> owner.load().running());
-        counters.registerGauge(NodeMetricNames.OWNER_ANSWERING, owner::respondingCount);
-        counters.registerGauge(NodeMetricNames.PEERS_UNSENT_BYTES, peerServer::unsentBytes);
-        counters.registerGauge(
-                NodeMetricNames.LINK_OUTGOING_BUSY_MS, () -> link.outgoing().busyNanos() / 1_000_000);
-        counters.registerGauge(NodeMetricNames.OWNER_QUEUED, () -> owner.load().queued());
-        counters.registerGauge(NodeMetricNames.OWNER_SLOTS, () -> owner.load().slots());
-        counters.registerGauge(
-                NodeMetricNames.OWNER_START_INTERVAL_US, () -> owner.load().startIntervalNanos() / 1_000);
-        counters.registerGauge(NodeMetricNames.OWNER_MEAN_US, () -> owner.load().meanNanos() / 1_000);
-        counters.registerGauge(
-                NodeMetricNames.VERSION_IN_FORCE,
-                () -> versionUpdater.version().map(v -> v.number()).orElse(0L));
-        counters.registerGauge(
-                NodeMetricNames.VERSION_NEWEST_KNOWN,
-                () -> versionUpdater.freshness().newestNumber());
-        counters.registerGauge(
-                NodeMetricNames.MEMBERS_HEARD,
-                () -> members.countReachableWithin(gossip.silenceTimeoutNanos(), System.nanoTime()));
-        counters.registerGauge(
-                NodeMetricNames.OWNER_CONNECTIONS_OPENED,
-                () -> owner.backend().map(Backend::connectionsOpened).orElse(0L));
-        counters.registerGauge(NodeMetricNames.QUARANTINE_HELD, quarantine::heldCount);
-        counters.registerGauge(NodeMetricNames.LOG_LINES_DROPPED, log::droppedLines);
-    }
-
     private void tick() {
         owner.tick();
         versionUpdater.resumeIfReader();
@@ -478,7 +438,8 @@
      */
     public void stop() {
         long signalledAt = System.nanoTime();
-        boolean hasCallers = requestStop();
+        startSequence.end();
+        boolean hasCallers = callerPortOpened;
         log.write(
                 Event.STOPPING,
                 "graceMs",
@@ -501,14 +462,6 @@
         log.write(Event.STOPPED, "pending", owner.pendingCount() + entryServer.pendingRequests());
     }
 
-    /** Ends a start that is in progress; returns whether callers can have connected. */
-    private boolean requestStop() {
-        stopRequested = true;
-        synchronized (startLock) {
-            return callerPortOpened;
-        }
-    }
-
     /** Returns the event loop on which all components run. */
     public EventLoop loop() {
         return loop;
@@ -525,38 +478,8 @@
         eventLoopGroup.shutdownGracefully(0, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    /**
-     * Closes everything and waits until the event loop has ended. A JVM that exits while a thread waits for events in
-     * the operating system would wait for that thread, for up to 300 ms.
-     */
-    private void closeBeforeExit() {
-        close();
-        try {
-            eventLoopGroup.awaitTermination(CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    /**
-     * Starts a node that runs until the process is asked to stop.
-     *
-     * @param platform platform on which the node runs
-     * @param reloadSignal asks for the settings to be read again
-     */
-    public static void run(NodePlatform platform, ReloadSignal reloadSignal) {
-        EventLog log =
-                new EventLog(platform.settings().vmName(), new java.io.FileOutputStream(java.io.FileDescriptor.out));
-        Node node = new Node(platform, log);
-        Runtime.getRuntime()
-                .addShutdownHook(new Thread(
-                        () -> {
-                            node.stop();
-                            log.close();
-                            node.closeBeforeExit();
-                        },
-                        "stop"));
-        node.start();
-        reloadSignal.forwardTo(node::reload);
+    /** Waits until the event loop has ended after {@link #close}, for a limited time. */
+    void awaitClosed() throws InterruptedException {
+        eventLoopGroup.awaitTermination(CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 }
--- a/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
+++ b/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
@@ -138,12 +138,8 @@
         return node;
     }
 
-    /** Creates a node in zone-a without a backend server, which is to be started. */
-    Node create(int number) {
-        return create(number, "zone-a", Optional.empty());
-    }
-
-    private Node create(int number, String zone, Optional<RawServer> backend) {
+    /** Creates a node that is not started. */
+    Node create(int number, String zone, Optional<RawServer> backend) {
         EventLog log = new EventLog("node-" + number, logOutput);
         logs.add(log);
         Node node = new Node(new TestNodePlatform(settings(number, zone, backend)), log);
--- a/org.berylwick.test/tst/org/berylwick/node/StopTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/StopTest.java
@@ -228,7 +228,7 @@
     void nodeThatIsStoppedDuringItsStartOpensNoPortForCallers() {
         try (NodeRig rig = new NodeRig()) {
             rig.configuration.publish(NodeRig.version(1));
-            Node node = rig.create(1);
+            Node node = rig.create(1, "zone-a", Optional.empty());
             long startedAt = System.nanoTime();
             node.stop();
             long stopMillis = (System.nanoTime() - startedAt) / 1_000_000;
