--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -60,6 +60,7 @@
     private final NodePlatform platform;
     private final NodeSettings settings;
     private final long startedAt = System.nanoTime();
+    private final StartSequence startSequence = new StartSequence();
     private final StartupGate startupGate = new StartupGate(startedAt);
     private final long bootId = ThreadLocalRandom.current().nextLong(Long.MAX_VALUE);
     private final Counters counters = new Counters();
@@ -86,7 +87,6 @@
     private boolean leaving;
 
     private boolean wasReady;
-    private final StartSequence startSequence = new StartSequence();
     private volatile boolean callerPortOpened;
 
     /**
@@ -209,7 +209,7 @@
                 gossip::start,
                 peerServer::start,
                 this::openMetricsPort,
-                () -> loop.execute(this::startBackgroundTasks),
+                () -> loop.submit(this::startBackgroundTasks).syncUninterruptibly(),
                 this::openCallerPort,
                 () -> BufferedHttpServer.open(loop, settings.readinessAddress(), request -> handleReadinessRequest()));
         if (!startSequence.run(steps)) {
