--- a/org.berylwick.test/tst/org/berylwick/node/MembershipTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/MembershipTest.java
@@ -84,7 +84,11 @@
             rig.configuration.setUnavailable(true);
             rig.start(2, Optional.empty());
             rig.awaitReady(2);
-            assertTrue(rig.logText().contains("\"from\":\"" + rig.ip(1) + "\""), rig::logText);
+            // The log is written by a thread of its own.
+            Await.until(
+                    "the version comes from node 1",
+                    () -> rig.logText().contains("\"from\":\"" + rig.ip(1) + "\""),
+                    rig::logText);
         }
     }
 
