--- a/org.berylwick.node/src/org/berylwick/node/StartSequence.java
+++ b/org.berylwick.node/src/org/berylwick/node/StartSequence.java
@@ -21,8 +21,8 @@
 
     /** Ends the start; returns when no step is running. */
     void end() {
-        // Set before the lock is taken, since a start would take it again for its next step.
         ended = true;
+        // Set first, since a start that takes its steps in quick succession might keep the lock to itself.
         synchronized (stepLock) {
             return;
         }
