--- a/org.berylwick.test/tst/org/berylwick/platform/CodecsTest.java
+++ b/org.berylwick.test/tst/org/berylwick/platform/CodecsTest.java
@@ -39,7 +39,7 @@
             """;
 
     private static ReadResult decode(String text) {
-        return ConfigurationCodec.decode(text.getBytes(StandardCharsets.UTF_8), 5);
+        return new ConfigurationCodec().decode(text.getBytes(StandardCharsets.UTF_8), 5);
     }
 
     private static SettingsFile parse(String text) {
--- a/org.berylwick.test/tst/org/berylwick/platform/InvalidPlatformInputTest.java
+++ b/org.berylwick.test/tst/org/berylwick/platform/InvalidPlatformInputTest.java
@@ -102,7 +102,7 @@
 
     @Property(tries = 2_000)
     void arbitraryBytesAreDecodedOrRejectedAsAConfiguration(@ForAll byte[] body) {
-        ConfigurationSource.ReadResult result = ConfigurationCodec.decode(body, 1);
+        ConfigurationSource.ReadResult result = new ConfigurationCodec().decode(body, 1);
         assertTrue(result instanceof ConfigurationSource.ReadResult.Invalid
                 || result instanceof ConfigurationSource.ReadResult.Found);
     }
