--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Deployment.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Deployment.java
@@ -221,6 +221,76 @@
         return new Deployment(zones, servers, kinds, 0.9, 1, 0.2, 230);
     }
 
+    /**
+     * A chain of three services: lookups call the second, orders of the second call the third one after the other, and
+     * the third, on narrow links, sends large answers as well.
+     *
+     * @param load 1 for nearly all slots of the three
+     */
+    public static Deployment chain(double load) {
+        String[] names = {"a", "b", "c", "d"};
+        double[] callers = {0.274, 0.234, 0.293, 0.199};
+        int[] boards = {5, 5, 6, 4};
+        int[] books = {11, 11, 9, 8};
+        int[] files = {3, 3, 1, 1};
+        double[] boardSlowness = {0.7, 0.7, 1.6};
+        double[] booksSlowness = {0.5, 1.0, 1.0, 1.5};
+        List<Zone> zones = new ArrayList<>();
+        List<Server> servers = new ArrayList<>();
+        int board = 0;
+        int book = 0;
+        int file = 0;
+        for (int z = 0; z < names.length; z++) {
+            zones.add(new Zone(names[z], callers[z]));
+            for (int i = 0; i < boards[z]; i++) {
+                servers.add(new Server(
+                        names[z], "board", 8, boardSlowness[board++ % boardSlowness.length], i < 2 ? 98 : 4.9));
+            }
+            for (int i = 0; i < books[z]; i++) {
+                servers.add(new Server(names[z], "books", 8, booksSlowness[book++ % booksSlowness.length], 4.9));
+            }
+            for (int i = 0; i < files[z]; i++) {
+                servers.add(new Server(names[z], "files", 8, boardSlowness[file++ % boardSlowness.length], 4.9));
+            }
+        }
+        Work call = new Work(44, 0.5, 0, 1);
+        Millis callMillis = new Millis(267, 668);
+        List<RequestKind> kinds = List.of(
+                RequestKind.read(
+                                "lookup",
+                                "board",
+                                705 * load,
+                                new Work(171, 0.3, 0.01, 3),
+                                new Millis(668, 4_456, 2_000))
+                        .withBytes(1_500, 0)
+                        .withRetries(2)
+                        .calling("ledger", 2, 0.7),
+                RequestKind.order(
+                                "order",
+                                "books",
+                                978 * load,
+                                new Work(229, 0.5, 0.01, 3),
+                                new Millis(869, 5_430, 2_500))
+                        .withBytes(1_500, 300)
+                        .withRetries(2)
+                        .callingInTurn("roster", 2, 0.7),
+                RequestKind.read("pull", "files", 100 * load, new Work(143, 0.5, 0.01, 5), new Millis(998, 6_240))
+                        .as(RouteKind.BULK, 2, new Value(1, 0.3))
+                        .withBytes(90_000, 0)
+                        .withRetries(2),
+                calledRead("ledger", "books", call, callMillis),
+                calledRead("roster", "files", call, callMillis));
+        return new Deployment(zones, servers, kinds, 0.9, 8, 0.2, 174);
+    }
+
+    /** A read that only runs make, of the same rank as the orders that make it. */
+    private static RequestKind calledRead(String name, String service, Work work, Millis millis) {
+        return RequestKind.read(name, service, 0, work, millis)
+                .as(RouteKind.IDEMPOTENT, 1, new Value(0, 0))
+                .withBytes(1_500, 0)
+                .withRetries(0);
+    }
+
     /** Any deployment; the same seed gives the same. */
     public static Deployment random(long seed) {
         Random random = new Random(seed);
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulateMeasurement.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulateMeasurement.java
@@ -25,7 +25,7 @@
                 new Scenario("short.shed", Deployment.shortObjectives(1.25), e -> shed(e, "desk")),
                 new Scenario("short.slow", shortOnes, e -> slow(e, "desk")),
                 new Scenario("short.away", shortOnes, e -> away(e, "vault")),
-                new Scenario("short.left", shortOnes, e -> left(e, "vault")),
+                new Scenario("short.left", shortOnes, e -> left(e, "vault", 2)),
                 new Scenario("short.lost", shortOnes, e -> lost(e, "desk")),
                 new Scenario("short.crash", shortOnes, e -> crash(e, "lookup")),
                 new Scenario("long.crash", longOnes, e -> crash(e, "confirm")),
@@ -46,6 +46,11 @@
                 new Scenario("answers.full", Deployment.largeAnswers(1.9), e -> e.run(CALM_SECONDS)),
                 new Scenario("answers.over", Deployment.largeAnswers(1, 300_000), e -> e.run(CALM_SECONDS)),
                 new Scenario("answers.shed", Deployment.largeAnswers(1.5), e -> shed(e, "books")),
+                new Scenario("chain.calm", Deployment.chain(0.52), e -> e.run(CALM_SECONDS)),
+                new Scenario("chain.busy", Deployment.chain(0.8), e -> e.run(CALM_SECONDS)),
+                new Scenario("chain.full", Deployment.chain(1), e -> e.run(CALM_SECONDS)),
+                new Scenario("chain.over", Deployment.chain(1.5), e -> e.run(CALM_SECONDS)),
+                new Scenario("chain.left", Deployment.chain(0.8), e -> left(e, "files", 3)),
                 new Scenario("random.calm", Deployment.random(seed), e -> e.run(CALM_SECONDS)),
                 new Scenario("random.burst", Deployment.random(seed + 1), e -> burst(e, 1.7)));
     }
@@ -80,10 +85,10 @@
         e.run(10);
     }
 
-    /** Two leave: with three, the one that is left has room for a third of its service. */
-    private static void left(Emulation e, String service) {
+    /** Some leave for good: of three servers, the one that is left has room for a third of its service. */
+    private static void left(Emulation e, String service, int servers) {
         e.run(4);
-        e.away(service, 2, true);
+        e.away(service, servers, true);
         e.run(10);
     }
 
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedServer.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedServer.java
@@ -193,6 +193,8 @@
             private final Consumer<Boolean> onOver;
             private final List<Runnable> abandons = new ArrayList<>();
             private int open;
+            private int unmade;
+            private Runnable makeNext = () -> {};
             private boolean over;
 
             InnerCalls(Consumer<Boolean> onOver) {
@@ -201,14 +203,27 @@
 
             void make(RequestKind.InnerCall call, long left) {
                 open = call.times();
-                for (int i = 0; i < call.times() && !over; i++) {
-                    abandons.add(node.callInner(call.kind(), left, this::onAnswer));
-                }
+                unmade = call.times();
+                long endsAt = emulation.clock().now() + left;
+                makeNext = () -> {
+                    unmade--;
+                    abandons.add(node.callInner(
+                            call.kind(), Math.max(1, endsAt - emulation.clock().now()), this::onAnswer));
+                };
+                do {
+                    makeNext.run();
+                } while (call.together() && unmade > 0 && !over);
             }
 
             private void onAnswer(boolean good) {
                 open--;
-                if (over || good && open > 0) {
+                if (over) {
+                    return;
+                }
+                if (good && open > 0) {
+                    if (unmade > 0) {
+                        makeNext.run();
+                    }
                     return;
                 }
                 over = true;
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Emulation.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Emulation.java
@@ -60,7 +60,7 @@
                             kind.name(),
                             "/" + kind.name() + "/",
                             kind.kind(),
-                            kind.deadlineNanos(),
+                            kind.timeoutNanos(),
                             kind.objectiveNanos(),
                             2,
                             kind.priority(),
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/RequestKind.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/RequestKind.java
@@ -42,8 +42,17 @@
      */
     public record Work(double meanMillis, double spread, double tailShare, double tailFactor) {}
 
-    /** Latency objective and deadline, from a caller's first attempt. */
-    public record Millis(long objective, long deadline) {}
+    /**
+     * Latency objective and deadline, from a caller's first attempt.
+     *
+     * @param timeout of the route, from each attempt
+     */
+    public record Millis(long objective, long deadline, long timeout) {
+        /** With a route that waits as long as its callers. */
+        public Millis(long objective, long deadline) {
+            this(objective, deadline, deadline);
+        }
+    }
 
     /** What an answer within its objective is worth, and a later one. */
     public record Value(double full, double late) {}
@@ -52,13 +61,14 @@
     public record Bytes(int answer, int body) {}
 
     /**
-     * Calls that a run makes together; if one fails, the run does.
+     * Calls that a run makes; if one fails, the run does.
      *
      * @param kind name of the called kind
      * @param times that it is called
      * @param share of the runs that make them
+     * @param together whether all are made at once, and not one after the other
      */
-    public record InnerCall(String kind, int times, double share) {}
+    public record InnerCall(String kind, int times, double share, boolean together) {}
 
     /** A request that may be repeated, of the usual worth. */
     static RequestKind read(String name, String service, double perSecond, Work work, Millis millis) {
@@ -107,9 +117,16 @@
         return copy(kind, priority, value, bytes, retries, calls);
     }
 
-    /** The same with calls that a part of its runs make. */
+    /** The same with calls that a part of its runs make together. */
     RequestKind calling(String called, int times, double share) {
-        return copy(kind, priority, value, bytes, callerRetries, Optional.of(new InnerCall(called, times, share)));
+        return copy(
+                kind, priority, value, bytes, callerRetries, Optional.of(new InnerCall(called, times, share, true)));
+    }
+
+    /** The same with calls that a part of its runs make one after the other. */
+    RequestKind callingInTurn(String called, int times, double share) {
+        return copy(
+                kind, priority, value, bytes, callerRetries, Optional.of(new InnerCall(called, times, share, false)));
     }
 
     private RequestKind copy(
@@ -124,4 +141,8 @@
     long deadlineNanos() {
         return millis.deadline() * 1_000_000L;
     }
+
+    long timeoutNanos() {
+        return millis.timeout() * 1_000_000L;
+    }
 }
