--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Deployment.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Deployment.java
@@ -287,7 +287,7 @@
     private static RequestKind calledRead(String name, String service, Work work, Millis millis) {
         return RequestKind.read(name, service, 0, work, millis)
                 .as(RouteKind.IDEMPOTENT, 1, new Value(0, 0))
-                .withBytes(1_500, 0)
+                .withBytes(600, 0)
                 .withRetries(0);
     }
 
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
@@ -261,9 +261,11 @@
         RequestKind kind = emulation.kind(kindName);
         String id = emulation.draw(kind);
         long left = Math.min(leftNanos, kind.deadlineNanos());
+        long madeAt = emulation.clock().now();
         EmulatedSink sink = new EmulatedSink((status, retryAfter, body) -> {
             body.release();
             emulation.forget(id);
+            emulation.outcomes().onCall(kindName, emulation.clock().now() - madeAt);
             onAnswer.accept(status == 200);
         });
         Optional<CallHandle> call = Optional.of(call(id, kind, left, RequestBody.of(Unpooled.EMPTY_BUFFER), sink));
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedRequest.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedRequest.java
@@ -45,6 +45,6 @@
 
     void onRun(Emulation emulation) {
         runs++;
-        emulation.outcomes().onRun(emulation.clock().now() - cameAt, runs == 1);
+        emulation.outcomes().onRun(kind.name(), emulation.clock().now() - cameAt, runs == 1);
     }
 }
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Outcomes.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Outcomes.java
@@ -17,6 +17,8 @@
     private final Map<Long, Tally> byWindow = new TreeMap<>();
     private final Histogram toFirstServer = new Histogram(60_000_000_000L, 3);
     private final Histogram heldBeforeRefusal = new Histogram(60_000_000_000L, 3);
+    private final Map<String, Histogram> toFirstServerByKind = new TreeMap<>();
+    private final Map<String, Histogram> callNanos = new TreeMap<>();
     private long crossZoneBytes;
     private long runs;
     private long wastedRuns;
@@ -104,10 +106,11 @@
         }
     }
 
-    void onRun(long waitedNanos, boolean first) {
+    void onRun(String kind, long waitedNanos, boolean first) {
         runs++;
         if (first) {
             toFirstServer.recordValue(Math.max(0, waitedNanos));
+            record(toFirstServerByKind, kind, Math.max(0, waitedNanos));
         }
     }
 
@@ -119,6 +122,21 @@
         heldBeforeRefusal.recordValue(Math.max(0, heldNanos));
     }
 
+    /** A call of a run was answered or refused. */
+    void onCall(String kind, long tookNanos) {
+        record(callNanos, kind, tookNanos);
+    }
+
+    private static void record(Map<String, Histogram> byKind, String kind, long nanos) {
+        byKind.computeIfAbsent(kind, k -> new Histogram(60_000_000_000L, 3)).recordValue(nanos);
+    }
+
+    /** A percentile of the time that runs waited for a call of a kind, in milliseconds. */
+    public double callMillis(String kind, double percentile) {
+        Histogram histogram = callNanos.get(kind);
+        return histogram == null ? 0 : histogram.getValueAtPercentile(percentile) / MILLI;
+    }
+
     /** A request arrived at a backend server that states a limit, perhaps beyond what it allows. */
     void onLimitedArrival(boolean beyondLimit) {
         limitedArrivals++;
@@ -209,6 +227,12 @@
             print(out, name + "." + kind + ".refused_again", t.share(t.refusedAgain));
             print(out, name + "." + kind + ".failed", t.failedShare());
         });
+        toFirstServerByKind.forEach((kind, histogram) ->
+                print(out, name + "." + kind + ".to_first_server_p50_ms", histogram.getValueAtPercentile(50) / MILLI));
+        callNanos.keySet().forEach(kind -> {
+            print(out, name + "." + kind + ".call_p50_ms", callMillis(kind, 50));
+            print(out, name + "." + kind + ".call_p99_ms", callMillis(kind, 99));
+        });
         print(out, name + ".to_first_server_p50_ms", toFirstServerMillis(50));
         print(out, name + ".to_first_server_p99_ms", toFirstServerMillis(99));
         print(out, name + ".held_before_refusal_p99_ms", heldBeforeRefusalMillis(99));
