--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
@@ -90,7 +90,8 @@
                 counters,
                 emulation.log(),
                 this::tellAll,
-                quarantine);
+                quarantine,
+                () -> table.countByService(place.zone(), place.service()));
         Map<String, String> regions =
                 emulation.deployment().zones().stream().collect(Collectors.toMap(Deployment.Zone::name, z -> "r"));
         long silentNanos = (long) (SILENT_ROUNDS * gossipNanos);
--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -160,7 +160,8 @@
                 counters,
                 log,
                 this::onBackendChange,
-                quarantine);
+                quarantine,
+                () -> members.countByService(settings.zone(), service));
     }
 
     private NodeDiscovery createDiscovery() {
--- a/org.berylwick.node/src/org/berylwick/node/call/Candidate.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Candidate.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.berylwick.node.lib.LinkLoad;
 import org.berylwick.node.lib.OwnerLoad;
+import org.berylwick.node.lib.RequestClass;
 import org.berylwick.node.lib.ServiceTimeDistribution;
 import org.berylwick.node.member.Member;
 
@@ -47,6 +48,16 @@
         OTHER_REGION
     }
 
+    /** Returns whether backend servers make the requests of a class, according to the owner. */
+    boolean receivesCalls(RequestClass requestClass) {
+        for (ServiceTimeDistribution time : serviceTimes) {
+            if (time.calls() && time.requestClass().equals(requestClass)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns how long one more request would wait there for a slot and the limit. */
     public long waitNanos() {
         return Math.max(limitWaitNanos, load.waitNanos(pendingRequests));
--- a/org.berylwick.node/src/org/berylwick/node/call/CandidateChooser.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CandidateChooser.java
@@ -87,7 +87,8 @@
         for (Candidate candidate : candidates) {
             long waitNanos = expectedWaitNanos(candidate, profile, averageMeanNanos);
             double latenessCost = latenessCost(candidate, profile, averageMeanNanos, waitNanos);
-            if (waitNanos > 0 && (waitNanos > profile.maxWaitNanos() || latenessCost > refusalCost)) {
+            boolean better = profile.isCall() || latenessCost <= refusalCost;
+            if (waitNanos > 0 && (waitNanos > profile.maxWaitNanos() || !better)) {
                 continue;
             }
             double cost =
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -140,14 +140,16 @@
 
     private Optional<CandidateChooser.Choice> chooseNode(long now) {
         List<Candidate> candidates = context.candidates().candidatesFor(spec.service(), triedNodeKeys, now);
+        boolean isCall = candidates.stream().anyMatch(c -> c.receivesCalls(spec.requestClass()));
         RequestProfile profile = new RequestProfile(
                 spec.requestClass(),
                 spec.expectedResponseBytes() + spec.body().length(),
                 context.responseEstimates().expectedNanos(route),
                 spec.objectiveAt() - now,
                 spec.deadlineAt() - now,
-                queueWaitEndsAt - now,
-                callerRetried ? 0 : context.callerRetryRates().retryRate(spec.requestClass()),
+                (isCall ? spec.deadlineAt() : queueWaitEndsAt) - now,
+                callerRetried || isCall ? 0 : context.callerRetryRates().retryRate(spec.requestClass()),
+                isCall,
                 refusals + 1 >= MAX_REFUSALS);
         Optional<CandidateChooser.Choice> choice = context.chooser().choose(candidates, profile);
         if (choice.isEmpty() && candidates.stream().anyMatch(c -> c.limitWaitNanos() > 0)) {
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -3,8 +3,10 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.berylwick.node.lib.BackendReport;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.Clock;
@@ -60,6 +62,7 @@
     private final BackendStatements statements;
     private final StartRateBalancer startRateBalancer = new StartRateBalancer();
     private final RunningRequests running = new RunningRequests();
+    private final CallOrigins callOrigins;
     private final DepartedIncarnations departedIncarnations = new DepartedIncarnations();
     private Optional<Backend> backend = Optional.empty();
     private boolean stopping;
@@ -75,6 +78,7 @@
      * @param log receives events
      * @param onBackendChange runs after each change of the backend server's state
      * @param quarantine requests that the backend server should not run
+     * @param vmsByService supplies the number of VMs of each service in this availability zone, including this one
      */
     public Owner(
             Clock clock,
@@ -85,7 +89,8 @@
             Counters counters,
             EventLog log,
             Runnable onBackendChange,
-            Quarantine quarantine) {
+            Quarantine quarantine,
+            Supplier<Map<String, Integer>> vmsByService) {
         this.clock = clock;
         this.poolFactory = poolFactory;
         this.headerNames = headerNames;
@@ -99,6 +104,7 @@
         this.log = log;
         this.onBackendChange = onBackendChange;
         this.quarantine = quarantine;
+        this.callOrigins = new CallOrigins(vmsByService);
     }
 
     /** The current incarnation of the backend server, empty until one is known. */
@@ -128,7 +134,9 @@
 
     /** Service time of each class of requests that the backend server has answered. */
     public List<ServiceTimeDistribution> serviceTimes() {
-        return backend.map(server -> server.serviceTimeEstimator().distributions())
+        return backend.map(server -> server.serviceTimeEstimator().distributions().stream()
+                        .map(time -> time.ofCalls(callOrigins.areCalls(time.requestClass())))
+                        .toList())
                 .orElse(List.of());
     }
 
@@ -317,7 +325,8 @@
      */
     public Attempt offer(CallSpec call, AttemptListener listener) {
         long advanceNanos = startRateBalancer.onOffered(call, clock.now());
-        OwnerRun run = new OwnerRun(this, call, listener, advanceNanos);
+        callOrigins.onRequest(call.requestClass(), call.callerService());
+        OwnerRun run = new OwnerRun(this, call, listener, advanceNanos, callOrigins.areCalls(call.requestClass()));
         Optional<Refusal.Reason> reason = refusalReason(run);
         if (reason.isPresent()) {
             counters.increment(NodeMetricNames.OWNER_REFUSED_BY_REASON + reason.get());
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -44,10 +44,17 @@
     /** Time for which a loss is not reported while it is checked whether the backend server has ended. */
     private static final long MAX_EXIT_CHECK_NANOS = 50_000_000L;
 
+    /**
+     * Time by which a call is moved forward in the queue. A run that waits for it holds a slot of another backend
+     * server meanwhile, and is lost if the call is refused.
+     */
+    private static final long CALL_ADVANCE_NANOS = 1_000_000_000L;
+
     private final Owner owner;
     private final Clock clock;
     private final CallSpec call;
     private final AttemptListener listener;
+    private final boolean isCall;
     private final long effectiveObjectiveAt;
     private final long arrivalNumber;
     private long waitStartedAt;
@@ -73,14 +80,18 @@
      * @param call the request
      * @param listener is notified of the response, the refusal or the loss of the request
      * @param advanceNanos time by which the request is moved forward in the queue; see {@link StartRateBalancer}
+     * @param isCall whether a backend server makes the request while it runs another
      */
-    OwnerRun(Owner owner, CallSpec call, AttemptListener listener, long advanceNanos) {
+    OwnerRun(Owner owner, CallSpec call, AttemptListener listener, long advanceNanos, boolean isCall) {
         this.owner = owner;
         this.clock = owner.clock();
         this.call = call;
         this.listener = listener;
-        this.effectiveObjectiveAt =
-                call.objectiveAt() + call.priority() * RequestQueue.PRIORITY_STEP_NANOS - advanceNanos;
+        this.isCall = isCall;
+        this.effectiveObjectiveAt = call.objectiveAt()
+                + call.priority() * RequestQueue.PRIORITY_STEP_NANOS
+                - advanceNanos
+                - (isCall ? CALL_ADVANCE_NANOS : 0);
         this.waitStartedAt = clock.now();
         this.arrivalNumber = owner.nextArrivalNumber();
         if (owner.outgoingLink().isLarge(call.expectedResponseBytes())) {
@@ -154,7 +165,11 @@
         return headForwarded;
     }
 
+    /** Whether the request is served in time. A call is if the run that waits for it gets a response at all. */
     boolean canMeetObjective(long now) {
+        if (isCall) {
+            return canMeetDeadline(now);
+        }
         return now + medianServiceNanos + responseTransferNanos <= call.objectiveAt();
     }
 
--- a/org.berylwick.node/src/org/berylwick/node/call/RequestProfile.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/RequestProfile.java
@@ -12,6 +12,7 @@
  * @param deadlineRemainingNanos time left until its deadline
  * @param maxWaitNanos total time that it may still wait for slots
  * @param callerRetryProbability probability that the caller retries if the request is refused
+ * @param isCall whether a backend server makes the request while it runs another, which fails if this one is refused
  * @param finalAttempt whether no other node is tried if the chosen one refuses the request
  */
 record RequestProfile(
@@ -22,4 +23,5 @@
         long deadlineRemainingNanos,
         long maxWaitNanos,
         double callerRetryProbability,
+        boolean isCall,
         boolean finalAttempt) {}
--- a/org.berylwick.node/src/org/berylwick/node/lib/ServiceTimeDistribution.java
+++ b/org.berylwick.node/src/org/berylwick/node/lib/ServiceTimeDistribution.java
@@ -7,8 +7,9 @@
  * @param requestClass class of the requests
  * @param medianNanos median service time
  * @param logStdDev standard deviation of the natural logarithm of the service time
+ * @param calls whether backend servers make these requests while they run others
  */
-public record ServiceTimeDistribution(RequestClass requestClass, long medianNanos, double logStdDev) {
+public record ServiceTimeDistribution(RequestClass requestClass, long medianNanos, double logStdDev, boolean calls) {
     /** Value assumed before any request was measured; service times mostly have 0.4 to 1. */
     public static final double DEFAULT_LOG_STD_DEV = 0.6;
     /**
@@ -23,6 +24,16 @@
         logStdDev = Math.max(MIN_LOG_STD_DEV, logStdDev);
     }
 
+    /** Creates the distribution of requests of callers. */
+    public ServiceTimeDistribution(RequestClass requestClass, long medianNanos, double logStdDev) {
+        this(requestClass, medianNanos, logStdDev, false);
+    }
+
+    /** Returns this distribution with whether the requests are calls of backend servers. */
+    public ServiceTimeDistribution ofCalls(boolean areCalls) {
+        return new ServiceTimeDistribution(requestClass, medianNanos, logStdDev, areCalls);
+    }
+
     /** Returns the distribution with the given mean for a class of which no request was measured. */
     public static ServiceTimeDistribution fromMean(RequestClass requestClass, double meanNanos) {
         double medianNanos = meanNanos / Math.exp(DEFAULT_LOG_STD_DEV * DEFAULT_LOG_STD_DEV / 2);
@@ -45,6 +56,6 @@
 
     /** Returns the distribution of a backend server that is slower by the given factor. */
     public ServiceTimeDistribution scaledBy(double factor) {
-        return new ServiceTimeDistribution(requestClass, (long) (medianNanos * factor), logStdDev);
+        return new ServiceTimeDistribution(requestClass, (long) (medianNanos * factor), logStdDev, calls);
     }
 }
--- a/org.berylwick.node/src/org/berylwick/node/member/MemberTable.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/MemberTable.java
@@ -93,6 +93,23 @@
         return count;
     }
 
+    /**
+     * Counts the nodes of an availability zone by the service of their backend servers.
+     *
+     * @param zone the availability zone
+     * @param ownService service of this node, which is counted as well
+     */
+    public Map<String, Integer> countByService(String zone, String ownService) {
+        Map<String, Integer> counts = new HashMap<>();
+        counts.put(ownService, 1);
+        for (Member member : byIp.values()) {
+            if (member.state().zone().equals(zone)) {
+                counts.merge(member.state().service(), 1, Integer::sum);
+            }
+        }
+        return counts;
+    }
+
     /** Notifies requests that are pending on nodes that have been silent for longer than the timeout. */
     public void notifySilent(long timeoutNanos, long now) {
         for (Member member : List.copyOf(byIp.values())) {
--- a/org.berylwick.node/src/org/berylwick/node/member/NodeStateCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/NodeStateCodec.java
@@ -20,6 +20,9 @@
     /** The backend server states a limit on the rate of its requests. */
     private static final int FLAG_LIMITED = 8;
 
+    /** Set in the kind of a class of requests that backend servers make. */
+    private static final int KIND_FLAG_CALLS = 0x80;
+
     private static final double PER_MILLE = 1e3;
     private static final long MAX_LINK_BUSY_MILLIS = 65_535;
     private static final long MAX_LIMIT_WAIT_MILLIS = 65_535;
@@ -31,14 +34,18 @@
         int count = in.readUnsignedByte();
         List<ServiceTimeDistribution> times = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
-            int kindOrdinal = in.readUnsignedByte();
+            int kindByte = in.readUnsignedByte();
+            int kindOrdinal = kindByte & ~KIND_FLAG_CALLS;
             int priority = in.readByte();
             int objectiveMillis = in.readInt();
             long medianNanos = in.readInt() * 1_000L;
             double logStdDev = in.readUnsignedShort() / PER_MILLE;
             if (kindOrdinal < ROUTE_KINDS.length && medianNanos > 0) {
                 times.add(new ServiceTimeDistribution(
-                        new RequestClass(ROUTE_KINDS[kindOrdinal], priority, objectiveMillis), medianNanos, logStdDev));
+                        new RequestClass(ROUTE_KINDS[kindOrdinal], priority, objectiveMillis),
+                        medianNanos,
+                        logStdDev,
+                        (kindByte & KIND_FLAG_CALLS) != 0));
             }
         }
         return times;
@@ -82,7 +89,7 @@
         writeString(state.incarnation(), out);
         out.writeByte(state.serviceTimes().size());
         for (ServiceTimeDistribution time : state.serviceTimes()) {
-            out.writeByte(time.requestClass().kind().ordinal());
+            out.writeByte(time.requestClass().kind().ordinal() | (time.calls() ? KIND_FLAG_CALLS : 0));
             out.writeByte(time.requestClass().priority());
             out.writeInt(time.requestClass().objectiveMillis());
             out.writeInt((int) (time.medianNanos() / 1_000));
--- a/org.berylwick.test/tst/org/berylwick/node/call/CandidateChooserTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/CandidateChooserTest.java
@@ -28,7 +28,7 @@
     private static final RequestProfile LARGE_RESPONSE = profile(90_000);
 
     private static RequestProfile profile(double bytes) {
-        return new RequestProfile(REQUEST_CLASS, bytes, 200 * MS, 600 * MS, 4_000 * MS, 1_200 * MS, 1, false);
+        return new RequestProfile(REQUEST_CLASS, bytes, 200 * MS, 600 * MS, 4_000 * MS, 1_200 * MS, 1, false, false);
     }
 
     private final CandidateChooser chooser = new CandidateChooser(() -> 0.5);
--- a/org.berylwick.test/tst/org/berylwick/node/call/CandidateSamplerTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/CandidateSamplerTest.java
@@ -46,7 +46,8 @@
             new Counters(),
             log,
             () -> {},
-            new Quarantine(clock::now, new HoldLog(new Instruments(new Counters(), log))));
+            new Quarantine(clock::now, new HoldLog(new Instruments(new Counters(), log))),
+            Map::of);
     private final Random random = new Random(1);
     private final CandidateSampler sampler = new CandidateSampler(
             "zone-a",
--- a/org.berylwick.test/tst/org/berylwick/node/call/OwnerExitTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerExitTest.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.berylwick.bench.emulate.VirtualClock;
 import org.berylwick.node.lib.BackendReport;
@@ -54,7 +55,8 @@
             new Counters(),
             log,
             () -> {},
-            quarantine);
+            quarantine,
+            Map::of);
 
     /** A backend server that breaks each connection 20 ms after a request, and refuses or accepts new ones. */
     private final class BreakingServer extends InMemoryBackendServer {
--- a/org.berylwick.test/tst/org/berylwick/node/call/OwnerLimitTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerLimitTest.java
@@ -16,6 +16,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -63,7 +64,8 @@
             new Counters(),
             log,
             () -> {},
-            new Quarantine(clock::now, new HoldLog(new Instruments(new Counters(), log))));
+            new Quarantine(clock::now, new HoldLog(new Instruments(new Counters(), log))),
+            Map::of);
 
     /** A backend server that responds after a while, with the headers that a test has set. */
     private final class StatingServer extends InMemoryBackendServer {
--- a/org.berylwick.test/tst/org/berylwick/node/call/OwnerSilenceTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerSilenceTest.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
+import java.util.Map;
 import org.berylwick.bench.emulate.VirtualClock;
 import org.berylwick.node.lib.BackendReport;
 import org.berylwick.node.lib.BackendState;
@@ -50,7 +51,8 @@
             new Counters(),
             log,
             () -> {},
-            new Quarantine(clock::now, new HoldLog(new Instruments(new Counters(), log))));
+            new Quarantine(clock::now, new HoldLog(new Instruments(new Counters(), log))),
+            Map::of);
     private int responseCount;
 
     /** A backend server that answers each request after 20 ms, on one shared connection. */
--- a/org.berylwick.test/tst/org/berylwick/node/member/NodeStateCodecTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/member/NodeStateCodecTest.java
@@ -57,7 +57,7 @@
                 List.of(
                         new ServiceTimeDistribution(
                                 new RequestClass(RouteKind.NON_IDEMPOTENT, 3, number), 1_000L * (number + 1), 0.25),
-                        new ServiceTimeDistribution(new RequestClass(RouteKind.BULK, 0, 100), 7_000L, 0.5)));
+                        new ServiceTimeDistribution(new RequestClass(RouteKind.BULK, 0, 100), 7_000L, 0.5, true)));
         NodeStateCodec.Message message =
                 new NodeStateCodec.Message(state, flag, List.of("10.0.0.1", "10.0.0.2"), checksum);
         ByteBuf encoded = Unpooled.buffer();
