--- a/org.berylwick.test/tst/org/berylwick/node/call/OwnerLimitTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerLimitTest.java
@@ -55,6 +55,7 @@
     private int refused;
     private long responseMillis = 20;
     private int lastId;
+    private int lastIncarnation;
     private final Owner owner = new Owner(
             clock,
             address -> new StatingServer(),
@@ -175,7 +176,7 @@
         arrivals.clear();
         Random random = new Random(seed);
         responseMillis = 1 + random.nextInt(150);
-        startIncarnation("i-" + seed);
+        startIncarnation("try-" + ++lastIncarnation);
         state(Double.toString(limit));
         long from = clock.now() / MILLIS;
         offerFor(13_000, 100);
