--- a/org.berylwick.node/src/org/berylwick/node/call/EntryServer.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryServer.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import org.berylwick.node.lib.CallerLimits;
 import org.berylwick.node.lib.ConfigurationVersion;
+import org.berylwick.node.transport.HeapReceiveAllocator;
 import org.berylwick.node.transport.ReceiveWindow;
 
 /** Accepts the connections of callers on this VM; confined to the event loop. */
@@ -48,6 +49,7 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new HeapReceiveAllocator())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/org.berylwick.node/src/org/berylwick/node/call/PeerServer.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerServer.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongFunction;
+import org.berylwick.node.transport.HeapReceiveAllocator;
 import org.berylwick.node.transport.ReceiveWindow;
 import org.berylwick.node.transport.VmLink;
 
@@ -58,6 +59,7 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new HeapReceiveAllocator())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/org.berylwick.node/src/org/berylwick/node/member/Gossip.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/Gossip.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
@@ -23,6 +24,7 @@
 import org.berylwick.node.log.Event;
 import org.berylwick.node.log.EventLog;
 import org.berylwick.node.log.NodeMetricNames;
+import org.berylwick.node.transport.HeapReceiveAllocator;
 
 /**
  * Sends this node's state to all other nodes in UDP datagrams, and receives theirs. Confined to the event loop.
@@ -155,6 +157,7 @@
         channel = new Bootstrap()
                 .group(loop)
                 .channel(NioDatagramChannel.class)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new HeapReceiveAllocator())
                 .handler(new Receiver())
                 .bind(new InetSocketAddress(ownIp, port))
                 .syncUninterruptibly()
--- a/org.berylwick.node/src/org/berylwick/node/transport/BufferedHttpServer.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/BufferedHttpServer.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -74,6 +75,7 @@
         Channel listener = new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new HeapReceiveAllocator())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/org.berylwick.node/src/org/berylwick/node/transport/ConnectionPool.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/ConnectionPool.java
@@ -67,6 +67,7 @@
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new HeapReceiveAllocator())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
                 .option(ChannelOption.SO_KEEPALIVE, true)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_IDLE_S)
