--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
@@ -19,6 +19,7 @@
 import org.berylwick.node.call.EntryCallFactory;
 import org.berylwick.node.call.Owner;
 import org.berylwick.node.call.RetryBudget;
+import org.berylwick.node.call.VersionChoice;
 import org.berylwick.node.lib.BackendReport;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.ConfigurationVersion;
@@ -95,8 +96,8 @@
         Map<String, String> regions =
                 emulation.deployment().zones().stream().collect(Collectors.toMap(Deployment.Zone::name, z -> "r"));
         long silentNanos = (long) (SILENT_ROUNDS * gossipNanos);
-        CandidateSampler candidates =
-                new CandidateSampler(place.zone(), "r", regions, table, () -> silentNanos, owner, random::nextDouble);
+        CandidateSampler candidates = new CandidateSampler(
+                place.zone(), "r", regions, table, () -> silentNanos, owner, VersionChoice.NONE, random::nextDouble);
         PlatformBounds bounds = new PlatformBounds(
                 2_000_000_000L,
                 6_000_000_000L,
--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -20,9 +20,11 @@
 import org.berylwick.node.call.Owner;
 import org.berylwick.node.call.PeerServer;
 import org.berylwick.node.call.RetryBudget;
+import org.berylwick.node.call.VersionChoice;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.Clock;
 import org.berylwick.node.lib.NodeSettings;
+import org.berylwick.node.lib.RolloutNotice;
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.Event;
 import org.berylwick.node.log.EventLog;
@@ -37,6 +39,8 @@
 import org.berylwick.node.quarantine.HoldLog;
 import org.berylwick.node.quarantine.Quarantine;
 import org.berylwick.node.quarantine.QuarantineExchange;
+import org.berylwick.node.rollout.RolloutController;
+import org.berylwick.node.rollout.RolloutVersionChoice;
 import org.berylwick.node.transport.BufferedHttpServer;
 import org.berylwick.node.transport.ConnectionPool;
 import org.berylwick.node.transport.EventLoopClock;
@@ -74,6 +78,9 @@
     private final Gossip gossip;
     private final VersionUpdater versionUpdater;
     private final NodeDiscovery discovery;
+    /** Empty on a platform without roll-outs. */
+    private final Optional<RolloutController> rollouts;
+
     private final EntryServer entryServer;
     private final PeerServer peerServer;
     private final GracefulShutdown shutdown;
@@ -122,6 +129,7 @@
                 counters,
                 log);
         this.discovery = createDiscovery();
+        this.rollouts = createRollouts(clock);
         RetryBudget budget =
                 new RetryBudget(settings.bounds(), this::nodeCount, discovery::isDirectoryRead, System.nanoTime());
         this.entryServer = CallPath.createEntryServer(
@@ -164,6 +172,20 @@
                 () -> members.countByService(settings.zone(), service));
     }
 
+    private Optional<RolloutController> createRollouts(Clock clock) {
+        if (settings.bounds().exposureShare() == 0) {
+            return Optional.empty();
+        }
+        return Optional.of(new RolloutController(
+                clock,
+                platform.rolloutOrders(loop),
+                members,
+                owner,
+                this::isStoreReader,
+                gossip::scheduleBroadcast,
+                new Instruments(counters, log)));
+    }
+
     private NodeDiscovery createDiscovery() {
         NodeDiscovery created = new NodeDiscovery(
                 loop,
@@ -187,6 +209,9 @@
                 members,
                 gossip::silenceTimeoutNanos,
                 owner,
+                rollouts.<VersionChoice>map(r ->
+                                new RolloutVersionChoice(r, settings.bounds().exposureShare()))
+                        .orElse(VersionChoice.NONE),
                 () -> ThreadLocalRandom.current().nextDouble());
     }
 
@@ -252,6 +277,7 @@
         }
         versionUpdater.start();
         discovery.start();
+        rollouts.ifPresent(RolloutController::start);
         loop.scheduleAtFixedRate(this::tick, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -340,10 +366,12 @@
                 backend.map(Backend::state).orElse(BackendState.ABSENT),
                 backend.map(b -> b.warmUpNanos(System.nanoTime())).orElse(0L),
                 owner.load(),
-                owner.serviceTimes());
+                owner.serviceTimes(),
+                rollouts.map(RolloutController::notice).orElse(RolloutNotice.NONE));
     }
 
     private void onBackendChange() {
+        rollouts.ifPresent(RolloutController::onBackendChange);
         gossip.scheduleBroadcast();
     }
 
@@ -362,6 +390,8 @@
 
     private void onGossip(Member member, MemberTable.UpdateResult updateResult) {
         versionUpdater.onMemberUpdated(member);
+        rollouts.ifPresent(
+                r -> r.onNotice(member.state().service(), member.state().rollout()));
         if (updateResult == MemberTable.UpdateResult.SAME) {
             return;
         }
--- a/org.berylwick.node/src/org/berylwick/node/NodePlatform.java
+++ b/org.berylwick.node/src/org/berylwick/node/NodePlatform.java
@@ -7,6 +7,7 @@
 import org.berylwick.node.lib.NodeSettings;
 import org.berylwick.node.member.HeartbeatProtocol;
 import org.berylwick.node.member.NodeDirectory;
+import org.berylwick.node.rollout.RolloutOrders;
 import org.berylwick.node.version.ConfigurationSource;
 
 /** The services that a node requires from the platform on which it runs. */
@@ -31,4 +32,9 @@
 
     /** Opens the persistent list of nodes. */
     NodeDirectory directory(EventLoop eventLoop);
+
+    /** Opens the operator's orders to roll out versions; called only if the platform has roll-outs. */
+    default RolloutOrders rolloutOrders(EventLoop eventLoop) {
+        throw new UnsupportedOperationException("this platform has no roll-outs");
+    }
 }
--- a/org.berylwick.node/src/org/berylwick/node/call/Backend.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Backend.java
@@ -32,6 +32,7 @@
     private final StartLimiter startLimiter = new StartLimiter();
     private RequestLimit requestLimit = RequestLimit.NONE;
     private long maxIdleNanos = DEFAULT_MAX_IDLE_NANOS;
+    private String softwareVersion = "";
     private int slots;
     private BackendState state;
     private long sequence;
@@ -73,6 +74,11 @@
         return slots;
     }
 
+    /** Version of its software, empty if it is unknown. */
+    public String softwareVersion() {
+        return softwareVersion;
+    }
+
     /** Sequence number of the last report. */
     public long sequence() {
         return sequence;
@@ -154,9 +160,14 @@
         return serviceTimeEstimator;
     }
 
-    /** Applies a report; returns true if the state or the number of slots changed, false while draining. */
+    /** Applies a report; returns true if the state, the slots or the version changed, false while draining. */
     boolean applyReport(BackendReport report, long now) {
-        boolean changed = state != report.state() || slots != report.slots();
+        boolean versionChanged =
+                !report.softwareVersion().isEmpty() && !softwareVersion.equals(report.softwareVersion());
+        if (versionChanged) {
+            softwareVersion = report.softwareVersion();
+        }
+        boolean changed = state != report.state() || slots != report.slots() || versionChanged;
         // A draining incarnation never accepts requests again; a report with another state was sent earlier.
         if (state == BackendState.DRAINING) {
             changed = false;
--- a/org.berylwick.node/src/org/berylwick/node/call/CandidateSampler.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CandidateSampler.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.berylwick.node.lib.LinkLoad;
 import org.berylwick.node.lib.OwnerLoad;
 import org.berylwick.node.member.Member;
@@ -34,6 +35,7 @@
     private final MemberTable memberTable;
     private final LongSupplier silenceThresholdNanos;
     private final Owner owner;
+    private final VersionChoice versions;
     private final DoubleSupplier random;
 
     /**
@@ -43,6 +45,7 @@
      * @param memberTable the other nodes
      * @param silenceThresholdNanos time without a message after which a node is suspect
      * @param owner owner of the backend server on this VM
+     * @param versions which versions a request may go to
      * @param random supplies uniformly distributed numbers in [0, 1)
      */
     public CandidateSampler(
@@ -52,6 +55,7 @@
             MemberTable memberTable,
             LongSupplier silenceThresholdNanos,
             Owner owner,
+            VersionChoice versions,
             DoubleSupplier random) {
         this.zone = zone;
         this.region = region;
@@ -59,17 +63,33 @@
         this.memberTable = memberTable;
         this.silenceThresholdNanos = silenceThresholdNanos;
         this.owner = owner;
+        this.versions = versions;
         this.random = random;
     }
 
     @Override
     public List<Candidate> candidatesFor(String service, Set<String> excludedKeys, long now) {
+        if (!versions.isActive(service)) {
+            return candidatesOf(service, version -> true, excludedKeys, now);
+        }
+        if (versions.isTrial(service, random.getAsDouble())) {
+            List<Candidate> inDoubt = candidatesOf(service, v -> versions.isInDoubt(service, v), excludedKeys, now);
+            if (inDoubt.stream().anyMatch(candidate -> candidate.waitNanos() == 0)) {
+                return inDoubt;
+            }
+        }
+        return candidatesOf(service, v -> versions.isEstablished(service, v), excludedKeys, now);
+    }
+
+    private List<Candidate> candidatesOf(
+            String service, Predicate<String> acceptsVersion, Set<String> excludedKeys, long now) {
         List<Member> sameZone = new ArrayList<>();
         List<Member> sameRegion = new ArrayList<>();
         List<Member> otherRegions = new ArrayList<>();
         List<Member> suspects = new ArrayList<>();
         for (Member member : memberTable.acceptingRequests(service)) {
-            if (excludedKeys.contains(member.ip())) {
+            if (excludedKeys.contains(member.ip())
+                    || !acceptsVersion.test(member.state().rollout().softwareVersion())) {
                 continue;
             }
             if (isSuspect(member, now)) {
@@ -83,7 +103,11 @@
             }
         }
         List<Candidate> candidates = new ArrayList<>(2 * SAMPLE_SIZE + OTHER_REGION_SAMPLE_SIZE + 1);
-        if (owner.acceptsRequestsFor(service) && !excludedKeys.contains(Candidate.SELF_KEY)) {
+        if (owner.acceptsRequestsFor(service)
+                && !excludedKeys.contains(Candidate.SELF_KEY)
+                && owner.backend()
+                        .filter(server -> acceptsVersion.test(server.softwareVersion()))
+                        .isPresent()) {
             candidates.add(localCandidate(now));
         }
         int shortfall = sample(sameZone, SAMPLE_SIZE, now, candidates);
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -65,6 +65,7 @@
     private final CallOrigins callOrigins;
     private final DepartedIncarnations departedIncarnations = new DepartedIncarnations();
     private Optional<Backend> backend = Optional.empty();
+    private VersionGate versionGate = VersionGate.OPEN;
     private boolean stopping;
     private long lastArrivalNumber;
 
@@ -107,6 +108,23 @@
         this.callOrigins = new CallOrigins(vmsByService);
     }
 
+    /** Sets what decides whether the backend server gets requests, considering its version. */
+    public void setVersionGate(VersionGate gate) {
+        versionGate = gate;
+    }
+
+    /** Records how a request ended that the backend server ran; its slow start does not count. */
+    void onRunEnded(Backend server, CallSpec call, long nanos, boolean failed) {
+        if (server.warmUpNanos(clock.now() - nanos) == 0) {
+            versionGate.onRunEnded(call, nanos, failed);
+        }
+    }
+
+    /** Starts queued requests, or refuses them, after the gate has changed its decision. */
+    public void onVersionGateChanged() {
+        dispatch();
+    }
+
     /** The current incarnation of the backend server, empty until one is known. */
     public Optional<Backend> backend() {
         return backend;
@@ -260,6 +278,8 @@
                 changed.service(),
                 "state",
                 changed.state(),
+                "version",
+                changed.softwareVersion(),
                 "slots",
                 changed.slots(),
                 "sequence",
@@ -312,7 +332,8 @@
     public boolean acceptsRequestsFor(String service) {
         return !stopping
                 && backend.filter(server -> server.state() == BackendState.READY
-                                && server.service().equals(service))
+                                && server.service().equals(service)
+                                && versionGate.admits(server))
                         .isPresent();
     }
 
@@ -413,7 +434,7 @@
 
     private void dispatch() {
         Backend server = backend.orElse(null);
-        if (server == null || server.state() != BackendState.READY || stopping) {
+        if (server == null || server.state() != BackendState.READY || stopping || !versionGate.admits(server)) {
             refuseQueued(stopping ? Refusal.Reason.LEAVING : Refusal.Reason.NOT_HERE);
             return;
         }
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -72,6 +72,7 @@
     private int knownCrashes;
 
     private boolean finished;
+    private boolean failed;
     private boolean headForwarded;
     private boolean notExecuted;
 
@@ -301,6 +302,7 @@
     @Override
     public void onHead(HttpResponse head) {
         int status = head.status().code();
+        failed = status >= 500;
         HttpHeaders headers = head.headers();
         owner.onResponseHead(backend, headers);
         if (headers.contains(headerNames.notExecuted()) || status == 421) {
@@ -339,6 +341,7 @@
         }
         long now = clock.now();
         backend.serviceTimeEstimator().addSample(call, now - sentAt);
+        owner.onRunEnded(backend, call, now - sentAt, failed);
         backend.onResponse(now);
         owner.quarantine().onCompleted(call.uri(), call::fingerprint);
         connection = null;
@@ -382,6 +385,7 @@
             return;
         }
         backend.lossRate().onLost(clock.now());
+        owner.onRunEnded(backend, call, clock.now() - sentAt, true);
         closeConnection();
         finish();
         owner.counters().increment(NodeMetricNames.OWNER_LOST);
--- a/org.berylwick.node/src/org/berylwick/node/lib/BackendReport.java
+++ b/org.berylwick.node/src/org/berylwick/node/lib/BackendReport.java
@@ -13,6 +13,7 @@
  * @param state whether it accepts requests
  * @param sequence sequence number, increasing with each report of an incarnation
  * @param warmUpNanos remaining duration of its slow phase after the start
+ * @param softwareVersion version of its software, empty if it is unknown
  */
 public record BackendReport(
         String incarnation,
@@ -22,4 +23,18 @@
         int slots,
         BackendState state,
         long sequence,
-        long warmUpNanos) {}
+        long warmUpNanos,
+        String softwareVersion) {
+    /** Creates the report of a backend server whose version is unknown. */
+    public BackendReport(
+            String incarnation,
+            String service,
+            InetSocketAddress address,
+            String zone,
+            int slots,
+            BackendState state,
+            long sequence,
+            long warmUpNanos) {
+        this(incarnation, service, address, zone, slots, state, sequence, warmUpNanos, "");
+    }
+}
--- a/org.berylwick.node/src/org/berylwick/node/lib/PlatformBounds.java
+++ b/org.berylwick.node/src/org/berylwick/node/lib/PlatformBounds.java
@@ -12,6 +12,8 @@
  * @param retryWindowNanos length of the window over which requests and retries are counted
  * @param retrySlack number of retries that the whole fleet may send to a service in each window in addition to the
  *     ratio
+ * @param exposureShare largest share of a service's requests that a bad version may get while it is rolled out, 0 if
+ *     the platform has no roll-outs
  */
 public record PlatformBounds(
         long drainNanos,
@@ -19,4 +21,16 @@
         long convergenceNanos,
         double retryRatio,
         long retryWindowNanos,
-        double retrySlack) {}
+        double retrySlack,
+        double exposureShare) {
+    /** Creates the limits of a platform without roll-outs. */
+    public PlatformBounds(
+            long drainNanos,
+            long graceNanos,
+            long convergenceNanos,
+            double retryRatio,
+            long retryWindowNanos,
+            double retrySlack) {
+        this(drainNanos, graceNanos, convergenceNanos, retryRatio, retryWindowNanos, retrySlack, 0);
+    }
+}
--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -77,6 +77,8 @@
     BACKEND_LIMIT_IGNORED(7056, 5),
     /** The backend server stated in a response that it is about to stop. */
     BACKEND_LEAVING(7057, 20),
+    /** The roll-out of a version has got further, or was found to be bad. */
+    ROLLOUT_PHASE_CHANGED(7058, 20),
     /** An unexpected error occurred; the connection that it came from was closed. */
     INTERNAL_ERROR(7099, 20);
 
--- a/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
@@ -114,6 +114,10 @@
     public static final String QUARANTINE_HOLDS = "quarantine.holds";
     /** Times that a request which was refused turned out not to have crashed the backend servers. */
     public static final String QUARANTINE_CLEARED = "quarantine.cleared";
+    /** Reads of the operator's orders to roll out versions. */
+    public static final String ROLLOUT_READS = "rollout.reads";
+    /** Times that this node told the operator how far a roll-out has got. */
+    public static final String ROLLOUT_WRITES = "rollout.writes";
     /** Log lines dropped because the reader of the log stalled. */
     public static final String LOG_LINES_DROPPED = "log.lines.dropped";
 
--- a/org.berylwick.node/src/org/berylwick/node/member/MemberTable.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/MemberTable.java
@@ -59,7 +59,8 @@
                 || previous.backendState() != state.backendState()
                 || previous.leaving() != state.leaving()
                 || !previous.service().equals(state.service())
-                || !previous.incarnation().equals(state.incarnation());
+                || !previous.incarnation().equals(state.incarnation())
+                || !previous.rollout().softwareVersion().equals(state.rollout().softwareVersion());
         member.update(state, now);
         if (changed) {
             rebuildServiceIndex();
--- a/org.berylwick.node/src/org/berylwick/node/member/NodeState.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/NodeState.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.OwnerLoad;
+import org.berylwick.node.lib.RolloutNotice;
 import org.berylwick.node.lib.ServiceTimeDistribution;
 
 /**
@@ -21,6 +22,7 @@
  * @param warmUpRemainingNanos how much longer its backend server responds slowly after its start
  * @param load load of its backend server
  * @param serviceTimes service times measured at its backend server, one entry per request class seen so far
+ * @param rollout what the node knows of roll-outs
  */
 public record NodeState(
         long bootId,
@@ -35,11 +37,44 @@
         BackendState backendState,
         long warmUpRemainingNanos,
         OwnerLoad load,
-        List<ServiceTimeDistribution> serviceTimes) {
+        List<ServiceTimeDistribution> serviceTimes,
+        RolloutNotice rollout) {
     /** Largest bandwidth that fits the encoded field; faster links are sent as this value. */
     public static final int MAX_LINK_MBPS = 65_535;
 
     public NodeState {
         serviceTimes = List.copyOf(serviceTimes);
     }
+
+    /** Creates the state of a node that knows of no roll-outs. */
+    public NodeState(
+            long bootId,
+            long sequence,
+            String zone,
+            int linkMbps,
+            long version,
+            boolean storeReachable,
+            boolean leaving,
+            String service,
+            String incarnation,
+            BackendState backendState,
+            long warmUpRemainingNanos,
+            OwnerLoad load,
+            List<ServiceTimeDistribution> serviceTimes) {
+        this(
+                bootId,
+                sequence,
+                zone,
+                linkMbps,
+                version,
+                storeReachable,
+                leaving,
+                service,
+                incarnation,
+                backendState,
+                warmUpRemainingNanos,
+                load,
+                serviceTimes,
+                RolloutNotice.NONE);
+    }
 }
--- a/org.berylwick.node/src/org/berylwick/node/member/NodeStateCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/NodeStateCodec.java
@@ -8,6 +8,7 @@
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.OwnerLoad;
 import org.berylwick.node.lib.RequestClass;
+import org.berylwick.node.lib.RolloutNotice;
 import org.berylwick.node.lib.RouteKind;
 import org.berylwick.node.lib.ServiceTimeDistribution;
 
@@ -19,6 +20,8 @@
     private static final int FLAG_REPLY_REQUESTED = 4;
     /** The backend server states a limit on the rate of its requests. */
     private static final int FLAG_LIMITED = 8;
+    /** The sender states the version of its backend server, and what it knows of roll-outs. */
+    private static final int FLAG_ROLLOUT = 16;
 
     /** Set in the kind of a class of requests that backend servers make. */
     private static final int KIND_FLAG_CALLS = 0x80;
@@ -69,7 +72,8 @@
         int flags = (state.storeReachable() ? FLAG_STORE_REACHABLE : 0)
                 | (state.leaving() ? FLAG_LEAVING : 0)
                 | (message.replyRequested() ? FLAG_REPLY_REQUESTED : 0)
-                | (state.load().startIntervalNanos() > 0 ? FLAG_LIMITED : 0);
+                | (state.load().startIntervalNanos() > 0 ? FLAG_LIMITED : 0)
+                | (hasRollout(state) ? FLAG_ROLLOUT : 0);
         out.writeByte(flags);
         out.writeLong(state.bootId());
         out.writeLong(state.sequence());
@@ -101,13 +105,21 @@
         }
         // The last fields are left out while they are 0, which is nearly always.
         boolean limited = state.load().startIntervalNanos() > 0;
-        if (message.quarantineChecksum() != 0 || limited) {
+        if (message.quarantineChecksum() != 0 || limited || hasRollout(state)) {
             out.writeInt(message.quarantineChecksum());
         }
         if (limited) {
             out.writeInt((int) (state.load().startIntervalNanos() / 1_000));
             out.writeShort((int) Math.min(MAX_LIMIT_WAIT_MILLIS, state.load().limitWaitNanos() / 1_000_000));
         }
+        if (hasRollout(state)) {
+            RolloutNoticeCodec.encode(state.rollout(), System.nanoTime(), out);
+        }
+    }
+
+    private static boolean hasRollout(NodeState state) {
+        return !state.rollout().softwareVersion().isEmpty()
+                || !state.rollout().states().isEmpty();
     }
 
     /** Decodes a datagram; empty if the bytes are not a valid datagram. */
@@ -146,6 +158,8 @@
             if ((flags & FLAG_LIMITED) != 0) {
                 load = load.withLimit(in.readInt() * 1_000L, in.readUnsignedShort() * 1_000_000L);
             }
+            RolloutNotice rollout =
+                    (flags & FLAG_ROLLOUT) != 0 ? RolloutNoticeCodec.decode(in, System.nanoTime()) : RolloutNotice.NONE;
             NodeState state = new NodeState(
                     bootId,
                     sequence,
@@ -159,7 +173,8 @@
                     backendState,
                     warmUpRemainingNanos,
                     load,
-                    serviceTimes);
+                    serviceTimes,
+                    rollout);
             return Optional.of(
                     new Message(state, (flags & FLAG_REPLY_REQUESTED) != 0, peerAddresses, quarantineChecksum));
         } catch (IndexOutOfBoundsException e) {
@@ -169,14 +184,14 @@
     }
 
     /** Writes a string with its length in one byte; only the first 255 bytes of a longer string are written. */
-    private static void writeString(String text, ByteBuf out) {
+    static void writeString(String text, ByteBuf out) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         int length = Math.min(bytes.length, 255);
         out.writeByte(length);
         out.writeBytes(bytes, 0, length);
     }
 
-    private static String readString(ByteBuf in) {
+    static String readString(ByteBuf in) {
         int length = in.readUnsignedByte();
         return in.readCharSequence(length, StandardCharsets.UTF_8).toString();
     }
--- a/org.berylwick.standin/src/org/berylwick/standin/objects/ObjectApiServer.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/objects/ObjectApiServer.java
@@ -75,7 +75,8 @@
         String key = kind + "/" + name;
         ObjectNode object = objects.computeIfAbsent(key, k -> MAPPER.createObjectNode());
         revision++;
-        object.putObject("metadata").put("name", name).put("rev", revision);
+        long createdRev = object.path("metadata").path("createdRev").asLong(revision);
+        object.putObject("metadata").put("name", name).put("rev", revision).put("createdRev", createdRev);
         object.set("spec", spec);
         notifyAll();
     }
@@ -108,7 +109,10 @@
         Reply reply = switch (exchange.getRequestMethod()) {
             case "GET" -> query != null && query.contains("watch=") ? watch(path[0], query) : list(path[0]);
             case "POST" -> create(path[0], MAPPER.readTree(body));
-            case "PUT" -> replace(path[0], path[1], MAPPER.readTree(body));
+            case "PUT" ->
+                path.length > 2 && path[2].equals("status")
+                        ? replaceStatus(path[0], path[1], MAPPER.readTree(body))
+                        : replace(path[0], path[1], MAPPER.readTree(body));
             default -> new Reply(405, MAPPER.createObjectNode());
         };
         if (lost) {
@@ -188,6 +192,34 @@
         return new Reply(200, objects.get(kind + "/" + name));
     }
 
+    /** Replaces the status, unless the object has changed since the revision that the caller names. */
+    private synchronized Reply replaceStatus(String kind, String name, JsonNode sent) {
+        ObjectNode object = objects.get(kind + "/" + name);
+        if (object == null) {
+            return new Reply(404, MAPPER.createObjectNode());
+        }
+        long current = object.path("metadata").path("rev").asLong();
+        if (sent.path("metadata").path("rev").asLong(current) != current) {
+            return new Reply(409, object);
+        }
+        object.set("status", sent.path("status"));
+        put(kind, name, object.path("spec"));
+        return new Reply(200, object);
+    }
+
+    /** The status of an object as the nodes have written it, missing if there is none. */
+    public synchronized JsonNode status(String kind, String name) {
+        ObjectNode object = objects.get(kind + "/" + name);
+        return object == null ? MAPPER.missingNode() : object.path("status").deepCopy();
+    }
+
+    /** Removes an object as an operator does. */
+    public synchronized void remove(String kind, String name) {
+        revision++;
+        objects.remove(kind + "/" + name);
+        notifyAll();
+    }
+
     @Override
     public void close() {
         server.stop(0);
--- a/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
+++ b/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
@@ -38,6 +38,7 @@
 import org.berylwick.node.member.NodeDirectory;
 import org.berylwick.node.member.NodeState;
 import org.berylwick.node.member.NodeStateCodec;
+import org.berylwick.node.rollout.RolloutOrders;
 import org.berylwick.node.version.ConfigurationSource;
 import org.berylwick.testing.Await;
 import org.berylwick.testing.RawServer;
@@ -67,6 +68,7 @@
     private static final AtomicInteger NEXT_SUBNET = new AtomicInteger(1);
 
     final InMemoryConfigurationStore configuration = new InMemoryConfigurationStore();
+    private Optional<InMemoryRolloutOrders> rollouts = Optional.empty();
     private final Map<Integer, Double> linkMbps = new HashMap<>();
     private volatile List<SuspectReport.Crashed> recordedCrashes = List.of();
     private final int subnet = NEXT_SUBNET.getAndIncrement() % 250 + 1;
@@ -102,6 +104,12 @@
         return portNumbers;
     }
 
+    /** Gives the platform of nodes that start from now on roll-outs, with a share of 0.1 for a bad version. */
+    InMemoryRolloutOrders withRollouts() {
+        rollouts = Optional.of(new InMemoryRolloutOrders());
+        return rollouts.get();
+    }
+
     Node node(int number) {
         return nodes.get(number - 1);
     }
@@ -172,7 +180,21 @@
             long sequence,
             BackendState state,
             int slots) {
-        String body = backend.address().port() + " " + sequence + " " + state + " " + slots + " " + service;
+        reportBody(
+                number,
+                incarnation,
+                backend.address().port() + " " + sequence + " " + state + " " + slots + " " + service);
+    }
+
+    /** Reports a ready backend server that runs a version of its software. */
+    void reportVersion(int number, RawServer backend, String softwareVersion, int slots) {
+        reportBody(
+                number,
+                "i-" + number + "-" + softwareVersion,
+                backend.address().port() + " 1 " + BackendState.READY + " " + slots + " work " + softwareVersion);
+    }
+
+    private void reportBody(int number, String incarnation, String body) {
         String response = exchange(
                 new InetSocketAddress(ip(number), ports[3]),
                 "PUT /" + incarnation + " HTTP/1.1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
@@ -397,7 +419,13 @@
                 200,
                 linkMbps.getOrDefault(number, DEFAULT_LINK_MBPS),
                 new PlatformBounds(
-                        2_000_000_000L, GRACE_PERIOD_MILLIS * 1_000_000L, 2_000_000_000L, 0.2, 10_000_000_000L, 60));
+                        2_000_000_000L,
+                        GRACE_PERIOD_MILLIS * 1_000_000L,
+                        2_000_000_000L,
+                        0.2,
+                        10_000_000_000L,
+                        60,
+                        rollouts.isPresent() ? 0.1 : 0));
     }
 
     @Override
@@ -444,6 +472,11 @@
             return configuration.sourceFor(loop);
         }
 
+        @Override
+        public RolloutOrders rolloutOrders(EventLoop loop) {
+            return rollouts.orElseThrow().forNode(loop);
+        }
+
         @Override
         public NodeDirectory directory(EventLoop loop) {
             return new NodeDirectory() {
@@ -471,7 +504,7 @@
         }
     }
 
-    /** Heartbeats with a body of the form {@code PORT SEQUENCE STATE SLOTS SERVICE}. */
+    /** Heartbeats with a body of the form {@code PORT SEQUENCE STATE SLOTS SERVICE [VERSION]}. */
     private static final class PlainTextHeartbeats implements HeartbeatProtocol {
         @Override
         public DecodeResult decode(String method, String uri, byte[] body) {
@@ -488,7 +521,8 @@
                     Integer.parseInt(fields[3]),
                     BackendState.valueOf(fields[2]),
                     Long.parseLong(fields[1]),
-                    0));
+                    0,
+                    fields.length > 5 ? fields[5] : ""));
         }
 
         @Override
--- a/org.berylwick.test/tst/org/berylwick/node/call/CandidateSamplerTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/CandidateSamplerTest.java
@@ -56,6 +56,7 @@
             memberTable,
             () -> SILENCE_THRESHOLD_NANOS,
             owner,
+            VersionChoice.NONE,
             random::nextDouble);
 
     @AfterEach
