--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -51,9 +51,6 @@
  * A node: assembles its components, opens its ports and shuts down gracefully. All state is confined to one event loop.
  */
 public final class Node implements AutoCloseable {
-    /** Number of nodes in each availability zone that watch the store; the second covers for the loss of the first. */
-    private static final int READERS_PER_ZONE = 2;
-
     private static final int PEER_CONNECT_TIMEOUT_MILLIS = 400;
     private static final long PEER_MAX_IDLE_NANOS = 20_000_000_000L;
     private static final int BACKEND_CONNECT_TIMEOUT_MILLIS = 1_000;
@@ -76,6 +73,7 @@
     private final VmLink link;
     private final Quarantine quarantine;
     private final Gossip gossip;
+    private final StoreReaders storeReaders;
     private final VersionUpdater versionUpdater;
     private final NodeDiscovery discovery;
     /** Empty on a platform without roll-outs. */
@@ -119,12 +117,13 @@
         this.gossip = new Gossip(
                 loop, settings.ip(), settings.gossipPort(), members, this::localState, counters, log, this::onGossip);
         new QuarantineExchange(clock, quarantine, gossip);
+        this.storeReaders = new StoreReaders(settings, members, gossip::silenceTimeoutNanos);
         this.versionUpdater = new VersionUpdater(
                 loop,
                 platform.configurationSource(loop),
                 members,
                 settings.zone(),
-                this::isStoreReader,
+                storeReaders::isReader,
                 this::onInstalled,
                 counters,
                 log);
@@ -181,7 +180,7 @@
                 platform.rolloutOrders(loop),
                 members,
                 owner,
-                this::isStoreReader,
+                storeReaders::isReader,
                 gossip::scheduleBroadcast,
                 new Instruments(counters, log)));
     }
@@ -320,44 +319,13 @@
         return BufferedHttpServer.Response.ofStatus(503);
     }
 
-    /** Returns whether fewer than {@link #READERS_PER_ZONE} eligible nodes of this zone precede this one as readers. */
-    private boolean isStoreReader() {
-        long now = System.nanoTime();
-        long silenceTimeoutNanos = gossip.silenceTimeoutNanos();
-        int precedingReaders = 0;
-        for (Member member : members.all()) {
-            NodeState state = member.state();
-            boolean eligible = state.zone().equals(settings.zone())
-                    && state.storeReachable()
-                    && !state.leaving()
-                    && now - member.lastDatagramAt() < silenceTimeoutNanos;
-            if (eligible && precedesAsReader(member)) {
-                precedingReaders++;
-            }
-        }
-        return precedingReaders < READERS_PER_ZONE;
-    }
-
-    /**
-     * Returns whether another node precedes this one as a store reader. The link bandwidth decides first, as a reader
-     * downloads every version completely and passes it on, then the address.
-     */
-    private boolean precedesAsReader(Member member) {
-        int linkComparison = Integer.compare(member.state().linkMbps(), linkMbps());
-        return linkComparison > 0 || linkComparison == 0 && member.ip().compareTo(settings.ip()) < 0;
-    }
-
-    private int linkMbps() {
-        return (int) Math.max(1, Math.min(NodeState.MAX_LINK_MBPS, Math.round(settings.linkMbps())));
-    }
-
     private NodeState localState() {
         Optional<Backend> backend = owner.backend();
         return new NodeState(
                 bootId,
                 ++stateSequence,
                 settings.zone(),
-                linkMbps(),
+                storeReaders.linkMbps(),
                 versionUpdater.version().map(v -> v.number()).orElse(0L),
                 versionUpdater.isStoreReachable(),
                 leaving,
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -35,16 +35,6 @@
 public final class Owner {
     /** Maximum number of queued requests per slot. */
     private static final int MAX_QUEUED_PER_SLOT = 8;
-    /**
-     * Heartbeat intervals after which a backend server that has neither sent a heartbeat nor answered a request is
-     * marked absent.
-     */
-    private static final int MAX_MISSED_HEARTBEATS = 6;
-    /**
-     * The same limit if all running requests are overdue. It is lower because missing heartbeats or overdue requests
-     * alone may be accidental, but both together are not.
-     */
-    private static final int MAX_MISSED_HEARTBEATS_WHEN_OVERDUE = 2;
 
     private final Clock clock;
     private final Function<InetSocketAddress, ServerConnectionPool> poolFactory;
@@ -294,18 +284,12 @@
      * long, unless it is running a request that is not overdue. Called about once a second.
      */
     public void tick() {
-        long now = clock.now();
         backend.ifPresent(server -> server.pool().evictIdle());
         Backend current = backend.orElse(null);
         if (current == null || current.state() == BackendState.ABSENT) {
             return;
         }
-        boolean allOverdue = running.areAllOverdue(now);
-        if (!allOverdue && !running.isEmpty()) {
-            return;
-        }
-        long maxMissed = allOverdue ? MAX_MISSED_HEARTBEATS_WHEN_OVERDUE : MAX_MISSED_HEARTBEATS;
-        if (now - current.lastActivityAt() > maxMissed * heartbeatNanos) {
+        if (BackendSilence.isAbsent(current, running, heartbeatNanos, clock.now())) {
             current.markAbsent();
             notifyBackendChange(current);
             dispatch();
--- a/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
+++ b/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
@@ -5,7 +5,6 @@
 import io.netty.channel.EventLoop;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -20,7 +19,6 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
-import org.berylwick.node.lib.BackendReport;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.CallerLimits;
 import org.berylwick.node.lib.ConfigurationVersion;
@@ -304,33 +302,12 @@
             socket.connect(to, 2_000);
             socket.setSoTimeout(30_000);
             socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-            return readResponse(socket.getInputStream());
+            return ResponseReader.read(socket.getInputStream());
         } catch (IOException e) {
             return "connection failed: " + e.getMessage();
         }
     }
 
-    /** Reads one response with a content length; appends {@code [closed]} if the connection ended early. */
-    static String readResponse(InputStream in) throws IOException {
-        StringBuilder text = new StringBuilder();
-        while (text.indexOf("\r\n\r\n") < 0) {
-            int c = in.read();
-            if (c < 0) {
-                return text + "[closed]";
-            }
-            text.append((char) c);
-        }
-        String head = text.toString();
-        int headerStart = head.toLowerCase(java.util.Locale.ROOT).indexOf("content-length: ");
-        if (headerStart < 0) {
-            return head;
-        }
-        int length = Integer.parseInt(head.substring(headerStart + 16, head.indexOf('\r', headerStart))
-                .strip());
-        byte[] body = in.readNBytes(length);
-        return head + new String(body, StandardCharsets.ISO_8859_1) + (body.length < length ? "[closed]" : "");
-    }
-
     /** Current value of a gauge of a node. */
     static long gauge(Node node, String name) {
         String text = node.loop()
@@ -503,31 +480,4 @@
             };
         }
     }
-
-    /** Heartbeats with a body of the form {@code PORT SEQUENCE STATE SLOTS SERVICE [VERSION]}. */
-    private static final class PlainTextHeartbeats implements HeartbeatProtocol {
-        @Override
-        public DecodeResult decode(String method, String uri, byte[] body) {
-            String incarnation = uri.substring(1);
-            if ("DELETE".equals(method)) {
-                return new DecodeResult.Leave(incarnation);
-            }
-            String[] fields = new String(body, StandardCharsets.US_ASCII).split(" ");
-            return new DecodeResult.Report(new BackendReport(
-                    incarnation,
-                    fields[4],
-                    new InetSocketAddress("127.0.0.1", Integer.parseInt(fields[0])),
-                    "zone-a",
-                    Integer.parseInt(fields[3]),
-                    BackendState.valueOf(fields[2]),
-                    Long.parseLong(fields[1]),
-                    0,
-                    fields.length > 5 ? fields[5] : ""));
-        }
-
-        @Override
-        public byte[] acknowledgement() {
-            return new byte[0];
-        }
-    }
 }
--- a/org.berylwick.test/tst/org/berylwick/node/StopTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/StopTest.java
@@ -63,7 +63,7 @@
         int complete = 0;
         try {
             while (complete < RESPONSE_COUNT
-                    && NodeRig.readResponse(caller.getInputStream()).endsWith(LARGE_BODY)) {
+                    && ResponseReader.read(caller.getInputStream()).endsWith(LARGE_BODY)) {
                 complete++;
             }
         } catch (IOException e) {
@@ -177,7 +177,7 @@
             });
             NodeRig.sleep(PAUSE_MILLIS);
             caller.getOutputStream().write(request.substring(firstPart.length()).getBytes(StandardCharsets.ISO_8859_1));
-            String response = NodeRig.readResponse(caller.getInputStream());
+            String response = ResponseReader.read(caller.getInputStream());
             assertTrue(response.startsWith("HTTP/1.1 503"), response);
             stopped.join();
         }
--- a/org.berylwick.test/tst/org/berylwick/node/StreamedUploadTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/StreamedUploadTest.java
@@ -69,7 +69,7 @@
                     out.write(toBytes(BODY.substring(HALF_LENGTH)));
                     assertEquals(BODY_LENGTH - HALF_LENGTH, call.readBody(BODY_LENGTH - HALF_LENGTH).length);
                     call.respond("s1", "stored");
-                    String response = NodeRig.readResponse(caller.getInputStream());
+                    String response = ResponseReader.read(caller.getInputStream());
                     assertTrue(response.endsWith("stored"), response);
                 }
             }
@@ -145,7 +145,7 @@
                     rig.awaitMemberKnown("i-2");
                 }
                 out.write(toBytes(BODY.substring(HALF_LENGTH)));
-                String response = NodeRig.readResponse(caller.getInputStream());
+                String response = ResponseReader.read(caller.getInputStream());
                 assertTrue(response.endsWith("ok"), response);
                 assertEquals(1, server.runs("s4"));
             }
@@ -161,7 +161,7 @@
             rig.awaitMemberKnown("i-2");
             try (Socket caller = connectCaller(rig)) {
                 caller.getOutputStream().write(toBytes(requestHead("/pay/x", "s5") + BODY.substring(0, HALF_LENGTH)));
-                String response = NodeRig.readResponse(caller.getInputStream());
+                String response = ResponseReader.read(caller.getInputStream());
                 assertTrue(response.startsWith("HTTP/1.1 503"), response);
                 assertEquals(0, server.runs("s5"));
             }
@@ -181,10 +181,10 @@
             try (Socket caller = connectCaller(rig)) {
                 OutputStream out = caller.getOutputStream();
                 out.write(toBytes(requestHead("/nowhere/x", "s6") + BODY.substring(0, HALF_LENGTH)));
-                String notFound = NodeRig.readResponse(caller.getInputStream());
+                String notFound = ResponseReader.read(caller.getInputStream());
                 assertTrue(notFound.startsWith("HTTP/1.1 404"), notFound);
                 out.write(toBytes(BODY.substring(HALF_LENGTH) + NodeRig.request("GET", "/read/x", "s7", 2_000, "")));
-                String response = NodeRig.readResponse(caller.getInputStream());
+                String response = ResponseReader.read(caller.getInputStream());
                 assertTrue(response.endsWith("ok"), response);
                 assertEquals(1, server.runs("s7"));
             }
--- a/org.berylwick.test/tst/org/berylwick/node/VersionSpreadTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/VersionSpreadTest.java
@@ -167,7 +167,7 @@
                 connection
                         .getOutputStream()
                         .write(("GET " + VersionUpdater.VERSION_PATH + "0 HTTP/1.1\r\n\r\n").getBytes(US_ASCII));
-                String response = NodeRig.readResponse(connection.getInputStream());
+                String response = ResponseReader.read(connection.getInputStream());
                 long millis = (System.nanoTime() - requestedAt) / 1_000_000;
                 assertTrue(response.startsWith("HTTP/1.1 200") && !response.endsWith("[closed]"));
                 assertTrue(
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/node/rollout/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of roll-outs, on emulated fleets and by parts. */
+package org.berylwick.node.rollout;
