--- a/org.berylwick.node/src/org/berylwick/node/call/Candidate.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Candidate.java
@@ -48,8 +48,17 @@
         OTHER_REGION
     }
 
-    /** Returns whether backend servers make the requests of a class, according to the owner. */
-    boolean receivesCalls(RequestClass requestClass) {
+    /** Returns whether backend servers make the requests of a class, according to the owner of any candidate. */
+    static boolean anyReceivesCalls(List<Candidate> candidates, RequestClass requestClass) {
+        for (Candidate candidate : candidates) {
+            if (candidate.receivesCalls(requestClass)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean receivesCalls(RequestClass requestClass) {
         for (ServiceTimeDistribution time : serviceTimes) {
             if (time.calls() && time.requestClass().equals(requestClass)) {
                 return true;
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -140,7 +140,7 @@
 
     private Optional<CandidateChooser.Choice> chooseNode(long now) {
         List<Candidate> candidates = context.candidates().candidatesFor(spec.service(), triedNodeKeys, now);
-        boolean isCall = candidates.stream().anyMatch(c -> c.receivesCalls(spec.requestClass()));
+        boolean isCall = Candidate.anyReceivesCalls(candidates, spec.requestClass());
         RequestProfile profile = new RequestProfile(
                 spec.requestClass(),
                 spec.expectedResponseBytes() + spec.body().length(),
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -142,9 +142,7 @@
 
     /** Service time of each class of requests that the backend server has answered. */
     public List<ServiceTimeDistribution> serviceTimes() {
-        return backend.map(server -> server.serviceTimeEstimator().distributions().stream()
-                        .map(time -> time.ofCalls(callOrigins.areCalls(time.requestClass())))
-                        .toList())
+        return backend.map(server -> server.serviceTimeEstimator().distributions(callOrigins::areCalls))
                 .orElse(List.of());
     }
 
--- a/org.berylwick.node/src/org/berylwick/node/call/RequestQueue.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/RequestQueue.java
@@ -23,12 +23,16 @@
     /** Maximum number of queued late requests per slot. They start only when no timely request is queued. */
     private static final double MAX_LATE_PER_SLOT = 0.5;
 
-    private static final Comparator<OwnerRun> ORDER =
-            Comparator.comparingLong(OwnerRun::effectiveObjectiveAt).thenComparingLong(OwnerRun::arrivalNumber);
+    private static final Comparator<OwnerRun> ORDER = RequestQueue::compare;
 
     private final TreeSet<OwnerRun> timely = new TreeSet<>(ORDER);
     private final TreeSet<OwnerRun> late = new TreeSet<>(ORDER);
 
+    private static int compare(OwnerRun a, OwnerRun b) {
+        int byObjective = Long.compare(a.effectiveObjectiveAt(), b.effectiveObjectiveAt());
+        return byObjective != 0 ? byObjective : Long.compare(a.arrivalNumber(), b.arrivalNumber());
+    }
+
     int size() {
         return timely.size() + late.size();
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/ServiceTimeEstimator.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/ServiceTimeEstimator.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.berylwick.node.lib.RequestClass;
 import org.berylwick.node.lib.ServiceTimeDistribution;
 
@@ -71,12 +72,16 @@
                 : estimate.distribution();
     }
 
-    /** Returns the estimates of the request classes that were measured, up to {@link #MAX_PUBLISHED_CLASSES}. */
-    List<ServiceTimeDistribution> distributions() {
+    /**
+     * Returns the estimates of the request classes that were measured, up to {@link #MAX_PUBLISHED_CLASSES}.
+     *
+     * @param areCalls whether backend servers make the requests of a class
+     */
+    List<ServiceTimeDistribution> distributions(Predicate<RequestClass> areCalls) {
         List<ServiceTimeDistribution> distributions = new ArrayList<>();
         for (ClassEstimate estimate : byClass.values()) {
             if (distributions.size() < MAX_PUBLISHED_CLASSES) {
-                distributions.add(estimate.distribution());
+                distributions.add(estimate.distribution().ofCalls(areCalls.test(estimate.requestClass)));
             }
         }
         return distributions;
--- a/org.berylwick.node/src/org/berylwick/node/lib/ConfigurationVersion.java
+++ b/org.berylwick.node/src/org/berylwick/node/lib/ConfigurationVersion.java
@@ -1,7 +1,6 @@
 package org.berylwick.node.lib;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -22,7 +21,8 @@
         Map<String, List<Route>> hosts = new HashMap<>();
         for (Map.Entry<String, List<Route>> entry : builder.routesByHost.entrySet()) {
             List<Route> routes = new ArrayList<>(entry.getValue());
-            routes.sort(Comparator.comparingInt(r -> -r.prefix().length()));
+            routes.sort(
+                    (a, b) -> Integer.compare(b.prefix().length(), a.prefix().length()));
             hosts.put(entry.getKey(), List.copyOf(routes));
         }
         this.routesByHost = Map.copyOf(hosts);
