--- a/org.berylwick.node/src/org/berylwick/node/call/CallSpec.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallSpec.java
@@ -48,6 +48,11 @@
         return requestClass.kind();
     }
 
+    /** Time left until the deadline. */
+    long remainingNanos(long now) {
+        return deadlineAt - now;
+    }
+
     /** Computes the fingerprint of the request; empty if its body is incomplete or was released. */
     public Optional<RequestFingerprint> fingerprint() {
         return body.completeBytes()
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -38,7 +38,6 @@
     private static final long DEADLINE_GRACE_NANOS = 10_000_000L;
     /** A retry needs at least this fraction of the request's expected duration before the deadline. */
     private static final double MIN_RETRY_TIME_SHARE = 0.5;
-
     /** Fraction of the successful calls with a single attempt that are logged. */
     private static final double LOG_SAMPLE_RATE = 0.02;
 
@@ -146,7 +145,7 @@
                 spec.expectedResponseBytes() + spec.body().length(),
                 context.responseEstimates().expectedNanos(route),
                 spec.objectiveAt() - now,
-                spec.deadlineAt() - now,
+                spec.remainingNanos(now),
                 (isCall ? spec.deadlineAt() : queueWaitEndsAt) - now,
                 callerRetried || isCall ? 0 : context.callerRetryRates().retryRate(spec.requestClass()),
                 isCall,
@@ -289,7 +288,7 @@
         long requiredNanos = (long) (context.responseEstimates().expectedNanos(route) * MIN_RETRY_TIME_SHARE);
         return spec.kind().isRetryable()
                 && possibleRunsSoFar < Math.max(1, route.maxAttempts())
-                && context.clock().now() + requiredNanos < spec.deadlineAt();
+                && requiredNanos < spec.remainingNanos(context.clock().now());
     }
 
     private boolean tryTakeRetry(long now) {
@@ -439,9 +438,10 @@
     private void refuse() {
         long holdNanos = remainingHoldNanos();
         finish();
-        double retryAfterSeconds = holdNanos > 0
-                ? holdNanos / 1e9
-                : RetryAfter.untilSlot(shortestWaitNanos, context.random().getAsDouble());
+        double random = context.random().getAsDouble();
+        long remainingNanos = spec.remainingNanos(context.clock().now());
+        double retryAfterSeconds =
+                holdNanos > 0 ? holdNanos / 1e9 : RetryAfter.untilSlot(shortestWaitNanos, remainingNanos, random);
         context.callerRetryRates().onRefused(spec.requestClass());
         context.counters().increment(NodeMetricNames.ENTRY_REFUSED);
         log(Event.CALL_REFUSED, 503, "");
--- a/org.berylwick.test/tst/org/berylwick/bench/emulate/DecisionsUnderLoadTest.java
+++ b/org.berylwick.test/tst/org/berylwick/bench/emulate/DecisionsUnderLoadTest.java
@@ -232,6 +232,21 @@
         }
     }
 
+    /** Guards against refused callers coming back at once, which costs more of the room than it gets them. */
+    @Test
+    void overloadOfAChainLeavesItsGoodput() {
+        double best = 0;
+        double atTwice = 0;
+        for (double load : new double[] {0.8, 1.0, 1.3, 2.0}) {
+            try (Emulation e = new Emulation(Deployment.chain(load), SEED)) {
+                e.run(10);
+                atTwice = load * e.outcomes().worth();
+                best = Math.max(best, atTwice);
+            }
+        }
+        assertAtLeast(0.9 * best, atTwice, "goodput at twice the room");
+    }
+
     /** Guards against calls that wait on a link which large answers fill. */
     @Test
     void callsDoNotWaitForLinksThatLargeAnswersFill() {
