--- a/org.berylwick.node/src/org/berylwick/node/version/VersionFreshness.java
+++ b/org.berylwick.node/src/org/berylwick/node/version/VersionFreshness.java
@@ -93,7 +93,17 @@
         }
     }
 
-    /** Decides for all callers that wait, because a version was installed or a read of the store has ended. */
+    /**
+     * Decides for the callers that wait, because a read of the store has ended. While a newer version is known, they go
+     * on waiting for it: it comes from another node, and a read may fail meanwhile, or be older than the announcement.
+     */
+    void onStoreReadEnded() {
+        if (!isOutdated()) {
+            decideWaiting();
+        }
+    }
+
+    /** Decides for all callers that wait, because a version was installed. */
     void decideWaiting() {
         List<Decision> decided = List.copyOf(waiting);
         waiting.clear();
--- a/org.berylwick.node/src/org/berylwick/node/version/VersionUpdater.java
+++ b/org.berylwick.node/src/org/berylwick/node/version/VersionUpdater.java
@@ -167,7 +167,7 @@
                 freshness.onStoreRead(found.version().number(), startedAt);
             }
             onReadResult(result);
-            freshness.decideWaiting();
+            freshness.onStoreReadEnded();
         });
     }
 
