--- a/org.berylwick.test/tst/org/berylwick/node/rollout/RolloutFleet.java
+++ b/org.berylwick.test/tst/org/berylwick/node/rollout/RolloutFleet.java
@@ -6,7 +6,6 @@
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -58,7 +57,6 @@
     private final List<FleetNode> nodes = new ArrayList<>();
     private final long roundNanos;
     private Behaviour target = Behaviour.GOOD;
-    private double targetShareAtOrder;
     long requests;
     long targetRequests;
     long targetBad;
@@ -338,12 +336,4 @@
             }
         }
     }
-
-    Map<String, Long> counts() {
-        Map<String, Long> counts = new HashMap<>();
-        counts.put("requests", requests);
-        counts.put("target", targetRequests);
-        counts.put("bad", targetBad);
-        return counts;
-    }
 }
