Split what is known of the backend server beside a node off its owner

BackendRegistry takes over the current incarnation, reports, leaves, silence and exits, unchanged; Owner keeps admission, queue and slots. An ignored report now also looks for requests to start, which finds none.

Owner*Test, MembershipTest, RestartTest, RolloutDaysTest and DecisionsUnderLoadTest: 79 run, none failed.

--- /dev/null
+++ b/org.berylwick.node/src/org/berylwick/node/call/BackendRegistry.java
@@ -0,0 +1,171 @@
+package org.berylwick.node.call;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.function.Function;
+import org.berylwick.node.lib.BackendReport;
+import org.berylwick.node.lib.BackendState;
+import org.berylwick.node.lib.Clock;
+import org.berylwick.node.log.Event;
+import org.berylwick.node.log.Instruments;
+import org.berylwick.node.log.NodeMetricNames;
+import org.berylwick.node.transport.ServerConnectionPool;
+
+/**
+ * Tracks which incarnation of the backend server runs beside this node, and its state, from what it reports and from
+ * its silence; confined to the event loop.
+ */
+final class BackendRegistry {
+    private final Clock clock;
+    private final Function<InetSocketAddress, ServerConnectionPool> poolFactory;
+    private final long heartbeatNanos;
+    private final Instruments instruments;
+    private final Runnable onChange;
+    private final DepartedIncarnations departedIncarnations = new DepartedIncarnations();
+    private Optional<Backend> current = Optional.empty();
+
+    /**
+     * @param clock time source
+     * @param poolFactory creates the connection pool for the backend server at an address
+     * @param heartbeatNanos interval between two heartbeats of the backend server
+     * @param instruments receive metric counts and events
+     * @param onChange runs after each change of the backend server's state
+     */
+    BackendRegistry(
+            Clock clock,
+            Function<InetSocketAddress, ServerConnectionPool> poolFactory,
+            long heartbeatNanos,
+            Instruments instruments,
+            Runnable onChange) {
+        this.clock = clock;
+        this.poolFactory = poolFactory;
+        this.heartbeatNanos = heartbeatNanos;
+        this.instruments = instruments;
+        this.onChange = onChange;
+    }
+
+    /** The current incarnation, empty until one is known. */
+    Optional<Backend> current() {
+        return current;
+    }
+
+    /** Processes a heartbeat; ignores one that is older than the current state or from a departed incarnation. */
+    void onReport(BackendReport report) {
+        if (departedIncarnations.contains(report.incarnation())) {
+            ignore(report, "incarnation has left");
+            return;
+        }
+        Backend known = current.orElse(null);
+        if (known != null && known.incarnation().equals(report.incarnation())) {
+            if (report.sequence() < known.sequence()) {
+                ignore(report, "stale sequence number");
+            } else if (known.applyReport(report, clock.now())) {
+                notifyChange(known);
+            }
+            return;
+        }
+        if (known != null && known.isMoreRecentThan(report, 2 * heartbeatNanos, clock.now())) {
+            ignore(report, "earlier incarnation");
+            return;
+        }
+        if (known != null) {
+            retire(known, "replaced by another incarnation");
+        }
+        Backend replacement = new Backend(report, poolFactory.apply(report.address()), clock.now(), this::onExit);
+        current = Optional.of(replacement);
+        notifyChange(replacement);
+    }
+
+    /** Processes the announcement of a backend server that it has stopped or is about to stop. */
+    void onLeave(String incarnation) {
+        departedIncarnations.add(incarnation);
+        Backend known = current.orElse(null);
+        if (known == null || !known.incarnation().equals(incarnation)) {
+            return;
+        }
+        known.startDraining();
+        notifyChange(known);
+    }
+
+    /** Processes a response in which an incarnation states that it leaves. */
+    void onLeaveStated(Backend leaving) {
+        if (!departedIncarnations.contains(leaving.incarnation())) {
+            instruments.log().write(Event.BACKEND_LEAVING, "incarnation", leaving.incarnation());
+            onLeave(leaving.incarnation());
+        }
+    }
+
+    /**
+     * Closes idle connections to the backend server, and marks it absent if nothing has been received from it for too
+     * long.
+     *
+     * @param running the requests that it runs
+     */
+    void tick(RunningRequests running) {
+        current.ifPresent(server -> server.pool().evictIdle());
+        Backend known = current.orElse(null);
+        if (known == null || known.state() == BackendState.ABSENT) {
+            return;
+        }
+        if (BackendSilence.isAbsent(known, running, heartbeatNanos, clock.now())) {
+            known.markAbsent();
+            notifyChange(known);
+        }
+    }
+
+    private void ignore(BackendReport report, String why) {
+        instruments.log().write(Event.BACKEND_REPORT_IGNORED, "incarnation", report.incarnation(), "why", why);
+    }
+
+    private void retire(Backend retired, String reason) {
+        departedIncarnations.add(retired.incarnation());
+        instruments
+                .log()
+                .write(Event.BACKEND_CHANGED, "incarnation", retired.incarnation(), "state", "RETIRED", "why", reason);
+        retired.pool().close();
+    }
+
+    /** Marks an incarnation absent that has ended, until a heartbeat arrives; one that is draining ends as planned. */
+    private void onExit(Backend exited) {
+        if (exited != current.orElse(null) || exited.state() != BackendState.READY) {
+            return;
+        }
+        instruments.counters().increment(NodeMetricNames.OWNER_BACKEND_EXITS);
+        instruments
+                .log()
+                .write(
+                        Event.BACKEND_EXITED,
+                        "incarnation",
+                        exited.incarnation(),
+                        "service",
+                        exited.service(),
+                        "state",
+                        exited.state(),
+                        "requests",
+                        exited.runningAtExit());
+        exited.markAbsent();
+        notifyChange(exited);
+    }
+
+    private void notifyChange(Backend changed) {
+        instruments
+                .log()
+                .write(
+                        Event.BACKEND_CHANGED,
+                        "incarnation",
+                        changed.incarnation(),
+                        "service",
+                        changed.service(),
+                        "state",
+                        changed.state(),
+                        "version",
+                        changed.softwareVersion(),
+                        "slots",
+                        changed.slots(),
+                        "sequence",
+                        changed.sequence(),
+                        "warmUpMs",
+                        changed.warmUpNanos(clock.now()) / 1_000_000);
+        onChange.run();
+    }
+}
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -16,8 +16,8 @@
 import org.berylwick.node.lib.ServiceTimeDistribution;
 import org.berylwick.node.lib.SuspectReport;
 import org.berylwick.node.log.Counters;
-import org.berylwick.node.log.Event;
 import org.berylwick.node.log.EventLog;
+import org.berylwick.node.log.Instruments;
 import org.berylwick.node.log.NodeMetricNames;
 import org.berylwick.node.quarantine.Quarantine;
 import org.berylwick.node.transport.OutgoingLink;
@@ -37,10 +37,8 @@
     private static final int MAX_QUEUED_PER_SLOT = 8;
 
     private final Clock clock;
-    private final Function<InetSocketAddress, ServerConnectionPool> poolFactory;
     private final HeaderNames headerNames;
     private final VmLink link;
-    private final long heartbeatNanos;
     private final Counters counters;
     private final EventLog log;
     private final Runnable onBackendChange;
@@ -53,8 +51,7 @@
     private final StartRateBalancer startRateBalancer = new StartRateBalancer();
     private final RunningRequests running = new RunningRequests();
     private final CallOrigins callOrigins;
-    private final DepartedIncarnations departedIncarnations = new DepartedIncarnations();
-    private Optional<Backend> backend = Optional.empty();
+    private final BackendRegistry registry;
     private VersionGate versionGate = VersionGate.OPEN;
     private boolean stopping;
     private long lastArrivalNumber;
@@ -83,14 +80,14 @@
             Quarantine quarantine,
             Supplier<Map<String, Integer>> vmsByService) {
         this.clock = clock;
-        this.poolFactory = poolFactory;
         this.headerNames = headerNames;
         this.link = link;
         this.bodyScheduler = new RequestBodyScheduler(link.incoming());
         this.waits = new OwnerWaits(clock, queue, bodyScheduler, running::size);
         this.dispatchTimer = new DispatchTimer(clock, this::dispatch);
-        this.statements = new BackendStatements(clock, headerNames, log, this::onStatedLeave, this::dispatch);
-        this.heartbeatNanos = heartbeatNanos;
+        this.registry = new BackendRegistry(
+                clock, poolFactory, heartbeatNanos, new Instruments(counters, log), this::onBackendChanged);
+        this.statements = new BackendStatements(clock, headerNames, log, registry::onLeaveStated, this::dispatch);
         this.counters = counters;
         this.log = log;
         this.onBackendChange = onBackendChange;
@@ -117,13 +114,14 @@
 
     /** The current incarnation of the backend server, empty until one is known. */
     public Optional<Backend> backend() {
-        return backend;
+        return registry.current();
     }
 
     /** Current load of the backend server, {@link OwnerLoad#NONE} until one is known. */
     public OwnerLoad load() {
         long now = clock.now();
-        return backend.map(server -> new OwnerLoad(
+        return registry.current()
+                .map(server -> new OwnerLoad(
                         running.size(),
                         queuedCount(),
                         server.slots(),
@@ -142,7 +140,8 @@
 
     /** Service time of each class of requests that the backend server has answered. */
     public List<ServiceTimeDistribution> serviceTimes() {
-        return backend.map(server -> server.serviceTimeEstimator().distributions(callOrigins::areCalls))
+        return registry.current()
+                .map(server -> server.serviceTimeEstimator().distributions(callOrigins::areCalls))
                 .orElse(List.of());
     }
 
@@ -157,51 +156,13 @@
 
     /** Processes a heartbeat; ignores one that is older than the current state or from a departed incarnation. */
     public void onReport(BackendReport report) {
-        if (departedIncarnations.contains(report.incarnation())) {
-            log.write(Event.BACKEND_REPORT_IGNORED, "incarnation", report.incarnation(), "why", "incarnation has left");
-            return;
-        }
-        Backend current = backend.orElse(null);
-        if (current != null && current.incarnation().equals(report.incarnation())) {
-            if (report.sequence() < current.sequence()) {
-                log.write(
-                        Event.BACKEND_REPORT_IGNORED,
-                        "incarnation",
-                        report.incarnation(),
-                        "why",
-                        "stale sequence number");
-                return;
-            }
-            boolean changed = current.applyReport(report, clock.now());
-            if (changed) {
-                notifyBackendChange(current);
-            }
-            dispatch();
-            return;
-        }
-        if (current != null && current.isMoreRecentThan(report, 2 * heartbeatNanos, clock.now())) {
-            log.write(Event.BACKEND_REPORT_IGNORED, "incarnation", report.incarnation(), "why", "earlier incarnation");
-            return;
-        }
-        if (current != null) {
-            retire(current, "replaced by another incarnation");
-        }
-        Backend replacement = new Backend(report, poolFactory.apply(report.address()), clock.now(), this::onExit);
-        backend = Optional.of(replacement);
-        notifyBackendChange(replacement);
+        registry.onReport(report);
         dispatch();
     }
 
     /** Processes the announcement of a backend server that it has stopped or is about to stop. */
     public void onLeave(String incarnation) {
-        departedIncarnations.add(incarnation);
-        Backend current = backend.orElse(null);
-        if (current == null || !current.incarnation().equals(incarnation)) {
-            return;
-        }
-        current.startDraining();
-        notifyBackendChange(current);
-        dispatch();
+        registry.onLeave(incarnation);
     }
 
     /** Processes the head of a response of a backend server. */
@@ -209,19 +170,6 @@
         statements.onResponseHead(responder, headers);
     }
 
-    private void onStatedLeave(Backend leaving) {
-        if (!departedIncarnations.contains(leaving.incarnation())) {
-            log.write(Event.BACKEND_LEAVING, "incarnation", leaving.incarnation());
-            onLeave(leaving.incarnation());
-        }
-    }
-
-    private void retire(Backend retired, String reason) {
-        departedIncarnations.add(retired.incarnation());
-        log.write(Event.BACKEND_CHANGED, "incarnation", retired.incarnation(), "state", "RETIRED", "why", reason);
-        retired.pool().close();
-    }
-
     /**
      * Records that an incarnation ended while it ran a request. The end of one that is draining is planned.
      *
@@ -236,45 +184,9 @@
                 : Optional.of(quarantine.onCrashed(request, exited.incarnation(), knownCrashes));
     }
 
-    /** Marks an incarnation absent that has ended, until a heartbeat arrives; one that is draining ends as planned. */
-    private void onExit(Backend exited) {
-        if (exited != backend.orElse(null) || exited.state() != BackendState.READY) {
-            return;
-        }
-        counters.increment(NodeMetricNames.OWNER_BACKEND_EXITS);
-        log.write(
-                Event.BACKEND_EXITED,
-                "incarnation",
-                exited.incarnation(),
-                "service",
-                exited.service(),
-                "state",
-                exited.state(),
-                "requests",
-                exited.runningAtExit());
-        exited.markAbsent();
-        notifyBackendChange(exited);
-        dispatch();
-    }
-
-    private void notifyBackendChange(Backend changed) {
-        log.write(
-                Event.BACKEND_CHANGED,
-                "incarnation",
-                changed.incarnation(),
-                "service",
-                changed.service(),
-                "state",
-                changed.state(),
-                "version",
-                changed.softwareVersion(),
-                "slots",
-                changed.slots(),
-                "sequence",
-                changed.sequence(),
-                "warmUpMs",
-                changed.warmUpNanos(clock.now()) / 1_000_000);
+    private void onBackendChanged() {
         onBackendChange.run();
+        dispatch();
     }
 
     /**
@@ -282,16 +194,7 @@
      * long, unless it is running a request that is not overdue. Called about once a second.
      */
     public void tick() {
-        backend.ifPresent(server -> server.pool().evictIdle());
-        Backend current = backend.orElse(null);
-        if (current == null || current.state() == BackendState.ABSENT) {
-            return;
-        }
-        if (BackendSilence.isAbsent(current, running, heartbeatNanos, clock.now())) {
-            current.markAbsent();
-            notifyBackendChange(current);
-            dispatch();
-        }
+        registry.tick(running);
     }
 
     /** Refuses queued and new requests from now on; running requests continue. */
@@ -313,7 +216,8 @@
     /** Whether requests for a service are accepted here now. */
     public boolean acceptsRequestsFor(String service) {
         return !stopping
-                && backend.filter(server -> server.state() == BackendState.READY
+                && registry.current()
+                        .filter(server -> server.state() == BackendState.READY
                                 && server.service().equals(service)
                                 && versionGate.admits(server))
                         .isPresent();
@@ -342,7 +246,7 @@
             enqueue(run);
         } else {
             run.awaitBody();
-            bodyScheduler.add(run, waits.isTimely(run, backend.orElseThrow()), clock.now());
+            bodyScheduler.add(run, waits.isTimely(run, registry.current().orElseThrow()), clock.now());
         }
         return run;
     }
@@ -360,7 +264,7 @@
     }
 
     private void enqueue(OwnerRun run) {
-        if (waits.isTimely(run, backend.orElseThrow())) {
+        if (waits.isTimely(run, registry.current().orElseThrow())) {
             queue.addTimely(run);
         } else {
             queue.addLate(run);
@@ -380,7 +284,7 @@
         if (isQuarantined(call)) {
             return Optional.of(Refusal.Reason.QUARANTINED);
         }
-        Backend server = backend.orElseThrow();
+        Backend server = registry.current().orElseThrow();
         run.setServiceTime(server.serviceTimeEstimator().distribution(call));
         long now = clock.now();
         if (!run.canMeetDeadline(now)) {
@@ -415,7 +319,7 @@
     }
 
     private void dispatch() {
-        Backend server = backend.orElse(null);
+        Backend server = registry.current().orElse(null);
         if (server == null || server.state() != BackendState.READY || stopping || !versionGate.admits(server)) {
             refuseQueued(stopping ? Refusal.Reason.LEAVING : Refusal.Reason.NOT_HERE);
             return;
