Log each acknowledged leave and why a backend server is taken for ready

The record of the incident doesn't tell when a leaving was acknowledged, by which word and sequence number, whether it changed anything, or why a node took its backend server for ready.

Event 7059 for each acknowledged leave with the word, the number, whether it was applied, and the incarnation that is current; BACKEND_REPORT_IGNORED with state and number of the heartbeat and of the current incarnation; BACKEND_CHANGED with its evidence; the counter heartbeats.ignored. No decision changes.

--- a/org.berylwick.node/src/org/berylwick/node/call/BackendProbe.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/BackendProbe.java
@@ -102,7 +102,7 @@
                 "answer",
                 result instanceof BufferedHttpCall.Result.Completed response ? response.status() : 0);
         if (report.isPresent() && owner.backend().isEmpty()) {
-            owner.onReport(report.get());
+            owner.onHealthy(report.get());
             return;
         }
         loop.schedule(() -> sendProbe(path), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
--- a/org.berylwick.node/src/org/berylwick/node/call/BackendRegistry.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/BackendRegistry.java
@@ -16,6 +16,9 @@
  * its silence; confined to the event loop.
  */
 final class BackendRegistry {
+    /** Logged where a call carries no sequence number. */
+    private static final long NO_SEQUENCE = -1;
+
     private final Clock clock;
     private final Function<InetSocketAddress, ServerConnectionPool> poolFactory;
     private final long heartbeatNanos;
@@ -49,49 +52,84 @@
         return current;
     }
 
-    /** Processes a heartbeat; ignores one that is older than the current state or from a departed incarnation. */
-    void onReport(BackendReport report) {
+    /**
+     * Processes a heartbeat or the result of a health check; ignores one that is older than the current state or from a
+     * departed incarnation.
+     */
+    void onReport(BackendReport report, BackendEvidence evidence) {
+        boolean applied = apply(report, evidence);
+        if (report.state() == BackendState.DRAINING) {
+            logLeave(report.incarnation(), evidence, report.sequence(), applied);
+        }
+    }
+
+    private boolean apply(BackendReport report, BackendEvidence evidence) {
         if (departedIncarnations.contains(report.incarnation())) {
-            ignore(report, "incarnation has left");
-            return;
+            return ignore(report, "incarnation has left");
         }
         Backend known = current.orElse(null);
         if (known != null && known.incarnation().equals(report.incarnation())) {
             if (report.sequence() < known.sequence()) {
-                ignore(report, "stale sequence number");
-            } else if (known.applyReport(report, clock.now())) {
-                notifyChange(known);
+                return ignore(report, "stale sequence number");
             }
-            return;
+            if (known.applyReport(report, clock.now())) {
+                notifyChange(known, evidence);
+            }
+            return true;
         }
         if (known != null && known.isMoreRecentThan(report, 2 * heartbeatNanos, clock.now())) {
-            ignore(report, "earlier incarnation");
-            return;
+            return ignore(report, "earlier incarnation");
         }
         if (known != null) {
             retire(known, "replaced by another incarnation");
         }
         Backend replacement = new Backend(report, poolFactory.apply(report.address()), clock.now(), this::onExit);
         current = Optional.of(replacement);
-        notifyChange(replacement);
+        notifyChange(replacement, evidence);
+        return true;
     }
 
-    /** Processes the announcement of a backend server that it has stopped or is about to stop. */
-    void onLeave(String incarnation) {
+    /** Processes the deregistration of a backend server, which has stopped or is about to stop. */
+    void onDeregistered(String incarnation) {
+        boolean applied = leave(incarnation, BackendEvidence.DEREGISTRATION);
+        logLeave(incarnation, BackendEvidence.DEREGISTRATION, NO_SEQUENCE, applied);
+    }
+
+    private boolean leave(String incarnation, BackendEvidence evidence) {
         departedIncarnations.add(incarnation);
         Backend known = current.orElse(null);
         if (known == null || !known.incarnation().equals(incarnation)) {
-            return;
+            return false;
         }
         known.startDraining();
-        notifyChange(known);
+        notifyChange(known, evidence);
+        return true;
+    }
+
+    private void logLeave(String incarnation, BackendEvidence evidence, long sequence, boolean applied) {
+        instruments
+                .log()
+                .write(
+                        Event.BACKEND_LEAVE_ACKNOWLEDGED,
+                        "incarnation",
+                        incarnation,
+                        "by",
+                        evidence,
+                        "sequence",
+                        sequence,
+                        "applied",
+                        applied,
+                        "current",
+                        current.map(Backend::incarnation).orElse(""),
+                        "state",
+                        current.map(Backend::state).orElse(BackendState.ABSENT));
     }
 
     /** Processes a response in which an incarnation states that it leaves. */
     void onLeaveStated(Backend leaving) {
         if (!departedIncarnations.contains(leaving.incarnation())) {
             instruments.log().write(Event.BACKEND_LEAVING, "incarnation", leaving.incarnation());
-            onLeave(leaving.incarnation());
+            leave(leaving.incarnation(), BackendEvidence.STATED_IN_RESPONSE);
         }
     }
 
@@ -109,12 +147,30 @@
         }
         if (BackendSilence.isAbsent(known, running, heartbeatNanos, clock.now())) {
             known.markAbsent();
-            notifyChange(known);
+            notifyChange(known, BackendEvidence.SILENCE);
         }
     }
 
-    private void ignore(BackendReport report, String why) {
-        instruments.log().write(Event.BACKEND_REPORT_IGNORED, "incarnation", report.incarnation(), "why", why);
+    /** Logs that a report has no effect, and returns that. */
+    private boolean ignore(BackendReport report, String why) {
+        instruments.counters().increment(NodeMetricNames.HEARTBEATS_IGNORED);
+        instruments
+                .log()
+                .write(
+                        Event.BACKEND_REPORT_IGNORED,
+                        "incarnation",
+                        report.incarnation(),
+                        "state",
+                        report.state(),
+                        "sequence",
+                        report.sequence(),
+                        "why",
+                        why,
+                        "current",
+                        current.map(Backend::incarnation).orElse(""),
+                        "currentSequence",
+                        current.map(Backend::sequence).orElse(NO_SEQUENCE));
+        return false;
     }
 
     private void retire(Backend retired, String reason) {
@@ -144,10 +200,10 @@
                         "requests",
                         exited.runningAtExit());
         exited.markAbsent();
-        notifyChange(exited);
+        notifyChange(exited, BackendEvidence.EXIT);
     }
 
-    private void notifyChange(Backend changed) {
+    private void notifyChange(Backend changed, BackendEvidence evidence) {
         instruments
                 .log()
                 .write(
@@ -158,6 +214,8 @@
                         changed.service(),
                         "state",
                         changed.state(),
+                        "by",
+                        evidence,
                         "version",
                         changed.softwareVersion(),
                         "slots",
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -156,13 +156,19 @@
 
     /** Processes a heartbeat; ignores one that is older than the current state or from a departed incarnation. */
     public void onReport(BackendReport report) {
-        registry.onReport(report);
+        registry.onReport(report, BackendEvidence.HEARTBEAT);
         dispatch();
     }
 
-    /** Processes the announcement of a backend server that it has stopped or is about to stop. */
+    /** Processes what a health check has found. */
+    void onHealthy(BackendReport report) {
+        registry.onReport(report, BackendEvidence.HEALTH_CHECK);
+        dispatch();
+    }
+
+    /** Processes the deregistration of a backend server, which has stopped or is about to stop. */
     public void onLeave(String incarnation) {
-        registry.onLeave(incarnation);
+        registry.onDeregistered(incarnation);
     }
 
     /** Processes the head of a response of a backend server. */
--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -79,6 +79,8 @@
     BACKEND_LEAVING(7057, 20),
     /** The roll-out of a version has got further, or was found to be bad. */
     ROLLOUT_PHASE_CHANGED(7058, 20),
+    /** A heartbeat or call in which an incarnation says that it leaves was acknowledged. */
+    BACKEND_LEAVE_ACKNOWLEDGED(7059, 20),
     /** An unexpected error occurred; the connection that it came from was closed. */
     INTERNAL_ERROR(7099, 20);
 
--- a/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
@@ -76,6 +76,8 @@
     public static final String OWNER_BACKEND_EXITS = "owner.backend.exits";
     /** Heartbeats of the local backend server that were acknowledged. */
     public static final String HEARTBEATS_ACKNOWLEDGED = "heartbeats.acknowledged";
+    /** Heartbeats without effect because they were late, or came from an incarnation that has left. */
+    public static final String HEARTBEATS_IGNORED = "heartbeats.ignored";
     /** Configuration version in force on this node, 0 for none. */
     public static final String VERSION_IN_FORCE = "version.in_force";
     /** Highest configuration version in force on another node, 0 if none is known. */
