Reproduce requests to a backend server whose leave a killed node had acknowledged

The test has a leave acknowledged, by a draining heartbeat or a deregistration, ends the node, starts another on the same VM, and gives it either a heartbeat from before the leave or a false health answer. Both fail on this code, for both ways of leaving: "expected: <0> but was: <1>".

--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/node/LeaveTest.java
@@ -0,0 +1,110 @@
+package org.berylwick.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import org.berylwick.node.lib.BackendState;
+import org.berylwick.node.lib.ConfigurationVersion;
+import org.berylwick.node.lib.Route;
+import org.berylwick.node.lib.RouteKind;
+import org.berylwick.node.lib.WeightedService;
+import org.berylwick.node.log.Event;
+import org.berylwick.testing.Await;
+import org.berylwick.testing.RawServer;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Tests that a backend server whose leave was acknowledged gets no more requests. */
+@Timeout(60)
+class LeaveTest {
+    private static final String HEALTH_PATH = "/healthy";
+    private static final String INCARNATION = "i-leaving";
+
+    /** How the backend server says that it leaves. */
+    private enum Leave {
+        DRAINING_HEARTBEAT,
+        DEREGISTRATION
+    }
+
+    /** Outdated or false evidence of a backend server that is ready. */
+    private enum Evidence {
+        DELAYED_HEARTBEAT,
+        FALSE_HEALTH
+    }
+
+    /** A request to a route of this version can only be run by the backend server beside node 1. */
+    private static ConfigurationVersion version() {
+        Route own = new Route(
+                "own",
+                "/own/",
+                RouteKind.NON_IDEMPOTENT,
+                2_000_000_000L,
+                600_000_000L,
+                2,
+                1,
+                List.of(new WeightedService("caller-1", 1)));
+        return NodeRig.version(1, b -> b.service("caller-1", 10, HEALTH_PATH).route(NodeRig.HOST, own));
+    }
+
+    private static RawServer startBackend(Evidence evidence) {
+        int healthStatus = evidence == Evidence.FALSE_HEALTH ? 200 : 503;
+        return new RawServer((connection, request) -> respond(healthStatus, connection, request));
+    }
+
+    private static void respond(int healthStatus, RawServer.Connection connection, RawServer.Request request)
+            throws IOException {
+        if (!request.path().equals(HEALTH_PATH)) {
+            NodeRig.respondOk(connection, request);
+            return;
+        }
+        connection.write("HTTP/1.1 " + healthStatus + " Health\r\nx-instance: " + INCARNATION
+                + "\r\nx-load: 1,0,3\r\nContent-Length: 0\r\n\r\n");
+    }
+
+    private static void reportState(NodeRig rig, RawServer server, long sequence, BackendState state) {
+        rig.report(1, "caller-1", server, INCARNATION, sequence, state, 2);
+    }
+
+    private static String call(NodeRig rig, String id) {
+        return rig.call(1, "POST", "/own/x", id, "");
+    }
+
+    private static void kill(Node node) {
+        node.close();
+        Await.until("the end of the node", () -> node.loop().isTerminated(), () -> "");
+    }
+
+    /** Guards against requests to a backend server whose leave the killed process of its node had acknowledged. */
+    @ParameterizedTest
+    @EnumSource(Evidence.class)
+    void acknowledgedLeaveOutlastsTheProcessOfTheNode(Evidence evidence) {
+        for (Leave leave : Leave.values()) {
+            try (RawServer server = startBackend(evidence);
+                    NodeRig rig = new NodeRig()) {
+                rig.configuration.publish(version());
+                Node killed = rig.startWithoutReport(1, server);
+                reportState(rig, server, 3, BackendState.READY);
+                rig.awaitReady(1);
+                assertTrue(call(rig, "before").endsWith("ok"), rig::logText);
+                if (leave == Leave.DEREGISTRATION) {
+                    rig.leave(1, INCARNATION);
+                } else {
+                    reportState(rig, server, 4, BackendState.DRAINING);
+                }
+                kill(killed);
+                rig.startWithoutReport(1, server);
+                rig.awaitReady(1);
+                Await.until("a health check", () -> rig.logText().contains(Event.BACKEND_PROBED.name()), rig::logText);
+                if (evidence == Evidence.DELAYED_HEARTBEAT) {
+                    reportState(rig, server, 3, BackendState.READY);
+                }
+                String response = call(rig, "after");
+                assertEquals(0, server.runs("after"), leave + ": " + rig.logText());
+                assertTrue(response.startsWith("HTTP/1.1 503"), response);
+            }
+        }
+    }
+}
