--- a/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeSoak.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeSoak.java
@@ -7,9 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Pattern;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -23,15 +21,9 @@
  * series, and leave nothing out: signals, restarts, replaced backend servers, a store in trouble, new versions.
  */
 public final class NodeSoak implements Measurement {
-    private static final int CALLERS_PER_NODE = 4;
-    private static final int BULK_CALLERS_PER_NODE = 2;
-    private static final int CALLER_MILLIS = 1_500;
-    private static final int PATIENT_MILLIS = 7_000;
     private static final double NARROW_MBPS = 6;
     private static final int STEPS_PER_CRASHING_REQUEST = 8;
     private static final int CRASHING_REQUESTS = 3;
-    private static final int CRASHING_REPEATS = 30;
-    private static final long CRASHING_GAP_MILLIS = 150;
     private static final long STATEMENT_SEED_OFFSET = 1_000_003;
     private static final int STEPS_PER_STATEMENT = 4;
     private static final String[] LIMITS = {"2", "5.5", "12", "0", "NaN"};
@@ -45,9 +37,9 @@
     private final List<Thread> faults = new ArrayList<>();
     private NodeFleet fleet;
     private NodeJudge judge;
+    private NodeCallers callers;
     private volatile boolean over;
     private volatile boolean planned;
-    private final AtomicLong nextId = new AtomicLong();
 
     @Override
     public String name() {
@@ -133,8 +125,9 @@
         fleet = started;
         judge = new NodeJudge(fleet.book());
         over = false;
+        callers = new NodeCallers(fleet, judge, planned);
         awaitReady();
-        List<Thread> threads = startCallers();
+        callers.start();
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
         while (System.nanoTime() < until) {
             draw.draw(random);
@@ -144,9 +137,7 @@
         Thread.sleep(CALM_MILLIS);
         judgeCalm();
         over = true;
-        for (Thread thread : threads) {
-            thread.join(10_000);
-        }
+        callers.close();
         judge.close();
         judge.counts().forEach((what, count) -> out.println(what + ": " + count));
         judge.findings().forEach(f -> out.println("finding (seed " + seed + "): " + f));
@@ -170,7 +161,7 @@
     private void awaitReady() throws InterruptedException {
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MILLIS);
         for (NodeFleet.Vm vm : fleet.vms()) {
-            while (!isReady(vm)) {
+            while (!callers.isReady(vm)) {
                 if (System.nanoTime() > until) {
                     throw new IllegalStateException(vm.process().output());
                 }
@@ -179,124 +170,6 @@
         }
     }
 
-    private boolean isReady(NodeFleet.Vm vm) {
-        try (PlainCaller caller = new PlainCaller(fleet.readiness(vm))) {
-            return caller.call("GET", "/ready", "ready", 500, "") instanceof PlainCaller.Result.Answer a
-                    && a.status() == 200;
-        }
-    }
-
-    private List<Thread> startCallers() {
-        List<Thread> threads = new ArrayList<>();
-        for (NodeFleet.Vm vm : fleet.vms()) {
-            for (int i = 0; i < CALLERS_PER_NODE; i++) {
-                threads.add(Thread.ofVirtual().start(() -> callOn(vm)));
-            }
-            for (int i = 0; planned && i < BULK_CALLERS_PER_NODE; i++) {
-                threads.add(Thread.ofVirtual().start(() -> callForBulkOn(vm)));
-            }
-            threads.add(Thread.ofVirtual().start(() -> watchVersions(vm)));
-            threads.add(Thread.ofVirtual().start(() -> askForReadiness(vm)));
-        }
-        return threads;
-    }
-
-    /** As the platform does, which moves callers away by the answers; these stay until the process is gone. */
-    private void askForReadiness(NodeFleet.Vm vm) {
-        try {
-            while (!over) {
-                isReady(vm);
-                Thread.sleep(1_000);
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    private void callOn(NodeFleet.Vm vm) {
-        try (PlainCaller caller = new PlainCaller(fleet.callers(vm))) {
-            while (!over) {
-                int draw = ThreadLocalRandom.current().nextInt(10);
-                String path = (draw < 4 ? "/pay/" : draw < 9 ? "/read/" : "/bulk/") + draw;
-                boolean answered = draw < 4
-                        ? call(vm, caller, "POST", path, CALLER_MILLIS, "pay")
-                        : call(vm, caller, "GET", path, CALLER_MILLIS, "");
-                Thread.sleep(answered ? 20 : 150);
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    /** Asks for large answers one after the other, and waits longer than a process that is told to stop is there. */
-    private void callForBulkOn(NodeFleet.Vm vm) {
-        try (PlainCaller caller = new PlainCaller(fleet.callers(vm))) {
-            while (!over) {
-                boolean answered = call(vm, caller, "GET", "/bulk/x", PATIENT_MILLIS, "");
-                Thread.sleep(answered ? 5 : 100);
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    private boolean call(
-            NodeFleet.Vm vm, PlainCaller caller, String method, String path, int deadlineMillis, String body) {
-        String id = "q" + nextId.incrementAndGet();
-        switch (caller.call(method, path, id, deadlineMillis, body)) {
-            case PlainCaller.Result.Answer answer -> {
-                judge.onAnswer(method, path, id, body, answer);
-                return true;
-            }
-            case PlainCaller.Result.NotSent notSent -> judge.count("not_sent");
-            case PlainCaller.Result.Broken broken -> {
-                judge.count("broken");
-                if (planned) {
-                    vm.note("broken: " + id + " after " + broken.afterMillis() + " ms");
-                    judge.onBrokenByPlannedWork(id, broken.afterMillis());
-                }
-            }
-        }
-        return false;
-    }
-
-    /** Within one life of a node, a version that was seen in force stays in force. */
-    private void watchVersions(NodeFleet.Vm vm) {
-        int life = 0;
-        long seen = 0;
-        try {
-            while (!over) {
-                if (vm.life() != life) {
-                    life = vm.life();
-                    seen = 0;
-                }
-                for (long number : new long[] {seen, fleet.version()}) {
-                    int status = versionStatus(vm, number);
-                    if (vm.life() != life || number == 0) {
-                        continue;
-                    }
-                    if (status == 404 && number == seen) {
-                        judge.find("CONFIG: node " + vm.number() + " went back behind version " + number);
-                    } else if (status == 200) {
-                        seen = Math.max(seen, number);
-                    }
-                }
-                Thread.sleep(100);
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    private int versionStatus(NodeFleet.Vm vm, long number) {
-        try (PlainCaller caller = new PlainCaller(fleet.callers(vm))) {
-            String id = "v" + nextId.incrementAndGet();
-            return caller.call("GET", "/v" + number + "/x", id, 1_000, "") instanceof PlainCaller.Result.Answer a
-                    ? a.status()
-                    : 0;
-        }
-    }
-
     private void fault(Random random) throws InterruptedException {
         NodeFleet.Vm vm = fleet.vms().get(random.nextInt(fleet.vms().size()));
         int kind = random.nextInt(10);
@@ -421,7 +294,7 @@
     private void drawCrashingRequest(Random random) {
         if (random.nextInt(STEPS_PER_CRASHING_REQUEST) == 0) {
             String path = "/read" + BackendVm.CRASHING + random.nextInt(CRASHING_REQUESTS);
-            later("crashing_request", () -> sendCrashing(path));
+            later("crashing_request", () -> callers.sendCrashing(path));
         }
     }
 
@@ -449,18 +322,6 @@
         vm.backend().setStatedLimit(Optional.empty());
     }
 
-    /** Callers at all nodes repeat a request that ends the backend server that runs it. */
-    private void sendCrashing(String path) throws InterruptedException {
-        for (int i = 0; i < CRASHING_REPEATS && !over; i++) {
-            NodeFleet.Vm vm = fleet.vms()
-                    .get(ThreadLocalRandom.current().nextInt(fleet.vms().size()));
-            try (PlainCaller caller = new PlainCaller(fleet.callers(vm))) {
-                call(vm, caller, "GET", path, CALLER_MILLIS, "");
-            }
-            Thread.sleep(CRASHING_GAP_MILLIS);
-        }
-    }
-
     private static void loseAnswers(NodeFleet.Vm vm) throws InterruptedException {
         vm.backend().setLoseShare(0.3);
         Thread.sleep(2_000);
@@ -479,7 +340,7 @@
     /** After a calm, every node is ready, serves, and takes up a version that is accepted now. */
     private void judgeCalm() throws InterruptedException {
         for (NodeFleet.Vm vm : fleet.vms()) {
-            if (!isReady(vm)) {
+            if (!callers.isReady(vm)) {
                 judge.find("RECOVER: node " + vm.number() + " is not ready after the calm: "
                         + vm.process().process().isAlive() + " " + vm.process().output());
             }
@@ -487,7 +348,7 @@
         long number = fleet.accept();
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(IN_FORCE_MILLIS);
         for (NodeFleet.Vm vm : fleet.vms()) {
-            while (versionStatus(vm, number) != 200) {
+            while (callers.versionStatus(vm, number) != 200) {
                 if (System.nanoTime() > until) {
                     judge.find("CONFIG: version " + number + " is not served by node " + vm.number());
                     break;
