--- a/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeSoak.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeSoak.java
@@ -55,6 +55,9 @@
         parser.addArgument("--planned")
                 .action(Arguments.storeTrue())
                 .help("planned work alone, under load that fills narrow links: then no request may be lost");
+        parser.addArgument("--leaves")
+                .action(Arguments.storeTrue())
+                .help("backend servers that leave, beside kills, late heartbeats, false health and a store in trouble");
     }
 
     @Override
@@ -64,7 +67,9 @@
         int nodes = options.getInt("nodes");
         List<String> findings = options.getBoolean("planned")
                 ? soakPlanned(seed, seconds, nodes, out)
-                : soak(seed, seconds, nodes, out);
+                : options.getBoolean("leaves")
+                        ? soakLeaves(seed, seconds, nodes, out)
+                        : soak(seed, seconds, nodes, out);
         out.println("findings: " + findings.size());
     }
 
@@ -110,6 +115,21 @@
         }
     }
 
+    /**
+     * Runs once with backend servers that leave, while their nodes are killed, heartbeats come late, health answers are
+     * false and the store is in trouble.
+     *
+     * @param seed of the leaves and faults
+     * @param seconds of leaves, before the calm in which all must be well again
+     * @param nodes how many
+     * @param out takes figures and findings
+     */
+    public List<String> soakLeaves(long seed, int seconds, int nodes, PrintStream out) throws Exception {
+        try (NodeFleet started = new NodeFleet(nodes, ownNet())) {
+            return soak(started, seed, seconds, this::leaveBesideFaults, out);
+        }
+    }
+
     /** Soaks that run side by side have addresses of their own, since each picks its ports by itself. */
     private static int ownNet() {
         return 100 + (int) (ProcessHandle.current().pid() % 100);
@@ -191,6 +211,58 @@
         }
     }
 
+    /** Leaves of backend servers beside kills, late heartbeats, false health answers and a store in trouble. */
+    private void leaveBesideFaults(Random random) throws InterruptedException {
+        NodeFleet.Vm vm = fleet.vms().get(random.nextInt(fleet.vms().size()));
+        switch (random.nextInt(9)) {
+            case 0, 1, 2, 3, 4 -> drawLeave(vm, random);
+            case 5 -> later("herd_kill", this::killAll);
+            case 6 -> {
+                Trouble[] all = Trouble.values();
+                Trouble trouble = all[random.nextInt(all.length)];
+                later("store_" + trouble, () -> storeTrouble(trouble));
+            }
+            case 7 -> later("pause", () -> pause(vm, 300 + random.nextInt(1_500)));
+            default -> fleet.accept();
+        }
+    }
+
+    private void drawLeave(NodeFleet.Vm vm, Random random) {
+        BackendVm.LeaveWord word = BackendVm.LeaveWord.values()[random.nextInt(2)];
+        long stayMillis = 1_500 + random.nextInt(5_000);
+        boolean healthFalse = random.nextBoolean();
+        later("leave_" + word, () -> {
+            vm.backend().setHealthFalse(healthFalse);
+            judge.count(describe(vm.backend().leave(word, stayMillis)));
+        });
+        if (random.nextInt(4) > 0) {
+            long killAfterMillis = random.nextInt(1_500);
+            later("kill", () -> {
+                Thread.sleep(killAfterMillis);
+                restart(vm, () -> vm.process().process().destroyForcibly(), 0);
+            });
+        }
+        BackendVm.Heartbeat held = vm.backend().lastReadyHeartbeat();
+        int heartbeats = random.nextInt(4);
+        for (int i = 0; i < heartbeats; i++) {
+            long delayMillis = random.nextInt(5_000);
+            later("heartbeat_delayed", () -> {
+                Thread.sleep(delayMillis);
+                vm.backend().deliver(held);
+            });
+        }
+    }
+
+    private static String describe(BackendVm.LeaveResult result) {
+        return switch (result) {
+            case BackendVm.LeaveResult.Acknowledged(long millis) when millis < 100 -> "leave_acknowledged_under_100_ms";
+            case BackendVm.LeaveResult.Acknowledged(long millis) when millis < 1_000 -> "leave_acknowledged_under_1_s";
+            case BackendVm.LeaveResult.Acknowledged acknowledged -> "leave_acknowledged_later";
+            case BackendVm.LeaveResult.NotAcknowledged notAcknowledged -> "leave_not_acknowledged";
+            case BackendVm.LeaveResult.AlreadyLeaving alreadyLeaving -> "leave_skipped";
+        };
+    }
+
     private void plannedWork(Random random) throws InterruptedException {
         NodeFleet.Vm vm = fleet.vms().get(random.nextInt(fleet.vms().size()));
         switch (random.nextInt(8)) {
--- a/org.berylwick.standin/src/org/berylwick/standin/objects/BackendVm.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/objects/BackendVm.java
@@ -18,6 +18,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A backend server that sends heartbeats to the node beside it, runs requests, and leaves by the rules. */
@@ -32,6 +33,11 @@
     /** Requests whose path contains this end the process that runs them. */
     public static final String CRASHING = "/crash";
 
+    /** Answers health checks with the incarnation and its load, and 503 while it leaves. */
+    static final String HEALTH_PATH = "/healthz";
+
+    private static final int LEAVE_TRIES = 20;
+    private static final long LEAVE_RETRY_MILLIS = 100;
     private static final int CRASH_AFTER_MILLIS = 40;
     private static final int RESTART_MILLIS = 1_000;
 
@@ -47,6 +53,10 @@
     private volatile String incarnation = newIncarnation();
     private volatile int sequence;
     private volatile boolean draining;
+    private volatile boolean deregistered;
+    private volatile boolean healthFalse;
+    private volatile Heartbeat lastReady = new Heartbeat("", "");
+    private final AtomicBoolean leaving = new AtomicBoolean();
     private volatile boolean closed;
     private volatile boolean down;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
@@ -132,6 +142,89 @@
         draining = false;
     }
 
+    /** How it says that it leaves. */
+    public enum LeaveWord {
+        /** By heartbeats, until it ends; it deregisters last. */
+        DRAINING,
+        /** It deregisters first, and sends no heartbeat any more. */
+        DEREGISTRATION
+    }
+
+    /** What became of a leave. */
+    public sealed interface LeaveResult {
+        /** The node beside it acknowledged the leave so many milliseconds after it was first said. */
+        record Acknowledged(long afterMillis) implements LeaveResult {}
+
+        /** It gave up waiting for an acknowledgement and left. */
+        record NotAcknowledged() implements LeaveResult {}
+
+        /** It was leaving already. */
+        record AlreadyLeaving() implements LeaveResult {}
+    }
+
+    /** A heartbeat as it was sent. */
+    public record Heartbeat(String incarnation, String body) {}
+
+    /** The latest heartbeat that said that it is ready. */
+    public Heartbeat lastReadyHeartbeat() {
+        return lastReady;
+    }
+
+    /** Sends a heartbeat once more, as one that was held up on its way. */
+    public void deliver(Heartbeat delayed) {
+        call("PUT", delayed.incarnation(), Optional.of(delayed.body()));
+    }
+
+    /** Answers health checks with 200 from now on also while it leaves, or no more. */
+    public void setHealthFalse(boolean isFalse) {
+        healthFalse = isFalse;
+    }
+
+    /**
+     * Says that it leaves, serves on for a while, and starts anew as another incarnation.
+     *
+     * @param word how it says so
+     * @param stayMillis how long it serves on after the acknowledgement, or after it has given up waiting for one
+     */
+    public LeaveResult leave(LeaveWord word, long stayMillis) throws InterruptedException {
+        if (!leaving.compareAndSet(false, true)) {
+            return new LeaveResult.AlreadyLeaving();
+        }
+        String left = incarnation;
+        long saidAt = System.nanoTime();
+        draining = word == LeaveWord.DRAINING;
+        deregistered = word == LeaveWord.DEREGISTRATION;
+        boolean acknowledged = sayLeave(word, left);
+        for (int i = 1; i < LEAVE_TRIES && !acknowledged; i++) {
+            Thread.sleep(LEAVE_RETRY_MILLIS);
+            acknowledged = sayLeave(word, left);
+        }
+        long afterMillis = (System.nanoTime() - saidAt) / 1_000_000;
+        if (acknowledged) {
+            book.onAcknowledgedLeave(left);
+        }
+        Thread.sleep(stayMillis);
+        call("DELETE", left, Optional.empty());
+        startAnew();
+        leaving.set(false);
+        return acknowledged ? new LeaveResult.Acknowledged(afterMillis) : new LeaveResult.NotAcknowledged();
+    }
+
+    private boolean sayLeave(LeaveWord word, String left) {
+        return switch (word) {
+            case DRAINING -> report();
+            case DEREGISTRATION -> call("DELETE", left, Optional.empty());
+        };
+    }
+
+    private synchronized void startAnew() {
+        incarnation = newIncarnation();
+        sequence = 0;
+        draining = false;
+        deregistered = false;
+        healthFalse = false;
+    }
+
     /** The node beside it was started anew: what still runs here, its successor cannot know of. */
     public void disown() {
         running = new AtomicInteger();
@@ -150,7 +243,7 @@
     }
 
     private synchronized boolean report() {
-        if (down) {
+        if (down || deregistered) {
             return false;
         }
         sequence++;
@@ -159,7 +252,11 @@
                         + "\"status\":{\"state\":\"%s\",\"seq\":%d,\"warmupLeftS\":0}}";
         String address = server.getInetAddress().getHostAddress();
         String state = draining ? "draining" : "ready";
-        return call("PUT", incarnation, Optional.of(body.formatted(address, port(), service, slots, state, sequence)));
+        Heartbeat sent = new Heartbeat(incarnation, body.formatted(address, port(), service, slots, state, sequence));
+        if (!draining) {
+            lastReady = sent;
+        }
+        return call("PUT", sent.incarnation(), Optional.of(sent.body()));
     }
 
     private boolean call(String method, String id, Optional<String> body) {
@@ -270,6 +367,16 @@
     /** Runs one request; false if the connection is to end. */
     private boolean handle(Socket socket, InputStream in, String uri, Map<String, String> headers, byte[] body)
             throws IOException {
+        if (uri.equals(HEALTH_PATH)) {
+            boolean well = healthFalse || !(draining || deregistered);
+            String load = "X-Instance-Load: " + running.get() + ",0," + slots;
+            write(
+                    socket,
+                    well ? "200 OK" : "503 Service Unavailable",
+                    "X-Instance-Id: " + incarnation + "\r\n" + load,
+                    new byte[0]);
+            return true;
+        }
         String id = headers.get("x-request-id");
         if (id == null || !incarnation.equals(headers.get("x-target-instance"))) {
             write(socket, "421 Misdirected Request", "X-Instance-Id: " + incarnation, new byte[0]);
--- a/org.berylwick.standin/src/org/berylwick/standin/objects/PlatformFiles.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/objects/PlatformFiles.java
@@ -67,8 +67,8 @@
         ObjectNode spec = MAPPER.createObjectNode();
         spec.put("version", "%08x".formatted(version));
         ArrayNode services = spec.putArray("services");
-        services.addObject().put("name", "alpha").put("maxConnections", 50);
-        services.addObject().put("name", "beta").put("maxConnections", 50);
+        services.addObject().put("name", "alpha").put("maxConnections", 50).put("healthPath", BackendVm.HEALTH_PATH);
+        services.addObject().put("name", "beta").put("maxConnections", 50).put("healthPath", BackendVm.HEALTH_PATH);
         spec.putObject("limits")
                 .put("maxHeaderBytes", 16_384)
                 .put("maxBodyBytes", 1 << 20)
--- a/org.berylwick.standin/src/org/berylwick/standin/objects/RunBook.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/objects/RunBook.java
@@ -45,7 +45,7 @@
     }
 
     void onAcknowledgedLeave(String incarnation) {
-        leaves.put(incarnation, System.nanoTime());
+        leaves(incarnation);
     }
 
     /** What an incarnation has stated that it takes, and when requests arrived meanwhile. */
