Believe an announced leave whatever reports came before it

Cause: a draining heartbeat went through the checks of order that are meant for states that come and go. It was ignored behind a higher sequence number (a damaged or foreign heartbeat), or while another incarnation had reported within two intervals; and a leave by heartbeat was no departure, so silence turned DRAINING into ABSENT, and the next heartbeat into READY. Each was answered like any other heartbeat.

A leave is never taken back, so its order doesn't matter: each incarnation that says it leaves, in whatever form, is entered among the departed before any other check. Ids are not used again.

OwnerLeaveTest, three tests, failed before: "expected: <false> but was: <true>". Owner*Test, MembershipTest, RestartTest, RolloutDaysTest: 33 run, none failed.

--- a/org.berylwick.node/src/org/berylwick/node/call/Backend.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Backend.java
@@ -160,7 +160,10 @@
         return serviceTimeEstimator;
     }
 
-    /** Applies a report; returns true if the state, the slots or the version changed, false while draining. */
+    /**
+     * Applies a report of an incarnation that has not left; returns whether the state, the slots or the version
+     * changed.
+     */
     boolean applyReport(BackendReport report, long now) {
         boolean versionChanged =
                 !report.softwareVersion().isEmpty() && !softwareVersion.equals(report.softwareVersion());
@@ -168,12 +171,7 @@
             softwareVersion = report.softwareVersion();
         }
         boolean changed = state != report.state() || slots != report.slots() || versionChanged;
-        // A draining incarnation never accepts requests again; a report with another state was sent earlier.
-        if (state == BackendState.DRAINING) {
-            changed = false;
-        } else {
-            state = report.state();
-        }
+        state = report.state();
         slots = Math.max(1, report.slots());
         sequence = report.sequence();
         warmUpEndsAt = now + report.warmUpNanos();
--- a/org.berylwick.node/src/org/berylwick/node/call/BackendRegistry.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/BackendRegistry.java
@@ -54,31 +54,35 @@
 
     /**
      * Processes a heartbeat or the result of a health check; ignores one that is older than the current state or from a
-     * departed incarnation.
+     * departed incarnation, except that an incarnation which says that it leaves is always believed.
      */
     void onReport(BackendReport report, BackendEvidence evidence) {
-        boolean applied = apply(report, evidence);
         if (report.state() == BackendState.DRAINING) {
+            boolean applied = leave(report.incarnation(), evidence);
+            apply(report, evidence);
             logLeave(report.incarnation(), evidence, report.sequence(), applied);
+            return;
         }
-    }
-
-    private boolean apply(BackendReport report, BackendEvidence evidence) {
         if (departedIncarnations.contains(report.incarnation())) {
-            return ignore(report, "incarnation has left");
+            ignore(report, "incarnation has left");
+            return;
         }
+        apply(report, evidence);
+    }
+
+    private void apply(BackendReport report, BackendEvidence evidence) {
         Backend known = current.orElse(null);
         if (known != null && known.incarnation().equals(report.incarnation())) {
             if (report.sequence() < known.sequence()) {
-                return ignore(report, "stale sequence number");
-            }
-            if (known.applyReport(report, clock.now())) {
+                ignore(report, "stale sequence number");
+            } else if (known.applyReport(report, clock.now())) {
                 notifyChange(known, evidence);
             }
-            return true;
+            return;
         }
         if (known != null && known.isMoreRecentThan(report, 2 * heartbeatNanos, clock.now())) {
-            return ignore(report, "earlier incarnation");
+            ignore(report, "earlier incarnation");
+            return;
         }
         if (known != null) {
             retire(known, "replaced by another incarnation");
@@ -86,7 +90,6 @@
         Backend replacement = new Backend(report, poolFactory.apply(report.address()), clock.now(), this::onExit);
         current = Optional.of(replacement);
         notifyChange(replacement, evidence);
-        return true;
     }
 
     /** Processes the deregistration of a backend server, which has stopped or is about to stop. */
@@ -95,15 +98,20 @@
         logLeave(incarnation, BackendEvidence.DEREGISTRATION, NO_SEQUENCE, applied);
     }
 
+    /**
+     * Records that an incarnation leaves, which it never takes back. The order in which its reports arrived therefore
+     * does not matter.
+     *
+     * @return whether this was not known yet
+     */
     private boolean leave(String incarnation, BackendEvidence evidence) {
-        departedIncarnations.add(incarnation);
+        boolean first = departedIncarnations.add(incarnation);
         Backend known = current.orElse(null);
-        if (known == null || !known.incarnation().equals(incarnation)) {
-            return false;
+        if (known != null && known.incarnation().equals(incarnation) && known.state() != BackendState.DRAINING) {
+            known.startDraining();
+            notifyChange(known, evidence);
         }
-        known.startDraining();
-        notifyChange(known, evidence);
-        return true;
+        return first;
     }
 
     private void logLeave(String incarnation, BackendEvidence evidence, long sequence, boolean applied) {
@@ -127,9 +135,8 @@
 
     /** Processes a response in which an incarnation states that it leaves. */
     void onLeaveStated(Backend leaving) {
-        if (!departedIncarnations.contains(leaving.incarnation())) {
+        if (leave(leaving.incarnation(), BackendEvidence.STATED_IN_RESPONSE)) {
             instruments.log().write(Event.BACKEND_LEAVING, "incarnation", leaving.incarnation());
-            leave(leaving.incarnation(), BackendEvidence.STATED_IN_RESPONSE);
         }
     }
 
--- a/org.berylwick.node/src/org/berylwick/node/call/DepartedIncarnations.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/DepartedIncarnations.java
@@ -9,10 +9,15 @@
 
     private final Set<String> incarnations = new LinkedHashSet<>();
 
-    void add(String incarnation) {
-        if (incarnations.add(incarnation) && incarnations.size() > MAX_SIZE) {
+    /** Adds an incarnation; returns false if it was there already. */
+    boolean add(String incarnation) {
+        if (!incarnations.add(incarnation)) {
+            return false;
+        }
+        if (incarnations.size() > MAX_SIZE) {
             incarnations.remove(incarnations.iterator().next());
         }
+        return true;
     }
 
     boolean contains(String incarnation) {
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerLeaveTest.java
@@ -0,0 +1,94 @@
+package org.berylwick.node.call;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import io.netty.handler.codec.http.HttpRequest;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import org.berylwick.bench.emulate.VirtualClock;
+import org.berylwick.node.lib.BackendReport;
+import org.berylwick.node.lib.BackendState;
+import org.berylwick.node.lib.HeaderNames;
+import org.berylwick.node.log.Counters;
+import org.berylwick.node.log.EventLog;
+import org.berylwick.node.log.Instruments;
+import org.berylwick.node.quarantine.HoldLog;
+import org.berylwick.node.quarantine.Quarantine;
+import org.berylwick.node.transport.HttpResponseHandler;
+import org.berylwick.node.transport.RequestBody;
+import org.berylwick.node.transport.VmLink;
+import org.junit.jupiter.api.Test;
+
+/** Tests which incarnation of a backend server an owner sends requests, by reports that are late or out of order. */
+class OwnerLeaveTest {
+    private static final long NANOS_PER_SECOND = 1_000_000_000L;
+    private static final long HEARTBEAT_NANOS = 1_500_000_000L;
+    private static final HeaderNames HEADER_NAMES = new HeaderNames(
+            "id", "deadline", "signature", "target", "load", "not-run", "caller", "instance", "limit", "leaving");
+
+    private final VirtualClock clock = new VirtualClock();
+    private final EventLog log = new EventLog("test", OutputStream.nullOutputStream());
+    private final Owner owner = new Owner(
+            clock,
+            address -> new IdleServer(),
+            HEADER_NAMES,
+            VmLink.of(1_000, clock),
+            HEARTBEAT_NANOS,
+            new Counters(),
+            log,
+            () -> {},
+            new Quarantine(clock::now, new HoldLog(new Instruments(new Counters(), log))),
+            Map::of);
+
+    /** A backend server that gets no requests. */
+    private final class IdleServer extends InMemoryBackendServer {
+        IdleServer() {
+            super(clock);
+        }
+
+        @Override
+        public void send(HttpRequest request, RequestBody body, HttpResponseHandler handler) {
+            throw new AssertionError("no request is sent");
+        }
+    }
+
+    private void report(String incarnation, long sequence, BackendState state) {
+        owner.onReport(new BackendReport(
+                incarnation, "work", new InetSocketAddress("127.0.0.1", 1), "zone", 2, state, sequence, 0));
+    }
+
+    private boolean acceptsRequests() {
+        return owner.acceptsRequestsFor("work");
+    }
+
+    /** Guards against an acknowledged leave without effect because an earlier heartbeat carried a higher number. */
+    @Test
+    void leaveBehindAHigherSequenceNumberIsBelieved() {
+        report("i-1", 900, BackendState.READY);
+        report("i-1", 5, BackendState.DRAINING);
+        report("i-1", 901, BackendState.READY);
+        assertFalse(acceptsRequests());
+    }
+
+    /** Guards against an acknowledged leave without effect because another incarnation reported just before. */
+    @Test
+    void leaveOfAnIncarnationThatIsNotCurrentIsBelieved() {
+        report("i-1", 2, BackendState.READY);
+        report("i-2", 7, BackendState.DRAINING);
+        owner.onLeave("i-1");
+        report("i-2", 6, BackendState.READY);
+        assertFalse(acceptsRequests());
+    }
+
+    /** Guards against a leave that is forgotten when the backend server falls silent after it. */
+    @Test
+    void leaveIsBelievedAfterSilence() {
+        report("i-1", 1, BackendState.READY);
+        report("i-1", 2, BackendState.DRAINING);
+        clock.runUntil(20 * NANOS_PER_SECOND);
+        owner.tick();
+        report("i-1", 3, BackendState.READY);
+        assertFalse(acceptsRequests());
+    }
+}
