Keep the running incarnation when a heartbeat of an earlier one comes late

Callers found no room on a backend server that ran and said so: a node that knew it from a health check alone took a delayed heartbeat of the crashed incarnation before it for the newer one, and entered the running one among the departed, so that its own heartbeats were ignored until it ended. And while an incarnation drained, such a heartbeat put the crashed one in its place, to which requests were then addressed (421 each).

Cause: being replaced was taken for a leave, though nobody had said so; and only a ready incarnation counted as more recent.

An incarnation that was replaced returns with its next heartbeat if it still runs; what it said itself alone makes it departed. One that drains is as recent as one that is ready. A late heartbeat beside a running incarnation is told by its higher number, as before.

OwnerLeaveTest, two tests, failed before: "expected: <false> but was: <true>" and "expected: <true> but was: <false>". Owner*Test, MembershipTest, RestartTest, Rollout*Test, CrashingRequestTest: 45 run, none failed.

--- a/org.berylwick.node/src/org/berylwick/node/call/Backend.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Backend.java
@@ -194,7 +194,7 @@
      */
     boolean isMoreRecentThan(BackendReport report, long recentNanos, long now) {
         return sequence >= 0
-                && state == BackendState.READY
+                && state != BackendState.ABSENT
                 && report.sequence() > sequence
                 && now - lastReportAt < recentNanos;
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/BackendRegistry.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/BackendRegistry.java
@@ -180,8 +180,8 @@
         return false;
     }
 
+    /** Gives up an incarnation that did not say that it left; it returns with its next heartbeat if it still runs. */
     private void retire(Backend retired, String reason) {
-        departedIncarnations.add(retired.incarnation());
         instruments
                 .log()
                 .write(Event.BACKEND_CHANGED, "incarnation", retired.incarnation(), "state", "RETIRED", "why", reason);
--- a/org.berylwick.test/tst/org/berylwick/node/call/OwnerLeaveTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerLeaveTest.java
@@ -1,6 +1,7 @@
 package org.berylwick.node.call;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.handler.codec.http.HttpRequest;
 import java.io.OutputStream;
@@ -91,4 +92,24 @@
         report("i-1", 3, BackendState.READY);
         assertFalse(acceptsRequests());
     }
+
+    /** Guards against a delayed heartbeat of a crashed incarnation in place of one that drains. */
+    @Test
+    void delayedHeartbeatOfAnEarlierIncarnationDoesNotReplaceOneThatDrains() {
+        report("i-2", 1, BackendState.READY);
+        report("i-2", 2, BackendState.DRAINING);
+        report("i-1", 40, BackendState.READY);
+        assertFalse(acceptsRequests());
+    }
+
+    /** Guards against the running incarnation being ignored for good after a delayed heartbeat of an earlier one. */
+    @Test
+    void runningIncarnationReturnsAfterADelayedHeartbeatOfAnEarlierOne() {
+        owner.onHealthy(new BackendReport(
+                "i-2", "work", new InetSocketAddress("127.0.0.1", 1), "zone", 2, BackendState.READY, -1, 0));
+        report("i-1", 40, BackendState.READY);
+        report("i-2", 3, BackendState.READY);
+        assertTrue(owner.backend().filter(b -> b.incarnation().equals("i-2")).isPresent());
+        assertTrue(acceptsRequests());
+    }
 }
