Acknowledge a leave only once it outlasts the process of the node

Cause: what was acknowledged lived in the memory of the process that was then killed. Its successor took the first word that said "ready": a heartbeat from before the leave that came late (13 of 21 incarnations that became ready again), or a health check whose answer was false (8 of 21). By events 7059 and 7032 all 21 did so in a later process of the node.

A leave is now recorded in the node's entry in the store before it is acknowledged, within 0.9 s, else the call is answered 503 and repeated by the backend server; the owner stops sending at once as before. Writes name the revision they replace, so that one that the store executes late removes nothing. A node reads its entry with the answer to its registration, which it sent before anyway, and puts by what it hears of its backend server until then; while the store doesn't answer, two heartbeats with rising numbers half an interval apart are needed.

Why this is enough: whatever was acknowledged is in the entry, and nothing is sent before the entry is read, or before a heartbeat that is newer than the start. The cost is one call to the store for each leave, and none for a start.

--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
@@ -179,7 +179,7 @@
     /** The backend server says that it leaves. */
     void leave() {
         away = true;
-        owner.onLeave(incarnation());
+        owner.onLeave(incarnation(), () -> {});
     }
 
     private void gossip() {
--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -30,10 +30,11 @@
 import org.berylwick.node.log.EventLog;
 import org.berylwick.node.log.Instruments;
 import org.berylwick.node.log.NodeMetricNames;
+import org.berylwick.node.member.DirectoryRegistration;
 import org.berylwick.node.member.Gossip;
-import org.berylwick.node.member.HeartbeatProtocol;
 import org.berylwick.node.member.Member;
 import org.berylwick.node.member.MemberTable;
+import org.berylwick.node.member.NodeDirectory;
 import org.berylwick.node.member.NodeDiscovery;
 import org.berylwick.node.member.NodeState;
 import org.berylwick.node.quarantine.HoldLog;
@@ -82,6 +83,7 @@
     private final EntryServer entryServer;
     private final PeerServer peerServer;
     private final GracefulShutdown shutdown;
+    private final HeartbeatHandler heartbeatHandler;
     private final BackendProbe backendProbe;
     private final CountDownLatch shutdownComplete = new CountDownLatch(1);
     private volatile String service;
@@ -113,6 +115,8 @@
         this.link = VmLink.of(settings.linkMbps(), clock);
         this.quarantine = new Quarantine(clock::now, new HoldLog(new Instruments(counters, log)));
         this.owner = createOwner(clock);
+        this.heartbeatHandler =
+                new HeartbeatHandler(clock, platform.heartbeatProtocol(), owner, new Instruments(counters, log));
         this.backendProbe = new BackendProbe(loop, settings, platform.headerNames(), owner, log);
         this.gossip = new Gossip(
                 loop, settings.ip(), settings.gossipPort(), members, this::localState, counters, log, this::onGossip);
@@ -127,7 +131,7 @@
                 this::onInstalled,
                 counters,
                 log);
-        this.discovery = createDiscovery();
+        this.discovery = createDiscovery(clock);
         this.rollouts = createRollouts(clock);
         RetryBudget budget =
                 new RetryBudget(settings.bounds(), this::nodeCount, discovery::isDirectoryRead, System.nanoTime());
@@ -185,19 +189,19 @@
                 new Instruments(counters, log)));
     }
 
-    private NodeDiscovery createDiscovery() {
-        NodeDiscovery created = new NodeDiscovery(
-                loop,
-                platform.directory(loop),
-                gossip,
-                counters,
-                log,
-                settings.vmName(),
-                settings.ip(),
-                quarantine::lastingCrashes,
-                crashes -> crashes.forEach(quarantine::merge));
-        quarantine.setLastingHoldListener(created::recordCrashes);
-        return created;
+    private NodeDiscovery createDiscovery(Clock clock) {
+        NodeDirectory directory = platform.directory(loop);
+        Instruments instruments = new Instruments(counters, log);
+        DirectoryRegistration registration = new DirectoryRegistration(
+                clock, directory, instruments, settings.vmName(), settings.ip(), quarantine::lastingCrashes);
+        registration.setEntryListener(entry -> {
+            entry.crashes().forEach(quarantine::merge);
+            owner.onDeparturesRead(entry.departures());
+        });
+        owner.setDepartureRecord(registration);
+        quarantine.setLastingHoldListener(registration::recordCrashes);
+        return new NodeDiscovery(
+                loop, directory, registration, gossip, instruments, crashes -> crashes.forEach(quarantine::merge));
     }
 
     private CandidateSampler createCandidateSampler() {
@@ -230,7 +234,7 @@
         NodeGauges.register(
                 new Instruments(counters, log), owner, peerServer, link, versionUpdater, members, gossip, quarantine);
         List<Runnable> steps = List.of(
-                () -> BufferedHttpServer.open(loop, settings.heartbeatAddress(), this::handleHeartbeat),
+                () -> BufferedHttpServer.openDeferred(loop, settings.heartbeatAddress(), heartbeatHandler),
                 gossip::start,
                 peerServer::start,
                 this::openMetricsPort,
@@ -396,20 +400,6 @@
                 (System.nanoTime() - member.lastDatagramAt()) / 1_000_000);
     }
 
-    private BufferedHttpServer.Response handleHeartbeat(BufferedHttpServer.Request request) {
-        HeartbeatProtocol protocol = platform.heartbeatProtocol();
-        switch (protocol.decode(request.method(), request.uri(), request.body())) {
-            case HeartbeatProtocol.DecodeResult.Report report -> owner.onReport(report.report());
-            case HeartbeatProtocol.DecodeResult.Leave leave -> owner.onLeave(leave.incarnation());
-            case HeartbeatProtocol.DecodeResult.Malformed malformed -> {
-                log.write(Event.BACKEND_REPORT_IGNORED, "incarnation", "", "why", malformed.reason());
-                return BufferedHttpServer.Response.ofStatus(400);
-            }
-        }
-        counters.increment(NodeMetricNames.HEARTBEATS_ACKNOWLEDGED);
-        return BufferedHttpServer.Response.of("application/json", protocol.acknowledgement());
-    }
-
     /** Reloads the settings without interrupting calls. */
     public void reload() {
         Optional<NodeSettings> reloaded = platform.reloadSettings();
--- a/org.berylwick.node/src/org/berylwick/node/call/BackendEvidence.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/BackendEvidence.java
@@ -1,7 +1,7 @@
 package org.berylwick.node.call;
 
 /** What a node concludes the state of the backend server beside it from; logged with each change. */
-enum BackendEvidence {
+public enum BackendEvidence {
     /** It sent a heartbeat. */
     HEARTBEAT,
     /** It answered a health check of this node. */
@@ -10,6 +10,8 @@
     DEREGISTRATION,
     /** It stated in a response that it leaves. */
     STATED_IN_RESPONSE,
+    /** An earlier process of this node has recorded that it left. */
+    RECORD,
     /** Neither heartbeats nor responses have come from it for some time. */
     SILENCE,
     /** Its VM refuses connections to it. */
--- a/org.berylwick.node/src/org/berylwick/node/call/BackendRegistry.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/BackendRegistry.java
@@ -1,11 +1,15 @@
 package org.berylwick.node.call;
 
 import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
 import org.berylwick.node.lib.BackendReport;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.Clock;
+import org.berylwick.node.lib.DepartureRecord;
 import org.berylwick.node.log.Event;
 import org.berylwick.node.log.Instruments;
 import org.berylwick.node.log.NodeMetricNames;
@@ -25,8 +29,18 @@
     private final Instruments instruments;
     private final Runnable onChange;
     private final DepartedIncarnations departedIncarnations = new DepartedIncarnations();
+    private final HeartbeatConfirmation confirmation;
+    /** Reports that wait for the departures to be known, the latest of each incarnation. */
+    private final Map<String, UnconfirmedReport> unconfirmed = new LinkedHashMap<>();
+
+    private DepartureRecord departureRecord = DepartureRecord.IN_MEMORY;
+    /** Whether the leaves that earlier processes of this node have acknowledged are known. */
+    private boolean departuresKnown = true;
+
     private Optional<Backend> current = Optional.empty();
 
+    private record UnconfirmedReport(BackendReport report, BackendEvidence evidence) {}
+
     /**
      * @param clock time source
      * @param poolFactory creates the connection pool for the backend server at an address
@@ -45,6 +59,7 @@
         this.heartbeatNanos = heartbeatNanos;
         this.instruments = instruments;
         this.onChange = onChange;
+        this.confirmation = new HeartbeatConfirmation(heartbeatNanos / 2);
     }
 
     /** The current incarnation, empty until one is known. */
@@ -52,27 +67,79 @@
         return current;
     }
 
+    /** Sets where leaves are recorded; until {@link #onDeparturesRead}, those in the record are unknown. */
+    void setDepartureRecord(DepartureRecord record) {
+        departureRecord = record;
+        departuresKnown = false;
+    }
+
     /**
-     * Processes a heartbeat or the result of a health check; ignores one that is older than the current state or from a
-     * departed incarnation, except that an incarnation which says that it leaves is always believed.
+     * Takes over departures from the record, and takes up what was reported before.
+     *
+     * @param incarnations the incarnations that have left
      */
-    void onReport(BackendReport report, BackendEvidence evidence) {
-        if (report.state() == BackendState.DRAINING) {
-            boolean applied = leave(report.incarnation(), evidence);
-            apply(report, evidence);
-            logLeave(report.incarnation(), evidence, report.sequence(), applied);
+    void onDeparturesRead(List<String> incarnations) {
+        for (String incarnation : incarnations) {
+            leave(incarnation, BackendEvidence.RECORD);
+        }
+        if (departuresKnown) {
             return;
         }
+        departuresKnown = true;
+        List<UnconfirmedReport> reports = List.copyOf(unconfirmed.values());
+        unconfirmed.clear();
+        reports.forEach(r -> onReport(r.report(), r.evidence()));
+    }
+
+    /**
+     * Processes a heartbeat or the result of a health check of an incarnation that says it is ready; ignores one that
+     * is older than the current state, or from an incarnation that has left.
+     */
+    void onReport(BackendReport report, BackendEvidence evidence) {
         if (departedIncarnations.contains(report.incarnation())) {
             ignore(report, "incarnation has left");
-            return;
+        } else if (departuresKnown || isCurrent(report.incarnation()) || confirmation.confirms(report, clock.now())) {
+            apply(report, evidence);
+        } else {
+            unconfirmed.put(report.incarnation(), new UnconfirmedReport(report, evidence));
+            ignore(report, "departures are not known yet");
         }
-        apply(report, evidence);
+    }
+
+    /**
+     * Processes a heartbeat in which an incarnation says that it drains.
+     *
+     * @param report the heartbeat
+     * @param onRecorded runs when the leave outlasts this process
+     */
+    void onDraining(BackendReport report, Runnable onRecorded) {
+        leave(report.incarnation(), BackendEvidence.HEARTBEAT);
+        apply(report, BackendEvidence.HEARTBEAT);
+        departureRecord.record(report.incarnation(), onRecorded);
+    }
+
+    /**
+     * Processes the deregistration of a backend server, which has stopped or is about to stop.
+     *
+     * @param incarnation the incarnation
+     * @param onRecorded runs when the leave outlasts this process
+     */
+    void onDeregistered(String incarnation, Runnable onRecorded) {
+        leave(incarnation, BackendEvidence.DEREGISTRATION);
+        departureRecord.record(incarnation, onRecorded);
+    }
+
+    boolean hasLeft(String incarnation) {
+        return departedIncarnations.contains(incarnation);
+    }
+
+    private boolean isCurrent(String incarnation) {
+        return current.filter(known -> known.incarnation().equals(incarnation)).isPresent();
     }
 
     private void apply(BackendReport report, BackendEvidence evidence) {
         Backend known = current.orElse(null);
-        if (known != null && known.incarnation().equals(report.incarnation())) {
+        if (isCurrent(report.incarnation())) {
             if (report.sequence() < known.sequence()) {
                 ignore(report, "stale sequence number");
             } else if (known.applyReport(report, clock.now())) {
@@ -92,12 +159,6 @@
         notifyChange(replacement, evidence);
     }
 
-    /** Processes the deregistration of a backend server, which has stopped or is about to stop. */
-    void onDeregistered(String incarnation) {
-        boolean applied = leave(incarnation, BackendEvidence.DEREGISTRATION);
-        logLeave(incarnation, BackendEvidence.DEREGISTRATION, NO_SEQUENCE, applied);
-    }
-
     /**
      * Records that an incarnation leaves, which it never takes back. The order in which its reports arrived therefore
      * does not matter.
@@ -107,36 +168,18 @@
     private boolean leave(String incarnation, BackendEvidence evidence) {
         boolean first = departedIncarnations.add(incarnation);
         Backend known = current.orElse(null);
-        if (known != null && known.incarnation().equals(incarnation) && known.state() != BackendState.DRAINING) {
+        if (isCurrent(incarnation) && known.state() != BackendState.DRAINING) {
             known.startDraining();
             notifyChange(known, evidence);
         }
         return first;
     }
 
-    private void logLeave(String incarnation, BackendEvidence evidence, long sequence, boolean applied) {
-        instruments
-                .log()
-                .write(
-                        Event.BACKEND_LEAVE_ACKNOWLEDGED,
-                        "incarnation",
-                        incarnation,
-                        "by",
-                        evidence,
-                        "sequence",
-                        sequence,
-                        "applied",
-                        applied,
-                        "current",
-                        current.map(Backend::incarnation).orElse(""),
-                        "state",
-                        current.map(Backend::state).orElse(BackendState.ABSENT));
-    }
-
     /** Processes a response in which an incarnation states that it leaves. */
     void onLeaveStated(Backend leaving) {
         if (leave(leaving.incarnation(), BackendEvidence.STATED_IN_RESPONSE)) {
             instruments.log().write(Event.BACKEND_LEAVING, "incarnation", leaving.incarnation());
+            departureRecord.record(leaving.incarnation(), () -> {});
         }
     }
 
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -10,6 +10,7 @@
 import org.berylwick.node.lib.BackendReport;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.Clock;
+import org.berylwick.node.lib.DepartureRecord;
 import org.berylwick.node.lib.HeaderNames;
 import org.berylwick.node.lib.OwnerLoad;
 import org.berylwick.node.lib.RequestFingerprint;
@@ -154,7 +155,21 @@
         return Math.max(server.lossRate().perMille(now), running.overduePerMille(now));
     }
 
-    /** Processes a heartbeat; ignores one that is older than the current state or from a departed incarnation. */
+    /** Sets where leaves are recorded, called before the first report. */
+    public void setDepartureRecord(DepartureRecord record) {
+        registry.setDepartureRecord(record);
+    }
+
+    /** Takes over the incarnations that have left according to the record. */
+    public void onDeparturesRead(List<String> incarnations) {
+        registry.onDeparturesRead(incarnations);
+        dispatch();
+    }
+
+    /**
+     * Processes a heartbeat of a backend server that is ready; ignores one that is older than the current state, or
+     * from an incarnation that has left.
+     */
     public void onReport(BackendReport report) {
         registry.onReport(report, BackendEvidence.HEARTBEAT);
         dispatch();
@@ -166,9 +181,29 @@
         dispatch();
     }
 
-    /** Processes the deregistration of a backend server, which has stopped or is about to stop. */
-    public void onLeave(String incarnation) {
-        registry.onDeregistered(incarnation);
+    /**
+     * Processes a heartbeat in which a backend server says that it drains.
+     *
+     * @param report the heartbeat
+     * @param onRecorded runs when the leave outlasts this process, and may be acknowledged
+     */
+    public void onDraining(BackendReport report, Runnable onRecorded) {
+        registry.onDraining(report, onRecorded);
+    }
+
+    /**
+     * Processes the deregistration of a backend server, which has stopped or is about to stop.
+     *
+     * @param incarnation the incarnation
+     * @param onRecorded runs when the leave outlasts this process, and may be acknowledged
+     */
+    public void onLeave(String incarnation, Runnable onRecorded) {
+        registry.onDeregistered(incarnation, onRecorded);
+    }
+
+    /** Whether an incarnation is known to have said that it leaves. */
+    public boolean hasLeft(String incarnation) {
+        return registry.hasLeft(incarnation);
     }
 
     /** Processes the head of a response of a backend server. */
--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -81,6 +81,8 @@
     ROLLOUT_PHASE_CHANGED(7058, 20),
     /** A heartbeat or call in which an incarnation says that it leaves was acknowledged. */
     BACKEND_LEAVE_ACKNOWLEDGED(7059, 20),
+    /** Such a call was refused, because the leave could not be recorded in time. */
+    BACKEND_LEAVE_NOT_ACKNOWLEDGED(7060, 20),
     /** An unexpected error occurred; the connection that it came from was closed. */
     INTERNAL_ERROR(7099, 20);
 
--- a/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
@@ -78,6 +78,8 @@
     public static final String HEARTBEATS_ACKNOWLEDGED = "heartbeats.acknowledged";
     /** Heartbeats without effect because they were late, or came from an incarnation that has left. */
     public static final String HEARTBEATS_IGNORED = "heartbeats.ignored";
+    /** Calls in which a backend server says that it leaves that were refused, because that could not be recorded. */
+    public static final String LEAVES_NOT_ACKNOWLEDGED = "leaves.not_acknowledged";
     /** Configuration version in force on this node, 0 for none. */
     public static final String VERSION_IN_FORCE = "version.in_force";
     /** Highest configuration version in force on another node, 0 if none is known. */
--- a/org.berylwick.node/src/org/berylwick/node/member/NodeDirectory.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/NodeDirectory.java
@@ -6,6 +6,36 @@
 
 /** Persistent list of all nodes. Calls are asynchronous; results are delivered on the event loop. */
 public interface NodeDirectory {
+    /**
+     * What the directory holds of a node, for nodes that start after all processes have been lost.
+     *
+     * @param vmName name of its VM, the key of the entry
+     * @param ip IP address of its VM
+     * @param crashes crashes of requests that the node has seen
+     * @param departures incarnations of its backend server that have left, the latest last
+     */
+    record Entry(String vmName, String ip, List<SuspectReport.Crashed> crashes, List<String> departures) {
+        public Entry {
+            crashes = List.copyOf(crashes);
+            departures = List.copyOf(departures);
+        }
+    }
+
+    /** Result of writing an entry. */
+    sealed interface WriteResult {
+        /** The entry is stored under a new revision. */
+        record Written(long revision) implements WriteResult {}
+
+        /** Nothing was written: the directory holds another entry, or another revision of it. */
+        record Conflict(Entry stored, long revision) implements WriteResult {}
+
+        /** Nothing was written: the directory holds no entry of this node. */
+        record Missing() implements WriteResult {}
+
+        /** The store did not respond, or rejected the call; the entry may have been written, or may be later. */
+        record Failed(String cause) implements WriteResult {}
+    }
+
     /** Result of listing the nodes. */
     sealed interface ListResult {
         /**
@@ -21,23 +51,23 @@
     }
 
     /**
-     * Registers this node.
+     * Writes the entry of a node that has none.
      *
-     * @param vmName name of its VM, the key of its entry
-     * @param ip IP address of its VM
-     * @param onResult receives whether the node is registered
+     * @param entry the entry
+     * @param timeoutMillis time after which the call fails
+     * @param onResult receives the result
      */
-    void register(String vmName, String ip, Consumer<Boolean> onResult);
+    void create(Entry entry, long timeoutMillis, Consumer<WriteResult> onResult);
 
     /**
-     * Replaces this node's entry by one that also holds crashes, for nodes that start after all nodes have been lost.
+     * Replaces an entry, if its revision is still the given one.
      *
-     * @param vmName name of its VM, the key of its entry
-     * @param ip IP address of its VM
-     * @param crashes the crashes; earlier ones that are not among them are forgotten
-     * @param onResult receives whether they are recorded
+     * @param entry the new entry
+     * @param revision revision of the entry that it replaces
+     * @param timeoutMillis time after which the call fails
+     * @param onResult receives the result
      */
-    void record(String vmName, String ip, List<SuspectReport.Crashed> crashes, Consumer<Boolean> onResult);
+    void replace(Entry entry, long revision, long timeoutMillis, Consumer<WriteResult> onResult);
 
     /** Lists the registered nodes. */
     void list(Consumer<ListResult> onResult);
--- a/org.berylwick.node/src/org/berylwick/node/member/NodeDiscovery.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/NodeDiscovery.java
@@ -5,15 +5,14 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
+import org.berylwick.node.lib.RetryDelay;
 import org.berylwick.node.lib.SuspectReport;
-import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.Event;
-import org.berylwick.node.log.EventLog;
+import org.berylwick.node.log.Instruments;
 import org.berylwick.node.log.NodeMetricNames;
 
 /**
- * Registers this node in the persistent node directory and reads the directory periodically to discover other nodes.
+ * Reads the persistent node directory periodically, once this node is registered there, to discover other nodes.
  * Confined to the event loop.
  */
 public final class NodeDiscovery {
@@ -30,53 +29,39 @@
 
     private final EventLoop loop;
     private final NodeDirectory directory;
+    private final DirectoryRegistration registration;
     private final Gossip gossip;
-    private final Counters counters;
-    private final EventLog log;
-    private final String vmName;
-    private final String ip;
-    private final Supplier<List<SuspectReport.Crashed>> crashes;
+    private final Instruments instruments;
     private final Consumer<List<SuspectReport.Crashed>> onCrashes;
-    private long retryMillis = INITIAL_RETRY_MILLIS;
+    private final RetryDelay retryDelay = new RetryDelay(INITIAL_RETRY_MILLIS, MAX_RETRY_MILLIS);
     private boolean directoryRead;
-    private boolean registered;
-    private boolean recording;
 
     /**
      * @param loop event loop on which everything runs
      * @param directory persistent list of all nodes
+     * @param registration registers this node there
      * @param gossip receives the addresses of the nodes in the directory
-     * @param counters metrics of this node
-     * @param log event log of this node
-     * @param vmName name of this VM, the key of its directory entry
-     * @param ip IP address of this VM
-     * @param crashes supplies the crashes that must outlast the loss of all nodes
-     * @param onCrashes receives those that are recorded in the directory
+     * @param instruments receive metric counts and events
+     * @param onCrashes receives the crashes that are recorded in the directory
      */
     public NodeDiscovery(
             EventLoop loop,
             NodeDirectory directory,
+            DirectoryRegistration registration,
             Gossip gossip,
-            Counters counters,
-            EventLog log,
-            String vmName,
-            String ip,
-            Supplier<List<SuspectReport.Crashed>> crashes,
+            Instruments instruments,
             Consumer<List<SuspectReport.Crashed>> onCrashes) {
         this.loop = loop;
         this.directory = directory;
+        this.registration = registration;
         this.gossip = gossip;
-        this.counters = counters;
-        this.log = log;
-        this.vmName = vmName;
-        this.ip = ip;
-        this.crashes = crashes;
+        this.instruments = instruments;
         this.onCrashes = onCrashes;
     }
 
     /** Registers this node, retrying until that succeeds, and then starts the periodic reads. */
     public void start() {
-        register();
+        registration.start(this::refresh);
     }
 
     /** Whether the directory has been read at least once since this process started. */
@@ -84,46 +69,12 @@
         return directoryRead;
     }
 
-    private void register() {
-        directory.register(vmName, ip, done -> {
-            if (!done) {
-                counters.increment(NodeMetricNames.DIRECTORY_FAILURES);
-                loop.schedule(this::register, nextRetryDelayMillis(), TimeUnit.MILLISECONDS);
-                return;
-            }
-            registered = true;
-            refresh();
-        });
-    }
-
-    /** Records the current crashes in the directory, retrying until that succeeds. */
-    public void recordCrashes() {
-        if (!recording) {
-            recording = true;
-            loop.execute(this::tryRecord);
-        }
-    }
-
-    private void tryRecord() {
-        if (!registered) {
-            loop.schedule(this::tryRecord, nextRetryDelayMillis(), TimeUnit.MILLISECONDS);
-            return;
-        }
-        recording = false;
-        directory.record(vmName, ip, crashes.get(), recorded -> {
-            if (!recorded) {
-                counters.increment(NodeMetricNames.DIRECTORY_FAILURES);
-                loop.schedule(this::recordCrashes, nextRetryDelayMillis(), TimeUnit.MILLISECONDS);
-            }
-        });
-    }
-
     private void refresh() {
         directory.list(result -> {
             switch (result) {
                 case NodeDirectory.ListResult.Listed found -> {
                     directoryRead = true;
-                    retryMillis = INITIAL_RETRY_MILLIS;
+                    retryDelay.reset();
                     found.addresses().forEach(gossip::addPeerAddress);
                     onCrashes.accept(found.crashes());
                     long refreshMillis =
@@ -132,17 +83,11 @@
                     loop.schedule(this::refresh, refreshMillis + jitterMillis, TimeUnit.MILLISECONDS);
                 }
                 case NodeDirectory.ListResult.Failed failed -> {
-                    log.write(Event.STORE_CALL_FAILED, "call", "list nodes", "cause", failed.cause());
-                    counters.increment(NodeMetricNames.DIRECTORY_FAILURES);
-                    loop.schedule(this::refresh, nextRetryDelayMillis(), TimeUnit.MILLISECONDS);
+                    instruments.log().write(Event.STORE_CALL_FAILED, "call", "list nodes", "cause", failed.cause());
+                    instruments.counters().increment(NodeMetricNames.DIRECTORY_FAILURES);
+                    loop.schedule(this::refresh, retryDelay.next(), TimeUnit.MILLISECONDS);
                 }
             }
         });
     }
-
-    private long nextRetryDelayMillis() {
-        long millis = retryMillis + ThreadLocalRandom.current().nextLong(retryMillis);
-        retryMillis = Math.min(MAX_RETRY_MILLIS, retryMillis * 2);
-        return millis;
-    }
 }
--- a/org.berylwick.node/src/org/berylwick/node/transport/BufferedHttpServer.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/BufferedHttpServer.java
@@ -19,9 +19,12 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Queue;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /** An HTTP server for small requests, which are buffered completely: readiness, heartbeats, metrics. */
@@ -59,6 +62,17 @@
         }
     }
 
+    /** Handles requests on the event loop. */
+    public interface Handler {
+        /**
+         * Handles a request.
+         *
+         * @param request the request
+         * @param respond takes the response, once, at once or later; the next request on the connection waits for it
+         */
+        void handle(Request request, Consumer<Response> respond);
+    }
+
     private BufferedHttpServer(Channel listener) {
         this.listener = listener;
     }
@@ -72,6 +86,17 @@
      */
     public static BufferedHttpServer open(
             EventLoop loop, InetSocketAddress address, Function<Request, Response> requestHandler) {
+        return openDeferred(loop, address, (request, respond) -> respond.accept(requestHandler.apply(request)));
+    }
+
+    /**
+     * Opens a port whose requests may be answered later.
+     *
+     * @param loop event loop on which requests are handled
+     * @param address address to listen on
+     * @param requestHandler produces the response to a request
+     */
+    public static BufferedHttpServer openDeferred(EventLoop loop, InetSocketAddress address, Handler requestHandler) {
         Channel listener = new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
@@ -101,9 +126,13 @@
     }
 
     private static final class RequestChannelHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private final Function<Request, Response> requestHandler;
+        private final Handler requestHandler;
+        private final Queue<PendingRequest> waiting = new ArrayDeque<>();
+        private boolean handling;
 
-        RequestChannelHandler(Function<Request, Response> requestHandler) {
+        private record PendingRequest(Request request, boolean keepAlive) {}
+
+        RequestChannelHandler(Handler requestHandler) {
             this.requestHandler = requestHandler;
         }
 
@@ -115,15 +144,31 @@
             httpRequest
                     .headers()
                     .forEach(header -> headers.put(header.getKey().toLowerCase(Locale.ROOT), header.getValue()));
-            Response response =
-                    requestHandler.apply(new Request(httpRequest.method().name(), httpRequest.uri(), headers, body));
+            Request request = new Request(httpRequest.method().name(), httpRequest.uri(), headers, body);
+            waiting.add(new PendingRequest(request, HttpUtil.isKeepAlive(httpRequest)));
+            handleNext(ctx);
+        }
+
+        private void handleNext(ChannelHandlerContext ctx) {
+            if (handling || waiting.isEmpty()) {
+                return;
+            }
+            handling = true;
+            PendingRequest next = waiting.remove();
+            requestHandler.handle(next.request(), response -> {
+                write(ctx, response, next.keepAlive());
+                handling = false;
+                handleNext(ctx);
+            });
+        }
+
+        private static void write(ChannelHandlerContext ctx, Response response, boolean keepAlive) {
             FullHttpResponse httpResponse = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1,
                     HttpResponseStatus.valueOf(response.status()),
                     Unpooled.wrappedBuffer(response.body()));
             httpResponse.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
             response.headers().forEach(httpResponse.headers()::set);
-            boolean keepAlive = HttpUtil.isKeepAlive(httpRequest);
             HttpUtil.setKeepAlive(httpResponse, keepAlive);
             ctx.writeAndFlush(httpResponse).addListener(result -> {
                 if (!keepAlive) {
--- a/org.berylwick.standin/src/org/berylwick/standin/objects/ObjectApiServer.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/objects/ObjectApiServer.java
@@ -184,22 +184,31 @@
         return new Reply(201, objects.get(kind + "/" + name));
     }
 
+    /** Replaces the specification, unless the object has changed since the revision that the caller names. */
     private synchronized Reply replace(String kind, String name, JsonNode sent) {
-        if (!objects.containsKey(kind + "/" + name)) {
+        ObjectNode object = objects.get(kind + "/" + name);
+        if (object == null) {
             return new Reply(404, MAPPER.createObjectNode());
         }
+        if (hasChanged(object, sent)) {
+            return new Reply(409, object);
+        }
         put(kind, name, sent.path("spec"));
         return new Reply(200, objects.get(kind + "/" + name));
     }
 
+    private static boolean hasChanged(ObjectNode object, JsonNode sent) {
+        long current = object.path("metadata").path("rev").asLong();
+        return sent.path("metadata").path("rev").asLong(current) != current;
+    }
+
     /** Replaces the status, unless the object has changed since the revision that the caller names. */
     private synchronized Reply replaceStatus(String kind, String name, JsonNode sent) {
         ObjectNode object = objects.get(kind + "/" + name);
         if (object == null) {
             return new Reply(404, MAPPER.createObjectNode());
         }
-        long current = object.path("metadata").path("rev").asLong();
-        if (sent.path("metadata").path("rev").asLong(current) != current) {
+        if (hasChanged(object, sent)) {
             return new Reply(409, object);
         }
         object.set("status", sent.path("status"));
--- a/org.berylwick.test/tst/org/berylwick/node/LeaveTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/LeaveTest.java
@@ -13,6 +13,7 @@
 import org.berylwick.node.log.Event;
 import org.berylwick.testing.Await;
 import org.berylwick.testing.RawServer;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -107,4 +108,61 @@
             }
         }
     }
+
+    /** Guards against an acknowledgement that a kill of the node would take back. */
+    @Test
+    void leaveIsAcknowledgedOnlyOnceItIsRecorded() {
+        try (RawServer server = startBackend(Evidence.DELAYED_HEARTBEAT);
+                NodeRig rig = new NodeRig()) {
+            rig.configuration.publish(version());
+            rig.startWithoutReport(1, server);
+            reportState(rig, server, 3, BackendState.READY);
+            rig.awaitReady(1);
+            Await.until("a response", () -> call(rig, "first").endsWith("ok"), rig::logText);
+            rig.directory.setUnavailable(true);
+            assertTrue(rig.leave(1, INCARNATION).startsWith("HTTP/1.1 503"));
+            assertTrue(call(rig, "meanwhile").startsWith("HTTP/1.1 503"));
+            rig.directory.setUnavailable(false);
+            Await.until(
+                    "the acknowledgement", () -> rig.leave(1, INCARNATION).startsWith("HTTP/1.1 200"), rig::logText);
+            assertEquals(0, server.runs("meanwhile"), rig::logText);
+        }
+    }
+
+    /** Guards against one late or false word being enough while the record of departures cannot be read. */
+    @ParameterizedTest
+    @EnumSource(Evidence.class)
+    void singleEvidenceIsNotEnoughWithoutTheRecord(Evidence evidence) {
+        try (RawServer server = startBackend(evidence);
+                NodeRig rig = new NodeRig()) {
+            rig.configuration.publish(version());
+            rig.directory.setUnavailable(true);
+            rig.startWithoutReport(1, server);
+            rig.awaitReady(1);
+            Await.until("a health check", () -> rig.logText().contains(Event.BACKEND_PROBED.name()), rig::logText);
+            reportState(rig, server, 3, BackendState.READY);
+            reportState(rig, server, 4, BackendState.READY);
+            assertTrue(call(rig, "early").startsWith("HTTP/1.1 503"));
+            NodeRig.sleep(NodeRig.HEARTBEAT_MILLIS);
+            reportState(rig, server, 3, BackendState.READY);
+            assertTrue(call(rig, "again").startsWith("HTTP/1.1 503"));
+            assertEquals(0, server.runs("early") + server.runs("again"), rig::logText);
+        }
+    }
+
+    /** Guards against a backend server without requests for as long as the record of departures cannot be read. */
+    @Test
+    void twoHeartbeatsAreEnoughWithoutTheRecord() {
+        try (RawServer server = startBackend(Evidence.DELAYED_HEARTBEAT);
+                NodeRig rig = new NodeRig()) {
+            rig.configuration.publish(version());
+            rig.directory.setUnavailable(true);
+            rig.startWithoutReport(1, server);
+            rig.awaitReady(1);
+            reportState(rig, server, 3, BackendState.READY);
+            NodeRig.sleep(NodeRig.HEARTBEAT_MILLIS);
+            reportState(rig, server, 4, BackendState.READY);
+            assertTrue(call(rig, "served").endsWith("ok"), rig::logText);
+        }
+    }
 }
--- a/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
+++ b/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
@@ -27,7 +27,6 @@
 import org.berylwick.node.lib.PlatformBounds;
 import org.berylwick.node.lib.Route;
 import org.berylwick.node.lib.RouteKind;
-import org.berylwick.node.lib.SuspectReport;
 import org.berylwick.node.lib.WeightedService;
 import org.berylwick.node.log.Event;
 import org.berylwick.node.log.EventLog;
@@ -60,6 +59,7 @@
             "x-leaving");
 
     static final int GRACE_PERIOD_MILLIS = 6_000;
+    static final int HEARTBEAT_MILLIS = 1_500;
     private static final double DEFAULT_LINK_MBPS = 1_000;
 
     static final String HOST = "shop.example";
@@ -68,7 +68,7 @@
     final InMemoryConfigurationStore configuration = new InMemoryConfigurationStore();
     private Optional<InMemoryRolloutOrders> rollouts = Optional.empty();
     private final Map<Integer, Double> linkMbps = new HashMap<>();
-    private volatile List<SuspectReport.Crashed> recordedCrashes = List.of();
+    final InMemoryDirectory directory = new InMemoryDirectory();
     private final int subnet = NEXT_SUBNET.getAndIncrement() % 250 + 1;
     private final int[] ports = freePorts();
     private final List<Node> nodes = new ArrayList<>();
@@ -201,8 +201,9 @@
         }
     }
 
-    void leave(int number, String incarnation) {
-        exchange(new InetSocketAddress(ip(number), ports[3]), "DELETE /" + incarnation + " HTTP/1.1\r\n\r\n");
+    /** Deregisters a backend server and returns the response. */
+    String leave(int number, String incarnation) {
+        return exchange(new InetSocketAddress(ip(number), ports[3]), "DELETE /" + incarnation + " HTTP/1.1\r\n\r\n");
     }
 
     boolean isReady(int number) {
@@ -323,7 +324,7 @@
 
     /** Whether a node has recorded crashes in the directory. */
     boolean hasRecordedCrashes() {
-        return !recordedCrashes.isEmpty();
+        return !directory.crashes().isEmpty();
     }
 
     /** Current value of a counter of a node. */
@@ -391,7 +392,7 @@
                 0,
                 List.of(),
                 new InetSocketAddress(ip, 1),
-                1_500_000_000L,
+                HEARTBEAT_MILLIS * 1_000_000L,
                 1,
                 200,
                 linkMbps.getOrDefault(number, DEFAULT_LINK_MBPS),
@@ -458,15 +459,15 @@
         public NodeDirectory directory(EventLoop loop) {
             return new NodeDirectory() {
                 @Override
-                public void register(String name, String ip, Consumer<Boolean> onResult) {
-                    loop.execute(() -> onResult.accept(true));
+                public void create(Entry entry, long timeoutMillis, Consumer<WriteResult> onResult) {
+                    WriteResult result = directory.create(entry);
+                    loop.execute(() -> onResult.accept(result));
                 }
 
                 @Override
-                public void record(
-                        String name, String ip, List<SuspectReport.Crashed> crashes, Consumer<Boolean> onResult) {
-                    recordedCrashes = List.copyOf(crashes);
-                    loop.execute(() -> onResult.accept(true));
+                public void replace(Entry entry, long revision, long timeoutMillis, Consumer<WriteResult> onResult) {
+                    WriteResult result = directory.replace(entry, revision);
+                    loop.execute(() -> onResult.accept(result));
                 }
 
                 @Override
@@ -475,7 +476,7 @@
                     for (int i = 1; i <= 4; i++) {
                         ips.add(ip(i));
                     }
-                    loop.execute(() -> onResult.accept(new ListResult.Listed(ips, recordedCrashes)));
+                    loop.execute(() -> onResult.accept(new ListResult.Listed(ips, directory.crashes())));
                 }
             };
         }
--- a/org.berylwick.test/tst/org/berylwick/node/call/OwnerLeaveTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerLeaveTest.java
@@ -55,8 +55,13 @@
     }
 
     private void report(String incarnation, long sequence, BackendState state) {
-        owner.onReport(new BackendReport(
-                incarnation, "work", new InetSocketAddress("127.0.0.1", 1), "zone", 2, state, sequence, 0));
+        BackendReport report = new BackendReport(
+                incarnation, "work", new InetSocketAddress("127.0.0.1", 1), "zone", 2, state, sequence, 0);
+        if (state == BackendState.DRAINING) {
+            owner.onDraining(report, () -> {});
+        } else {
+            owner.onReport(report);
+        }
     }
 
     private boolean acceptsRequests() {
@@ -77,7 +82,7 @@
     void leaveOfAnIncarnationThatIsNotCurrentIsBelieved() {
         report("i-1", 2, BackendState.READY);
         report("i-2", 7, BackendState.DRAINING);
-        owner.onLeave("i-1");
+        owner.onLeave("i-1", () -> {});
         report("i-2", 6, BackendState.READY);
         assertFalse(acceptsRequests());
     }
