Let other nodes confirm a backend server while the record of leaves can't be read

A node that was killed while the store didn't answer it left its backend server without requests until the second heartbeat, up to 1.8 s: the price of not believing a single late or false word.

The other nodes have heard from its earlier process what state that server was in. They reply with that to a node that was restarted, for 10 s: together with a health check it is enough to send requests; a leave they have heard of is believed like any other. No datagram more where the store answers, since the reply is asked for there.

--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -120,6 +120,7 @@
         this.backendProbe = new BackendProbe(loop, settings, platform.headerNames(), owner, log);
         this.gossip = new Gossip(
                 loop, settings.ip(), settings.gossipPort(), members, this::localState, counters, log, this::onGossip);
+        gossip.setFormerBackendListener(former -> owner.onFormerState(former.incarnation(), former.state()));
         new QuarantineExchange(clock, quarantine, gossip);
         this.storeReaders = new StoreReaders(settings, members, gossip::silenceTimeoutNanos);
         this.versionUpdater = new VersionUpdater(
--- a/org.berylwick.node/src/org/berylwick/node/call/BackendEvidence.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/BackendEvidence.java
@@ -12,6 +12,8 @@
     STATED_IN_RESPONSE,
     /** An earlier process of this node has recorded that it left. */
     RECORD,
+    /** Another node has heard of it from an earlier process of this node. */
+    OTHER_NODE,
     /** Neither heartbeats nor responses have come from it for some time. */
     SILENCE,
     /** Its VM refuses connections to it. */
--- a/org.berylwick.node/src/org/berylwick/node/call/BackendRegistry.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/BackendRegistry.java
@@ -29,7 +29,7 @@
     private final Instruments instruments;
     private final Runnable onChange;
     private final DepartedIncarnations departedIncarnations = new DepartedIncarnations();
-    private final HeartbeatConfirmation confirmation;
+    private final StartupEvidence startupEvidence;
     /** Reports that wait for the departures to be known, the latest of each incarnation. */
     private final Map<String, UnconfirmedReport> unconfirmed = new LinkedHashMap<>();
 
@@ -59,7 +59,7 @@
         this.heartbeatNanos = heartbeatNanos;
         this.instruments = instruments;
         this.onChange = onChange;
-        this.confirmation = new HeartbeatConfirmation(heartbeatNanos / 2);
+        this.startupEvidence = new StartupEvidence(heartbeatNanos / 2);
     }
 
     /** The current incarnation, empty until one is known. */
@@ -80,7 +80,7 @@
      */
     void onDeparturesRead(List<String> incarnations) {
         for (String incarnation : incarnations) {
-            leave(incarnation, BackendEvidence.RECORD);
+            onEarlierLeave(incarnation, BackendEvidence.RECORD);
         }
         if (departuresKnown) {
             return;
@@ -91,6 +91,21 @@
         reports.forEach(r -> onReport(r.report(), r.evidence()));
     }
 
+    /**
+     * Processes what another node has last heard of an incarnation from an earlier process of this node.
+     *
+     * @param incarnation the incarnation
+     * @param state its state then
+     */
+    void onFormerState(String incarnation, BackendState state) {
+        if (state == BackendState.DRAINING) {
+            onEarlierLeave(incarnation, BackendEvidence.OTHER_NODE);
+        } else if (state == BackendState.READY) {
+            startupEvidence.onFormerlyReady(incarnation);
+            Optional.ofNullable(unconfirmed.remove(incarnation)).ifPresent(r -> onReport(r.report(), r.evidence()));
+        }
+    }
+
     /**
      * Processes a heartbeat or the result of a health check of an incarnation that says it is ready; ignores one that
      * is older than the current state, or from an incarnation that has left.
@@ -98,7 +113,14 @@
     void onReport(BackendReport report, BackendEvidence evidence) {
         if (departedIncarnations.contains(report.incarnation())) {
             ignore(report, "incarnation has left");
-        } else if (departuresKnown || isCurrent(report.incarnation()) || confirmation.confirms(report, clock.now())) {
+            return;
+        }
+        if (evidence == BackendEvidence.HEALTH_CHECK) {
+            startupEvidence.onHealthy(report.incarnation());
+        } else {
+            startupEvidence.onHeartbeat(report, clock.now());
+        }
+        if (departuresKnown || isCurrent(report.incarnation()) || startupEvidence.isEnoughFor(report.incarnation())) {
             apply(report, evidence);
         } else {
             unconfirmed.put(report.incarnation(), new UnconfirmedReport(report, evidence));
@@ -175,6 +197,13 @@
         return first;
     }
 
+    /** Records a leave that was announced to an earlier process of this node. */
+    private void onEarlierLeave(String incarnation, BackendEvidence evidence) {
+        if (leave(incarnation, evidence)) {
+            instruments.log().write(Event.BACKEND_LEFT_EARLIER, "incarnation", incarnation, "by", evidence);
+        }
+    }
+
     /** Processes a response in which an incarnation states that it leaves. */
     void onLeaveStated(Backend leaving) {
         if (leave(leaving.incarnation(), BackendEvidence.STATED_IN_RESPONSE)) {
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -166,6 +166,17 @@
         dispatch();
     }
 
+    /**
+     * Processes what another node has last heard of an incarnation from an earlier process of this node.
+     *
+     * @param incarnation the incarnation
+     * @param state its state then
+     */
+    public void onFormerState(String incarnation, BackendState state) {
+        registry.onFormerState(incarnation, state);
+        dispatch();
+    }
+
     /**
      * Processes a heartbeat of a backend server that is ready; ignores one that is older than the current state, or
      * from an incarnation that has left.
--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -83,6 +83,8 @@
     BACKEND_LEAVE_ACKNOWLEDGED(7059, 20),
     /** Such a call was refused, because the leave could not be recorded in time. */
     BACKEND_LEAVE_NOT_ACKNOWLEDGED(7060, 20),
+    /** This process learned of a leave that was announced to an earlier process of this node. */
+    BACKEND_LEFT_EARLIER(7061, 20),
     /** An unexpected error occurred; the connection that it came from was closed. */
     INTERNAL_ERROR(7099, 20);
 
--- a/org.berylwick.node/src/org/berylwick/node/member/DirectoryRegistration.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/DirectoryRegistration.java
@@ -122,7 +122,7 @@
     }
 
     private void write() {
-        if (writing || (registered && !addressChanged && !crashesChanged && pending.isEmpty())) {
+        if (writing || isUpToDate()) {
             return;
         }
         retry.cancel();
@@ -142,32 +142,40 @@
         }
     }
 
+    private boolean isUpToDate() {
+        return registered && !addressChanged && !crashesChanged && pending.isEmpty();
+    }
+
     private List<String> latestDepartures() {
-        Set<String> all = new LinkedHashSet<>(recorded);
-        all.addAll(pending.keySet());
-        return all.stream().skip(Math.max(0, all.size() - MAX_DEPARTURES)).toList();
+        List<String> all = new ArrayList<>(recorded);
+        for (String departure : pending.keySet()) {
+            if (!recorded.contains(departure)) {
+                all.add(departure);
+            }
+        }
+        return all.subList(Math.max(0, all.size() - MAX_DEPARTURES), all.size());
     }
 
     private void onResult(NodeDirectory.Entry sent, NodeDirectory.WriteResult result) {
         switch (result) {
             case NodeDirectory.WriteResult.Written(long newRevision) -> {
-                conflictsInSuccession = 0;
-                retryDelay.reset();
                 addressChanged = false;
                 if (!registered) {
                     onEntryRead.accept(sent);
                 }
                 onStored(sent, newRevision);
+                conflictsInSuccession = 0;
                 write();
             }
             case NodeDirectory.WriteResult.Conflict(NodeDirectory.Entry stored, long currentRevision) -> {
                 addressChanged = !stored.ip().equals(ip);
                 onEntryRead.accept(stored);
                 onStored(stored, currentRevision);
-                if (conflictsInSuccession++ == 0) {
-                    write();
-                } else {
+                conflictsInSuccession = isUpToDate() ? 0 : conflictsInSuccession + 1;
+                if (conflictsInSuccession > 1) {
                     retryLater("conflicts in succession");
+                } else {
+                    write();
                 }
             }
             case NodeDirectory.WriteResult.Missing() -> {
@@ -184,6 +192,7 @@
     private void onStored(NodeDirectory.Entry stored, long newRevision) {
         revision = OptionalLong.of(newRevision);
         timeoutMillis = INITIAL_TIMEOUT_MILLIS;
+        retryDelay.reset();
         recorded.addAll(stored.departures());
         if (!registered) {
             registered = true;
--- a/org.berylwick.node/src/org/berylwick/node/member/Gossip.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/Gossip.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.Event;
@@ -73,6 +74,7 @@
     private final EventLog log;
     private final BiConsumer<Member, MemberTable.UpdateResult> onStateReceived;
     private Optional<Extension> extension = Optional.empty();
+    private Consumer<FormerBackend> onFormerBackend = former -> {};
     /**
      * The addresses to which this node sends its state, and when the latest datagram was received from each. For an
      * address from which none was received yet, it is the time when the address was added.
@@ -135,6 +137,14 @@
         extension = Optional.of(newExtension);
     }
 
+    /**
+     * Sets what processes the states that other nodes have received from earlier processes of this node; called before
+     * the start.
+     */
+    public void setFormerBackendListener(Consumer<FormerBackend> listener) {
+        onFormerBackend = listener;
+    }
+
     /** Sends a datagram to all other nodes that are responsive, or to one of them; releases it. */
     public void sendDatagram(ByteBuf datagram, Optional<String> receiver) {
         List<String> receivers = receiver.map(List::of).orElseGet(this::responsiveAddresses);
@@ -283,8 +293,18 @@
         send(withReplyRequest, true);
     }
 
-    /** Sends the current state to the addresses; it is encoded only once. */
     private void send(List<String> addresses, boolean replyRequested) {
+        send(addresses, replyRequested, Optional.empty());
+    }
+
+    /** Replies with the current state, and with what an earlier process of the receiver told of its backend server. */
+    private void reply(String address) {
+        long now = System.nanoTime();
+        send(List.of(address), false, table.find(address).flatMap(member -> member.formerBackend(now)));
+    }
+
+    /** Sends the current state to the addresses; it is encoded only once. */
+    private void send(List<String> addresses, boolean replyRequested, Optional<FormerBackend> formerBackend) {
         if (channel == null || !channel.isActive() || addresses.isEmpty()) {
             return;
         }
@@ -293,7 +313,8 @@
         int checksum = extension.map(Extension::checksum).orElse(0);
         ByteBuf bytes = Unpooled.buffer(INITIAL_BUFFER_BYTES);
         NodeStateCodec.encode(
-                new NodeStateCodec.Message(ownState.get(), replyRequested, peerAddresses, checksum), bytes);
+                new NodeStateCodec.Message(ownState.get(), replyRequested, peerAddresses, checksum, formerBackend),
+                bytes);
         write(bytes, addresses);
     }
 
@@ -333,10 +354,15 @@
     private void receive(String senderIp, NodeStateCodec.Message message) {
         long now = System.nanoTime();
         boolean newSender = lastDatagramAtByAddress.put(senderIp, now) == null;
+        long bootIdBefore = table.find(senderIp)
+                .map(member -> member.state().bootId())
+                .orElse(message.state().bootId());
         MemberTable.UpdateResult result = table.update(senderIp, message.state(), now);
+        boolean restarted = bootIdBefore != message.state().bootId();
+        message.formerBackend().ifPresent(onFormerBackend);
         extension.ifPresent(e -> e.onChecksum(senderIp, message.quarantineChecksum()));
-        if (newSender || message.replyRequested()) {
-            send(List.of(senderIp), false);
+        if (newSender || restarted || message.replyRequested()) {
+            reply(senderIp);
         }
         for (String peerAddress : message.peerAddresses()) {
             if (!table.find(peerAddress).isPresent()) {
--- a/org.berylwick.node/src/org/berylwick/node/member/Member.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/Member.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.LinkLoad;
@@ -19,6 +20,8 @@
      * was sent only just now may still be answered, however long the node has been silent.
      */
     private static final long MIN_PENDING_NANOS = 500_000_000L;
+    /** After this time, what an earlier process of the node told of its backend server is not passed on any more. */
+    private static final long MAX_FORMER_AGE_NANOS = 10_000_000_000L;
 
     private final String ip;
     private final BiConsumer<Member, String> onSuspected;
@@ -26,6 +29,8 @@
     private long lastDatagramAt;
     private long suspectUntil;
     private int consecutiveFailures;
+    private Optional<FormerBackend> formerBackend = Optional.empty();
+    private long formerBackendHeardAt;
     private OwnerLoad load = OwnerLoad.NONE;
     private String lastUsedIncarnation = "";
     /** Requests that were sent to the node and have not ended, and when each was sent. */
@@ -97,6 +102,11 @@
         return consecutiveFailures;
     }
 
+    /** What an earlier process of the node told of its backend server, empty if that is long ago. */
+    Optional<FormerBackend> formerBackend(long now) {
+        return now - formerBackendHeardAt <= MAX_FORMER_AGE_NANOS ? formerBackend : Optional.empty();
+    }
+
     /** Whether its backend server accepts requests, according to the latest state. */
     public boolean acceptsRequests() {
         return state.backendState() == BackendState.READY && !state.leaving();
@@ -113,6 +123,10 @@
 
     void update(NodeState received, long now) {
         boolean restarted = received.bootId() != state.bootId();
+        if (restarted && !state.incarnation().isEmpty()) {
+            formerBackend = Optional.of(new FormerBackend(state.incarnation(), state.backendState()));
+            formerBackendHeardAt = lastDatagramAt;
+        }
         state = received;
         lastDatagramAt = now;
         updateLoad(received.load(), now);
--- a/org.berylwick.node/src/org/berylwick/node/member/NodeStateCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/NodeStateCodec.java
@@ -22,6 +22,8 @@
     private static final int FLAG_LIMITED = 8;
     /** The sender states the version of its backend server, and what it knows of roll-outs. */
     private static final int FLAG_ROLLOUT = 16;
+    /** The sender states what an earlier process of the receiver told of its backend server. */
+    private static final int FLAG_FORMER_BACKEND = 32;
 
     /** Set in the kind of a class of requests that backend servers make. */
     private static final int KIND_FLAG_CALLS = 0x80;
@@ -61,20 +63,25 @@
      * @param replyRequested whether the receiver should send its own state back
      * @param peerAddresses IPv4 addresses of other nodes
      * @param quarantineChecksum checksum of what the sender knows of crashing requests, 0 if it knows of none
+     * @param formerBackend what an earlier process of the receiver told the sender of its backend server
      */
     public record Message(
-            NodeState state, boolean replyRequested, List<String> peerAddresses, int quarantineChecksum) {}
+            NodeState state,
+            boolean replyRequested,
+            List<String> peerAddresses,
+            int quarantineChecksum,
+            Optional<FormerBackend> formerBackend) {
+        /** Creates a datagram without a backend server of the receiver. */
+        public Message(NodeState state, boolean replyRequested, List<String> peerAddresses, int quarantineChecksum) {
+            this(state, replyRequested, peerAddresses, quarantineChecksum, Optional.empty());
+        }
+    }
 
     /** Encodes a datagram. Times are rounded down to microseconds or milliseconds. */
     public static void encode(Message message, ByteBuf out) {
         NodeState state = message.state();
         out.writeInt(MAGIC);
-        int flags = (state.storeReachable() ? FLAG_STORE_REACHABLE : 0)
-                | (state.leaving() ? FLAG_LEAVING : 0)
-                | (message.replyRequested() ? FLAG_REPLY_REQUESTED : 0)
-                | (state.load().startIntervalNanos() > 0 ? FLAG_LIMITED : 0)
-                | (hasRollout(state) ? FLAG_ROLLOUT : 0);
-        out.writeByte(flags);
+        out.writeByte(flagsOf(message));
         out.writeLong(state.bootId());
         out.writeLong(state.sequence());
         out.writeShort(state.linkMbps());
@@ -103,18 +110,41 @@
         for (String ip : message.peerAddresses()) {
             writeString(ip, out);
         }
-        // The last fields are left out while they are 0, which is nearly always.
-        boolean limited = state.load().startIntervalNanos() > 0;
-        if (message.quarantineChecksum() != 0 || limited || hasRollout(state)) {
+        writeOptionalFields(message, out);
+    }
+
+    private static int flagsOf(Message message) {
+        NodeState state = message.state();
+        return (state.storeReachable() ? FLAG_STORE_REACHABLE : 0)
+                | (state.leaving() ? FLAG_LEAVING : 0)
+                | (message.replyRequested() ? FLAG_REPLY_REQUESTED : 0)
+                | (isLimited(state) ? FLAG_LIMITED : 0)
+                | (hasRollout(state) ? FLAG_ROLLOUT : 0)
+                | (message.formerBackend().isPresent() ? FLAG_FORMER_BACKEND : 0);
+    }
+
+    /** Writes the fields that are nearly always empty, unless all of them are. */
+    private static void writeOptionalFields(Message message, ByteBuf out) {
+        NodeState state = message.state();
+        Optional<FormerBackend> formerBackend = message.formerBackend();
+        if (message.quarantineChecksum() != 0 || isLimited(state) || hasRollout(state) || formerBackend.isPresent()) {
             out.writeInt(message.quarantineChecksum());
         }
-        if (limited) {
+        if (isLimited(state)) {
             out.writeInt((int) (state.load().startIntervalNanos() / 1_000));
             out.writeShort((int) Math.min(MAX_LIMIT_WAIT_MILLIS, state.load().limitWaitNanos() / 1_000_000));
         }
         if (hasRollout(state)) {
             RolloutNoticeCodec.encode(state.rollout(), System.nanoTime(), out);
         }
+        if (formerBackend.isPresent()) {
+            writeString(formerBackend.get().incarnation(), out);
+            out.writeByte(formerBackend.get().state().ordinal());
+        }
+    }
+
+    private static boolean isLimited(NodeState state) {
+        return state.load().startIntervalNanos() > 0;
     }
 
     private static boolean hasRollout(NodeState state) {
@@ -122,6 +152,19 @@
                 || !state.rollout().states().isEmpty();
     }
 
+    private static OwnerLoad readLoad(ByteBuf in) {
+        return new OwnerLoad(
+                in.readUnsignedShort(),
+                in.readUnsignedShort(),
+                in.readUnsignedShort(),
+                in.readInt() * 1_000L,
+                in.readUnsignedShort(),
+                in.readUnsignedShort() * 1_000_000L,
+                in.readUnsignedShort() * 1_000_000L,
+                0,
+                0);
+    }
+
     /** Decodes a datagram; empty if the bytes are not a valid datagram. */
     public static Optional<Message> decode(ByteBuf in) {
         try {
@@ -135,16 +178,7 @@
             long version = in.readLong();
             BackendState backendState = BackendState.fromOrdinal(in.readUnsignedByte());
             long warmUpRemainingNanos = in.readInt() * 1_000_000L;
-            OwnerLoad load = new OwnerLoad(
-                    in.readUnsignedShort(),
-                    in.readUnsignedShort(),
-                    in.readUnsignedShort(),
-                    in.readInt() * 1_000L,
-                    in.readUnsignedShort(),
-                    in.readUnsignedShort() * 1_000_000L,
-                    in.readUnsignedShort() * 1_000_000L,
-                    0,
-                    0);
+            OwnerLoad load = readLoad(in);
             String zone = readString(in);
             String service = readString(in);
             String incarnation = readString(in);
@@ -160,6 +194,9 @@
             }
             RolloutNotice rollout =
                     (flags & FLAG_ROLLOUT) != 0 ? RolloutNoticeCodec.decode(in, System.nanoTime()) : RolloutNotice.NONE;
+            Optional<FormerBackend> formerBackend = (flags & FLAG_FORMER_BACKEND) != 0
+                    ? Optional.of(new FormerBackend(readString(in), BackendState.fromOrdinal(in.readUnsignedByte())))
+                    : Optional.empty();
             NodeState state = new NodeState(
                     bootId,
                     sequence,
@@ -175,8 +212,8 @@
                     load,
                     serviceTimes,
                     rollout);
-            return Optional.of(
-                    new Message(state, (flags & FLAG_REPLY_REQUESTED) != 0, peerAddresses, quarantineChecksum));
+            return Optional.of(new Message(
+                    state, (flags & FLAG_REPLY_REQUESTED) != 0, peerAddresses, quarantineChecksum, formerBackend));
         } catch (IndexOutOfBoundsException e) {
             // A truncated datagram is ignored; the node that sent it sends its state again in the next gossip round.
             return Optional.empty();
--- a/org.berylwick.node/src/org/berylwick/node/quarantine/Quarantine.java
+++ b/org.berylwick.node/src/org/berylwick/node/quarantine/Quarantine.java
@@ -253,6 +253,10 @@
     }
 
     private List<SuspectReport.Crashed> crashesOf(Predicate<Suspect> filter, int maxRequests) {
+        // Asked for at each start, when the classes of streams are not loaded yet.
+        if (suspects.isEmpty()) {
+            return List.of();
+        }
         return suspects.values().stream()
                 .filter(filter)
                 .sorted(Comparator.comparingLong(Suspect::heldUntil).reversed())
--- a/org.berylwick.test/tst/org/berylwick/node/LeaveTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/LeaveTest.java
@@ -5,6 +5,8 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.ConfigurationVersion;
 import org.berylwick.node.lib.Route;
@@ -73,9 +75,9 @@
         return rig.call(1, "POST", "/own/x", id, "");
     }
 
+    /** Ends a node without a graceful stop, and closes its sockets however long that takes. */
     private static void kill(Node node) {
-        node.close();
-        Await.until("the end of the node", () -> node.loop().isTerminated(), () -> "");
+        node.loop().parent().shutdownGracefully(0, 10, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
     /** Guards against requests to a backend server whose leave the killed process of its node had acknowledged. */
@@ -165,4 +167,52 @@
             assertTrue(call(rig, "served").endsWith("ok"), rig::logText);
         }
     }
+
+    /**
+     * Guards against a restarted node that ignores its backend server while the record of departures cannot be read.
+     */
+    @Test
+    void otherNodesConfirmAHealthyBackendServerWithoutTheRecord() {
+        try (RawServer server = startBackend(Evidence.FALSE_HEALTH);
+                NodeRig rig = new NodeRig()) {
+            rig.configuration.publish(version());
+            Node killed = rig.startWithoutReport(1, server);
+            rig.start(2, Optional.empty());
+            reportState(rig, server, 3, BackendState.READY);
+            rig.awaitMemberKnown(INCARNATION);
+            rig.directory.setUnavailable(true);
+            kill(killed);
+            rig.startWithoutReport(1, server);
+            rig.awaitReady(1);
+            Await.until("a response", () -> call(rig, "served").endsWith("ok"), rig::logText);
+        }
+    }
+
+    /** Guards against requests after a leave that other nodes have heard of, while the record cannot be read. */
+    @Test
+    void otherNodesTellOfALeaveWithoutTheRecord() {
+        try (RawServer server = startBackend(Evidence.FALSE_HEALTH);
+                NodeRig rig = new NodeRig()) {
+            rig.configuration.publish(version());
+            Node killed = rig.startWithoutReport(1, server);
+            rig.start(2, Optional.empty());
+            reportState(rig, server, 3, BackendState.READY);
+            rig.awaitMemberKnown(INCARNATION);
+            rig.leave(1, INCARNATION);
+            Await.until(
+                    "node 2 hears of the leave",
+                    () -> rig.logText().contains("\"DRAINING\",\"leaving\""),
+                    rig::logText);
+            rig.directory.setUnavailable(true);
+            kill(killed);
+            rig.startWithoutReport(1, server);
+            Await.until(
+                    "news of the leave", () -> rig.logText().contains(Event.BACKEND_LEFT_EARLIER.name()), rig::logText);
+            reportState(rig, server, 3, BackendState.READY);
+            NodeRig.sleep(NodeRig.HEARTBEAT_MILLIS);
+            reportState(rig, server, 4, BackendState.READY);
+            assertTrue(call(rig, "after").startsWith("HTTP/1.1 503"));
+            assertEquals(0, server.runs("after"), rig::logText);
+        }
+    }
 }
--- a/org.berylwick.test/tst/org/berylwick/node/member/NodeStateCodecTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/member/NodeStateCodecTest.java
@@ -58,8 +58,10 @@
                         new ServiceTimeDistribution(
                                 new RequestClass(RouteKind.NON_IDEMPOTENT, 3, number), 1_000L * (number + 1), 0.25),
                         new ServiceTimeDistribution(new RequestClass(RouteKind.BULK, 0, 100), 7_000L, 0.5, true)));
+        Optional<FormerBackend> formerBackend =
+                flag ? Optional.of(new FormerBackend(text, backendState)) : Optional.empty();
         NodeStateCodec.Message message =
-                new NodeStateCodec.Message(state, flag, List.of("10.0.0.1", "10.0.0.2"), checksum);
+                new NodeStateCodec.Message(state, !flag, List.of("10.0.0.1", "10.0.0.2"), checksum, formerBackend);
         ByteBuf encoded = Unpooled.buffer();
         NodeStateCodec.encode(message, encoded);
         assertEquals(Optional.of(message), NodeStateCodec.decode(encoded));
