Send no request on a connection that opens after the leave

A request that had its slot and waited for a connection was sent though the backend server had left meanwhile: up to a second after the acknowledgement, the time for connecting.

It is refused as not run, since nothing was sent, and runs elsewhere.

OwnerLeaveTest.requestWhoseConnectionOpensAfterTheLeaveIsNotSent failed before ("no request is sent"). Owner*Test: 20 run, none failed.

--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
+import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.Clock;
 import org.berylwick.node.lib.HeaderNames;
 import org.berylwick.node.lib.RequestFingerprint;
@@ -276,6 +277,11 @@
             refuse(Refusal.Reason.EXPIRED, false);
             return;
         }
+        if (backend.state() == BackendState.DRAINING) {
+            acquired.returnUnused();
+            refuse(Refusal.Reason.NOT_HERE, false);
+            return;
+        }
         connection = acquired;
         sentAt = now;
         connectionIdleNanos = acquired.servedRequests() == 0 ? 0 : now - acquired.idleSince();
--- a/org.berylwick.test/tst/org/berylwick/node/call/OwnerLeaveTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerLeaveTest.java
@@ -1,16 +1,27 @@
 package org.berylwick.node.call;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.berylwick.bench.emulate.VirtualClock;
 import org.berylwick.node.lib.BackendReport;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.HeaderNames;
+import org.berylwick.node.lib.OwnerLoad;
+import org.berylwick.node.lib.RequestClass;
+import org.berylwick.node.lib.RouteKind;
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.EventLog;
 import org.berylwick.node.log.Instruments;
@@ -18,17 +29,21 @@
 import org.berylwick.node.quarantine.Quarantine;
 import org.berylwick.node.transport.HttpResponseHandler;
 import org.berylwick.node.transport.RequestBody;
+import org.berylwick.node.transport.ServerConnection;
 import org.berylwick.node.transport.VmLink;
 import org.junit.jupiter.api.Test;
 
 /** Tests which incarnation of a backend server an owner sends requests, by reports that are late or out of order. */
 class OwnerLeaveTest {
+    private static final long NANOS_PER_MILLISECOND = 1_000_000L;
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
     private static final long HEARTBEAT_NANOS = 1_500_000_000L;
     private static final HeaderNames HEADER_NAMES = new HeaderNames(
             "id", "deadline", "signature", "target", "load", "not-run", "caller", "instance", "limit", "leaving");
 
     private final VirtualClock clock = new VirtualClock();
+    private final List<Refusal.Reason> refusals = new ArrayList<>();
+    private Runnable openConnection = () -> {};
     private final EventLog log = new EventLog("test", OutputStream.nullOutputStream());
     private final Owner owner = new Owner(
             clock,
@@ -42,12 +57,17 @@
             new Quarantine(clock::now, new HoldLog(new Instruments(new Counters(), log))),
             Map::of);
 
-    /** A backend server that gets no requests. */
+    /** A backend server that gets no requests, and to which connections open when a test says so. */
     private final class IdleServer extends InMemoryBackendServer {
         IdleServer() {
             super(clock);
         }
 
+        @Override
+        public void acquire(long idleLimitNanos, Consumer<ServerConnection> onConnection, Consumer<String> onFailure) {
+            openConnection = () -> onConnection.accept(this);
+        }
+
         @Override
         public void send(HttpRequest request, RequestBody body, HttpResponseHandler handler) {
             throw new AssertionError("no request is sent");
@@ -64,6 +84,52 @@
         }
     }
 
+    private void offerRequest() {
+        CallSpec call = new CallSpec(
+                "r",
+                HttpMethod.GET,
+                "/x",
+                Headers.empty().set(HEADER_NAMES.requestId(), "r"),
+                RequestBody.of(Unpooled.EMPTY_BUFFER),
+                "work",
+                "caller",
+                new RequestClass(RouteKind.IDEMPOTENT, 1, 600),
+                600 * NANOS_PER_MILLISECOND,
+                2_000 * NANOS_PER_MILLISECOND,
+                0,
+                1,
+                0,
+                0);
+        owner.offer(call, new RefusalListener());
+    }
+
+    private final class RefusalListener implements AttemptListener {
+        @Override
+        public void onHead(int status, HttpHeaders headers, OwnerLoad load) {
+            throw new AssertionError("there are no responses");
+        }
+
+        @Override
+        public void onBody(ByteBuf part) {
+            part.release();
+        }
+
+        @Override
+        public void onEnd() {
+            throw new AssertionError("there are no responses");
+        }
+
+        @Override
+        public void onRefused(Refusal refusal) {
+            refusals.add(refusal.reason());
+        }
+
+        @Override
+        public void onLost(Loss loss) {
+            throw new AssertionError(loss.cause());
+        }
+    }
+
     private boolean acceptsRequests() {
         return owner.acceptsRequestsFor("work");
     }
@@ -117,4 +183,15 @@
         assertTrue(owner.backend().filter(b -> b.incarnation().equals("i-2")).isPresent());
         assertTrue(acceptsRequests());
     }
+
+    /** Guards against a request that is sent after the leave because its connection was still being opened. */
+    @Test
+    void requestWhoseConnectionOpensAfterTheLeaveIsNotSent() {
+        report("i-1", 1, BackendState.READY);
+        offerRequest();
+        owner.onLeave("i-1", () -> {});
+        openConnection.run();
+        clock.runUntil(NANOS_PER_MILLISECOND);
+        assertEquals(List.of(Refusal.Reason.NOT_HERE), refusals);
+    }
 }
