Let an operator's drain outlast a crash of the daemon

The drain is recorded in the store before the call succeeds, and a daemon that starts takes no requests before it has read the record, 3 s at most: longer would keep all backend servers out where daemons die in an outage of the store. A planned stop ends the drain as before, so the upgrade procedure stays. A call whose record the store doesn't confirm fails as unavailable and says what is in force.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/BerylwickDaemon.java
@@ -9,6 +9,7 @@
 import org.berylwick.daemon.admin.AdminService;
 import org.berylwick.daemon.call.CallPath;
 import org.berylwick.daemon.duty.BackendServerProbe;
+import org.berylwick.daemon.duty.DrainRecord;
 import org.berylwick.daemon.duty.MembershipWatch;
 import org.berylwick.daemon.duty.SelfAnnouncement;
 import org.berylwick.daemon.duty.SpreadDuties;
@@ -59,8 +60,9 @@
         KeyDuty keys = kernel.register(new KeyDuty(store, settings.instance(), invariants, metrics, time));
         calls = kernel.register(
                 new CallPath(settings, installed, membership, keys, self::state, metrics, invariants, time));
-        AdminContext context =
-                new AdminContext(settings.instance(), settings.place(), repository, installed, membership, self, time);
+        DrainRecord drains = kernel.register(new DrainRecord(store, settings, self, time));
+        AdminContext context = new AdminContext(
+                settings.instance(), settings.place(), repository, installed, membership, self, drains, time);
         AdminService admin = kernel.register(new AdminService(context, metrics));
         Server adminServer = AdminServer.create(settings.listen().admin(), settings.admin(), admin, metrics);
         Optional<SpreadDuties> spread = switch (settings.spread().mode()) {
--- a/org.berylwick.daemon/src/org/berylwick/daemon/admin/AdminContext.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/admin/AdminContext.java
@@ -1,5 +1,6 @@
 package org.berylwick.daemon.admin;
 
+import org.berylwick.daemon.duty.DrainRecord;
 import org.berylwick.daemon.duty.SelfAnnouncement;
 import org.berylwick.internal.membership.MembershipTable;
 import org.berylwick.internal.version.InstalledVersion;
@@ -16,6 +17,7 @@
  * @param installed the version in force here
  * @param membership the members known here
  * @param self the own announcement
+ * @param drains takes the own backend server out of service and back in
  * @param time clocks
  */
 public record AdminContext(
@@ -25,4 +27,5 @@
         InstalledVersion installed,
         MembershipTable membership,
         SelfAnnouncement self,
+        DrainRecord drains,
         TimeSource time) {}
--- a/org.berylwick.daemon/src/org/berylwick/daemon/admin/AdminService.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/admin/AdminService.java
@@ -4,9 +4,6 @@
 import io.grpc.Status;
 import io.grpc.stub.StreamObserver;
 import java.util.Comparator;
-import org.berylwick.daemon.duty.SelfAnnouncement;
-import org.berylwick.internal.event.EventLog;
-import org.berylwick.internal.event.OperatorEvent;
 import org.berylwick.internal.kernel.KernelService;
 import org.berylwick.lib.Member;
 import org.berylwick.lib.ObjectRef;
@@ -40,14 +37,13 @@
     /** The name in the kernel. */
     public static final String NAME = "admin";
 
-    private static final EventLog EVENTS = new EventLog(AdminService.class);
-
     private final AdminContext context;
     private final MetricRegistry metrics;
     private final AttemptLog attempts;
     private final ChangeCalls changes;
     private final VersionCalls versions;
     private final AuditCalls audit;
+    private final DrainCalls drains;
     private AdminDuty duty;
 
     /** The service of one daemon. */
@@ -58,6 +54,7 @@
         changes = new ChangeCalls(context, attempts);
         versions = new VersionCalls(context);
         audit = new AuditCalls(context, attempts);
+        drains = new DrainCalls(context, attempts);
     }
 
     @Override
@@ -149,33 +146,7 @@
 
     @Override
     public void setDrain(SetDrainRequest request, StreamObserver<SetDrainReply> observer) {
-        String asked = request.getInstance();
-        String action = request.getDrain() ? "drain" : "undrain";
-        if (!asked.isEmpty() && !asked.equals(context.instance())) {
-            refuseDrain(action, request, "this daemon is " + context.instance() + ", not " + asked, observer);
-            return;
-        }
-        SelfAnnouncement self = context.self();
-        if (request.getDrain()) {
-            self.drain();
-        } else if (!self.undrain()) {
-            refuseDrain(action, request, "the daemon is stopping", observer);
-            return;
-        }
-        EVENTS.log(OperatorEvent.DRAIN, action, request.getAuthor(), self.state());
-        attempts.add(Attempt.of(context.time(), action, request.getAuthor(), "done", context.instance()));
-        reply(
-                observer,
-                SetDrainReply.newBuilder()
-                        .setState(self.state().name())
-                        .setInstance(context.instance())
-                        .build());
-    }
-
-    private void refuseDrain(
-            String action, SetDrainRequest request, String detail, StreamObserver<SetDrainReply> observer) {
-        attempts.add(Attempt.of(context.time(), action, request.getAuthor(), "refused", detail));
-        observer.onError(Status.FAILED_PRECONDITION.withDescription(detail).asRuntimeException());
+        duty.answer(observer, () -> drains.set(request));
     }
 
     private static <T> void reply(StreamObserver<T> observer, T message) {
--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/SelfAnnouncement.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/SelfAnnouncement.java
@@ -5,6 +5,7 @@
 import org.berylwick.internal.spread.LocalMember;
 import org.berylwick.internal.version.InstalledVersion;
 import org.berylwick.internal.version.InstalledVersion.InForce;
+import org.berylwick.lib.Deadline;
 import org.berylwick.lib.HostPort;
 import org.berylwick.lib.Member;
 import org.berylwick.lib.ServiceSpec;
@@ -23,6 +24,7 @@
     private volatile long incarnation;
     private volatile boolean drained;
     private volatile boolean serverDraining;
+    private volatile Deadline holdEnd;
     private volatile HostPort address;
     private volatile Member.State state = Member.State.STARTING;
 
@@ -34,6 +36,7 @@
         // A replaced process remembers nothing; the clock alone makes its incarnation higher than the last one's.
         this.time = time;
         this.incarnation = time.epochMillis();
+        this.holdEnd = Deadline.afterMillis(time, 0);
     }
 
     @Override
@@ -53,7 +56,25 @@
 
     /** Whether requests are taken. */
     public Member.State state() {
-        return drained || serverDraining ? Member.State.LEAVING : state;
+        if (drained || serverDraining) {
+            return Member.State.LEAVING;
+        }
+        return state == Member.State.UP && !holdEnd.isPast(time) ? Member.State.STARTING : state;
+    }
+
+    /** Takes no requests before a deadline, or before {@link #endHold()}. */
+    void holdUntil(Deadline deadline) {
+        holdEnd = deadline;
+    }
+
+    /** Takes requests as soon as the backend server is ready. */
+    void endHold() {
+        holdEnd = Deadline.afterMillis(time, 0);
+    }
+
+    /** Whether an operator has taken the backend server out of service. */
+    boolean isDrained() {
+        return drained;
     }
 
     /** Announces {@link Member.State#LEAVING} until {@link #undrain()}. */
--- a/org.berylwick.test/tst/org/berylwick/testing/AdminFixture.java
+++ b/org.berylwick.test/tst/org/berylwick/testing/AdminFixture.java
@@ -9,6 +9,7 @@
 import org.berylwick.daemon.admin.AdminContext;
 import org.berylwick.daemon.admin.AdminServer;
 import org.berylwick.daemon.admin.AdminService;
+import org.berylwick.daemon.duty.DrainRecord;
 import org.berylwick.daemon.duty.SelfAnnouncement;
 import org.berylwick.daemon.duty.VersionWatch;
 import org.berylwick.daemon.settings.AdminToken;
@@ -83,7 +84,16 @@
         self = new SelfAnnouncement(settings, installed, time);
         VersionRepository repository = new VersionRepository(store);
         service = new AdminService(
-                new AdminContext("web-1", settings.place(), repository, installed, membership, self, time), metrics);
+                new AdminContext(
+                        "web-1",
+                        settings.place(),
+                        repository,
+                        installed,
+                        membership,
+                        self,
+                        new DrainRecord(store, settings, self, time),
+                        time),
+                metrics);
         server = AdminServer.create(
                 new HostPort(host, 0), new DaemonSettings.Admin(token, maxRequestBytes), service, metrics);
         watch = new VersionWatch(repository, installed, time);
