--- a/org.berylwick.test/tst/org/berylwick/bench/nodes/NodeSoakTest.java
+++ b/org.berylwick.test/tst/org/berylwick/bench/nodes/NodeSoakTest.java
@@ -26,4 +26,11 @@
     void plannedWorkLosesNoRequest(long seed) throws Exception {
         assertEquals(List.of(), new NodeSoak().soakPlanned(seed, 30, 6, System.out));
     }
+
+    /** Guards against requests to backend servers that have left, after their nodes were killed. */
+    @ParameterizedTest
+    @ValueSource(longs = {2, 6})
+    void departedBackendServersGetNoRequests(long seed) throws Exception {
+        assertEquals(List.of(), new NodeSoak().soakLeaves(seed, 20, 4, System.out));
+    }
 }
