Let the tests of owners share their owner, and listeners that expect nothing

Four tests built the same owner, report and request, and listeners that throw at what a test doesn't expect. OwnerRig and UnexpectedOutcome hold them once; each test keeps its backend server and what it checks.

--- a/org.berylwick.test/tst/org/berylwick/node/call/OwnerLimitTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerLimitTest.java
@@ -4,50 +4,33 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import java.io.OutputStream;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
 import org.berylwick.bench.emulate.VirtualClock;
-import org.berylwick.node.lib.BackendReport;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.HeaderNames;
 import org.berylwick.node.lib.OwnerLoad;
-import org.berylwick.node.lib.RequestClass;
-import org.berylwick.node.lib.RouteKind;
-import org.berylwick.node.log.Counters;
-import org.berylwick.node.log.EventLog;
-import org.berylwick.node.log.Instruments;
-import org.berylwick.node.quarantine.HoldLog;
-import org.berylwick.node.quarantine.Quarantine;
 import org.berylwick.node.transport.HttpResponseHandler;
 import org.berylwick.node.transport.RequestBody;
-import org.berylwick.node.transport.VmLink;
 import org.junit.jupiter.api.Test;
 
 /** Tests how an owner treats what a backend server states about itself in its responses: a limit, or that it leaves. */
 class OwnerLimitTest {
-    private static final long MILLIS = 1_000_000L;
+    private static final long MILLIS = OwnerRig.MILLIS;
     private static final long WINDOW_MILLIS = 4_000;
     private static final int SLOTS = 12;
-    private static final HeaderNames NAMES = new HeaderNames(
-            "id", "deadline", "signature", "target", "load", "not-run", "caller", "instance", "limit", "leaving");
+    private static final HeaderNames NAMES = OwnerRig.HEADER_NAMES;
 
-    private final VirtualClock clock = new VirtualClock();
-    private final EventLog log = new EventLog("test", OutputStream.nullOutputStream());
     /** Headers that the backend server adds to each response. */
     private final List<String[]> stated = new ArrayList<>();
 
@@ -56,22 +39,14 @@
     private long responseMillis = 20;
     private int lastId;
     private int lastIncarnation;
-    private final Owner owner = new Owner(
-            clock,
-            address -> new StatingServer(),
-            NAMES,
-            VmLink.of(1_000, clock),
-            1_500 * MILLIS,
-            new Counters(),
-            log,
-            () -> {},
-            new Quarantine(clock::now, new HoldLog(new Instruments(new Counters(), log))),
-            Map::of);
+    private final OwnerRig rig = new OwnerRig(() -> new StatingServer());
+    private final VirtualClock clock = rig.clock;
+    private final Owner owner = rig.owner;
 
     /** A backend server that responds after a while, with the headers that a test has set. */
     private final class StatingServer extends InMemoryBackendServer {
         StatingServer() {
-            super(clock);
+            super(rig.clock);
         }
 
         @Override
@@ -121,28 +96,12 @@
     }
 
     private void startIncarnation(String incarnation) {
-        owner.onReport(new BackendReport(
-                incarnation, "work", new InetSocketAddress("127.0.0.1", 1), "zone", SLOTS, BackendState.READY, 1, 0));
+        owner.onReport(OwnerRig.report(incarnation, 1, BackendState.READY, SLOTS));
     }
 
     private void offer(long maxWaitMillis) {
         String id = "r" + ++lastId;
-        CallSpec call = new CallSpec(
-                id,
-                HttpMethod.GET,
-                "/x",
-                Headers.empty().set(NAMES.requestId(), id),
-                RequestBody.of(Unpooled.EMPTY_BUFFER),
-                "work",
-                "caller",
-                new RequestClass(RouteKind.IDEMPOTENT, 1, 600),
-                clock.now() + 600 * MILLIS,
-                clock.now() + 2_000 * MILLIS,
-                maxWaitMillis * MILLIS,
-                1,
-                0,
-                0);
-        owner.offer(call, new CountingListener());
+        owner.offer(rig.call(id, maxWaitMillis * MILLIS), new CountingListener());
     }
 
     /** Offers requests at a steady rate for some time. */
