Let tests share the daemon that runs as a process of its own

DaemonProcess holds settings, command and the wait for its ports, which two tests that kill a daemon had each.

--- a/org.berylwick.test/tst/org/berylwick/daemon/call/IdempotencyKeyKillTest.java
+++ b/org.berylwick.test/tst/org/berylwick/daemon/call/IdempotencyKeyKillTest.java
@@ -10,25 +10,19 @@
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.regex.Pattern;
-import org.berylwick.bench.fleet.ChildProcess;
 import org.berylwick.bench.fleet.FleetPlan.Instance;
 import org.berylwick.bench.fleet.LocalFleet;
 import org.berylwick.lib.HostPort;
 import org.berylwick.lib.Place;
+import org.berylwick.testing.DaemonProcess;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Tests that a request with an idempotency key runs at most once if its entry daemon is killed meanwhile. */
 class IdempotencyKeyKillTest {
-    private static final Pattern LISTENING = Pattern.compile("listening callers=(\\S+) ");
-    private static final Duration START_TIMEOUT = Duration.ofSeconds(60);
     private static final String DECLARATIONS = """
             [[brand]]
             name = "kapitolyo"
@@ -51,44 +45,15 @@
             timeout = "3s"
             idempotency_key = "required"
             """;
-    private static final String SETTINGS = """
-            instance = "edge-1"
-            region = "ncr"
-            availability_zone = "makati"
 
-            [listen]
-            callers = "127.0.0.1:0"
-            peers = "127.0.0.1:0"
-            admin = "127.0.0.1:0"
-
-            [backend_server]
-            service = "edge"
-            address = "127.0.0.1:9"
-
-            [platform]
-            uri = "http://%s"
-            """;
+    /** Address of a backend server that is not there: the entry daemon only forwards. */
+    private static final HostPort UNUSED = new HostPort("127.0.0.1", 9);
 
     private final HttpClient http = HttpClient.newHttpClient();
 
     @TempDir
     Path directory;
 
-    private ChildProcess startEntry(HostPort platform) throws IOException {
-        Path settings = directory.resolve("edge-1.toml");
-        Files.writeString(settings, SETTINGS.formatted(platform));
-        List<String> command = List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+PerfDisableSharedMem",
-                "-Xmx128m",
-                "-cp",
-                System.getProperty("java.class.path"),
-                "org.berylwick.daemon.Main",
-                "--settings",
-                settings.toString());
-        return ChildProcess.start("edge-1", Map.of(), command);
-    }
-
     private static HttpRequest keyedRequest(String callersAddress, String path, String key) {
         return HttpRequest.newBuilder(URI.create("http://" + callersAddress + path))
                 .header("idempotency-key", key)
@@ -129,22 +94,19 @@
             fleet.add(new Instance("b-1", "bookings", new Place("ncr", "quezon")));
             fleet.awaitAllUp(fleet.apply(DECLARATIONS));
             String otherCallersAddress = fleet.daemon("b-1").callersAddress().toString();
-            ChildProcess entry = startEntry(fleet.platform().address());
-            try {
-                String callersAddress =
-                        entry.awaitLine(LISTENING, START_TIMEOUT).group(1);
+            try (DaemonProcess entry = DaemonProcess.start(
+                    directory, "edge-1", "edge", UNUSED, fleet.platform().address())) {
+                String callersAddress = entry.callersAddress();
                 LocalFleet.await(
                         "the entry daemon responds to requests",
                         () -> isServed(keyedRequest(callersAddress, "/placements", "first-" + System.nanoTime())));
                 CompletableFuture<HttpResponse<String>> first = http.sendAsync(
                         keyedRequest(callersAddress, "/placements?service_ms=1500", "killed"), BodyHandlers.ofString());
                 LocalFleet.await("the backend server runs the request", () -> runsOfKilledKey(fleet) == 1);
-                entry.process().destroyForcibly().waitFor();
+                entry.kill();
                 assertTrue(
                         first.handle((response, failure) -> failure != null).join(),
                         "the first request fails at the caller");
-            } finally {
-                entry.close();
             }
             HttpRequest repeat = keyedRequest(otherCallersAddress, "/placements?service_ms=1500", "killed");
             assertTrue(send(repeat).startsWith("409"));
