--- a/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeSoak.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeSoak.java
@@ -27,6 +27,9 @@
     private static final long STATEMENT_SEED_OFFSET = 1_000_003;
     private static final int STEPS_PER_STATEMENT = 4;
     private static final String[] LIMITS = {"2", "5.5", "12", "0", "NaN"};
+    /** How long a backend server that is replaced serves on. */
+    private static final long STAY_MILLIS = 1_300;
+
     private static final long CALM_MILLIS = 7_000;
     private static final long START_MILLIS = 60_000;
     /** From the acceptance of a version, while no fault goes on, to its being in force everywhere. */
@@ -198,7 +201,7 @@
                 later("kill", () -> restart(vm, () -> vm.process().process().destroyForcibly(), 0));
             case 1 -> later("stop", () -> plannedStop(vm));
             case 2 -> later("pause", () -> pause(vm, 300 + random.nextInt(3_000)));
-            case 3 -> later("replace", () -> vm.backend().replace(1_300));
+            case 3 -> later("replace", () -> vm.backend().leave(BackendVm.LeaveWord.DRAINING, STAY_MILLIS));
             case 4 -> {
                 Trouble[] all = Trouble.values();
                 Trouble trouble = all[random.nextInt(all.length)];
@@ -214,15 +217,16 @@
     /** Leaves of backend servers beside kills, late heartbeats, false health answers and a store in trouble. */
     private void leaveBesideFaults(Random random) throws InterruptedException {
         NodeFleet.Vm vm = fleet.vms().get(random.nextInt(fleet.vms().size()));
-        switch (random.nextInt(9)) {
+        switch (random.nextInt(10)) {
             case 0, 1, 2, 3, 4 -> drawLeave(vm, random);
             case 5 -> later("herd_kill", this::killAll);
-            case 6 -> {
+            case 6 -> later("power_off", this::powerOffAll);
+            case 7 -> {
                 Trouble[] all = Trouble.values();
                 Trouble trouble = all[random.nextInt(all.length)];
                 later("store_" + trouble, () -> storeTrouble(trouble));
             }
-            case 7 -> later("pause", () -> pause(vm, 300 + random.nextInt(1_500)));
+            case 8 -> later("pause", () -> pause(vm, 300 + random.nextInt(1_500)));
             default -> fleet.accept();
         }
     }
@@ -271,7 +275,7 @@
                 long gapMillis = 100 + random.nextInt(1_000);
                 later("rolling_stop", () -> stopInTurn(gapMillis));
             }
-            case 4 -> later("replace", () -> vm.backend().replace(1_300));
+            case 4 -> later("replace", () -> vm.backend().leave(BackendVm.LeaveWord.DRAINING, STAY_MILLIS));
             case 5 -> later("reload", () -> reload(vm));
             default -> fleet.accept();
         }
@@ -377,7 +381,7 @@
         }
         NodeFleet.Vm vm = fleet.vms().get(random.nextInt(fleet.vms().size()));
         if (random.nextInt(3) == 0) {
-            later("leave_stated", () -> vm.backend().replaceByStatement(1_300));
+            later("leave_stated", () -> vm.backend().replaceByStatement(STAY_MILLIS));
             return;
         }
         String first = LIMITS[random.nextInt(LIMITS.length)];
@@ -409,6 +413,13 @@
         join(kills);
     }
 
+    private void powerOffAll() throws InterruptedException, IOException {
+        for (NodeFleet.Vm vm : fleet.vms()) {
+            vm.backend().losePower();
+        }
+        killAll();
+    }
+
     /** After a calm, every node is ready, serves, and takes up a version that is accepted now. */
     private void judgeCalm() throws InterruptedException {
         for (NodeFleet.Vm vm : fleet.vms()) {
--- a/org.berylwick.standin/src/org/berylwick/standin/objects/BackendVm.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/objects/BackendVm.java
@@ -119,27 +119,7 @@
         String leaving = incarnation;
         leaveStated = false;
         call("DELETE", leaving, Optional.empty());
-        incarnation = newIncarnation();
-        sequence = 0;
-    }
-
-    /** Drains, leaves once that is acknowledged, and starts anew as another incarnation. */
-    public void replace(long drainMillis) throws InterruptedException {
-        draining = true;
-        String leaving = incarnation;
-        boolean acknowledged = report();
-        for (int i = 0; i < 20 && !acknowledged; i++) {
-            Thread.sleep(100);
-            acknowledged = report();
-        }
-        if (acknowledged) {
-            book.onAcknowledgedLeave(leaving);
-        }
-        Thread.sleep(drainMillis);
-        call("DELETE", leaving, Optional.empty());
-        incarnation = newIncarnation();
-        sequence = 0;
-        draining = false;
+        startAnew();
     }
 
     /** How it says that it leaves. */
@@ -204,13 +184,18 @@
             book.onAcknowledgedLeave(left);
         }
         Thread.sleep(stayMillis);
-        call("DELETE", left, Optional.empty());
-        startAnew();
+        if (left.equals(incarnation)) {
+            call("DELETE", left, Optional.empty());
+            startAnew();
+        }
         leaving.set(false);
         return acknowledged ? new LeaveResult.Acknowledged(afterMillis) : new LeaveResult.NotAcknowledged();
     }
 
     private boolean sayLeave(LeaveWord word, String left) {
+        if (!left.equals(incarnation)) {
+            return false;
+        }
         return switch (word) {
             case DRAINING -> report();
             case DEREGISTRATION -> call("DELETE", left, Optional.empty());
@@ -313,15 +298,30 @@
         }
     }
 
+    /** Its VM loses power: the process ends, and is started again after a while as another incarnation. */
+    public void losePower() throws IOException {
+        if (markDown(incarnation)) {
+            endProcess();
+        }
+    }
+
     /** The process ends while it runs a request, and is started again after a while as another incarnation. */
     private void crash(String uri, String crashing) throws IOException {
-        synchronized (this) {
-            if (down || closed || !crashing.equals(incarnation)) {
-                return;
-            }
-            down = true;
+        if (markDown(crashing)) {
+            book.onCrash(uri);
+            endProcess();
         }
-        book.onCrash(uri);
+    }
+
+    private synchronized boolean markDown(String ending) {
+        if (down || closed || !ending.equals(incarnation)) {
+            return false;
+        }
+        down = true;
+        return true;
+    }
+
+    private void endProcess() throws IOException {
         int port = port();
         server.close();
         for (Socket socket : sockets) {
@@ -339,8 +339,7 @@
                 }
                 server = new ServerSocket(port, 128, server.getInetAddress());
                 running = new AtomicInteger();
-                incarnation = newIncarnation();
-                sequence = 0;
+                startAnew();
                 down = false;
             }
             accept();
--- a/org.berylwick/src/org/berylwick/api/ExplainCommand.java
+++ b/org.berylwick/src/org/berylwick/api/ExplainCommand.java
@@ -36,7 +36,10 @@
             "STORE_REGAINED",
             MEMBER,
             "BACKEND_CHANGED",
-            "BACKEND_REPORT_IGNORED");
+            "BACKEND_REPORT_IGNORED",
+            "BACKEND_LEAVE_ACKNOWLEDGED",
+            "BACKEND_LEAVE_NOT_ACKNOWLEDGED",
+            "BACKEND_LEFT_EARLIER");
     private static final Set<String> FINAL = Set.of("CALL_ANSWERED", "CALL_FAILED", "CALL_REFUSED", "CALL_ABANDONED");
     private static final Set<String> HEAD = Set.of("t", "node", "event", "name", "id");
     private static final ObjectMapper MAPPER = new ObjectMapper();
