Take organisations and their keys from the configuration

Cause: the configuration may declare organisations whose callers identify themselves by a key.

Change: a version maps keys to organisations and is invalid if that is ambiguous. RequestAdmission resolves route and organisation and asks a quota, which grants everything for now. An unknown key is denied (401) only with the evidence that an unknown path needs; else it is refused (503). The backend server receives the name, on every path, never the key. An organisation's priority takes precedence in the owner's queue. The request admission and the nodes that were tried are split off EntryHandler and EntryCall.

Routes need no key unless the configuration declares organisations, so other installations are served as before.

--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
@@ -253,7 +253,11 @@
         EntryCallFactory.CallerRequest request = new EntryCallFactory.CallerRequest(
                 HttpMethod.GET, emulation.request(id).path(), headers, body);
         CallHandle call = entry.create(
-                version, version.route(Emulation.HOST, request.uri()).orElseThrow(), request, sink);
+                version,
+                EntryCallFactory.Admission.withoutOrganisation(
+                        version.route(Emulation.HOST, request.uri()).orElseThrow()),
+                request,
+                sink);
         call.start();
         return call;
     }
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Emulation.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Emulation.java
@@ -16,7 +16,18 @@
 public final class Emulation implements AutoCloseable {
     static final String HOST = "any.example";
     static final HeaderNames NAMES = new HeaderNames(
-            "id", "deadline", "signature", "target", "load", "not-run", "caller", "instance", "limit", "leaving");
+            "id",
+            "deadline",
+            "signature",
+            "target",
+            "load",
+            "not-run",
+            "caller",
+            "instance",
+            "limit",
+            "leaving",
+            "x-key",
+            "x-organisation");
 
     /** A hop within a zone, with the processor time that it takes at both ends. */
     private static final long HOP_NANOS = 700_000L;
--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -40,6 +40,7 @@
 import org.berylwick.node.quarantine.HoldLog;
 import org.berylwick.node.quarantine.Quarantine;
 import org.berylwick.node.quarantine.QuarantineExchange;
+import org.berylwick.node.quota.RequestQuota;
 import org.berylwick.node.rollout.RolloutController;
 import org.berylwick.node.rollout.RolloutVersionChoice;
 import org.berylwick.node.transport.BufferedHttpServer;
@@ -136,16 +137,7 @@
         this.rollouts = createRollouts(clock);
         RetryBudget budget =
                 new RetryBudget(settings.bounds(), this::nodeCount, discovery::isDirectoryRead, System.nanoTime());
-        this.entryServer = CallPath.createEntryServer(
-                loop,
-                settings,
-                new CallPath.Callers(
-                        platform.headerNames(), versionUpdater::version, versionUpdater.freshness(), () -> service),
-                owner,
-                link,
-                createCandidateSampler(),
-                budget,
-                new Instruments(counters, log));
+        this.entryServer = createEntryServer(budget);
         this.peerServer = new PeerServer(loop, settings.peerAddress(), owner, link, versionUpdater::encodeDeltaFrom);
         this.shutdown = new GracefulShutdown(
                 loop,
@@ -205,6 +197,17 @@
                 loop, directory, registration, gossip, instruments, crashes -> crashes.forEach(quarantine::merge));
     }
 
+    private EntryServer createEntryServer(RetryBudget budget) {
+        CallPath.Callers callers = new CallPath.Callers(
+                platform.headerNames(),
+                versionUpdater::version,
+                versionUpdater.freshness(),
+                () -> service,
+                RequestQuota.UNLIMITED);
+        return CallPath.createEntryServer(
+                loop, settings, callers, owner, link, createCandidateSampler(), budget, new Instruments(counters, log));
+    }
+
     private CandidateSampler createCandidateSampler() {
         return new CandidateSampler(
                 settings.zone(),
--- a/org.berylwick.node/src/org/berylwick/node/call/CallPath.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallPath.java
@@ -10,6 +10,7 @@
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.Instruments;
 import org.berylwick.node.log.NodeMetricNames;
+import org.berylwick.node.quota.RequestQuota;
 import org.berylwick.node.transport.EventLoopClock;
 import org.berylwick.node.transport.VmLink;
 import org.berylwick.node.version.VersionFreshness;
@@ -26,12 +27,14 @@
      * @param version the configuration version in force, empty until the first one is installed
      * @param freshness what is known of newer versions on other nodes
      * @param callerService service on this VM, which the callers belong to
+     * @param quota limits the requests of organisations
      */
     public record Callers(
             HeaderNames headerNames,
             Supplier<Optional<ConfigurationVersion>> version,
             VersionFreshness freshness,
-            Supplier<String> callerService) {}
+            Supplier<String> callerService,
+            RequestQuota quota) {}
 
     private CallPath() {}
 
@@ -76,7 +79,12 @@
         EntryServer server = new EntryServer(
                 new EntryServices(
                         callers.version(),
-                        callers.freshness(),
+                        new RequestAdmission(
+                                callers.version(),
+                                callers.freshness(),
+                                callers.quota(),
+                                callers.headerNames(),
+                                instruments),
                         callFactory,
                         link.incoming(),
                         counters,
--- a/org.berylwick.node/src/org/berylwick/node/call/CallSpec.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallSpec.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.Optional;
+import org.berylwick.node.lib.OrganisationTag;
 import org.berylwick.node.lib.RequestClass;
 import org.berylwick.node.lib.RequestFingerprint;
 import org.berylwick.node.lib.RouteKind;
@@ -27,6 +28,7 @@
  * @param attemptNumber number of this attempt, 1 for the first
  * @param knownCrashes number of backend servers in succession that are known to have ended while they ran the request
  * @param expectedResponseBytes expected size of the response, 0 if the response does not leave the VM
+ * @param organisation the organisation that the request belongs to
  */
 public record CallSpec(
         String id,
@@ -42,7 +44,8 @@
         long maxWaitNanos,
         int attemptNumber,
         int knownCrashes,
-        int expectedResponseBytes) {
+        int expectedResponseBytes,
+        OrganisationTag organisation) {
     /** Kind of the route, which tells whether the request may be run more than once. */
     public RouteKind kind() {
         return requestClass.kind();
@@ -59,9 +62,9 @@
                 .map(bytes -> RequestFingerprint.of(method.name(), headers.get(HttpHeaderNames.HOST, ""), uri, bytes));
     }
 
-    /** Priority, 0 the highest. */
+    /** Priority, 0 the highest; that of the organisation takes precedence over that of the route. */
     public int priority() {
-        return requestClass.priority();
+        return organisation.priorityOr(requestClass.priority());
     }
 
     /** Returns a copy of this request with another body. */
@@ -80,7 +83,8 @@
                 maxWaitNanos,
                 attemptNumber,
                 knownCrashes,
-                expectedResponseBytes);
+                expectedResponseBytes,
+                organisation);
     }
 
     /**
@@ -106,6 +110,7 @@
                 newMaxWaitNanos,
                 newAttemptNumber,
                 newKnownCrashes,
-                newResponseBytes);
+                newResponseBytes,
+                organisation);
     }
 }
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -3,14 +3,13 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.berylwick.node.lib.Clock;
 import org.berylwick.node.lib.Route;
 import org.berylwick.node.log.Event;
 import org.berylwick.node.log.NodeMetricNames;
+import org.berylwick.node.quota.RequestQuota;
 
 /**
  * One request of a caller, from the time its head (and a small body) has been read to its final response; confined to
@@ -22,10 +21,6 @@
  * failure is used.
  */
 final class EntryCall implements CallHandle {
-    /**
-     * Each refusal costs a round trip. After this many, the nodes are taken to be at capacity, and no other is tried.
-     */
-    private static final int MAX_REFUSALS = 3;
     /**
      * Longest time that a request waits for slots, at all nodes together, as a fraction of its latency objective.
      * Longer waits make other requests late, and a caller that is refused early still has time to retry.
@@ -47,10 +42,10 @@
     private final long receivedAt;
     private final long queueWaitEndsAt;
     private final boolean callerRetried;
+    private final RequestQuota.Permit permit;
     private final ResponseSink sink;
     private final CallTrace trace;
-    private final Set<String> triedNodeKeys = new HashSet<>();
-    private final Set<String> busyNodeKeys = new HashSet<>();
+    private final TriedNodes triedNodes = new TriedNodes();
     private Optional<EntryAttempt> currentAttempt = Optional.empty();
     /** The previous attempt, which continues at a node that has gone silent. */
     private Optional<EntryAttempt> silentAttempt = Optional.empty();
@@ -60,11 +55,8 @@
     /** Number of attempts that may have run the request. */
     private int possibleRuns;
 
-    private int refusals;
     private boolean retryGranted;
     private boolean done;
-    /** Shortest wait for a slot according to the loads in the refusals; determines the Retry-After time. */
-    private long shortestWaitNanos = RetryAfter.UNKNOWN_NANOS;
 
     private Optional<ServerFailure> serverFailure = Optional.empty();
     private Optional<EntryAttempt> streamingAttempt = Optional.empty();
@@ -76,6 +68,7 @@
             long receivedAt,
             long versionNumber,
             boolean callerRetried,
+            RequestQuota.Permit permit,
             ResponseSink sink) {
         this.context = context;
         this.route = route;
@@ -83,6 +76,7 @@
         this.receivedAt = receivedAt;
         this.queueWaitEndsAt = receivedAt + (long) (MAX_QUEUE_WAIT_SHARE * (spec.objectiveAt() - receivedAt));
         this.callerRetried = callerRetried;
+        this.permit = permit;
         this.sink = sink;
         this.trace = new CallTrace(context, spec, route, versionNumber, receivedAt);
     }
@@ -124,7 +118,7 @@
             conclude();
             return;
         }
-        Optional<CandidateChooser.Choice> choice = refusals >= MAX_REFUSALS ? Optional.empty() : chooseNode(now);
+        Optional<CandidateChooser.Choice> choice = triedNodes.isExhausted() ? Optional.empty() : chooseNode(now);
         if (choice.isPresent() && (!isRetry || tryTakeRetry(now))) {
             startAttempt(choice.get(), now);
             return;
@@ -138,7 +132,7 @@
     }
 
     private Optional<CandidateChooser.Choice> chooseNode(long now) {
-        List<Candidate> candidates = context.candidates().candidatesFor(spec.service(), triedNodeKeys, now);
+        List<Candidate> candidates = context.candidates().candidatesFor(spec.service(), triedNodes.excludedKeys(), now);
         boolean isCall = Candidate.anyReceivesCalls(candidates, spec.requestClass());
         RequestProfile profile = new RequestProfile(
                 spec.requestClass(),
@@ -149,10 +143,10 @@
                 (isCall ? spec.deadlineAt() : queueWaitEndsAt) - now,
                 callerRetried || isCall ? 0 : context.callerRetryRates().retryRate(spec.requestClass()),
                 isCall,
-                refusals + 1 >= MAX_REFUSALS);
+                triedNodes.isNextFinal());
         Optional<CandidateChooser.Choice> choice = context.chooser().choose(candidates, profile);
-        if (choice.isEmpty() && candidates.stream().anyMatch(c -> c.limitWaitNanos() > 0)) {
-            candidates.forEach(c -> shortestWaitNanos = Math.min(shortestWaitNanos, c.waitNanos()));
+        if (choice.isEmpty()) {
+            triedNodes.onNoneChosen(candidates);
         }
         return choice;
     }
@@ -161,7 +155,7 @@
         attempts++;
         context.quarantine().onAttemptStarted(spec.uri(), spec::fingerprint);
         Candidate candidate = choice.candidate();
-        triedNodeKeys.add(candidate.key());
+        triedNodes.onAttempt(candidate);
         // A response of the backend server on this VM does not use the network link.
         int linkResponseBytes = candidate.member().isPresent() ? spec.expectedResponseBytes() : 0;
         CallSpec attemptSpec = spec.forAttempt(
@@ -184,20 +178,9 @@
             trace.recordOutcome(attempt, refusal.reason().name());
             return;
         }
-        refusals++;
-        if (refusal.reason() == Refusal.Reason.BUSY
-                && busyNodeKeys.add(attempt.candidate().key())) {
-            // The refusal carried the node's current load; the other nodes may be busier, so it may be chosen once
-            // more.
-            triedNodeKeys.remove(attempt.candidate().key());
-        }
+        triedNodes.onRefused(attempt.candidate(), refusal);
         trace.recordDecisiveOutcome(attempt, refusal.reason().name());
         context.counters().increment(NodeMetricNames.ENTRY_REFUSALS_BY_REASON + refusal.reason());
-        if (refusal.load().slots() > 0) {
-            long waitNanos = refusal.load().waitNanos()
-                    + refusal.load().meanNanos() / Math.max(1, refusal.load().slots());
-            shortestWaitNanos = Math.min(shortestWaitNanos, waitNanos);
-        }
         if (refusal.reason() != Refusal.Reason.EXPIRED && refusal.reason() != Refusal.Reason.QUARANTINED) {
             sendNext(refusal.rejectedByBackend());
         } else {
@@ -226,7 +209,7 @@
     void onNodeSilent(EntryAttempt attempt) {
         boolean secondAttemptExcluded = done || streamingAttempt.isPresent() || silentAttempt.isPresent();
         if (secondAttemptExcluded
-                || refusals >= MAX_REFUSALS
+                || triedNodes.isExhausted()
                 || !mayRetry(possibleRuns + 1)
                 || remainingHoldNanos() > 0) {
             return;
@@ -438,10 +421,12 @@
     private void refuse() {
         long holdNanos = remainingHoldNanos();
         finish();
+        permit.release();
         double random = context.random().getAsDouble();
         long remainingNanos = spec.remainingNanos(context.clock().now());
-        double retryAfterSeconds =
-                holdNanos > 0 ? holdNanos / 1e9 : RetryAfter.untilSlot(shortestWaitNanos, remainingNanos, random);
+        double retryAfterSeconds = holdNanos > 0
+                ? holdNanos / 1e9
+                : RetryAfter.untilSlot(triedNodes.shortestWaitNanos(), remainingNanos, random);
         context.callerRetryRates().onRefused(spec.requestClass());
         context.counters().increment(NodeMetricNames.ENTRY_REFUSED);
         log(Event.CALL_REFUSED, 503, "");
@@ -463,6 +448,9 @@
             return;
         }
         finish();
+        if (attempts == 0) {
+            permit.release();
+        }
         context.counters().increment(NodeMetricNames.ENTRY_ABANDONED);
         log(Event.CALL_ABANDONED, 0, "");
     }
@@ -495,6 +483,6 @@
         if (event == Event.CALL_ANSWERED && attempts == 1 && context.random().getAsDouble() >= LOG_SAMPLE_RATE) {
             return;
         }
-        trace.write(event, status, node, attempts, refusals, retryGranted);
+        trace.write(event, status, node, attempts, triedNodes.refusals(), retryGranted);
     }
 }
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCallFactory.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCallFactory.java
@@ -7,10 +7,12 @@
 import org.berylwick.node.lib.Clock;
 import org.berylwick.node.lib.ConfigurationVersion;
 import org.berylwick.node.lib.HeaderNames;
+import org.berylwick.node.lib.OrganisationTag;
 import org.berylwick.node.lib.RequestClass;
 import org.berylwick.node.lib.Route;
 import org.berylwick.node.log.Instruments;
 import org.berylwick.node.quarantine.Quarantine;
+import org.berylwick.node.quota.RequestQuota;
 import org.berylwick.node.transport.RequestBody;
 
 /**
@@ -85,11 +87,13 @@
      * Creates a call; the caller of this method has to start it.
      *
      * @param version configuration version in force
-     * @param route route of the request
+     * @param admission route and organisation of the request
      * @param request the caller's request
      * @param sink receives the response
      */
-    public CallHandle create(ConfigurationVersion version, Route route, CallerRequest request, ResponseSink sink) {
+    public CallHandle create(
+            ConfigurationVersion version, Admission admission, CallerRequest request, ResponseSink sink) {
+        Route route = admission.route();
         long now = context.clock().now();
         HttpHeaders headers = Headers.endToEnd(request.headers());
         String id = requestId(headers);
@@ -99,6 +103,8 @@
         headers.remove(context.headerNames().deadline());
         headers.remove(context.headerNames().targetIncarnation());
         headers.remove(context.headerNames().callerService());
+        headers.remove(context.headerNames().organisationKey());
+        headers.remove(context.headerNames().organisation());
         if (route.timeoutNanos() > 0) {
             deadlineAt = Math.min(deadlineAt, now + route.timeoutNanos());
         }
@@ -118,8 +124,9 @@
                 0,
                 1,
                 0,
-                (int) context.responseEstimates().expectedBytes(route));
-        return new EntryCall(context, route, spec, now, version.number(), waitedNanos > 0, sink);
+                (int) context.responseEstimates().expectedBytes(route),
+                admission.organisation());
+        return new EntryCall(context, route, spec, now, version.number(), waitedNanos > 0, admission.permit(), sink);
     }
 
     /** Returns the id of a request from its headers, empty if it has none. */
@@ -139,6 +146,20 @@
         }
     }
 
+    /**
+     * What allows a request to be sent.
+     *
+     * @param route its route
+     * @param organisation the organisation that it belongs to
+     * @param permit released if no backend server runs the request
+     */
+    public record Admission(Route route, OrganisationTag organisation, RequestQuota.Permit permit) {
+        /** Admits a request that belongs to no organisation. */
+        public static Admission withoutOrganisation(Route route) {
+            return new Admission(route, OrganisationTag.NONE, RequestQuota.Permit.UNLIMITED);
+        }
+    }
+
     /**
      * A caller's request.
      *
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
@@ -27,11 +27,9 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.berylwick.node.lib.CallerLimits;
 import org.berylwick.node.lib.ConfigurationVersion;
-import org.berylwick.node.lib.Route;
 import org.berylwick.node.log.Event;
 import org.berylwick.node.log.NodeMetricNames;
 import org.berylwick.node.transport.RequestBody;
@@ -50,11 +48,8 @@
 
     /** Time for which input is still read and discarded before a connection is closed. */
     private static final long LINGER_MILLIS = 1_000;
-    /**
-     * Retry-After of refusals that are not due to load: no configuration version, one that may be outdated, or a node
-     * that stops.
-     */
-    private static final double UNAVAILABLE_RETRY_AFTER_S = 0.3;
+    /** Retry-After of the refusals of a node that stops. */
+    private static final double STOPPING_RETRY_AFTER_S = 0.3;
 
     /** Idle connections are kept slightly longer than the configured limit, as a request may already be in transit. */
     private static final double IDLE_TIMEOUT_FACTOR = 1.1;
@@ -224,67 +219,38 @@
         if (server.isRefusingNew()) {
             requestBody.release();
             services.counters().increment(NodeMetricNames.ENTRY_REFUSED);
-            respond(503, RetryAfter.headers(UNAVAILABLE_RETRY_AFTER_S), Unpooled.EMPTY_BUFFER);
-            return;
-        }
-        if (services.version().get().isEmpty()) {
-            requestBody.release();
-            services.counters().increment(NodeMetricNames.ENTRY_REFUSED_NO_VERSION);
-            respond(503, RetryAfter.headers(UNAVAILABLE_RETRY_AFTER_S), Unpooled.EMPTY_BUFFER);
+            respond(503, RetryAfter.headers(STOPPING_RETRY_AFTER_S), Unpooled.EMPTY_BUFFER);
             return;
         }
-        if (!startRouted(request, requestBody)) {
-            awaitRoute(request, requestBody);
-        }
-    }
-
-    /** Starts the call of a request if the version in force has a route for it. */
-    private boolean startRouted(HttpRequest request, RequestBody requestBody) {
-        ConfigurationVersion version = services.version().get().orElseThrow();
-        String host = request.headers().get(HttpHeaderNames.HOST, "");
-        Optional<Route> route = version.route(host, request.uri());
-        if (route.isEmpty()) {
-            return false;
+        PendingRequest pending = new PendingRequest(requestBody);
+        call = pending;
+        services.admission().decide(request, result -> onAdmissionDecided(pending, request, requestBody, result));
+    }
+
+    private void onAdmissionDecided(
+            PendingRequest pending, HttpRequest request, RequestBody requestBody, RequestAdmission.Result result) {
+        switch (result) {
+            case RequestAdmission.Result.Admitted admitted
+            when pending.isAbandoned() -> admitted.admission().permit().release();
+            case RequestAdmission.Result.Admitted admitted -> {
+                EntryCallFactory.CallerRequest callerRequest = new EntryCallFactory.CallerRequest(
+                        request.method(), request.uri(), request.headers(), requestBody);
+                call = services.callFactory().create(admitted.version(), admitted.admission(), callerRequest, this);
+                call.start();
+            }
+            case RequestAdmission.Result.Denied denied ->
+                respondWithoutCall(pending, requestBody, denied.status(), Headers.empty());
+            case RequestAdmission.Result.Refused refused ->
+                respondWithoutCall(
+                        pending, requestBody, refused.status(), RetryAfter.headers(refused.retryAfterSeconds()));
         }
-        EntryCallFactory.CallerRequest callerRequest =
-                new EntryCallFactory.CallerRequest(request.method(), request.uri(), request.headers(), requestBody);
-        call = services.callFactory().create(version, route.get(), callerRequest, this);
-        call.start();
-        return true;
     }
 
-    /** Responds that there is no route only when the version in force is known to be the newest one. */
-    private void awaitRoute(HttpRequest request, RequestBody requestBody) {
-        UnroutedCall unrouted = new UnroutedCall(requestBody);
-        call = unrouted;
-        services.freshness().decide(newest -> {
-            if (unrouted.isAbandoned() || startRouted(request, requestBody)) {
-                return;
-            }
+    private void respondWithoutCall(PendingRequest pending, RequestBody requestBody, int status, HttpHeaders headers) {
+        if (!pending.isAbandoned()) {
             requestBody.release();
-            logRouteNotFound(request, services.version().get().orElseThrow());
-            if (newest) {
-                services.counters().increment(NodeMetricNames.ENTRY_NO_ROUTE);
-                respond(404, Headers.empty(), Unpooled.EMPTY_BUFFER);
-            } else {
-                services.counters().increment(NodeMetricNames.ENTRY_REFUSED_OUTDATED);
-                respond(503, RetryAfter.headers(UNAVAILABLE_RETRY_AFTER_S), Unpooled.EMPTY_BUFFER);
-            }
-        });
-    }
-
-    private void logRouteNotFound(HttpRequest request, ConfigurationVersion version) {
-        services.log()
-                .write(
-                        Event.ROUTE_NOT_FOUND,
-                        "id",
-                        services.callFactory().requestId(request.headers()),
-                        "version",
-                        version.number(),
-                        "newest",
-                        services.freshness().newestNumber(),
-                        "nodesAhead",
-                        services.freshness().membersAhead(version.number()));
+            respond(status, headers, Unpooled.EMPTY_BUFFER);
+        }
     }
 
     @Override
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryServices.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryServices.java
@@ -6,13 +6,12 @@
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.EventLog;
 import org.berylwick.node.transport.IncomingLink;
-import org.berylwick.node.version.VersionFreshness;
 
 /**
  * What all connections of callers share; confined to the event loop.
  *
  * @param version configuration version in force, empty until the first one is installed
- * @param freshness what is known of newer versions on other nodes
+ * @param admission decides which requests are sent on
  * @param callFactory creates calls
  * @param incomingLink incoming link of this VM
  * @param counters metrics
@@ -20,7 +19,7 @@
  */
 record EntryServices(
         Supplier<Optional<ConfigurationVersion>> version,
-        VersionFreshness freshness,
+        RequestAdmission admission,
         EntryCallFactory callFactory,
         IncomingLink incomingLink,
         Counters counters,
--- a/org.berylwick.node/src/org/berylwick/node/call/Headers.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Headers.java
@@ -12,6 +12,9 @@
     /** Header with which an owner reports the outcome of an attempt to the entry; see {@link PeerCodec}. */
     static final String OUTCOME = "bw-outcome";
 
+    /** Header with which an entry names the organisation that a request belongs to; see {@link PeerCodec}. */
+    static final String ORGANISATION = "bw-organisation";
+
     /** Header in which an entry tells an owner how many crashes of a request it knows of, if there are any. */
     static final String KNOWN_CRASHES = "bw-known-crashes";
     /** Header with which an owner reports that its backend server ended while it ran the request. */
@@ -32,6 +35,7 @@
         AsciiString.cached("Expect"),
         AsciiString.cached(CALL),
         AsciiString.cached(OUTCOME),
+        AsciiString.cached(ORGANISATION),
         AsciiString.cached(KNOWN_CRASHES),
         AsciiString.cached(CRASH)
     };
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -289,6 +289,9 @@
         headers.set(headerNames.deadline(), remainingMillis);
         headers.set(headerNames.targetIncarnation(), backend.incarnation());
         headers.set(headerNames.callerService(), call.callerService());
+        if (call.organisation().isPresent()) {
+            headers.set(headerNames.organisation(), call.organisation().name());
+        }
         HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri(), headers);
         HttpConnection.setContentLength(head, call.body().length());
         acquired.send(head, call.body(), this);
--- a/org.berylwick.node/src/org/berylwick/node/call/PeerAttempt.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerAttempt.java
@@ -66,6 +66,7 @@
         connection = acquired;
         HttpHeaders headers = Headers.copy(call.headers());
         headers.set(Headers.CALL, PeerCodec.encodeCall(call, System.nanoTime()));
+        PeerCodec.encodeOrganisation(call.organisation()).ifPresent(text -> headers.set(Headers.ORGANISATION, text));
         if (call.knownCrashes() > 0) {
             headers.set(Headers.KNOWN_CRASHES, call.knownCrashes());
         }
--- a/org.berylwick.node/src/org/berylwick/node/call/PeerCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerCodec.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.Optional;
+import org.berylwick.node.lib.OrganisationTag;
 import org.berylwick.node.lib.OwnerLoad;
 import org.berylwick.node.lib.RequestClass;
 import org.berylwick.node.lib.RouteKind;
@@ -48,7 +49,7 @@
                 + ';'
                 + call.kind().ordinal()
                 + ';'
-                + call.priority()
+                + call.requestClass().priority()
                 + ';'
                 + call.requestClass().objectiveMillis()
                 + ';'
@@ -97,12 +98,29 @@
                     Long.parseLong(fields[7]) * 1_000_000,
                     Integer.parseInt(fields[8]),
                     Integer.parseInt(head.headers().get(Headers.KNOWN_CRASHES, "0")),
-                    Integer.parseInt(fields[9])));
+                    Integer.parseInt(fields[9]),
+                    decodeOrganisation(head.headers().get(Headers.ORGANISATION))));
         } catch (NumberFormatException | IndexOutOfBoundsException e) {
             return Optional.empty();
         }
     }
 
+    /** Encodes the organisation of a request; empty if it belongs to none. */
+    static Optional<String> encodeOrganisation(OrganisationTag organisation) {
+        return organisation.isPresent()
+                ? Optional.of(organisation.priority() + ";" + organisation.name())
+                : Optional.empty();
+    }
+
+    private static OrganisationTag decodeOrganisation(String text) {
+        if (text == null) {
+            return OrganisationTag.NONE;
+        }
+        int separator = text.indexOf(';');
+        return new OrganisationTag(
+                text.substring(separator + 1), Integer.parseInt(text.substring(0, Math.max(0, separator))));
+    }
+
     static String encodeAnswered(OwnerLoad load) {
         return ANSWERED + ";;false" + encodeLoad(load);
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/UnroutedCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PendingRequest.java
@@ -2,12 +2,12 @@
 
 import org.berylwick.node.transport.RequestBody;
 
-/** A request that waits for a route; ends with its connection. Confined to the event loop. */
-final class UnroutedCall implements CallHandle {
+/** A request that waits for a newer version or for a permit; ends with its connection. Confined to the event loop. */
+final class PendingRequest implements CallHandle {
     private final RequestBody body;
     private boolean abandoned;
 
-    UnroutedCall(RequestBody body) {
+    PendingRequest(RequestBody body) {
         this.body = body;
     }
 
--- a/org.berylwick.node/src/org/berylwick/node/lib/ConfigurationVersion.java
+++ b/org.berylwick.node/src/org/berylwick/node/lib/ConfigurationVersion.java
@@ -14,6 +14,8 @@
     private final Map<String, Integer> maxConnectionsByService;
     private final Map<String, String> healthPathByService;
     private final CallerLimits limits;
+    private final Map<String, Organisation> organisationsByName;
+    private final Map<String, Organisation> organisationsByKey;
     private final byte[] encoded;
 
     private ConfigurationVersion(Builder builder) {
@@ -29,6 +31,8 @@
         this.maxConnectionsByService = Map.copyOf(builder.maxConnectionsByService);
         this.healthPathByService = Map.copyOf(builder.healthPathByService);
         this.limits = builder.limits;
+        this.organisationsByName = Map.copyOf(builder.organisationsByName);
+        this.organisationsByKey = Map.copyOf(builder.organisationsByKey);
         this.encoded = builder.encoded;
     }
 
@@ -44,6 +48,21 @@
         return limits;
     }
 
+    /** Whether callers belong to organisations, and identify themselves by a key. */
+    public boolean hasOrganisations() {
+        return !organisationsByName.isEmpty();
+    }
+
+    /** Returns an organisation by its name. */
+    public Optional<Organisation> organisation(String name) {
+        return Optional.ofNullable(organisationsByName.get(name));
+    }
+
+    /** Returns the organisation that holds a key. */
+    public Optional<Organisation> organisationOfKey(String key) {
+        return Optional.ofNullable(organisationsByKey.get(key));
+    }
+
     /** Returns how many connections one backend server of a service accepts in total, 0 if unknown. */
     public int maxConnections(String service) {
         return maxConnectionsByService.getOrDefault(service, 0);
@@ -96,6 +115,8 @@
         private final Map<String, List<Route>> routesByHost = new HashMap<>();
         private final Map<String, Integer> maxConnectionsByService = new HashMap<>();
         private final Map<String, String> healthPathByService = new HashMap<>();
+        private final Map<String, Organisation> organisationsByName = new HashMap<>();
+        private final Map<String, Organisation> organisationsByKey = new HashMap<>();
         private CallerLimits limits = new CallerLimits(16_384, 1 << 20, 3_000_000_000L, 15_000_000_000L);
 
         /**
@@ -130,6 +151,29 @@
             return service(name, connections);
         }
 
+        /**
+         * Adds an organisation and its keys.
+         *
+         * @throws IllegalArgumentException if the name is in use, or a key is blank or held by another organisation.
+         *     The message names the organisations, never the key.
+         */
+        public Builder organisation(Organisation organisation, List<String> keys) {
+            if (organisationsByName.putIfAbsent(organisation.name(), organisation) != null) {
+                throw new IllegalArgumentException("organisation " + organisation.name() + " is declared twice");
+            }
+            for (String key : keys) {
+                if (key.isBlank()) {
+                    throw new IllegalArgumentException("organisation " + organisation.name() + " has a blank key");
+                }
+                Organisation holder = organisationsByKey.putIfAbsent(key, organisation);
+                if (holder != null && holder != organisation) {
+                    throw new IllegalArgumentException(
+                            "organisations " + holder.name() + " and " + organisation.name() + " share a key");
+                }
+            }
+            return this;
+        }
+
         /** Sets the limits for requests of callers. */
         public Builder limits(CallerLimits callerLimits) {
             this.limits = callerLimits;
--- a/org.berylwick.node/src/org/berylwick/node/lib/HeaderNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/lib/HeaderNames.java
@@ -13,6 +13,8 @@
  * @param incarnation incarnation of the backend server that responds
  * @param requestLimit requests per second that a backend server accepts from all nodes together, a decimal number
  * @param leaving {@code 1} if a backend server is about to stop
+ * @param organisationKey key of the organisation that a caller belongs to; not passed on
+ * @param organisation name of the organisation that a request belongs to, for the backend server
  */
 public record HeaderNames(
         String requestId,
@@ -24,4 +26,6 @@
         String callerService,
         String incarnation,
         String requestLimit,
-        String leaving) {}
+        String leaving,
+        String organisationKey,
+        String organisation) {}
--- a/org.berylwick.node/src/org/berylwick/node/lib/Route.java
+++ b/org.berylwick.node/src/org/berylwick/node/lib/Route.java
@@ -13,6 +13,7 @@
  * @param maxAttempts maximum number of backend servers that one request may run on
  * @param priority priority, 0 being the highest
  * @param weightedServices services that the requests are distributed over, at least one
+ * @param requiresKey whether requests must carry the key of an organisation, if the configuration declares any
  */
 public record Route(
         String name,
@@ -22,7 +23,8 @@
         long objectiveNanos,
         int maxAttempts,
         int priority,
-        List<WeightedService> weightedServices) {
+        List<WeightedService> weightedServices,
+        boolean requiresKey) {
     public Route {
         weightedServices = List.copyOf(weightedServices);
         if (weightedServices.isEmpty()) {
@@ -30,6 +32,19 @@
         }
     }
 
+    /** Creates a route whose requests need no key. */
+    public Route(
+            String name,
+            String prefix,
+            RouteKind kind,
+            long timeoutNanos,
+            long objectiveNanos,
+            int maxAttempts,
+            int priority,
+            List<WeightedService> weightedServices) {
+        this(name, prefix, kind, timeoutNanos, objectiveNanos, maxAttempts, priority, weightedServices, false);
+    }
+
     /**
      * Selects the service for a request according to the weights.
      *
--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -85,6 +85,8 @@
     BACKEND_LEAVE_NOT_ACKNOWLEDGED(7060, 20),
     /** This process learned of a leave that was announced to an earlier process of this node. */
     BACKEND_LEFT_EARLIER(7061, 20),
+    /** The key of a request is not held by any organisation of the version in force. */
+    KEY_UNKNOWN(7062, 10),
     /** An unexpected error occurred; the connection that it came from was closed. */
     INTERNAL_ERROR(7099, 20);
 
--- a/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
@@ -25,6 +25,10 @@
     public static final String ENTRY_REFUSED_OUTDATED = "entry.refused.outdated";
     /** Requests answered with 404 because no route matches. */
     public static final String ENTRY_NO_ROUTE = "entry.no_route";
+    /** Requests answered with 429 because their organisation has used up its limit. */
+    public static final String ENTRY_REFUSED_QUOTA = "entry.refused.quota";
+    /** Requests answered with 401 because their route requires a key, and no organisation holds the one they have. */
+    public static final String ENTRY_UNKNOWN_KEY = "entry.unknown_key";
     /** Requests whose caller disconnected before the response. */
     public static final String ENTRY_ABANDONED = "entry.abandoned";
     /** Malformed or too large requests. */
--- a/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
+++ b/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
@@ -56,7 +56,9 @@
             "x-caller",
             "x-instance",
             "x-limit",
-            "x-leaving");
+            "x-leaving",
+            "x-key",
+            "x-organisation");
 
     static final int GRACE_PERIOD_MILLIS = 6_000;
     static final int HEARTBEAT_MILLIS = 1_500;
--- a/org.berylwick.test/tst/org/berylwick/node/call/CandidateSamplerTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/CandidateSamplerTest.java
@@ -29,7 +29,18 @@
 /** Tests which nodes are compared as candidates for a request. */
 class CandidateSamplerTest {
     private static final HeaderNames HEADER_NAMES = new HeaderNames(
-            "id", "deadline", "signature", "target", "load", "not-run", "caller", "instance", "limit", "leaving");
+            "id",
+            "deadline",
+            "signature",
+            "target",
+            "load",
+            "not-run",
+            "caller",
+            "instance",
+            "limit",
+            "leaving",
+            "x-key",
+            "x-organisation");
     private static final String SERVICE = "work";
     private static final long SILENCE_THRESHOLD_NANOS = 2_000_000_000L;
     private static final int SAMPLES = 4_000;
--- a/org.berylwick.test/tst/org/berylwick/node/call/OwnerRig.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerRig.java
@@ -10,6 +10,7 @@
 import org.berylwick.node.lib.BackendReport;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.HeaderNames;
+import org.berylwick.node.lib.OrganisationTag;
 import org.berylwick.node.lib.RequestClass;
 import org.berylwick.node.lib.RouteKind;
 import org.berylwick.node.log.Counters;
@@ -27,7 +28,18 @@
     static final long SECONDS = 1_000 * MILLIS;
     static final long HEARTBEAT_NANOS = 1_500 * MILLIS;
     static final HeaderNames HEADER_NAMES = new HeaderNames(
-            "id", "deadline", "signature", "target", "load", "not-run", "caller", "instance", "limit", "leaving");
+            "id",
+            "deadline",
+            "signature",
+            "target",
+            "load",
+            "not-run",
+            "caller",
+            "instance",
+            "limit",
+            "leaving",
+            "x-key",
+            "x-organisation");
 
     final VirtualClock clock = new VirtualClock();
     final Quarantine quarantine;
@@ -71,6 +83,7 @@
                 maxWaitNanos,
                 1,
                 0,
-                0);
+                0,
+                OrganisationTag.NONE);
     }
 }
--- a/org.berylwick.test/tst/org/berylwick/node/rollout/RolloutFleet.java
+++ b/org.berylwick.test/tst/org/berylwick/node/rollout/RolloutFleet.java
@@ -18,6 +18,7 @@
 import org.berylwick.node.lib.BackendReport;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.HeaderNames;
+import org.berylwick.node.lib.OrganisationTag;
 import org.berylwick.node.lib.OwnerLoad;
 import org.berylwick.node.lib.RequestClass;
 import org.berylwick.node.lib.RolloutPhase;
@@ -141,7 +142,7 @@
             owner = new Owner(
                     clock,
                     address -> null,
-                    new HeaderNames("a", "b", "c", "d", "e", "f", "g", "h", "i", "j"),
+                    new HeaderNames("a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"),
                     VmLink.of(1_000, clock),
                     1_500 * MILLIS,
                     counters,
@@ -292,7 +293,8 @@
                 0,
                 1,
                 0,
-                0);
+                0,
+                OrganisationTag.NONE);
     }
 
     FleetNode node(int number) {
--- a/org.berylwick.test/tst/org/berylwick/platform/CodecsTest.java
+++ b/org.berylwick.test/tst/org/berylwick/platform/CodecsTest.java
@@ -1,6 +1,7 @@
 package org.berylwick.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -10,6 +11,8 @@
 import java.util.Optional;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.ConfigurationVersion;
+import org.berylwick.node.lib.Organisation;
+import org.berylwick.node.lib.OrganisationTag;
 import org.berylwick.node.lib.RequestFingerprint;
 import org.berylwick.node.lib.RouteKind;
 import org.berylwick.node.lib.SuspectReport;
@@ -119,4 +122,44 @@
             assertEquals(Optional.empty(), StoredCrash.decode(invalid), invalid);
         }
     }
+
+    private static String withOrganisations(String organisations) {
+        return CONFIGURATION.replace("\"limits\"", "\"tenants\":[" + organisations + "],\"limits\"");
+    }
+
+    @Test
+    void organisationsAreDecodedWithTheirKeys() {
+        ConfigurationVersion version = assertInstanceOf(
+                        ReadResult.Found.class,
+                        decode(withOrganisations("{\"name\":\"acme\",\"apiKeys\":[\"k1\",\"k2\"],\"priority\":1,"
+                                + "\"ratePerS\":4.5,\"burst\":9},{\"name\":\"zeta\",\"apiKeys\":[]}")))
+                .version();
+        assertEquals(
+                new Organisation("acme", 1, 4.5, 9),
+                version.organisationOfKey("k2").orElseThrow());
+        assertEquals(
+                new Organisation("zeta", OrganisationTag.NO_PRIORITY, 0, 0),
+                version.organisation("zeta").orElseThrow());
+        assertTrue(version.organisationOfKey("k3").isEmpty());
+    }
+
+    /** Guards against a version in which a key, a name or a limit leaves open who may send how much. */
+    @Test
+    void ambiguousOrganisationsMakeTheVersionInvalidWithoutNamingKeys() {
+        List<String> invalid = List.of(
+                "{\"name\":\"a\",\"apiKeys\":[\"secret\"]},{\"name\":\"b\",\"apiKeys\":[\"secret\"]}",
+                "{\"name\":\"a\"},{\"name\":\"a\"}",
+                "{\"name\":\"\",\"apiKeys\":[\"secret\"]}",
+                "{\"apiKeys\":[\"secret\"]}",
+                "{\"name\":\"a\",\"apiKeys\":[\"\"]}",
+                "{\"name\":\"a\",\"apiKeys\":[7]}",
+                "{\"name\":\"a\",\"ratePerS\":-1}",
+                "{\"name\":\"a\",\"ratePerS\":1e999}",
+                "{\"name\":\"a\",\"burst\":-1}");
+        for (String organisations : invalid) {
+            ReadResult.Invalid result =
+                    assertInstanceOf(ReadResult.Invalid.class, decode(withOrganisations(organisations)), organisations);
+            assertFalse(result.toString().contains("secret"), result.toString());
+        }
+    }
 }
