--- a/org.berylwick.node/src/org/berylwick/node/call/CallTrace.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallTrace.java
@@ -60,6 +60,8 @@
                         route.name(),
                         "version",
                         versionNumber,
+                        "organisation",
+                        spec.organisation().name(),
                         "service",
                         spec.service(),
                         "at",
