Run the repeatable requests of a connection at the same time

Cause: a caller that sends further requests before the first is answered waits for them one after the other, and their deadlines pass in the queue. Each request gets an exchange that keeps its response until those ahead have been written; other requests wait until nothing is ahead of them. A response that closes the connection is now followed by the close also if it was sent at once.

--- a/org.berylwick.node/src/org/berylwick/node/call/CallPath.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallPath.java
@@ -93,6 +93,7 @@
                 settings.callerAddress());
         counters.registerGauge(NodeMetricNames.ENTRY_CONNECTIONS, server::connectionCount);
         counters.registerGauge(NodeMetricNames.ENTRY_PENDING, server::pendingRequests);
+        counters.registerGauge(NodeMetricNames.ENTRY_PIPELINED, server::pipelinedRequests);
         return server;
     }
 }
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -100,6 +100,11 @@
         if (callerRetried) {
             context.callerRetryRates().onRetried(spec.requestClass());
         }
+        if (spec.remainingNanos(now) <= 0) {
+            // It waited too long for the requests ahead of it on its connection.
+            refuse();
+            return;
+        }
         deadlineTimer = context.clock().schedule(spec.deadlineAt() + DEADLINE_GRACE_NANOS, this::onDeadline);
         sendNext(false);
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCallFactory.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCallFactory.java
@@ -74,6 +74,11 @@
         return context.responseBufferBudget().bytesInUse();
     }
 
+    /** Returns the memory limit for buffered responses. */
+    ResponseBufferBudget responseBufferBudget() {
+        return context.responseBufferBudget();
+    }
+
     /**
      * Limits the deadline of calls created from now on, because the process is being shut down.
      *
@@ -94,22 +99,22 @@
     public CallHandle create(
             ConfigurationVersion version, Admission admission, CallerRequest request, ResponseSink sink) {
         Route route = admission.route();
-        long now = context.clock().now();
+        long receivedAt = context.clock().now() - request.waitedNanos();
         HttpHeaders headers = Headers.endToEnd(request.headers());
         String id = requestId(headers);
         long callerTimeoutNanos = callerTimeoutNanos(headers);
         long waitedNanos = callerWaitEstimator.waitedNanos(route.name(), callerTimeoutNanos);
-        long deadlineAt = now + Math.max(1_000_000L, callerTimeoutNanos - RESPONSE_TRANSIT_NANOS);
+        long deadlineAt = receivedAt + Math.max(1_000_000L, callerTimeoutNanos - RESPONSE_TRANSIT_NANOS);
         headers.remove(context.headerNames().deadline());
         headers.remove(context.headerNames().targetIncarnation());
         headers.remove(context.headerNames().callerService());
         headers.remove(context.headerNames().organisationKey());
         headers.remove(context.headerNames().organisation());
         if (route.timeoutNanos() > 0) {
-            deadlineAt = Math.min(deadlineAt, now + route.timeoutNanos());
+            deadlineAt = Math.min(deadlineAt, receivedAt + route.timeoutNanos());
         }
         deadlineAt = Math.min(deadlineAt, latestDeadlineAt);
-        long objectiveAt = route.objectiveNanos() > 0 ? now - waitedNanos + route.objectiveNanos() : deadlineAt;
+        long objectiveAt = route.objectiveNanos() > 0 ? receivedAt - waitedNanos + route.objectiveNanos() : deadlineAt;
         CallSpec spec = new CallSpec(
                 id,
                 request.method(),
@@ -126,7 +131,8 @@
                 0,
                 (int) context.responseEstimates().expectedBytes(route),
                 admission.organisation());
-        return new EntryCall(context, route, spec, now, version.number(), waitedNanos > 0, admission.permit(), sink);
+        return new EntryCall(
+                context, route, spec, receivedAt, version.number(), waitedNanos > 0, admission.permit(), sink);
     }
 
     /** Returns the id of a request from its headers, empty if it has none. */
@@ -167,6 +173,13 @@
      * @param uri path and query as sent
      * @param headers headers as sent
      * @param body body, complete or still being received; released when the call ends
+     * @param waitedNanos time for which the request waited for those ahead of it on its connection
      */
-    public record CallerRequest(HttpMethod method, String uri, HttpHeaders headers, RequestBody body) {}
+    public record CallerRequest(
+            HttpMethod method, String uri, HttpHeaders headers, RequestBody body, long waitedNanos) {
+        /** Creates a request that has not waited. */
+        public CallerRequest(HttpMethod method, String uri, HttpHeaders headers, RequestBody body) {
+            this(method, uri, headers, body, 0);
+        }
+    }
 }
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
@@ -10,62 +10,56 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
-import org.berylwick.node.lib.CallerLimits;
-import org.berylwick.node.lib.ConfigurationVersion;
 import org.berylwick.node.log.Event;
 import org.berylwick.node.log.NodeMetricNames;
 import org.berylwick.node.transport.RequestBody;
 
 /**
- * Handles a caller's connection: processes its requests one after the other and writes the responses; confined to the
- * event loop.
+ * Handles a caller's connection: parses its requests, starts them and writes the responses in the order of the
+ * requests. Requests that may run more than once run at the same time, up to a bound; confined to the event loop.
  */
-final class EntryHandler extends ChannelInboundHandlerAdapter implements ResponseSink {
+final class EntryHandler extends ChannelInboundHandlerAdapter {
     /** Upper limit for request bodies: a body is kept in memory because another attempt may have to send it again. */
     private static final long MAX_BODY_BYTES = 8 << 20;
 
     private static final int MAX_BUFFER_COMPONENTS = 1024;
-    /** Reading from the connection stops when more messages than this wait for the current response to end. */
-    private static final int MAX_PIPELINED_MESSAGES = 64;
+    /** Requests of a connection that are in progress, or whose responses the operating system has not accepted. */
+    private static final int MAX_REQUESTS = 16;
+    /** No further request is read while the bodies and responses that are kept for a connection exceed this. */
+    private static final long MAX_KEPT_BYTES = 262_144;
 
     /** Time for which input is still read and discarded before a connection is closed. */
     private static final long LINGER_MILLIS = 1_000;
-    /** Retry-After of the refusals of a node that stops. */
-    private static final double STOPPING_RETRY_AFTER_S = 0.3;
-
     /** Idle connections are kept slightly longer than the configured limit, as a request may already be in transit. */
     private static final double IDLE_TIMEOUT_FACTOR = 1.1;
 
     private final EntryServer server;
     private final EntryServices services;
-    private final ArrayDeque<Object> pipelinedMessages = new ArrayDeque<>();
+    private final ExchangeQueue queue = new ExchangeQueue();
+    private final WaitingInput input = new WaitingInput();
     private Channel channel;
     private HttpRequest requestHead;
+    private long requestWaitedNanos;
     private CompositeByteBuf bufferedBody;
     private RequestBody streamedBody;
     private long bufferedBodyBytes;
-    private CallHandle call;
-    private boolean responsePending;
-    private boolean keepAlive;
-    private boolean headRequest;
+    /** A request that was read completely and may start only after all others have been answered. */
+    private CallerExchange deferred;
+
+    private long deferredAt;
+    private boolean processingInput;
     private boolean closing;
     /** Responses whose last bytes the operating system has not accepted yet. */
     private int unsentResponses;
@@ -90,23 +84,52 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        if (pipelinedMessages.isEmpty() && canProcessNext()) {
-            process(message);
+        if (input.isEmpty() && canProcess(message)) {
+            process(message, 0);
             return;
         }
-        pipelinedMessages.add(message);
-        if (pipelinedMessages.size() > MAX_PIPELINED_MESSAGES) {
+        input.add(message, System.nanoTime());
+        if (input.isFull()) {
             channel.config().setAutoRead(false);
         }
     }
 
-    /** Whether the next message can be processed now: it belongs to the current request, or none is being answered. */
-    private boolean canProcessNext() {
-        return !responsePending || streamedBody != null;
+    /**
+     * Whether the next message can be processed now: it belongs to the current request, or begins one that may start.
+     */
+    private boolean canProcess(Object message) {
+        if (streamedBody != null) {
+            return true;
+        }
+        if (deferred != null) {
+            return false;
+        }
+        if (queue.isEmpty()) {
+            return unsentResponses < MAX_REQUESTS;
+        }
+        if (queue.keptBytes() + (requestHead == null ? 0 : bufferedBodyBytes) >= MAX_KEPT_BYTES) {
+            return false;
+        }
+        return requestHead != null || message instanceof HttpRequest request && mayReadAhead(request);
     }
 
-    private void process(Object message) {
+    /** Whether a request may be read while others are in progress. */
+    private boolean mayReadAhead(HttpRequest request) {
+        CallerExchange last = queue.tail();
+        if (!last.isRepeatable() || !last.isKeepAlive() || server.isDraining()) {
+            return false;
+        }
+        if (queue.size() + unsentResponses >= MAX_REQUESTS) {
+            return false;
+        }
+        return request.decoderResult().isFailure()
+                || HttpUtil.getContentLength(request, 0L) < RequestBody.MIN_STREAMED_BYTES
+                        && !HttpUtil.is100ContinueExpected(request);
+    }
+
+    private void process(Object message, long waitedNanos) {
         if (message instanceof HttpRequest request) {
+            requestWaitedNanos = waitedNanos;
             processHead(request);
         }
         if (message instanceof HttpContent content) {
@@ -116,18 +139,15 @@
 
     private void processHead(HttpRequest request) {
         lastActivityAt = System.nanoTime();
-        headRequest = "HEAD".equals(request.method().name());
-        keepAlive = HttpUtil.isKeepAlive(request);
         if (request.decoderResult().isFailure()) {
-            rejectMalformed(request.decoderResult().cause());
+            rejectAndClose(request, CallerFault.ofHead(request.decoderResult().cause()));
             return;
         }
         requestHead = request;
         bufferedBodyBytes = 0;
-        long maxBytes = Math.min(MAX_BODY_BYTES, limits().maxBodyBytes());
         long length = HttpUtil.getContentLength(request, 0L);
-        if (length > maxBytes) {
-            rejectAndClose(413, "request body exceeds the size limit");
+        if (length > maxBodyBytes()) {
+            rejectAndClose(request, CallerFault.BODY_TOO_LARGE);
             return;
         }
         if (HttpUtil.is100ContinueExpected(request)) {
@@ -136,37 +156,42 @@
         }
         if (length >= RequestBody.MIN_STREAMED_BYTES) {
             streamedBody = RequestBody.incoming((int) length, services.incomingLink());
-            startCall(streamedBody);
+            startExchange(streamedBody);
             return;
         }
         bufferedBody = Unpooled.compositeBuffer(MAX_BUFFER_COMPONENTS);
     }
 
-    private CallerLimits limits() {
-        return services.version()
-                .get()
-                .map(ConfigurationVersion::limits)
-                .orElse(EntryServer.LIMITS_BEFORE_FIRST_VERSION);
+    private long maxBodyBytes() {
+        return Math.min(MAX_BODY_BYTES, server.limits().maxBodyBytes());
     }
 
-    private void rejectMalformed(Throwable cause) {
-        if (cause instanceof TooLongHttpLineException) {
-            rejectAndClose(414, "request line exceeds the size limit");
-        } else if (cause instanceof TooLongHttpHeaderException) {
-            rejectAndClose(431, "request headers exceed the size limit");
-        } else {
-            rejectAndClose(400, "malformed request");
-        }
+    /** Answers a request that was not started with an error, after those ahead of it, and closes the connection. */
+    private void rejectAndClose(HttpRequest request, CallerFault fault) {
+        record(fault);
+        releaseIncoming();
+        CallerExchange rejected = new CallerExchange(this, services, request, RequestBody.of(Unpooled.EMPTY_BUFFER));
+        queue.add(rejected);
+        rejected.reject(fault.status());
     }
 
-    private void rejectAndClose(int status, String reason) {
-        services.log().write(Event.CALLER_FAULT, "status", status, "why", reason);
+    private void record(CallerFault fault) {
+        services.log().write(Event.CALLER_FAULT, "status", fault.status(), "why", fault.reason());
         services.counters().increment(NodeMetricNames.ENTRY_CALLER_FAULTS);
-        abandonCall();
-        releaseBody();
-        keepAlive = false;
-        responsePending = true;
-        respond(status, Headers.empty(), Unpooled.EMPTY_BUFFER);
+    }
+
+    /**
+     * Rejects a request whose call has been started. If its response has begun, an error would be taken for another.
+     */
+    private void rejectStreamedUpload() {
+        record(CallerFault.BODY_MALFORMED);
+        streamedBody = null;
+        CallerExchange started = queue.head();
+        if (started == null || started.hasBegunStream()) {
+            abort();
+        } else {
+            started.reject(CallerFault.BODY_MALFORMED.status());
+        }
     }
 
     private void processContent(HttpContent content) {
@@ -176,7 +201,11 @@
         }
         if (content.decoderResult().isFailure()) {
             content.release();
-            rejectAndClose(400, "malformed request body");
+            if (streamedBody != null) {
+                rejectStreamedUpload();
+            } else {
+                rejectAndClose(requestHead, CallerFault.BODY_MALFORMED);
+            }
             return;
         }
         if (streamedBody != null) {
@@ -184,16 +213,16 @@
             return;
         }
         bufferedBodyBytes += content.content().readableBytes();
-        if (bufferedBodyBytes > Math.min(MAX_BODY_BYTES, limits().maxBodyBytes())) {
+        if (bufferedBodyBytes > maxBodyBytes()) {
             content.release();
-            rejectAndClose(413, "request body exceeds the size limit");
+            rejectAndClose(requestHead, CallerFault.BODY_TOO_LARGE);
             return;
         }
         bufferedBody.addComponent(true, content.content());
         if (content instanceof LastHttpContent) {
             RequestBody requestBody = RequestBody.of(bufferedBody);
             bufferedBody = null;
-            startCall(requestBody);
+            startExchange(requestBody);
         }
     }
 
@@ -207,138 +236,147 @@
         streamedBody = null;
         receivedBody.markComplete();
         // The response may have been sent before the body was complete.
-        processPipelined();
+        processInput();
     }
 
-    /** Starts the call of a request whose head has been read. The call owns the body, which may be incomplete. */
-    private void startCall(RequestBody requestBody) {
-        HttpRequest request = requestHead;
+    /** Starts a request whose head has been read, or defers it. The exchange owns the body, which may be incomplete. */
+    private void startExchange(RequestBody requestBody) {
+        CallerExchange exchange = new CallerExchange(this, services, requestHead, requestBody);
         requestHead = null;
-        responsePending = true;
+        exchange.addWait(requestWaitedNanos);
+        if (queue.isEmpty()) {
+            start(exchange);
+        } else if (!server.isDraining() && services.admission().isRepeatable(exchange.request())) {
+            exchange.markRepeatable();
+            start(exchange);
+        } else {
+            deferred = exchange;
+            deferredAt = System.nanoTime();
+        }
+    }
+
+    private void start(CallerExchange exchange) {
+        queue.add(exchange);
         services.counters().increment(NodeMetricNames.ENTRY_REQUESTS);
         if (server.isRefusingNew()) {
-            requestBody.release();
             services.counters().increment(NodeMetricNames.ENTRY_REFUSED);
-            respond(503, RetryAfter.headers(STOPPING_RETRY_AFTER_S), Unpooled.EMPTY_BUFFER);
-            return;
-        }
-        PendingRequest pending = new PendingRequest(requestBody);
-        call = pending;
-        services.admission().decide(request, result -> onAdmissionDecided(pending, request, requestBody, result));
-    }
-
-    private void onAdmissionDecided(
-            PendingRequest pending, HttpRequest request, RequestBody requestBody, RequestAdmission.Result result) {
-        switch (result) {
-            case RequestAdmission.Result.Admitted admitted
-            when pending.isAbandoned() -> admitted.admission().permit().release();
-            case RequestAdmission.Result.Admitted admitted -> {
-                EntryCallFactory.CallerRequest callerRequest = new EntryCallFactory.CallerRequest(
-                        request.method(), request.uri(), request.headers(), requestBody);
-                call = services.callFactory().create(admitted.version(), admitted.admission(), callerRequest, this);
-                call.start();
-            }
-            case RequestAdmission.Result.Denied denied ->
-                respondWithoutCall(pending, requestBody, denied.status(), Headers.empty());
-            case RequestAdmission.Result.Refused refused ->
-                respondWithoutCall(
-                        pending, requestBody, refused.status(), RetryAfter.headers(refused.retryAfterSeconds()));
+            exchange.refuseAsStopping();
+        } else {
+            exchange.start();
         }
     }
 
-    private void respondWithoutCall(PendingRequest pending, RequestBody requestBody, int status, HttpHeaders headers) {
-        if (!pending.isAbandoned()) {
-            requestBody.release();
-            respond(status, headers, Unpooled.EMPTY_BUFFER);
-        }
+    private void startDeferred() {
+        CallerExchange exchange = deferred;
+        deferred = null;
+        exchange.addWait(System.nanoTime() - deferredAt);
+        start(exchange);
     }
 
-    @Override
-    public void respond(int status, HttpHeaders headers, ByteBuf body) {
-        FullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(status),
-                headRequest ? Unpooled.EMPTY_BUFFER : body,
-                headers,
-                EmptyHttpHeaders.INSTANCE);
-        if (headRequest) {
-            body.release();
-        }
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, contentLength(body));
-        writeFinal(response);
+    /** The requests in progress; the response to the first is the one that is written now. */
+    ExchangeQueue queue() {
+        return queue;
     }
 
-    private int contentLength(ByteBuf body) {
-        return headRequest ? 0 : body.readableBytes();
+    boolean isWritable() {
+        return channel.isWritable();
     }
 
-    @Override
-    public void beginStream(int status, HttpHeaders headers) {
-        HttpResponse response =
-                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
-        HttpUtil.setTransferEncodingChunked(response, true);
-        setConnectionHeader(response);
+    /** Writes the head of a streamed response. */
+    void beginStream(CallerExchange exchange, HttpResponse response) {
+        setConnectionHeader(exchange, response);
         channel.write(response);
     }
 
-    @Override
-    public boolean writePart(ByteBuf part) {
+    /**
+     * Writes a part of a streamed response.
+     *
+     * @return whether the caller keeps up with reading
+     */
+    boolean writePart(ByteBuf part) {
         channel.writeAndFlush(new DefaultHttpContent(part));
         return channel.isWritable();
     }
 
-    @Override
-    public void endStream() {
-        writeFinal(LastHttpContent.EMPTY_LAST_CONTENT);
-    }
-
-    @Override
-    public void abortStream() {
-        call = null;
+    /** Closes the connection at once; the requests in progress end. */
+    void abort() {
         closing = true;
         channel.close();
     }
 
-    private void setConnectionHeader(HttpResponse response) {
-        keepAlive &= !server.isDraining();
-        if (!keepAlive) {
+    private void setConnectionHeader(CallerExchange exchange, HttpResponse response) {
+        // A node that drains still answers the requests behind this one that it has started.
+        if (server.isDraining() && exchange.next() == null) {
+            exchange.closeAfterResponse();
+        }
+        if (!exchange.isKeepAlive()) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
     }
 
-    private void writeFinal(Object message) {
-        call = null;
+    /** Writes a complete response or the end of a streamed one, and goes on with the next exchange. */
+    void finish(CallerExchange exchange, HttpObject message) {
         if (message instanceof HttpResponse response) {
-            setConnectionHeader(response);
+            setConnectionHeader(exchange, response);
         }
         unsentResponses++;
-        ChannelFuture written = channel.writeAndFlush(message);
+        queue.poll();
+        closing |= !exchange.isKeepAlive();
+        CallerExchange following = queue.head();
+        boolean flushesLater = !closing && following != null && following.hasCompleteResponse();
+        ChannelFuture written = flushesLater ? channel.write(message) : channel.writeAndFlush(message);
         written.addListener(f -> onSent());
-        if (!keepAlive) {
-            closing = true;
+        if (closing) {
+            releaseAll();
             return;
         }
-        responsePending = false;
         lastActivityAt = System.nanoTime();
-        processPipelined();
+        if (following != null) {
+            following.onHead();
+        }
+        processInput();
     }
 
     private void onSent() {
         unsentResponses--;
-        if (closing && unsentResponses == 0) {
-            closeGracefully();
+        if (closing) {
+            if (unsentResponses == 0) {
+                closeGracefully();
+            }
+        } else if (!input.isEmpty()) {
+            processInput();
         }
     }
 
-    private void processPipelined() {
-        while (canProcessNext() && !pipelinedMessages.isEmpty()) {
-            process(pipelinedMessages.poll());
+    /** Goes on with what could not be processed before; has no effect if nothing waits. */
+    void processInput() {
+        if (processingInput) {
+            return;
+        }
+        processingInput = true;
+        while (!closing && proceed()) {
+            // Each step may change what the next one can do.
         }
-        if (pipelinedMessages.size() <= MAX_PIPELINED_MESSAGES) {
+        processingInput = false;
+        if (!closing && !input.isFull()) {
             channel.config().setAutoRead(true);
         }
     }
 
+    /** Starts the deferred request or processes one message, and returns whether there was any to process. */
+    private boolean proceed() {
+        if (deferred != null && queue.isEmpty()) {
+            startDeferred();
+            return true;
+        }
+        if (input.isEmpty() || !canProcess(input.peek())) {
+            return false;
+        }
+        WaitingInput.Entry entry = input.poll();
+        process(entry.message(), System.nanoTime() - entry.arrivedAt());
+        return true;
+    }
+
     /**
      * Closes the connection without losing the response: closing with unread input would send a reset, so input is read
      * and discarded for a while first.
@@ -357,25 +395,22 @@
      * then is rejected.
      */
     void closeIfTimedOut(long now, long idleTimeoutNanos) {
-        if (responsePending || closing || unsentResponses > 0) {
+        if (!queue.isEmpty() || closing || unsentResponses > 0) {
             return;
         }
         if (now - lastActivityAt <= (long) (idleTimeoutNanos * IDLE_TIMEOUT_FACTOR)) {
             return;
         }
         if (requestHead != null) {
-            rejectAndClose(408, "request body not received within the idle timeout");
+            rejectAndClose(requestHead, CallerFault.BODY_LATE);
             return;
         }
-        closing = true;
-        channel.close();
+        abort();
     }
 
-    /** Makes the call in progress, if any, end by a given time, because the process is being shut down. */
+    /** Makes the calls in progress, if any, end by a given time, because the process is being shut down. */
     void concludeBy(long concludeAt) {
-        if (call != null) {
-            call.concludeBy(concludeAt);
-        }
+        queue.forEach(e -> e.concludeBy(concludeAt));
     }
 
     /** Closes the connection if no request is in progress on it, and none has arrived. */
@@ -387,28 +422,38 @@
             return;
         }
         closing = true;
+        releaseAll();
         if (unsentResponses == 0) {
             closeGracefully();
         }
     }
 
     private boolean isIdle() {
-        return !responsePending && !isReceiving() && !closing;
-    }
-
-    /** Whether a request is being read or answered, or a response has not been handed to the operating system. */
-    boolean isBusy() {
-        return (responsePending || isReceiving()) && !closing || unsentResponses > 0;
+        return queue.isEmpty() && !isReceiving() && !closing;
     }
 
     private boolean isReceiving() {
         return requestHead != null || streamedBody != null;
     }
 
+    /**
+     * Returns the number of requests that are being answered, and at least 1 while one is being read or a response has
+     * not been handed to the operating system.
+     */
+    int pendingRequests() {
+        boolean busy = (!queue.isEmpty() || isReceiving()) && !closing || unsentResponses > 0;
+        return busy ? Math.max(1, queue.size()) : 0;
+    }
+
+    /** Returns the number of requests in progress behind the one whose response is written next. */
+    int pipelinedRequests() {
+        return Math.max(0, queue.size() - 1);
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        if (call != null) {
-            call.setAutoRead(channel.isWritable());
+        if (!queue.isEmpty()) {
+            queue.head().setAutoRead(channel.isWritable());
         }
     }
 
@@ -416,21 +461,23 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         server.remove(this);
         closing = true;
-        abandonCall();
-        releaseBody();
-        while (!pipelinedMessages.isEmpty()) {
-            ReferenceCountUtil.release(pipelinedMessages.poll());
-        }
+        releaseAll();
     }
 
-    private void abandonCall() {
-        if (call != null) {
-            call.abandon();
-            call = null;
+    /** Ends everything that was read and not answered, because the connection is being closed. */
+    private void releaseAll() {
+        while (!queue.isEmpty()) {
+            queue.poll().abandon();
+        }
+        if (deferred != null) {
+            deferred.abandon();
+            deferred = null;
         }
+        releaseIncoming();
+        input.releaseAll();
     }
 
-    private void releaseBody() {
+    private void releaseIncoming() {
         requestHead = null;
         if (bufferedBody != null) {
             bufferedBody.release();
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryServer.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryServer.java
@@ -21,7 +21,7 @@
 /** Accepts the connections of callers on this VM; confined to the event loop. */
 public final class EntryServer implements AutoCloseable {
     /** Limits for callers until the first configuration version is installed. */
-    static final CallerLimits LIMITS_BEFORE_FIRST_VERSION =
+    private static final CallerLimits LIMITS_BEFORE_FIRST_VERSION =
             new CallerLimits(65_536, 64L << 20, 5_000_000_000L, 30_000_000_000L);
 
     private static final int MAX_CHUNK_BYTES = 65_536;
@@ -63,7 +63,8 @@
         eventLoop.schedule(this::closeIdleConnections, IDLE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private CallerLimits limits() {
+    /** Limits for callers that are in force. */
+    CallerLimits limits() {
         return services.version().get().map(ConfigurationVersion::limits).orElse(LIMITS_BEFORE_FIRST_VERSION);
     }
 
@@ -94,19 +95,26 @@
         return connections.size();
     }
 
-    /** Returns the number of connections with a request that has not been answered completely. */
+    /** Returns the number of requests that have not been answered completely. */
     public int pendingRequests() {
         int count = 0;
         for (EntryHandler connection : connections) {
-            if (connection.isBusy()) {
-                count++;
-            }
+            count += connection.pendingRequests();
+        }
+        return count;
+    }
+
+    /** Returns the number of requests in progress behind another one on the same connection. */
+    int pipelinedRequests() {
+        int count = 0;
+        for (EntryHandler connection : connections) {
+            count += connection.pipelinedRequests();
         }
         return count;
     }
 
     /**
-     * Closes each connection after its next response, and makes all calls end by a given time.
+     * Closes each connection after the last response in progress, and makes all calls end by a given time.
      *
      * @param concludeAt time by which calls get their final response, on the scale of {@link System#nanoTime}
      */
--- a/org.berylwick.node/src/org/berylwick/node/call/RequestAdmission.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/RequestAdmission.java
@@ -88,6 +88,16 @@
         });
     }
 
+    /**
+     * Returns whether a request is known to be one that may run more than once; false also if its route or organisation
+     * is not known. Requests no permit.
+     */
+    boolean isRepeatable(HttpRequest request) {
+        return version.get().isPresent()
+                && resolve(request) instanceof RouteResolver.Resolution.Resolved resolved
+                && resolved.route().kind().isRetryable();
+    }
+
     private RouteResolver.Resolution resolve(HttpRequest request) {
         return RouteResolver.resolve(version.get().orElseThrow(), request, headerNames.organisationKey());
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/ResponseBufferBudget.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/ResponseBufferBudget.java
@@ -28,6 +28,11 @@
         return true;
     }
 
+    /** Counts memory of a response that is complete and waits to be written, also beyond the limit. */
+    void reserve(int bytes) {
+        bytesInUse += bytes;
+    }
+
     void release(int bytes) {
         bytesInUse -= bytes;
     }
--- a/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
@@ -43,7 +43,9 @@
     public static final String ENTRY_CONNECTIONS = "entry.connections";
     /** Requests from callers that are not answered yet. */
     public static final String ENTRY_PENDING = "entry.pending";
-    /** Memory used by responses that are being buffered. */
+    /** Requests in progress behind another one on the same connection. */
+    public static final String ENTRY_PIPELINED = "entry.pipelined";
+    /** Memory used by responses that are being buffered, or are complete and wait for those ahead of them. */
     public static final String ENTRY_GATHERED_BYTES = "entry.gathered.bytes";
     /** Complete responses of the local backend server. */
     public static final String OWNER_ANSWERED = "owner.answered";
