--- a/org.berylwick.bench/src/org/berylwick/bench/Measure.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/Measure.java
@@ -16,6 +16,7 @@
 import org.berylwick.bench.emulate.EmulateMeasurement;
 import org.berylwick.bench.limits.LimitsMeasurement;
 import org.berylwick.bench.nodes.NodeSoak;
+import org.berylwick.bench.quotas.QuotasMeasurement;
 import org.berylwick.bench.soak.SoakMeasurement;
 import org.berylwick.bench.version.VersionMeasurement;
 
@@ -29,6 +30,7 @@
             new Recovery(),
             new SpreadCurve(),
             new LimitsMeasurement(),
+            new QuotasMeasurement(),
             new EmulateMeasurement(),
             new SoakMeasurement(),
             new NodeSoak(),
--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -23,6 +23,7 @@
 import org.berylwick.node.call.VersionChoice;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.Clock;
+import org.berylwick.node.lib.ConfigurationVersion;
 import org.berylwick.node.lib.NodeSettings;
 import org.berylwick.node.lib.RolloutNotice;
 import org.berylwick.node.log.Counters;
@@ -40,7 +41,8 @@
 import org.berylwick.node.quarantine.HoldLog;
 import org.berylwick.node.quarantine.Quarantine;
 import org.berylwick.node.quarantine.QuarantineExchange;
-import org.berylwick.node.quota.RequestQuota;
+import org.berylwick.node.quota.NodeQuota;
+import org.berylwick.node.quota.QuotaExchange;
 import org.berylwick.node.rollout.RolloutController;
 import org.berylwick.node.rollout.RolloutVersionChoice;
 import org.berylwick.node.transport.BufferedHttpServer;
@@ -81,6 +83,7 @@
     /** Empty on a platform without roll-outs. */
     private final Optional<RolloutController> rollouts;
 
+    private final NodeQuota quota;
     private final EntryServer entryServer;
     private final PeerServer peerServer;
     private final GracefulShutdown shutdown;
@@ -123,7 +126,7 @@
                 loop, settings.ip(), settings.gossipPort(), members, this::localState, counters, log, this::onGossip);
         gossip.setFormerBackendListener(former -> owner.onFormerState(former.incarnation(), former.state()));
         new QuarantineExchange(clock, quarantine, gossip);
-        this.storeReaders = new StoreReaders(settings, members, gossip::silenceTimeoutNanos);
+        this.storeReaders = new StoreReaders(settings, members, gossip::silenceTimeoutNanos, this::isReaderCandidate);
         this.versionUpdater = new VersionUpdater(
                 loop,
                 platform.configurationSource(loop),
@@ -135,6 +138,7 @@
                 log);
         this.discovery = createDiscovery(clock);
         this.rollouts = createRollouts(clock);
+        this.quota = createQuota(clock);
         RetryBudget budget =
                 new RetryBudget(settings.bounds(), this::nodeCount, discovery::isDirectoryRead, System.nanoTime());
         this.entryServer = createEntryServer(budget);
@@ -197,13 +201,24 @@
                 loop, directory, registration, gossip, instruments, crashes -> crashes.forEach(quarantine::merge));
     }
 
+    private NodeQuota createQuota(Clock clock) {
+        NodeQuotaFleet fleet = new NodeQuotaFleet(
+                settings.ip(),
+                storeReaders,
+                members,
+                gossip::silenceTimeoutNanos,
+                this::nodeCount,
+                discovery::isDirectoryRead);
+        return QuotaExchange.createQuota(clock, fleet, gossip, versionUpdater::version, new Instruments(counters, log));
+    }
+
+    private boolean isReaderCandidate(boolean storeRequired) {
+        return !leaving && (versionUpdater.isStoreReachable() || !storeRequired);
+    }
+
     private EntryServer createEntryServer(RetryBudget budget) {
         CallPath.Callers callers = new CallPath.Callers(
-                platform.headerNames(),
-                versionUpdater::version,
-                versionUpdater.freshness(),
-                () -> service,
-                RequestQuota.UNLIMITED);
+                platform.headerNames(), versionUpdater::version, versionUpdater.freshness(), () -> service, quota);
         return CallPath.createEntryServer(
                 loop, settings, callers, owner, link, createCandidateSampler(), budget, new Instruments(counters, log));
     }
@@ -361,6 +376,7 @@
             case NEAR -> {}
         }
         versionUpdater.version().ifPresent(backendProbe::startOnce);
+        quota.setActive(versionUpdater.version().stream().anyMatch(ConfigurationVersion::hasLimits));
         logReadinessChange();
     }
 
--- /dev/null
+++ b/org.berylwick.node/src/org/berylwick/node/NodeQuotaFleet.java
@@ -0,0 +1,47 @@
+package org.berylwick.node;
+
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+import org.berylwick.node.member.MemberTable;
+import org.berylwick.node.quota.QuotaFleet;
+
+/**
+ * What the gossip and the directory tell of the nodes that limits depend on.
+ *
+ * @param ownIp address of this node
+ * @param storeReaders the nodes that may be quota servers
+ * @param members the other nodes
+ * @param silenceTimeoutNanos time without a datagram after which a node counts as silent
+ * @param count number of nodes including this one
+ * @param countKnown whether the directory was read since the start
+ */
+record NodeQuotaFleet(
+        String ownIp,
+        StoreReaders storeReaders,
+        MemberTable members,
+        LongSupplier silenceTimeoutNanos,
+        IntSupplier count,
+        BooleanSupplier countKnown)
+        implements QuotaFleet {
+    @Override
+    public List<String> readers() {
+        return storeReaders.all();
+    }
+
+    @Override
+    public int nodeCount() {
+        return count.getAsInt();
+    }
+
+    @Override
+    public int heardCount() {
+        return members.countReachableWithin(silenceTimeoutNanos.getAsLong(), System.nanoTime()) + 1;
+    }
+
+    @Override
+    public boolean isNodeCountKnown() {
+        return countKnown.getAsBoolean();
+    }
+}
--- a/org.berylwick.node/src/org/berylwick/node/StoreReaders.java
+++ b/org.berylwick.node/src/org/berylwick/node/StoreReaders.java
@@ -1,6 +1,12 @@
 package org.berylwick.node;
 
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.berylwick.node.lib.NodeSettings;
 import org.berylwick.node.member.Member;
 import org.berylwick.node.member.MemberTable;
@@ -17,16 +23,23 @@
     private final NodeSettings settings;
     private final MemberTable members;
     private final LongSupplier silenceTimeoutNanos;
+    private final Predicate<Boolean> ownEligible;
 
     /**
      * @param settings settings of this node
      * @param members the other nodes
      * @param silenceTimeoutNanos time without a datagram after which a node of this zone counts as silent
+     * @param ownEligible whether this node may be a reader, given whether it has to reach the store
      */
-    StoreReaders(NodeSettings settings, MemberTable members, LongSupplier silenceTimeoutNanos) {
+    StoreReaders(
+            NodeSettings settings,
+            MemberTable members,
+            LongSupplier silenceTimeoutNanos,
+            Predicate<Boolean> ownEligible) {
         this.settings = settings;
         this.members = members;
         this.silenceTimeoutNanos = silenceTimeoutNanos;
+        this.ownEligible = ownEligible;
     }
 
     /** Returns whether fewer than {@link #READERS_PER_ZONE} eligible nodes of this zone precede this one as readers. */
@@ -47,6 +60,44 @@
         return precedingReaders < READERS_PER_ZONE;
     }
 
+    /**
+     * Returns the addresses of the readers of all zones, as this node sees them. If no node reaches the store, those
+     * that would be readers if all did.
+     */
+    List<String> all() {
+        List<String> reachingStore = all(true);
+        return reachingStore.isEmpty() ? all(false) : reachingStore;
+    }
+
+    private List<String> all(boolean requireStore) {
+        long now = System.nanoTime();
+        long timeoutNanos = silenceTimeoutNanos.getAsLong();
+        Map<String, List<Candidate>> byZone = new TreeMap<>();
+        if (ownEligible.test(requireStore)) {
+            byZone.computeIfAbsent(settings.zone(), zone -> new ArrayList<>())
+                    .add(new Candidate(settings.ip(), linkMbps()));
+        }
+        for (Member member : members.all()) {
+            NodeState state = member.state();
+            if ((state.storeReachable() || !requireStore)
+                    && !state.leaving()
+                    && now - member.lastDatagramAt() < timeoutNanos) {
+                byZone.computeIfAbsent(state.zone(), zone -> new ArrayList<>())
+                        .add(new Candidate(member.ip(), state.linkMbps()));
+            }
+        }
+        return byZone.values().stream()
+                .flatMap(zone -> zone.stream().sorted(Candidate.ORDER).limit(READERS_PER_ZONE))
+                .map(Candidate::ip)
+                .toList();
+    }
+
+    /** A node that may be a reader. */
+    private record Candidate(String ip, int linkMbps) {
+        private static final Comparator<Candidate> ORDER =
+                Comparator.comparingInt(Candidate::linkMbps).reversed().thenComparing(Candidate::ip);
+    }
+
     /**
      * Returns whether another node precedes this one as a store reader. The link bandwidth decides first, as a reader
      * downloads every version completely and passes it on, then the address.
--- a/org.berylwick.node/src/org/berylwick/node/lib/ConfigurationVersion.java
+++ b/org.berylwick.node/src/org/berylwick/node/lib/ConfigurationVersion.java
@@ -16,6 +16,7 @@
     private final CallerLimits limits;
     private final Map<String, Organisation> organisationsByName;
     private final Map<String, Organisation> organisationsByKey;
+    private final boolean hasLimits;
     private final byte[] encoded;
 
     private ConfigurationVersion(Builder builder) {
@@ -33,6 +34,7 @@
         this.limits = builder.limits;
         this.organisationsByName = Map.copyOf(builder.organisationsByName);
         this.organisationsByKey = Map.copyOf(builder.organisationsByKey);
+        this.hasLimits = organisationsByName.values().stream().anyMatch(Organisation::isLimited);
         this.encoded = builder.encoded;
     }
 
@@ -53,6 +55,11 @@
         return !organisationsByName.isEmpty();
     }
 
+    /** Whether the requests of an organisation are limited. */
+    public boolean hasLimits() {
+        return hasLimits;
+    }
+
     /** Returns an organisation by its name. */
     public Optional<Organisation> organisation(String name) {
         return Optional.ofNullable(organisationsByName.get(name));
--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -87,6 +87,10 @@
     BACKEND_LEFT_EARLIER(7061, 20),
     /** The key of a request is not held by any organisation of the version in force. */
     KEY_UNKNOWN(7062, 10),
+    /** Requests were refused at this node because their organisation has used up its limit. */
+    QUOTA_REFUSED(7070, 10),
+    /** This node, as the quota server of an organisation, has refused permits. */
+    QUOTA_USED_UP(7071, 10),
     /** An unexpected error occurred; the connection that it came from was closed. */
     INTERNAL_ERROR(7099, 20);
 
--- a/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
@@ -126,6 +126,22 @@
     public static final String ROLLOUT_READS = "rollout.reads";
     /** Times that this node told the operator how far a roll-out has got. */
     public static final String ROLLOUT_WRITES = "rollout.writes";
+    /** Permits that this node asked a quota server for. */
+    public static final String QUOTA_PERMITS_ASKED = "quota.permits.asked";
+    /** Permits that this node granted as a quota server. */
+    public static final String QUOTA_PERMITS_GRANTED = "quota.permits.granted";
+    /** Permits that this node refused as a quota server. */
+    public static final String QUOTA_PERMITS_REFUSED = "quota.permits.refused";
+    /** Permits that expired on this node before a request used them. */
+    public static final String QUOTA_PERMITS_EXPIRED = "quota.permits.expired";
+    /** Permits that this node returned to a quota server, because no request used them. */
+    public static final String QUOTA_PERMITS_RETURNED = "quota.permits.returned";
+    /** Questions to a quota server that were not answered in time. */
+    public static final String QUOTA_TIMEOUTS = "quota.timeouts";
+    /** Requests that this node sent by its fallback share, because it could not reach a quota server. */
+    public static final String QUOTA_FALLBACK_USED = "quota.fallback.used";
+    /** Organisations of which this node holds the bucket, as their quota server. */
+    public static final String QUOTA_SERVED = "quota.served";
     /** Log lines dropped because the reader of the log stalled. */
     public static final String LOG_LINES_DROPPED = "log.lines.dropped";
 
--- a/org.berylwick.node/src/org/berylwick/node/member/Gossip.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/Gossip.java
@@ -73,7 +73,8 @@
     private final Counters counters;
     private final EventLog log;
     private final BiConsumer<Member, MemberTable.UpdateResult> onStateReceived;
-    private Optional<Extension> extension = Optional.empty();
+    private final List<Extension> extensions = new ArrayList<>();
+    private Optional<StateChecksum> stateChecksum = Optional.empty();
     private Consumer<FormerBackend> onFormerBackend = former -> {};
     /**
      * The addresses to which this node sends its state, and when the latest datagram was received from each. For an
@@ -119,22 +120,30 @@
 
     /** What nodes exchange besides their states. Called on the event loop. */
     public interface Extension {
-        /** First four bytes of its datagrams. */
+        /** First four bytes of its datagrams, different for each extension. */
         int magic();
 
         /** Processes a datagram, after its first four bytes. */
         void receive(String senderIp, ByteBuf datagram);
+    }
 
-        /** A number that is sent with each state, and that differs between nodes that have to exchange something. */
+    /** A number that is sent with each state. Called on the event loop. */
+    public interface StateChecksum {
+        /** Returns the number, which differs between nodes that have to exchange something. */
         int checksum();
 
         /** Processes the number that another node has sent. */
         void onChecksum(String senderIp, int checksum);
     }
 
-    /** Sets what is exchanged besides the states; called before the start. */
-    public void setExtension(Extension newExtension) {
-        extension = Optional.of(newExtension);
+    /** Adds something that is exchanged besides the states; called before the start. */
+    public void addExtension(Extension extension) {
+        extensions.add(extension);
+    }
+
+    /** Sets the number that is sent with each state; called before the start. */
+    public void setStateChecksum(StateChecksum newStateChecksum) {
+        stateChecksum = Optional.of(newStateChecksum);
     }
 
     /**
@@ -310,7 +319,7 @@
         }
         boolean includePeerAddresses = replyRequested || round % ROUNDS_PER_PEER_EXCHANGE == 0;
         List<String> peerAddresses = includePeerAddresses ? samplePeerAddresses() : List.of();
-        int checksum = extension.map(Extension::checksum).orElse(0);
+        int checksum = stateChecksum.map(StateChecksum::checksum).orElse(0);
         ByteBuf bytes = Unpooled.buffer(INITIAL_BUFFER_BYTES);
         NodeStateCodec.encode(
                 new NodeStateCodec.Message(ownState.get(), replyRequested, peerAddresses, checksum, formerBackend),
@@ -360,7 +369,7 @@
         MemberTable.UpdateResult result = table.update(senderIp, message.state(), now);
         boolean restarted = bootIdBefore != message.state().bootId();
         message.formerBackend().ifPresent(onFormerBackend);
-        extension.ifPresent(e -> e.onChecksum(senderIp, message.quarantineChecksum()));
+        stateChecksum.ifPresent(s -> s.onChecksum(senderIp, message.quarantineChecksum()));
         if (newSender || restarted || message.replyRequested()) {
             reply(senderIp);
         }
@@ -387,9 +396,11 @@
             counters.increment(NodeMetricNames.GOSSIP_RECEIVED_DATAGRAMS);
             String senderIp = packet.sender().getAddress().getHostAddress();
             ByteBuf content = packet.content();
-            if (extension.isPresent() && startsWith(content, extension.get().magic())) {
-                extension.get().receive(senderIp, content.skipBytes(Integer.BYTES));
-                return;
+            for (Extension extension : extensions) {
+                if (startsWith(content, extension.magic())) {
+                    extension.receive(senderIp, content.skipBytes(Integer.BYTES));
+                    return;
+                }
             }
             NodeStateCodec.decode(content).ifPresent(message -> receive(senderIp, message));
         }
--- a/org.berylwick.node/src/org/berylwick/node/quarantine/QuarantineExchange.java
+++ b/org.berylwick.node/src/org/berylwick/node/quarantine/QuarantineExchange.java
@@ -18,7 +18,7 @@
  * <p>A node sends what it finds to all others at once, and repeats crashes twice, since datagrams get lost. A node that
  * missed a report nevertheless, or that has started since, has another checksum than others; they send it everything.
  */
-public final class QuarantineExchange implements Gossip.Extension {
+public final class QuarantineExchange implements Gossip.Extension, Gossip.StateChecksum {
     private static final long[] REPEAT_DELAYS_NANOS = {40_000_000L, 120_000_000L};
     /** Least time between two snapshots for the same node. */
     private static final long SNAPSHOT_INTERVAL_NANOS = 400_000_000L;
@@ -47,7 +47,8 @@
         quarantine.setTrialSpread(
                 () -> TRIAL_SPREAD_PER_NODE_NANOS * (gossip.peerAddressCount() + 1L),
                 () -> ThreadLocalRandom.current().nextDouble());
-        gossip.setExtension(this);
+        gossip.addExtension(this);
+        gossip.setStateChecksum(this);
     }
 
     private void onReport(SuspectReport report) {
