--- a/org.berylwick.bench/src/org/berylwick/bench/quotas/QuotaNetwork.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/quotas/QuotaNetwork.java
@@ -60,7 +60,13 @@
         }
     }
 
-    /** Starts the process of a node, or starts it anew. */
+    /** Ends the process of a node and starts another one at once. */
+    public void restart(int node) {
+        quota(node).setActive(false);
+        start(node);
+    }
+
+    /** Starts the process of a node. */
     public void start(int node) {
         killed.remove(node);
         String ip = ip(node);
--- a/org.berylwick.node/src/org/berylwick/node/quota/NodeQuota.java
+++ b/org.berylwick.node/src/org/berylwick/node/quota/NodeQuota.java
@@ -67,6 +67,7 @@
         private int returnable;
         private long reportedAt;
         private long refusedSinceReport;
+        private int refusedSinceAnswer;
 
         private Client(Organisation organisation, long now) {
             this.organisation = organisation;
@@ -76,9 +77,22 @@
         }
     }
 
-    /** A question that was not answered yet. */
-    private record Question(long number, String server, int wanted, int hops, long askedAt, Clock.Timer timer) {
-        private static final Clock.Timer NO_TIMER = () -> {};
+    /**
+     * A question that was not answered yet.
+     *
+     * @param number as sent
+     * @param server the node that it was sent to
+     * @param second the node that it was sent to as well because the first one has not answered, empty for none
+     * @param wanted number of permits
+     * @param hops how many nodes were asked, one after the other
+     * @param askedAt when it was first sent
+     * @param timer the next action without an answer
+     */
+    private record Question(
+            long number, String server, String second, int wanted, int hops, long askedAt, Clock.Timer timer) {
+        private boolean isFrom(String node) {
+            return server.equals(node) || second.equals(node);
+        }
     }
 
     /**
@@ -148,7 +162,10 @@
         }
         long now = clock.now();
         Client client = clients.computeIfAbsent(organisation.name(), name -> new Client(organisation, now));
-        client.organisation = organisation;
+        if (!organisation.equals(client.organisation)) {
+            client.organisation = organisation;
+            client.returnable += client.pool.removeAll();
+        }
         long expiresAt = client.pool.nextExpiry(now);
         switch (client.pool.onRequest(now)) {
             case USES_PERMIT -> {
@@ -168,13 +185,7 @@
     }
 
     private void ask(Client client, long now) {
-        Optional<String> chosen = now < client.noServerUntil
-                ? Optional.empty()
-                : RendezvousOrder.first(
-                        client.organisation.name(),
-                        election.readers().stream()
-                                .filter(reader -> !isAvoided(reader, now))
-                                .toList());
+        Optional<String> chosen = now < client.noServerUntil ? Optional.empty() : chooseServer(client, now);
         if (chosen.isEmpty()) {
             decideWithoutServer(client, now);
             return;
@@ -184,30 +195,55 @@
         send(client, chosen.get(), wanted, 1, now);
     }
 
+    /** Returns the node that answered last, as long as it does; any other reader names it if it is replaced. */
+    private Optional<String> chooseServer(Client client, long now) {
+        String last = client.lastServer;
+        return election.readers().contains(last) && !isAvoided(last, now)
+                ? Optional.of(last)
+                : firstReaderExcept("", client, now);
+    }
+
+    private Optional<String> firstReaderExcept(String excluded, Client client, long now) {
+        return RendezvousOrder.first(
+                client.organisation.name(),
+                election.readers().stream()
+                        .filter(reader -> !reader.equals(excluded) && !isAvoided(reader, now))
+                        .toList());
+    }
+
     private boolean isAvoided(String reader, long now) {
         return avoidedUntil.getOrDefault(reader, now) > now;
     }
 
     private void send(Client client, String to, int wanted, int hops, long now) {
         long number = ++lastNumber;
-        QuotaMessage.Ask ask = new QuotaMessage.Ask(process, number, client.organisation.name(), wanted);
-        if (to.equals(fleet.ownIp())) {
-            client.question = Optional.of(new Question(number, to, wanted, hops, now, Question.NO_TIMER));
-            // Deferred, because the answer may cause another question.
-            clock.defer(() -> server.onAsk(to, ask, clock.now()).ifPresent(answer -> receive(to, answer)));
+        QuotaMessage.Ask ask =
+                new QuotaMessage.Ask(process, number, client.organisation.name(), wanted, client.refusedSinceAnswer);
+        Clock.Timer timer = clock.schedule(now + RESEND_NANOS, () -> resend(client, to, ask));
+        client.question = Optional.of(new Question(number, to, "", wanted, hops, now, timer));
+        deliver(to, ask);
+    }
+
+    private void deliver(String to, QuotaMessage.Ask ask) {
+        if (!to.equals(fleet.ownIp())) {
+            sender.accept(to, ask);
             return;
         }
-        Clock.Timer timer = clock.schedule(now + RESEND_NANOS, () -> resend(client, to, ask));
-        client.question = Optional.of(new Question(number, to, wanted, hops, now, timer));
-        sender.accept(to, ask);
+        // Deferred, because the answer may cause another question.
+        clock.defer(() -> server.onAsk(to, ask, clock.now()).ifPresent(answer -> receive(to, answer)));
     }
 
+    /** Asks again, and also the next node by hash, which has taken over if the first one was killed. */
     private void resend(Client client, String to, QuotaMessage.Ask ask) {
         Question question = client.question.orElseThrow();
+        String second = firstReaderExcept(to, client, clock.now()).orElse("");
         Clock.Timer timer = clock.schedule(question.askedAt() + ANSWER_TIMEOUT_NANOS, () -> onTimeout(client));
-        client.question = Optional.of(
-                new Question(question.number(), to, question.wanted(), question.hops(), question.askedAt(), timer));
-        sender.accept(to, ask);
+        client.question = Optional.of(new Question(
+                question.number(), to, second, question.wanted(), question.hops(), question.askedAt(), timer));
+        deliver(to, ask);
+        if (!second.isEmpty()) {
+            deliver(second, ask);
+        }
     }
 
     private void onTimeout(Client client) {
@@ -244,8 +280,7 @@
     }
 
     private static Optional<Question> takeQuestion(Client client, String from, long number) {
-        Optional<Question> question =
-                client.question.filter(q -> q.number() == number && q.server().equals(from));
+        Optional<Question> question = client.question.filter(q -> q.number() == number && q.isFrom(from));
         question.ifPresent(q -> {
             q.timer().cancel();
             client.question = Optional.empty();
@@ -259,9 +294,13 @@
             // The permits of a late answer are not used, and not returned either: they expire.
             return;
         }
+        if (!question.get().server().equals(from)) {
+            avoidedUntil.put(question.get().server(), now + AVOID_NANOS);
+        }
         client.lastServer = from;
         client.fallback = Optional.empty();
         avoidedUntil.remove(from);
+        client.refusedSinceAnswer = 0;
         boolean usedUp = answer.holdNanos() > 0;
         client.pool.onGranted(answer.granted(), question.get().askedAt());
         if (usedUp) {
@@ -289,6 +328,11 @@
     }
 
     private void onNotServer(Client client, String from, QuotaMessage.NotServer answer, long now) {
+        if (client.question.stream()
+                .anyMatch(q -> q.number() == answer.number() && q.second().equals(from))) {
+            // The first node may still answer.
+            return;
+        }
         Optional<Question> question = takeQuestion(client, from, answer.number());
         if (question.isEmpty()) {
             return;
@@ -317,13 +361,13 @@
                 continue;
             }
             double retrySeconds = MIN_RETRY_S + RETRY_SPREAD_S * random.getAsDouble();
-            client.lastServer = "";
             refuse(client, onDecision, (long) (retrySeconds * NANOS_PER_SECOND));
         }
     }
 
     private void refuse(Client client, Consumer<Decision> onDecision, long retryNanos) {
         client.refusedSinceReport++;
+        client.refusedSinceAnswer++;
         long now = clock.now();
         if (now - client.reportedAt >= REPORT_INTERVAL_NANOS) {
             instruments
--- a/org.berylwick.node/src/org/berylwick/node/quota/PermitPool.java
+++ b/org.berylwick.node/src/org/berylwick/node/quota/PermitPool.java
@@ -11,6 +11,11 @@
     static final long IDLE_NANOS = 250_000_000L;
 
     private static final long DEMAND_WINDOW_NANOS = 200_000_000L;
+    /**
+     * Requests in the window from which on permits are taken in store. With fewer, the permits that lie idle on many
+     * nodes would exceed the tolerance of the limit.
+     */
+    private static final int MIN_DEMAND_AHEAD = 3;
     /** Retry-After beyond this time would keep callers away after the demand has fallen. */
     private static final long MAX_RETRY_NANOS = 10_000_000_000L;
 
@@ -103,12 +108,13 @@
 
     /** Whether to ask for further permits before the present ones are used up. */
     boolean shouldAskAhead(long now) {
-        return now >= holdUntil && permits * 2 <= lastBatch && recentDemand(now) >= 2;
+        return now >= holdUntil && permits * 2 <= lastBatch && recentDemand(now) >= MIN_DEMAND_AHEAD;
     }
 
     /** Returns the number of permits to ask for. */
     int wanted(int waiting, long now) {
-        return Math.max(1, Math.max(waiting, recentDemand(now)));
+        int demand = recentDemand(now);
+        return Math.max(Math.max(1, waiting), demand >= MIN_DEMAND_AHEAD ? demand : 0);
     }
 
     /**
@@ -128,7 +134,7 @@
     /** Records that the limit is used up, and when to ask again. */
     void onUsedUp(long holdNanos, long retryNanos, long newPaceNanos, long now) {
         holdUntil = now + holdNanos;
-        promisedAt = Math.max(promisedAt, now + Math.max(holdNanos, retryNanos));
+        promisedAt = now + Math.max(holdNanos, retryNanos);
         paceNanos = newPaceNanos;
     }
 
@@ -163,10 +169,15 @@
         if (now - lastRequestAt < IDLE_NANOS) {
             return 0;
         }
-        int unused = permits;
+        return removeAll();
+    }
+
+    /** Removes all permits, which were granted by a limit that has changed, and returns their number. */
+    int removeAll() {
+        int removed = permits;
         permits = 0;
         batches.clear();
-        return unused;
+        return removed;
     }
 
     /** Returns and resets the number of permits that expired. */
--- a/org.berylwick.node/src/org/berylwick/node/quota/QuotaCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/quota/QuotaCodec.java
@@ -28,7 +28,7 @@
             case QuotaMessage.Ask ask -> {
                 out.writeByte(ASK).writeInt(ask.process()).writeLong(ask.number());
                 writeText(ask.organisation(), out);
-                out.writeInt(ask.wanted());
+                out.writeInt(ask.wanted()).writeInt(ask.refused());
             }
             case QuotaMessage.Answer answer -> {
                 out.writeByte(ANSWER).writeLong(answer.number());
@@ -63,7 +63,9 @@
         try {
             return Optional.ofNullable(
                     switch (in.readByte()) {
-                        case ASK -> new QuotaMessage.Ask(in.readInt(), in.readLong(), readText(in), readCount(in));
+                        case ASK ->
+                            new QuotaMessage.Ask(
+                                    in.readInt(), in.readLong(), readText(in), readCount(in), readCount(in));
                         case ANSWER ->
                             new QuotaMessage.Answer(
                                     in.readLong(),
--- a/org.berylwick.node/src/org/berylwick/node/quota/QuotaMessage.java
+++ b/org.berylwick.node/src/org/berylwick/node/quota/QuotaMessage.java
@@ -11,8 +11,9 @@
      * @param number increases with each question and return of the process; a repeated question has the same
      * @param organisation name of the organisation
      * @param wanted number of permits
+     * @param refused number of requests that the sender has refused since the latest answer
      */
-    record Ask(int process, long number, String organisation, int wanted) implements QuotaMessage {}
+    record Ask(int process, long number, String organisation, int wanted, int refused) implements QuotaMessage {}
 
     /**
      * Answer of the quota server.
@@ -21,8 +22,8 @@
      * @param organisation name of the organisation
      * @param granted number of permits, fewer than wanted if the limit is used up
      * @param holdNanos how long the asking node refuses requests by itself once it has used the permits
-     * @param retryNanos time until the bucket holds a permit
-     * @param paceNanos time between two permits for the asking node, if all nodes that ask get the same
+     * @param retryNanos time after which the first of the requests that the asking node refuses should be sent again
+     * @param paceNanos time by which each further one should be sent again later
      */
     record Answer(long number, String organisation, int granted, long holdNanos, long retryNanos, long paceNanos)
             implements QuotaMessage {}
--- a/org.berylwick.node/src/org/berylwick/node/quota/QuotaServer.java
+++ b/org.berylwick.node/src/org/berylwick/node/quota/QuotaServer.java
@@ -19,6 +19,9 @@
     private static final double MAX_ANSWER_S = 0.1;
 
     private static final long MAX_HOLD_NANOS = 100_000_000L;
+    /** Distance of the times at which refused requests return, as a multiple of the distance of permits. */
+    private static final double PROMISE_SPACING = 1.1;
+
     private static final long MAX_PROMISE_NANOS = 5_000_000_000L;
     private static final long ASKER_WINDOW_NANOS = 1_000_000_000L;
     private static final long IDLE_NANOS = 10_000_000_000L;
@@ -172,11 +175,11 @@
         // Permits gather in the bucket while the nodes that it refused do not ask; it must not become full meanwhile.
         long gather = Math.min(account.bucket.fillNanos() / 2, MAX_HOLD_NANOS);
         long hold = Math.max(untilOne, (long) (gather * (0.5 + 0.5 * random.getAsDouble())));
-        account.promisedAt = Math.max(now + untilOne, account.promisedAt + (long) (NANOS_PER_SECOND / rate));
-        account.promisedAt = Math.min(account.promisedAt, now + MAX_PROMISE_NANOS);
-        int askers = Math.max(account.askersInWindow, account.askersInPreviousWindow);
-        long pace = (long) (askers * NANOS_PER_SECOND / rate);
-        return new QuotaMessage.Answer(ask.number(), ask.organisation(), granted, hold, account.promisedAt - now, pace);
+        // The node is expected to refuse as many requests until its next question as since its latest one.
+        long pace = (long) (NANOS_PER_SECOND * PROMISE_SPACING / rate);
+        long promised = Math.max(now + untilOne, account.promisedAt);
+        account.promisedAt = Math.min(promised + pace * (1L + ask.refused()), now + MAX_PROMISE_NANOS);
+        return new QuotaMessage.Answer(ask.number(), ask.organisation(), granted, hold, promised - now, pace);
     }
 
     private void report(Organisation organisation, Account account, long now) {
