--- a/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryHandler.java
@@ -187,7 +187,9 @@
         record(CallerFault.BODY_MALFORMED);
         streamedBody = null;
         CallerExchange started = queue.head();
-        if (started == null || started.hasBegunStream()) {
+        if (started == null) {
+            closeWhenSent();
+        } else if (started.hasBegunStream()) {
             abort();
         } else {
             started.reject(CallerFault.BODY_MALFORMED.status());
@@ -266,13 +268,6 @@
         }
     }
 
-    private void startDeferred() {
-        CallerExchange exchange = deferred;
-        deferred = null;
-        exchange.addWait(System.nanoTime() - deferredAt);
-        start(exchange);
-    }
-
     /** The requests in progress; the response to the first is the one that is written now. */
     ExchangeQueue queue() {
         return queue;
@@ -366,7 +361,10 @@
     /** Starts the deferred request or processes one message, and returns whether there was any to process. */
     private boolean proceed() {
         if (deferred != null && queue.isEmpty()) {
-            startDeferred();
+            CallerExchange exchange = deferred;
+            deferred = null;
+            exchange.addWait(System.nanoTime() - deferredAt);
+            start(exchange);
             return true;
         }
         if (input.isEmpty() || !canProcess(input.peek())) {
@@ -418,9 +416,12 @@
         if (isIdle()) {
             EntryServer.readNow(channel);
         }
-        if (!isIdle()) {
-            return;
+        if (isIdle()) {
+            closeWhenSent();
         }
+    }
+
+    private void closeWhenSent() {
         closing = true;
         releaseAll();
         if (unsentResponses == 0) {
