Require more than half of the nodes for a quota server, and count them once per beat

With exactly half, each side of a separation into halves would grant a whole limit once it has forgotten the readers of the other. The count of heard nodes went over all members for each question.

--- a/org.berylwick.node/src/org/berylwick/node/quota/QuotaServer.java
+++ b/org.berylwick.node/src/org/berylwick/node/quota/QuotaServer.java
@@ -37,6 +37,12 @@
     private final DoubleSupplier random;
     private final Instruments instruments;
     private final Map<String, Account> accounts = new HashMap<>();
+    /**
+     * Whether more than half of the nodes are heard; after a separation into halves, none of them may grant permits.
+     */
+    private boolean hearsMajority;
+
+    private double silentShare;
 
     /** What the quota server keeps of one organisation. */
     private static final class Account {
@@ -139,7 +145,7 @@
     }
 
     private boolean isServer(String organisation, long now) {
-        return fleet.heardCount() * 2 >= fleet.nodeCount() && election.isServer(organisation, now);
+        return hearsMajority && election.isServer(organisation, now);
     }
 
     private Account account(Organisation organisation, long now) {
@@ -159,9 +165,7 @@
 
     /** Returns the rate less the fallback shares of the nodes that this node does not hear. */
     private double effectiveRate(Organisation organisation) {
-        int nodes = Math.max(1, fleet.nodeCount());
-        int silent = Math.max(0, nodes - fleet.heardCount());
-        return organisation.ratePerSecond() * (1 - FALLBACK_SHARE * silent / nodes);
+        return organisation.ratePerSecond() * (1 - FALLBACK_SHARE * silentShare);
     }
 
     private static Asker asker(Account account, String sender, int process) {
@@ -246,8 +250,15 @@
         account.grantedSinceReport -= returned.count();
     }
 
-    /** Drops the buckets of organisations that this node no longer serves, and those that are full and unused. */
+    /**
+     * Counts the nodes that are heard, and drops the buckets of organisations that this node no longer serves, and
+     * those that are full and unused.
+     */
     void tick(long now) {
+        int nodes = Math.max(1, fleet.nodeCount());
+        int heard = fleet.heardCount();
+        hearsMajority = heard * 2 > nodes;
+        silentShare = (double) Math.max(0, nodes - heard) / nodes;
         accounts.entrySet()
                 .removeIf(entry -> !isServer(entry.getKey(), now)
                         || now - entry.getValue().lastAskAt > IDLE_NANOS
--- a/org.berylwick.test/tst/org/berylwick/node/quota/QuotaFailuresTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/quota/QuotaFailuresTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -125,6 +126,25 @@
         assertEquals(granted, network.counters().count(NodeMetricNames.QUOTA_FALLBACK_USED));
     }
 
+    /** Guards against a quota server in each half, once the halves have forgotten the readers of the other. */
+    @Test
+    void separatedHalvesGrantNoMoreThanFallbackShares() {
+        QuotaNetwork network = network(400, 40);
+        clock.runUntil(10 * SECOND);
+        Set<Integer> half = new HashSet<>();
+        for (int i = 0; i < NODES; i += 2) {
+            half.add(i);
+        }
+        network.separate(half);
+        clock.runUntil(20 * SECOND);
+        for (int i = 0; i < 16_000; i++) {
+            int node = i % NODES;
+            clock.schedule(20 * SECOND + i * SECOND / 800, () -> request(network, node));
+        }
+        clock.runUntil(41 * SECOND);
+        assertTrue(granted > 700 && granted <= 20 * 40, "granted " + granted);
+    }
+
     /** Guards against the permit of a request that did not run being lost. */
     @Test
     void releasedPermitIsGrantedAgain() {
