--- a/org.berylwick.node/src/org/berylwick/node/quota/QuotaBucket.java
+++ b/org.berylwick.node/src/org/berylwick/node/quota/QuotaBucket.java
@@ -8,6 +8,9 @@
      */
     private static final double MIN_CAPACITY_S = 0.1;
 
+    /** Least capacity in permits; with one, requests at intervals that vary are refused at two thirds of the rate. */
+    private static final double MIN_CAPACITY = 2;
+
     private static final double NANOS_PER_SECOND = 1e9;
 
     private double ratePerNano;
@@ -26,7 +29,7 @@
     }
 
     private static double capacityOf(double ratePerSecond, double burst) {
-        return Math.max(Math.max(1, burst), ratePerSecond * MIN_CAPACITY_S);
+        return Math.max(Math.max(MIN_CAPACITY, burst), ratePerSecond * MIN_CAPACITY_S);
     }
 
     /** Changes the limit; the level remains, up to the new capacity. */
