Tell starts of a backend server under one id apart by the time of the start

Cause: a backend server that restarts under its former id reports sequence numbers that start anew. They counted as stale, and after a leave the id was refused for good.

An incarnation is now the id and, where stated, the time of the start. A later start replaces an earlier one; a leave covers starts up to the one that left. Without a time of start, the stored record and the gossip are unchanged.

--- a/org.berylwick.node/src/org/berylwick/node/HeartbeatHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/HeartbeatHandler.java
@@ -45,7 +45,12 @@
         switch (protocol.decode(request.method(), request.uri(), request.body())) {
             case HeartbeatProtocol.DecodeResult.Report(BackendReport report)
             when report.state() == BackendState.DRAINING -> {
-                Leave leave = new Leave(report.incarnation(), BackendEvidence.HEARTBEAT, report.sequence(), respond);
+                Leave leave = new Leave(
+                        report.incarnation().text(),
+                        !owner.hasLeft(report.incarnation()),
+                        BackendEvidence.HEARTBEAT,
+                        report.sequence(),
+                        respond);
                 owner.onDraining(report, leave::acknowledge);
                 leave.startTimeout();
             }
@@ -53,9 +58,10 @@
                 owner.onReport(report);
                 acknowledge(respond);
             }
-            case HeartbeatProtocol.DecodeResult.Leave(String incarnation) -> {
-                Leave leave = new Leave(incarnation, BackendEvidence.DEREGISTRATION, NO_SEQUENCE, respond);
-                owner.onLeave(incarnation, leave::acknowledge);
+            case HeartbeatProtocol.DecodeResult.Leave(String id) -> {
+                Leave leave =
+                        new Leave(id, !owner.hasLatestLeft(id), BackendEvidence.DEREGISTRATION, NO_SEQUENCE, respond);
+                owner.onLeave(id, leave::acknowledge);
                 leave.startTimeout();
             }
             case HeartbeatProtocol.DecodeResult.Malformed(String reason) -> {
@@ -83,6 +89,7 @@
 
         Leave(
                 String incarnation,
+                boolean first,
                 BackendEvidence evidence,
                 long sequence,
                 Consumer<BufferedHttpServer.Response> respond) {
@@ -90,7 +97,7 @@
             this.evidence = evidence;
             this.sequence = sequence;
             this.respond = respond;
-            this.first = !owner.hasLeft(incarnation);
+            this.first = first;
         }
 
         void startTimeout() {
@@ -131,7 +138,7 @@
                             "first",
                             first,
                             "current",
-                            current.map(Backend::incarnation).orElse(""),
+                            current.map(server -> server.incarnation().text()).orElse(""),
                             "state",
                             current.map(Backend::state).orElse(BackendState.ABSENT),
                             "afterMs",
--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -23,6 +23,7 @@
 import org.berylwick.node.call.VersionChoice;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.Clock;
+import org.berylwick.node.lib.Incarnation;
 import org.berylwick.node.lib.NodeSettings;
 import org.berylwick.node.lib.RolloutNotice;
 import org.berylwick.node.log.Counters;
@@ -121,7 +122,8 @@
         this.backendProbe = new BackendProbe(loop, settings, platform.headerNames(), owner, log);
         this.gossip = new Gossip(
                 loop, settings.ip(), settings.gossipPort(), members, this::localState, counters, log, this::onGossip);
-        gossip.setFormerBackendListener(former -> owner.onFormerState(former.incarnation(), former.state()));
+        gossip.setFormerBackendListener(
+                former -> owner.onFormerState(Incarnation.parse(former.incarnation()), former.state()));
         new QuarantineExchange(clock, quarantine, gossip);
         this.storeReaders = new StoreReaders(settings, members, gossip::silenceTimeoutNanos);
         this.versionUpdater = new VersionUpdater(
@@ -189,7 +191,8 @@
                 clock, directory, instruments, settings.vmName(), settings.ip(), quarantine::lastingCrashes);
         registration.setEntryListener(entry -> {
             entry.crashes().forEach(quarantine::merge);
-            owner.onDeparturesRead(entry.departures());
+            owner.onDeparturesRead(
+                    entry.departures().stream().map(Incarnation::parse).toList());
         });
         owner.setDepartureRecord(registration);
         quarantine.setLastingHoldListener(registration::recordCrashes);
@@ -338,7 +341,7 @@
                 versionUpdater.isStoreReachable(),
                 leaving,
                 backend.map(Backend::service).orElse(service),
-                backend.map(Backend::incarnation).orElse(""),
+                backend.map(server -> server.incarnation().text()).orElse(""),
                 backend.map(Backend::state).orElse(BackendState.ABSENT),
                 backend.map(b -> b.warmUpNanos(System.nanoTime())).orElse(0L),
                 owner.load(),
--- a/org.berylwick.node/src/org/berylwick/node/call/Backend.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Backend.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import org.berylwick.node.lib.BackendReport;
 import org.berylwick.node.lib.BackendState;
+import org.berylwick.node.lib.Incarnation;
 import org.berylwick.node.lib.RequestFingerprint;
 import org.berylwick.node.transport.ServerConnectionPool;
 
@@ -20,7 +21,7 @@
     /** Lower bound to which that limit is reduced if the backend server closes idle connections early. */
     private static final long MIN_MAX_IDLE_NANOS = 100_000_000L;
 
-    private final String incarnation;
+    private Incarnation incarnation;
     private final String service;
     private final ServerConnectionPool pool;
     private final ServiceTimeEstimator serviceTimeEstimator = new ServiceTimeEstimator();
@@ -54,11 +55,26 @@
         applyReport(report, now);
     }
 
-    /** Id that the backend server chose when it started. */
-    public String incarnation() {
+    /** The start of the backend server. */
+    public Incarnation incarnation() {
         return incarnation;
     }
 
+    /**
+     * Whether a report comes from the incarnation that a health check found ready. The answer of a health check does
+     * not state when the backend server started.
+     */
+    boolean isFirstReportAfterHealthCheck(BackendReport report) {
+        return sequence < 0
+                && state == BackendState.READY
+                && !incarnation.hasBorn()
+                && incarnation.id().equals(report.incarnation().id());
+    }
+
+    void setIncarnation(Incarnation reported) {
+        incarnation = reported;
+    }
+
     /** The service that the backend server provides. */
     public String service() {
         return service;
--- a/org.berylwick.node/src/org/berylwick/node/call/BackendProbe.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/BackendProbe.java
@@ -98,7 +98,7 @@
                 "try",
                 tries,
                 "incarnation",
-                report.map(BackendReport::incarnation).orElse(""),
+                report.map(r -> r.incarnation().text()).orElse(""),
                 "answer",
                 result instanceof BufferedHttpCall.Result.Completed response ? response.status() : 0);
         if (report.isPresent() && owner.backend().isEmpty()) {
--- a/org.berylwick.node/src/org/berylwick/node/call/BackendRegistry.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/BackendRegistry.java
@@ -10,6 +10,7 @@
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.Clock;
 import org.berylwick.node.lib.DepartureRecord;
+import org.berylwick.node.lib.Incarnation;
 import org.berylwick.node.log.Event;
 import org.berylwick.node.log.Instruments;
 import org.berylwick.node.log.NodeMetricNames;
@@ -28,9 +29,10 @@
     private final long heartbeatNanos;
     private final Instruments instruments;
     private final Runnable onChange;
-    private final DepartedIncarnations departedIncarnations = new DepartedIncarnations();
+    private final DepartedIncarnations departedIncarnations = new DepartedIncarnations(System::currentTimeMillis);
+    private final ReportedStarts reportedStarts = new ReportedStarts();
     private final StartupEvidence startupEvidence;
-    /** Reports that wait for the departures to be known, the latest of each incarnation. */
+    /** Reports that wait for the departures to be known, the latest of each id. */
     private final Map<String, UnconfirmedReport> unconfirmed = new LinkedHashMap<>();
 
     private DepartureRecord departureRecord = DepartureRecord.IN_MEMORY;
@@ -39,7 +41,12 @@
 
     private Optional<Backend> current = Optional.empty();
 
-    private record UnconfirmedReport(BackendReport report, BackendEvidence evidence) {}
+    private record UnconfirmedReport(BackendReport report, BackendEvidence evidence) {
+        /** Returns this one if it is of a later start under the same id than the other one. */
+        UnconfirmedReport laterStart(UnconfirmedReport other) {
+            return other.report.incarnation().isEarlierStartThan(report.incarnation()) ? this : other;
+        }
+    }
 
     /**
      * @param clock time source
@@ -78,8 +85,8 @@
      *
      * @param incarnations the incarnations that have left
      */
-    void onDeparturesRead(List<String> incarnations) {
-        for (String incarnation : incarnations) {
+    void onDeparturesRead(List<Incarnation> incarnations) {
+        for (Incarnation incarnation : incarnations) {
             onEarlierLeave(incarnation, BackendEvidence.RECORD);
         }
         if (departuresKnown) {
@@ -97,12 +104,14 @@
      * @param incarnation the incarnation
      * @param state its state then
      */
-    void onFormerState(String incarnation, BackendState state) {
+    void onFormerState(Incarnation incarnation, BackendState state) {
         if (state == BackendState.DRAINING) {
             onEarlierLeave(incarnation, BackendEvidence.OTHER_NODE);
         } else if (state == BackendState.READY) {
+            reportedStarts.onReady(incarnation);
             startupEvidence.onFormerlyReady(incarnation);
-            Optional.ofNullable(unconfirmed.remove(incarnation)).ifPresent(r -> onReport(r.report(), r.evidence()));
+            Optional.ofNullable(unconfirmed.remove(incarnation.id()))
+                    .ifPresent(r -> onReport(r.report(), r.evidence()));
         }
     }
 
@@ -115,6 +124,13 @@
             ignore(report, "incarnation has left");
             return;
         }
+        if (departedIncarnations.startedBeforeUndatedLeave(report.incarnation())) {
+            ignore(report, "started before its id left");
+            departedIncarnations.add(report.incarnation());
+            departureRecord.record(report.incarnation().text(), () -> {});
+            return;
+        }
+        reportedStarts.onReady(report.incarnation());
         if (evidence == BackendEvidence.HEALTH_CHECK) {
             startupEvidence.onHealthy(report.incarnation());
         } else {
@@ -123,7 +139,8 @@
         if (departuresKnown || isCurrent(report.incarnation()) || startupEvidence.isEnoughFor(report.incarnation())) {
             apply(report, evidence);
         } else {
-            unconfirmed.put(report.incarnation(), new UnconfirmedReport(report, evidence));
+            unconfirmed.merge(
+                    report.incarnation().id(), new UnconfirmedReport(report, evidence), UnconfirmedReport::laterStart);
             ignore(report, "departures are not known yet");
         }
     }
@@ -139,30 +156,40 @@
         if (first || isCurrent(report.incarnation())) {
             apply(report, BackendEvidence.HEARTBEAT);
         }
-        departureRecord.record(report.incarnation(), onRecorded);
+        departureRecord.record(report.incarnation().text(), onRecorded);
     }
 
     /**
-     * Processes the deregistration of a backend server, which has stopped or is about to stop.
+     * Processes the deregistration of a backend server, which has stopped or is about to stop. It names no start and
+     * means the latest of the id that was reported ready.
      *
-     * @param incarnation the incarnation
+     * @param id id of the incarnation
      * @param onRecorded runs when the leave outlasts this process
      */
-    void onDeregistered(String incarnation, Runnable onRecorded) {
-        leave(incarnation, BackendEvidence.DEREGISTRATION);
-        departureRecord.record(incarnation, onRecorded);
+    void onDeregistered(String id, Runnable onRecorded) {
+        Incarnation leaving = reportedStarts.latestOf(id);
+        leave(leaving, BackendEvidence.DEREGISTRATION);
+        departureRecord.record(leaving.text(), onRecorded);
     }
 
-    boolean hasLeft(String incarnation) {
+    /** Whether the latest start of an id that was reported ready has left. */
+    boolean hasLatestLeft(String id) {
+        return hasLeft(reportedStarts.latestOf(id));
+    }
+
+    boolean hasLeft(Incarnation incarnation) {
         return departedIncarnations.contains(incarnation);
     }
 
-    private boolean isCurrent(String incarnation) {
+    private boolean isCurrent(Incarnation incarnation) {
         return current.filter(known -> known.incarnation().equals(incarnation)).isPresent();
     }
 
     private void apply(BackendReport report, BackendEvidence evidence) {
         Backend known = current.orElse(null);
+        if (known != null && known.isFirstReportAfterHealthCheck(report)) {
+            known.setIncarnation(report.incarnation());
+        }
         if (isCurrent(report.incarnation())) {
             if (report.sequence() < known.sequence()) {
                 ignore(report, "stale sequence number");
@@ -171,7 +198,7 @@
             }
             return;
         }
-        if (known != null && known.isMoreRecentThan(report, 2 * heartbeatNanos, clock.now())) {
+        if (known != null && isEarlierThan(known, report)) {
             ignore(report, "earlier incarnation");
             return;
         }
@@ -183,16 +210,37 @@
         notifyChange(replacement, evidence);
     }
 
+    /** Orders incarnations by the time of their start, or else by when and with which sequence numbers they report. */
+    private boolean isEarlierThan(Backend known, BackendReport report) {
+        Incarnation reported = report.incarnation();
+        if (reported.isEarlierStartThan(known.incarnation())) {
+            return true;
+        }
+        if (known.incarnation().isEarlierStartThan(reported)) {
+            return false;
+        }
+        if (known.incarnation().hasBorn() && reported.hasBorn() && known.state() != BackendState.ABSENT) {
+            return reported.born() < known.incarnation().born();
+        }
+        return known.isMoreRecentThan(report, 2 * heartbeatNanos, clock.now());
+    }
+
     /**
      * Records that an incarnation leaves, which it never takes back. The order in which its reports arrived therefore
      * does not matter.
      *
      * @return whether this was not known yet
      */
-    private boolean leave(String incarnation, BackendEvidence evidence) {
+    private boolean leave(Incarnation incarnation, BackendEvidence evidence) {
         boolean first = departedIncarnations.add(incarnation);
+        if (evidence != BackendEvidence.RECORD && evidence != BackendEvidence.OTHER_NODE) {
+            departedIncarnations.onAnnounced(incarnation);
+        }
         Backend known = current.orElse(null);
-        if (isCurrent(incarnation) && known.state() != BackendState.DRAINING) {
+        if (known != null
+                && known.state() != BackendState.DRAINING
+                && known.incarnation().id().equals(incarnation.id())
+                && departedIncarnations.contains(known.incarnation())) {
             known.startDraining();
             notifyChange(known, evidence);
         }
@@ -200,17 +248,22 @@
     }
 
     /** Records a leave that was announced to an earlier process of this node. */
-    private void onEarlierLeave(String incarnation, BackendEvidence evidence) {
+    private void onEarlierLeave(Incarnation incarnation, BackendEvidence evidence) {
         if (leave(incarnation, evidence)) {
-            instruments.log().write(Event.BACKEND_LEFT_EARLIER, "incarnation", incarnation, "by", evidence);
+            instruments.log().write(Event.BACKEND_LEFT_EARLIER, "incarnation", incarnation.text(), "by", evidence);
         }
     }
 
     /** Processes a response in which an incarnation states that it leaves. */
     void onLeaveStated(Backend leaving) {
         if (leave(leaving.incarnation(), BackendEvidence.STATED_IN_RESPONSE)) {
-            instruments.log().write(Event.BACKEND_LEAVING, "incarnation", leaving.incarnation());
-            departureRecord.record(leaving.incarnation(), () -> {});
+            instruments
+                    .log()
+                    .write(
+                            Event.BACKEND_LEAVING,
+                            "incarnation",
+                            leaving.incarnation().text());
+            departureRecord.record(leaving.incarnation().text(), () -> {});
         }
     }
 
@@ -239,7 +292,7 @@
                 .write(
                         Event.BACKEND_REPORT_IGNORED,
                         "incarnation",
-                        report.incarnation(),
+                        report.incarnation().text(),
                         "state",
                         report.state(),
                         "sequence",
@@ -247,7 +300,7 @@
                         "why",
                         why,
                         "current",
-                        current.map(Backend::incarnation).orElse(""),
+                        current.map(server -> server.incarnation().text()).orElse(""),
                         "currentSequence",
                         current.map(Backend::sequence).orElse(NO_SEQUENCE));
     }
@@ -256,7 +309,14 @@
     private void retire(Backend retired, String reason) {
         instruments
                 .log()
-                .write(Event.BACKEND_CHANGED, "incarnation", retired.incarnation(), "state", "RETIRED", "why", reason);
+                .write(
+                        Event.BACKEND_CHANGED,
+                        "incarnation",
+                        retired.incarnation().text(),
+                        "state",
+                        "RETIRED",
+                        "why",
+                        reason);
         retired.pool().close();
     }
 
@@ -271,7 +331,7 @@
                 .write(
                         Event.BACKEND_EXITED,
                         "incarnation",
-                        exited.incarnation(),
+                        exited.incarnation().text(),
                         "service",
                         exited.service(),
                         "state",
@@ -288,7 +348,7 @@
                 .write(
                         Event.BACKEND_CHANGED,
                         "incarnation",
-                        changed.incarnation(),
+                        changed.incarnation().text(),
                         "service",
                         changed.service(),
                         "state",
--- a/org.berylwick.node/src/org/berylwick/node/call/BackendStatements.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/BackendStatements.java
@@ -47,7 +47,12 @@
         }
         RequestLimit stated = RequestLimit.parse(headers.getAll(headerNames.requestLimit()));
         if (stated instanceof RequestLimit.Invalid invalid) {
-            log.write(Event.BACKEND_LIMIT_IGNORED, "incarnation", responder.incarnation(), "limit", invalid.text());
+            log.write(
+                    Event.BACKEND_LIMIT_IGNORED,
+                    "incarnation",
+                    responder.incarnation().text(),
+                    "limit",
+                    invalid.text());
         }
         RequestLimit previous = responder.requestLimit();
         if (!responder.updateRequestLimit(stated, clock.now())) {
@@ -56,7 +61,7 @@
         log.write(
                 Event.BACKEND_LIMIT_CHANGED,
                 "incarnation",
-                responder.incarnation(),
+                responder.incarnation().text(),
                 "limit",
                 stated,
                 "previous",
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -12,6 +12,7 @@
 import org.berylwick.node.lib.Clock;
 import org.berylwick.node.lib.DepartureRecord;
 import org.berylwick.node.lib.HeaderNames;
+import org.berylwick.node.lib.Incarnation;
 import org.berylwick.node.lib.OwnerLoad;
 import org.berylwick.node.lib.RequestFingerprint;
 import org.berylwick.node.lib.ServiceTimeDistribution;
@@ -161,7 +162,7 @@
     }
 
     /** Takes over the incarnations that have left according to the record. */
-    public void onDeparturesRead(List<String> incarnations) {
+    public void onDeparturesRead(List<Incarnation> incarnations) {
         registry.onDeparturesRead(incarnations);
         dispatch();
     }
@@ -172,7 +173,7 @@
      * @param incarnation the incarnation
      * @param state its state then
      */
-    public void onFormerState(String incarnation, BackendState state) {
+    public void onFormerState(Incarnation incarnation, BackendState state) {
         registry.onFormerState(incarnation, state);
         dispatch();
     }
@@ -205,18 +206,23 @@
     /**
      * Processes the deregistration of a backend server, which has stopped or is about to stop.
      *
-     * @param incarnation the incarnation
+     * @param id id of the incarnation
      * @param onRecorded runs when the leave outlasts this process, and may be acknowledged
      */
-    public void onLeave(String incarnation, Runnable onRecorded) {
-        registry.onDeregistered(incarnation, onRecorded);
+    public void onLeave(String id, Runnable onRecorded) {
+        registry.onDeregistered(id, onRecorded);
     }
 
     /** Whether an incarnation is known to have said that it leaves. */
-    public boolean hasLeft(String incarnation) {
+    public boolean hasLeft(Incarnation incarnation) {
         return registry.hasLeft(incarnation);
     }
 
+    /** Whether the latest start of an id that was reported ready is known to have said that it leaves. */
+    public boolean hasLatestLeft(String id) {
+        return registry.hasLatestLeft(id);
+    }
+
     /** Processes the head of a response of a backend server. */
     void onResponseHead(Backend responder, HttpHeaders headers) {
         statements.onResponseHead(responder, headers);
@@ -233,7 +239,7 @@
         exited.runningAtExit().add(request);
         return exited.state() == BackendState.DRAINING
                 ? Optional.empty()
-                : Optional.of(quarantine.onCrashed(request, exited.incarnation(), knownCrashes));
+                : Optional.of(quarantine.onCrashed(request, exited.incarnation().text(), knownCrashes));
     }
 
     private void onBackendChanged() {
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -260,7 +260,15 @@
         if (finished) {
             return;
         }
-        owner.log().write(Event.RUN_FAILED, "id", call.id(), "incarnation", backend.incarnation(), "cause", cause);
+        owner.log()
+                .write(
+                        Event.RUN_FAILED,
+                        "id",
+                        call.id(),
+                        "incarnation",
+                        backend.incarnation().text(),
+                        "cause",
+                        cause);
         backend.exitDetector().check(exited -> {});
         refuse(Refusal.Reason.UNREACHABLE, false);
     }
@@ -287,7 +295,7 @@
         connectionIdleNanos = acquired.servedRequests() == 0 ? 0 : now - acquired.idleSince();
         HttpHeaders headers = Headers.copy(call.headers());
         headers.set(headerNames.deadline(), remainingMillis);
-        headers.set(headerNames.targetIncarnation(), backend.incarnation());
+        headers.set(headerNames.targetIncarnation(), backend.incarnation().id());
         headers.set(headerNames.callerService(), call.callerService());
         if (call.organisation().isPresent()) {
             headers.set(headerNames.organisation(), call.organisation().name());
@@ -404,7 +412,7 @@
                         "id",
                         call.id(),
                         "incarnation",
-                        backend.incarnation(),
+                        backend.incarnation().text(),
                         "cause",
                         loss.cause(),
                         "afterMs",
--- a/org.berylwick.node/src/org/berylwick/node/call/StartupEvidence.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/StartupEvidence.java
@@ -1,6 +1,7 @@
 package org.berylwick.node.call;
 
 import org.berylwick.node.lib.BackendReport;
+import org.berylwick.node.lib.Incarnation;
 
 /**
  * Collects, while the departures that earlier processes of this node recorded are unknown, what shows that an
@@ -11,27 +12,27 @@
  * check may be answered falsely, and other nodes may have missed the leave; both together are enough.
  */
 final class StartupEvidence {
-    private static final String NONE = "";
+    private static final Incarnation NONE = Incarnation.of("");
 
     private final long minHeartbeatGapNanos;
-    private String heartbeatIncarnation = NONE;
+    private Incarnation heartbeatIncarnation = NONE;
     private long heartbeatSequence;
     private long heartbeatAt;
-    private String sendingHeartbeats = NONE;
-    private String healthy = NONE;
-    private String formerlyReady = NONE;
+    private Incarnation sendingHeartbeats = NONE;
+    private String healthyId = NONE.id();
+    private Incarnation formerlyReady = NONE;
 
     /** @param minHeartbeatGapNanos least time between two heartbeats that were not held up */
     StartupEvidence(long minHeartbeatGapNanos) {
         this.minHeartbeatGapNanos = minHeartbeatGapNanos;
     }
 
-    void onHealthy(String incarnation) {
-        healthy = incarnation;
+    void onHealthy(Incarnation incarnation) {
+        healthyId = incarnation.id();
     }
 
     /** Another node heard from an earlier process of this node that the incarnation was ready. */
-    void onFormerlyReady(String incarnation) {
+    void onFormerlyReady(Incarnation incarnation) {
         formerlyReady = incarnation;
     }
 
@@ -45,8 +46,14 @@
         }
     }
 
-    boolean isEnoughFor(String incarnation) {
+    boolean isEnoughFor(Incarnation incarnation) {
         return incarnation.equals(sendingHeartbeats)
-                || (incarnation.equals(healthy) && incarnation.equals(formerlyReady));
+                || (incarnation.id().equals(healthyId) && isFormerlyReady(incarnation));
+    }
+
+    /** The answer of a health check does not state when the backend server started. */
+    private boolean isFormerlyReady(Incarnation incarnation) {
+        return incarnation.equals(formerlyReady)
+                || (!incarnation.hasBorn() && incarnation.id().equals(formerlyReady.id()));
     }
 }
--- a/org.berylwick.node/src/org/berylwick/node/lib/BackendReport.java
+++ b/org.berylwick.node/src/org/berylwick/node/lib/BackendReport.java
@@ -5,7 +5,7 @@
 /**
  * The decoded heartbeat or health status of a backend server.
  *
- * @param incarnation id of this backend server process; changes on each restart
+ * @param incarnation the start of the backend server that it comes from
  * @param service name of the service that the backend server provides
  * @param address address on which it accepts requests
  * @param zone its availability zone
@@ -16,7 +16,7 @@
  * @param softwareVersion version of its software, empty if it is unknown
  */
 public record BackendReport(
-        String incarnation,
+        Incarnation incarnation,
         String service,
         InetSocketAddress address,
         String zone,
@@ -25,7 +25,7 @@
         long sequence,
         long warmUpNanos,
         String softwareVersion) {
-    /** Creates the report of a backend server whose version is unknown. */
+    /** Creates the report of a backend server that states neither its start nor its version. */
     public BackendReport(
             String incarnation,
             String service,
@@ -35,6 +35,6 @@
             BackendState state,
             long sequence,
             long warmUpNanos) {
-        this(incarnation, service, address, zone, slots, state, sequence, warmUpNanos, "");
+        this(Incarnation.of(incarnation), service, address, zone, slots, state, sequence, warmUpNanos, "");
     }
 }
--- a/org.berylwick.node/src/org/berylwick/node/member/HeartbeatProtocol.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/HeartbeatProtocol.java
@@ -9,8 +9,8 @@
         /** A heartbeat with the state of the backend server. */
         record Report(BackendReport report) implements DecodeResult {}
 
-        /** The backend server deregisters; this incarnation will not return. */
-        record Leave(String incarnation) implements DecodeResult {}
+        /** The backend server of an id deregisters; the start of it that runs now will not return. */
+        record Leave(String id) implements DecodeResult {}
 
         /** The call could not be decoded. */
         record Malformed(String reason) implements DecodeResult {}
--- a/org.berylwick.test/tst/org/berylwick/node/PlainTextHeartbeats.java
+++ b/org.berylwick.test/tst/org/berylwick/node/PlainTextHeartbeats.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import org.berylwick.node.lib.BackendReport;
 import org.berylwick.node.lib.BackendState;
+import org.berylwick.node.lib.Incarnation;
 import org.berylwick.node.member.HeartbeatProtocol;
 
 /** Heartbeats with a body of the form {@code PORT SEQUENCE STATE SLOTS SERVICE [VERSION]}. */
@@ -16,7 +17,7 @@
         }
         String[] fields = new String(body, StandardCharsets.US_ASCII).split(" ");
         return new DecodeResult.Report(new BackendReport(
-                incarnation,
+                Incarnation.of(incarnation),
                 fields[4],
                 new InetSocketAddress("127.0.0.1", Integer.parseInt(fields[0])),
                 "zone-a",
--- a/org.berylwick.test/tst/org/berylwick/node/call/OwnerLeaveTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerLeaveTest.java
@@ -104,7 +104,8 @@
         owner.onHealthy(OwnerRig.report("i-2", -1, BackendState.READY, 2));
         report("i-1", 40, BackendState.READY);
         report("i-2", 3, BackendState.READY);
-        assertTrue(owner.backend().filter(b -> b.incarnation().equals("i-2")).isPresent());
+        assertTrue(
+                owner.backend().filter(b -> b.incarnation().id().equals("i-2")).isPresent());
         assertTrue(acceptsRequests());
     }
 
--- a/org.berylwick.test/tst/org/berylwick/node/rollout/RolloutFleet.java
+++ b/org.berylwick.test/tst/org/berylwick/node/rollout/RolloutFleet.java
@@ -18,6 +18,7 @@
 import org.berylwick.node.lib.BackendReport;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.HeaderNames;
+import org.berylwick.node.lib.Incarnation;
 import org.berylwick.node.lib.OrganisationTag;
 import org.berylwick.node.lib.OwnerLoad;
 import org.berylwick.node.lib.RequestClass;
@@ -159,7 +160,7 @@
         void startBackend(String softwareVersion) {
             version = softwareVersion;
             owner.onReport(new BackendReport(
-                    "i-" + number + "-" + softwareVersion,
+                    Incarnation.of("i-" + number + "-" + softwareVersion),
                     SERVICE,
                     new InetSocketAddress("127.0.0.1", 1),
                     "z",
@@ -195,7 +196,7 @@
                     true,
                     false,
                     SERVICE,
-                    owner.backend().get().incarnation(),
+                    owner.backend().get().incarnation().text(),
                     BackendState.READY,
                     0,
                     new OwnerLoad(0, 0, 8, USUAL_NANOS, 0, 0, 0, 0, 0),
--- a/org.berylwick.test/tst/org/berylwick/platform/InvalidPlatformInputTest.java
+++ b/org.berylwick.test/tst/org/berylwick/platform/InvalidPlatformInputTest.java
@@ -24,6 +24,7 @@
 import net.jqwik.api.Provide;
 import org.berylwick.node.lib.BackendReport;
 import org.berylwick.node.lib.BackendState;
+import org.berylwick.node.lib.Incarnation;
 import org.berylwick.node.member.HeartbeatProtocol.DecodeResult;
 import org.berylwick.node.member.NodeDirectory.ListResult;
 import org.berylwick.node.transport.BufferedHttpServer;
@@ -61,6 +62,14 @@
                 HEARTBEAT.replace("10.0.0.1:5", "backend.example:5"),
                 HEARTBEAT.replace("10.0.0.1:5", "10.0.0.1:99999"),
                 HEARTBEAT.replace("\"address\":\"10.0.0.1:5\"", "\"address\":5"),
+                withBorn("-1"),
+                withBorn("1.7e12"),
+                withBorn("1700000000000.5"),
+                withBorn("\"1700000000000\""),
+                withBorn("true"),
+                withBorn("{}"),
+                withBorn("99999999999999999"),
+                withBorn("99999999999999999999999"),
                 "[]",
                 "null",
                 "");
@@ -69,6 +78,27 @@
         }
     }
 
+    private static String withBorn(String born) {
+        return HEARTBEAT.replace("{\"address\"", "{\"born\":" + born + ",\"address\"");
+    }
+
+    /**
+     * Guards against starts under one id that can't be told apart, and against a value made up where none is stated.
+     */
+    @Test
+    void startIsReadWhereStated() {
+        assertEquals(new Incarnation("i-1", 1_700_000_000_000L), incarnationIn(withBorn("1700000000000")));
+        assertEquals(Incarnation.of("i-1"), incarnationIn(HEARTBEAT));
+        assertEquals(Incarnation.of("i-1"), incarnationIn(withBorn("null")));
+        assertEquals("i-1", incarnationIn(HEARTBEAT).text());
+    }
+
+    private static Incarnation incarnationIn(String body) {
+        return assertInstanceOf(DecodeResult.Report.class, decodeHeartbeat(body))
+                .report()
+                .incarnation();
+    }
+
     @Provide
     Arbitrary<byte[]> mutated() {
         byte[] original = HEARTBEAT.getBytes(StandardCharsets.UTF_8);
