Use the current speed that backend servers state

Cause: a backend server that a neighbour slows down for a fraction of a second kept its rank, since the mean service time follows about twenty responses. A fourth figure in the load header also kept a restarted node from reading the number of slots in a health answer.

The owner keeps the last figure and the mean of the figures, takes samples at usual speed, and scales expected times by the figure as it ages; outcomes carry it to entry nodes in a field that earlier versions disregard. Without figures nothing changes.

--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Deployment.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Deployment.java
@@ -87,6 +87,35 @@
                 62);
     }
 
+    /**
+     * Servers that differ in speed by 2.4 times, with short objectives, and one service that another calls.
+     *
+     * @param load 1 for half of all slots while no server is slowed down
+     */
+    public static Deployment unevenSpeeds(double load) {
+        double[] slowness = {0.7, 1.0, 1.7};
+        String[] names = {"a", "b", "c"};
+        List<Zone> zones = new ArrayList<>();
+        List<Server> servers = new ArrayList<>();
+        for (int z = 0; z < names.length; z++) {
+            zones.add(new Zone(names[z], 1.0 / names.length));
+            for (int i = 0; i < 8; i++) {
+                servers.add(new Server(names[z], "desk", 6, slowness[i % slowness.length]));
+            }
+            for (int i = 0; i < 4; i++) {
+                servers.add(new Server(names[z], "vault", 6, slowness[(z + i) % slowness.length]));
+            }
+        }
+        List<RequestKind> kinds = List.of(
+                RequestKind.read("lookup", "desk", 460 * load, new Work(90, 0.5, 0.01, 5), new Millis(260, 800))
+                        .calling("probe", 1, 0.7),
+                RequestKind.order("order", "desk", 150 * load, new Work(120, 0.5, 0.01, 3), new Millis(350, 1_000)),
+                RequestKind.read("urgent", "vault", 220 * load, new Work(110, 0.5, 0.01, 3), new Millis(300, 800))
+                        .as(RouteKind.IDEMPOTENT, 1, new Value(2, 0.6)),
+                RequestKind.probe("probe", "vault", 25));
+        return new Deployment(zones, servers, kinds, 0.9, 8, 0.2, 100);
+    }
+
     /**
      * Long objectives and large answers.
      *
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulateMeasurement.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulateMeasurement.java
@@ -51,10 +51,21 @@
                 new Scenario("chain.full", Deployment.chain(1), e -> e.run(CALM_SECONDS)),
                 new Scenario("chain.over", Deployment.chain(1.5), e -> e.run(CALM_SECONDS)),
                 new Scenario("chain.left", Deployment.chain(0.8), e -> left(e, "files", 3)),
+                new Scenario("uneven.calm", Deployment.unevenSpeeds(1), e -> waver(e, true)),
+                new Scenario("untold.calm", Deployment.unevenSpeeds(1), e -> waver(e, false)),
+                new Scenario("uneven.busy", Deployment.unevenSpeeds(1.25), e -> waver(e, true)),
+                new Scenario("untold.busy", Deployment.unevenSpeeds(1.25), e -> waver(e, false)),
+                new Scenario("uneven.full", Deployment.unevenSpeeds(1.5), e -> waver(e, true)),
+                new Scenario("untold.full", Deployment.unevenSpeeds(1.5), e -> waver(e, false)),
                 new Scenario("random.calm", Deployment.random(seed), e -> e.run(CALM_SECONDS)),
                 new Scenario("random.burst", Deployment.random(seed + 1), e -> burst(e, 1.7)));
     }
 
+    private static void waver(Emulation e, boolean stated) {
+        e.waver(stated);
+        e.run(CALM_SECONDS);
+    }
+
     private static void burst(Emulation e, double factor) {
         e.run(6);
         e.load(factor);
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedServer.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedServer.java
@@ -37,6 +37,8 @@
     private final Deployment.Server kind;
     private final Random random;
     private double slowness;
+    private Optional<EmulatedSpeed> speed = Optional.empty();
+    private boolean statesSpeed;
     private double shedShare;
     private double lostShare;
     private double limitPerSecond = Double.POSITIVE_INFINITY;
@@ -61,6 +63,21 @@
         slowness = kind.slowness() * factor;
     }
 
+    /**
+     * Is slowed down for fractions of a second from now on.
+     *
+     * @param stated whether it states its speed in each answer
+     */
+    void waver(boolean stated) {
+        speed = Optional.of(new EmulatedSpeed(emulation.clock().now(), new Random(random.nextLong())));
+        statesSpeed = stated;
+    }
+
+    private long nanosOf(long work) {
+        long usual = (long) (work * slowness);
+        return speed.map(s -> s.nanosOf(usual, emulation.clock().now())).orElse(usual);
+    }
+
     /** Turns away a part of what it gets from now on, and says so. */
     void shed(double share) {
         shedShare = share;
@@ -167,7 +184,7 @@
                 end = Optional.of(emulation.clock().after(CRASH_AFTER_NANOS, EmulatedServer.this::crash));
                 return;
             }
-            long took = (long) (asked.workNanos() * slowness);
+            long took = nanosOf(asked.workNanos());
             long left = Long.parseLong(request.headers().get(Emulation.NAMES.deadline())) * 1_000_000L;
             if (took > left) {
                 end = Optional.of(emulation.clock().after(left, () -> answer(id, 504, 0, false)));
@@ -255,6 +272,11 @@
             if (!Double.isInfinite(limitPerSecond)) {
                 head.headers().set(Emulation.NAMES.requestLimit(), Double.toString(limitPerSecond));
             }
+            if (statesSpeed) {
+                double figure =
+                        100 * speed.orElseThrow().factorAt(emulation.clock().now());
+                head.headers().set(Emulation.NAMES.load(), running + ",0," + kind.slots() + "," + Math.round(figure));
+            }
             if (notRun) {
                 head.headers().set(Emulation.NAMES.notExecuted(), "1");
             }
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Emulation.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Emulation.java
@@ -127,6 +127,15 @@
         of(service).stream().limit(count).forEach(n -> n.server().slowDown(factor));
     }
 
+    /**
+     * From now on all backend servers are slowed down for fractions of a second.
+     *
+     * @param stated whether they state their speed
+     */
+    public void waver(boolean stated) {
+        nodes.forEach(n -> n.server().waver(stated));
+    }
+
     /** From now on some backend servers of a service state how many requests a second they take. */
     public void limit(String service, int count, double perSecond) {
         of(service).stream().limit(count).forEach(n -> n.server().limit(perSecond));
--- a/org.berylwick.node/src/org/berylwick/node/NodeGauges.java
+++ b/org.berylwick.node/src/org/berylwick/node/NodeGauges.java
@@ -36,6 +36,8 @@
         counters.registerGauge(
                 NodeMetricNames.OWNER_START_INTERVAL_US, () -> owner.load().startIntervalNanos() / 1_000);
         counters.registerGauge(NodeMetricNames.OWNER_MEAN_US, () -> owner.load().meanNanos() / 1_000);
+        counters.registerGauge(
+                NodeMetricNames.OWNER_SLOWDOWN_PERCENT, () -> owner.load().slowdownPercent());
         counters.registerGauge(
                 NodeMetricNames.VERSION_IN_FORCE,
                 () -> versionUpdater.version().map(v -> v.number()).orElse(0L));
--- a/org.berylwick.node/src/org/berylwick/node/call/Backend.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Backend.java
@@ -24,7 +24,8 @@
     private Incarnation incarnation;
     private final String service;
     private final ServerConnectionPool pool;
-    private final ServiceTimeEstimator serviceTimeEstimator = new ServiceTimeEstimator();
+    private final CurrentSpeed speed = new CurrentSpeed();
+    private final ServiceTimeEstimator serviceTimeEstimator = new ServiceTimeEstimator(speed);
     private final LossRate lossRate = new LossRate();
     private final ExitDetector exitDetector;
     /** Requests that were running when this incarnation ended. */
@@ -172,6 +173,10 @@
         lastResponseAt = now;
     }
 
+    CurrentSpeed speed() {
+        return speed;
+    }
+
     ServiceTimeEstimator serviceTimeEstimator() {
         return serviceTimeEstimator;
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/BackendProbe.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/BackendProbe.java
@@ -113,7 +113,8 @@
             return Optional.empty();
         }
         String incarnation = response.headers().get(headerNames.incarnation(), "");
-        int slots = parseSlots(response.headers().get(headerNames.load(), ""));
+        String load = response.headers().get(headerNames.load());
+        int slots = BackendLoadHeader.slots(load);
         boolean leaving = BackendStatements.isLeaving(response.headers(), headerNames);
         if (incarnation.isBlank() || slots < 1 || leaving) {
             return Optional.empty();
@@ -128,17 +129,4 @@
                 SEQUENCE_BEFORE_FIRST_REPORT,
                 0));
     }
-
-    /** The third field of the load header (running, waiting, slots), 0 if the header is absent or malformed. */
-    private static int parseSlots(String load) {
-        String[] fields = load.split(",");
-        if (fields.length != 3) {
-            return 0;
-        }
-        try {
-            return Integer.parseInt(fields[2].strip());
-        } catch (NumberFormatException e) {
-            return 0;
-        }
-    }
 }
--- a/org.berylwick.node/src/org/berylwick/node/call/BackendStatements.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/BackendStatements.java
@@ -8,8 +8,8 @@
 import org.berylwick.node.log.EventLog;
 
 /**
- * Reads what a backend server states about itself in the heads of its responses: a limit on its requests, and that it
- * leaves. Confined to the event loop.
+ * Reads what a backend server states about itself in the heads of its responses: a limit on its requests, its current
+ * speed, and that it leaves. Confined to the event loop.
  */
 final class BackendStatements {
     /** Value of the header with which a backend server states that it is about to stop. */
@@ -45,6 +45,8 @@
         if (isLeaving(headers, headerNames)) {
             onLeaving.accept(responder);
         }
+        BackendLoadHeader.slowdown(headers.get(headerNames.load()))
+                .ifPresent(factor -> responder.speed().onFigure(factor, clock.now()));
         RequestLimit stated = RequestLimit.parse(headers.getAll(headerNames.requestLimit()));
         if (stated instanceof RequestLimit.Invalid invalid) {
             log.write(
--- a/org.berylwick.node/src/org/berylwick/node/call/Candidate.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Candidate.java
@@ -20,6 +20,7 @@
  * @param link load of the network link of its VM
  * @param distance network distance to the node
  * @param neverUsed whether this node has not sent it a request since its backend server joined
+ * @param slowdown how long work takes there at this moment, relative to its service times
  * @param suspect whether calls to it failed recently, or it has been silent for too long
  */
 public record Candidate(
@@ -32,7 +33,34 @@
         LinkLoad link,
         Distance distance,
         boolean neverUsed,
+        Slowdown slowdown,
         boolean suspect) {
+    /** Creates a candidate whose backend server does not state its current speed. */
+    Candidate(
+            Optional<Member> member,
+            OwnerLoad load,
+            List<ServiceTimeDistribution> serviceTimes,
+            int pendingRequests,
+            long limitWaitNanos,
+            long warmUpNanos,
+            LinkLoad link,
+            Distance distance,
+            boolean neverUsed,
+            boolean suspect) {
+        this(
+                member,
+                load,
+                serviceTimes,
+                pendingRequests,
+                limitWaitNanos,
+                warmUpNanos,
+                link,
+                distance,
+                neverUsed,
+                Slowdown.NONE,
+                suspect);
+    }
+
     /** Key of the local node. */
     public static final String SELF_KEY = "";
 
@@ -69,7 +97,7 @@
 
     /** Returns how long one more request would wait there for a slot and the limit. */
     public long waitNanos() {
-        return Math.max(limitWaitNanos, load.waitNanos(pendingRequests));
+        return Math.max(limitWaitNanos, slowdown.expectedNanos(load.waitNanos(pendingRequests)));
     }
 
     /** Returns the IP address of the VM, or {@link #SELF_KEY} for the local node. */
--- a/org.berylwick.node/src/org/berylwick/node/call/CandidateChooser.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CandidateChooser.java
@@ -193,7 +193,8 @@
     /** Returns the expected cost of a late or missing response after the given wait. */
     private static double latenessCost(
             Candidate candidate, RequestProfile profile, double averageMeanNanos, long waitNanos) {
-        ServiceTimeDistribution serviceTime = serviceTimeOf(candidate, profile, averageMeanNanos);
+        ServiceTimeDistribution serviceTime =
+                atCurrentSpeed(serviceTimeOf(candidate, profile, averageMeanNanos), candidate.slowdown(), waitNanos);
         long delayNanos = waitNanos + transferNanos(candidate, profile);
         double lateProbability = serviceTime.probabilityOfExceeding(profile.objectiveRemainingNanos() - delayNanos);
         double missedProbability = serviceTime.probabilityOfExceeding(profile.deadlineRemainingNanos() - delayNanos);
@@ -202,6 +203,16 @@
         return LATE_COST * lateProbability + (1 - LATE_COST) * missedProbability + ELAPSED_TIME_COST * elapsedFraction;
     }
 
+    /** Returns the service time of a request that starts after a wait. */
+    private static ServiceTimeDistribution atCurrentSpeed(
+            ServiceTimeDistribution usual, Slowdown slowdown, long waitNanos) {
+        if (slowdown.factor() == 1 || usual.medianNanos() == 0) {
+            return usual;
+        }
+        long nanos = slowdown.after(waitNanos).expectedNanos(usual.medianNanos());
+        return usual.scaledBy((double) nanos / usual.medianNanos());
+    }
+
     /**
      * Returns the measured service time of the request class at a candidate, or else an estimate from the speed of its
      * backend server relative to the average.
--- a/org.berylwick.node/src/org/berylwick/node/call/CandidateSampler.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CandidateSampler.java
@@ -147,6 +147,7 @@
                 LinkLoad.NONE,
                 Candidate.Distance.SELF,
                 false,
+                Slowdown.ofPercent(load.slowdownPercent()),
                 false);
     }
 
@@ -161,6 +162,7 @@
                 member.linkLoad(now),
                 distance(member),
                 member.isIncarnationUnused(),
+                Slowdown.ofPercent(member.slowdownPercent()).after(member.slowdownAgeNanos(now)),
                 isSuspect(member, now));
     }
 
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -132,7 +132,10 @@
                         link.incoming().busyNanos(),
                         link.outgoing().busyNanos(),
                         server.startLimiter().intervalNanos(),
-                        server.startLimiter().waitNanos(queuedCount(), now)))
+                        server.startLimiter().waitNanos(queuedCount(), now),
+                        server.speed().isStated()
+                                ? server.speed().slowdownAt(now).percent()
+                                : 0))
                 .orElse(OwnerLoad.NONE);
     }
 
@@ -343,7 +346,7 @@
             return Optional.of(Refusal.Reason.QUARANTINED);
         }
         Backend server = registry.current().orElseThrow();
-        run.setServiceTime(server.serviceTimeEstimator().distribution(call));
+        run.setServiceTime(server.serviceTimeEstimator().distribution(call), server.speed());
         long now = clock.now();
         if (!run.canMeetDeadline(now)) {
             return Optional.of(Refusal.Reason.EXPIRED);
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -68,6 +68,8 @@
     private Backend backend;
     private HeaderNames headerNames;
     private long sentAt;
+    private CurrentSpeed speed = new CurrentSpeed();
+    private double factorWhenSent;
     private long connectionIdleNanos;
     /** Crashes of the request in succession that were known when it was sent. */
     private int knownCrashes;
@@ -118,8 +120,14 @@
         return arrivalNumber;
     }
 
-    /** Sets the expected service time of the request. */
-    void setServiceTime(ServiceTimeDistribution time) {
+    /**
+     * Sets the expected service time of the request.
+     *
+     * @param time the service time at the mean speed of the backend server
+     * @param serverSpeed the speed of the backend server
+     */
+    void setServiceTime(ServiceTimeDistribution time, CurrentSpeed serverSpeed) {
+        speed = serverSpeed;
         meanServiceNanos = time.meanNanos();
         medianServiceNanos = time.medianNanos();
     }
@@ -172,11 +180,15 @@
         if (isCall) {
             return canMeetDeadline(now);
         }
-        return now + medianServiceNanos + responseTransferNanos <= call.objectiveAt();
+        return now + expectedServiceNanos(now) + responseTransferNanos <= call.objectiveAt();
     }
 
     boolean canMeetDeadline(long now) {
-        return now + medianServiceNanos + responseTransferNanos <= call.deadlineAt();
+        return now + expectedServiceNanos(now) + responseTransferNanos <= call.deadlineAt();
+    }
+
+    private long expectedServiceNanos(long startsAt) {
+        return speed.slowdownAt(startsAt).expectedNanos(medianServiceNanos);
     }
 
     /**
@@ -292,6 +304,7 @@
         }
         connection = acquired;
         sentAt = now;
+        factorWhenSent = backend.speed().factorAt(now);
         connectionIdleNanos = acquired.servedRequests() == 0 ? 0 : now - acquired.idleSince();
         HttpHeaders headers = Headers.copy(call.headers());
         headers.set(headerNames.deadline(), remainingMillis);
@@ -357,7 +370,8 @@
             return;
         }
         long now = clock.now();
-        backend.serviceTimeEstimator().addSample(call, now - sentAt);
+        double factor = (factorWhenSent + backend.speed().factorAt(now)) / 2;
+        backend.serviceTimeEstimator().addSample(call, now - sentAt, factor);
         owner.onRunEnded(backend, call, now - sentAt, failed);
         backend.onResponse(now);
         owner.quarantine().onCompleted(call.uri(), call::fingerprint);
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerWaits.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerWaits.java
@@ -55,8 +55,9 @@
     private long untilStartNanos(int queuedAhead, Backend server) {
         OwnerLoad speed = new OwnerLoad(
                 0, 0, server.slots(), server.serviceTimeEstimator().meanNanos());
+        Slowdown slowdown = server.speed().slowdownAt(clock.now());
         return Math.max(
-                speed.waitNanos(runningCount.getAsInt() + queuedAhead),
+                slowdown.expectedNanos(speed.waitNanos(runningCount.getAsInt() + queuedAhead)),
                 server.startLimiter().waitNanos(queuedAhead, clock.now()));
     }
 }
--- a/org.berylwick.node/src/org/berylwick/node/call/PeerCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerCodec.java
@@ -121,8 +121,17 @@
                 text.substring(separator + 1), Integer.parseInt(text.substring(0, Math.max(0, separator))));
     }
 
+    /** The second field is empty, or the slowdown of the backend server, which earlier versions of nodes disregard. */
     static String encodeAnswered(OwnerLoad load) {
-        return ANSWERED + ";;false" + encodeLoad(load);
+        return ANSWERED
+                + ';'
+                + (load.slowdownPercent() == 0 ? "" : load.slowdownPercent())
+                + ";false"
+                + encodeLoad(load);
+    }
+
+    private static int decodeSlowdown(String text) {
+        return text.isEmpty() ? 0 : Math.max(0, Integer.parseInt(text));
     }
 
     static String encodeRefused(Refusal refusal) {
@@ -176,7 +185,7 @@
                     limited ? Long.parseLong(fields[10]) * 1_000_000 : 0,
                     limited ? Long.parseLong(fields[11]) * 1_000_000 : 0);
             return switch (fields[0]) {
-                case ANSWERED -> Optional.of(new Outcome.Answered(load));
+                case ANSWERED -> Optional.of(new Outcome.Answered(load.withSlowdown(decodeSlowdown(fields[1]))));
                 case REFUSED ->
                     Optional.of(new Outcome.Refused(
                             new Refusal(Refusal.Reason.fromName(fields[1]), Boolean.parseBoolean(fields[2]), load)));
--- a/org.berylwick.node/src/org/berylwick/node/call/ServiceTimeEstimator.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/ServiceTimeEstimator.java
@@ -8,7 +8,11 @@
 import org.berylwick.node.lib.RequestClass;
 import org.berylwick.node.lib.ServiceTimeDistribution;
 
-/** Estimates the service times of a backend server by request class from its responses. Confined to the event loop. */
+/**
+ * Estimates the service times of a backend server by request class from its responses. Confined to the event loop.
+ *
+ * <p>Samples are taken at the speed that the backend server calls usual, and estimates given at its mean speed.
+ */
 final class ServiceTimeEstimator {
     /**
      * Weight of a new response in the means, which reflect about the last twenty responses. With ten, a heavy tail made
@@ -26,10 +30,15 @@
     /** Maximum number of request classes whose service times are sent to other nodes; a service has fewer. */
     private static final int MAX_PUBLISHED_CLASSES = 8;
 
+    private final CurrentSpeed speed;
     private final Map<RequestClass, ClassEstimate> byClass = new HashMap<>();
     private double overallMeanNanos;
     private int responses;
 
+    ServiceTimeEstimator(CurrentSpeed speed) {
+        this.speed = speed;
+    }
+
     private static final class ClassEstimate {
         private final RequestClass requestClass;
         private double logMean;
@@ -58,7 +67,15 @@
         }
     }
 
-    void addSample(CallSpec call, long nanos) {
+    /**
+     * Adds the service time of a request.
+     *
+     * @param call the request
+     * @param elapsedNanos time that it took
+     * @param factor how many times as long as usual work took meanwhile
+     */
+    void addSample(CallSpec call, long elapsedNanos, double factor) {
+        long nanos = (long) (elapsedNanos / factor);
         byClass.computeIfAbsent(call.requestClass(), ClassEstimate::new).addSample(nanos);
         responses++;
         overallMeanNanos += Math.max(MEAN_SMOOTHING_FACTOR, 1.0 / responses) * (nanos - overallMeanNanos);
@@ -69,7 +86,7 @@
         ClassEstimate estimate = byClass.get(call.requestClass());
         return estimate == null
                 ? ServiceTimeDistribution.fromMean(call.requestClass(), defaultNanos(call.requestClass()))
-                : estimate.distribution();
+                : estimate.distribution().scaledBy(speed.meanFactor());
     }
 
     /**
@@ -81,7 +98,9 @@
         List<ServiceTimeDistribution> distributions = new ArrayList<>();
         for (ClassEstimate estimate : byClass.values()) {
             if (distributions.size() < MAX_PUBLISHED_CLASSES) {
-                distributions.add(estimate.distribution().ofCalls(areCalls.test(estimate.requestClass)));
+                distributions.add(estimate.distribution()
+                        .scaledBy(speed.meanFactor())
+                        .ofCalls(areCalls.test(estimate.requestClass)));
             }
         }
         return distributions;
@@ -93,7 +112,7 @@
      */
     private long defaultNanos(RequestClass requestClass) {
         if (responses > 0) {
-            return (long) overallMeanNanos;
+            return meanNanos();
         }
         return requestClass.objectiveMillis() == 0
                 ? DEFAULT_NANOS
@@ -102,6 +121,6 @@
 
     /** Returns the mean service time of all requests, 0 before the first response. */
     long meanNanos() {
-        return (long) overallMeanNanos;
+        return (long) (overallMeanNanos * speed.meanFactor());
     }
 }
--- a/org.berylwick.node/src/org/berylwick/node/lib/OwnerLoad.java
+++ b/org.berylwick.node/src/org/berylwick/node/lib/OwnerLoad.java
@@ -14,6 +14,7 @@
  * @param startIntervalNanos minimum time between two requests that are sent to the backend server, 0 if it states no
  *     limit on their rate
  * @param limitWaitNanos time until one more request, queued after all others, may be sent by that limit
+ * @param slowdownPercent how long work takes there at this moment, in per cent of the mean, 0 if that is not known
  */
 public record OwnerLoad(
         int running,
@@ -24,13 +25,38 @@
         long incomingLinkBusyNanos,
         long outgoingLinkBusyNanos,
         long startIntervalNanos,
-        long limitWaitNanos) {
+        long limitWaitNanos,
+        int slowdownPercent) {
     /** Load of a backend server of which nothing is known yet. */
-    public static final OwnerLoad NONE = new OwnerLoad(0, 0, 0, 0, 0, 0, 0, 0, 0);
+    public static final OwnerLoad NONE = new OwnerLoad(0, 0, 0, 0, 0, 0, 0, 0, 0, 0);
 
     /** Creates the load of a backend server that loses no requests, states no limit, and whose link is idle. */
     public OwnerLoad(int running, int queued, int slots, long meanNanos) {
-        this(running, queued, slots, meanNanos, 0, 0, 0, 0, 0);
+        this(running, queued, slots, meanNanos, 0, 0, 0, 0, 0, 0);
+    }
+
+    /** Creates the load of a backend server that does not state its current speed. */
+    public OwnerLoad(
+            int running,
+            int queued,
+            int slots,
+            long meanNanos,
+            int lostPerMille,
+            long incomingLinkBusyNanos,
+            long outgoingLinkBusyNanos,
+            long startIntervalNanos,
+            long limitWaitNanos) {
+        this(
+                running,
+                queued,
+                slots,
+                meanNanos,
+                lostPerMille,
+                incomingLinkBusyNanos,
+                outgoingLinkBusyNanos,
+                startIntervalNanos,
+                limitWaitNanos,
+                0);
     }
 
     /** Returns this load with the limit that the backend server states. */
@@ -44,7 +70,23 @@
                 incomingLinkBusyNanos,
                 outgoingLinkBusyNanos,
                 intervalNanos,
-                waitNanos);
+                waitNanos,
+                slowdownPercent);
+    }
+
+    /** Returns this load with the current speed of the backend server. */
+    public OwnerLoad withSlowdown(int percent) {
+        return new OwnerLoad(
+                running,
+                queued,
+                slots,
+                meanNanos,
+                lostPerMille,
+                incomingLinkBusyNanos,
+                outgoingLinkBusyNanos,
+                startIntervalNanos,
+                limitWaitNanos,
+                percent);
     }
 
     /** Returns how long one more request would wait for a slot and the limit. */
--- a/org.berylwick.node/src/org/berylwick/node/lib/ServiceTimeDistribution.java
+++ b/org.berylwick.node/src/org/berylwick/node/lib/ServiceTimeDistribution.java
@@ -56,6 +56,8 @@
 
     /** Returns the distribution of a backend server that is slower by the given factor. */
     public ServiceTimeDistribution scaledBy(double factor) {
-        return new ServiceTimeDistribution(requestClass, (long) (medianNanos * factor), logStdDev, calls);
+        return factor == 1
+                ? this
+                : new ServiceTimeDistribution(requestClass, (long) (medianNanos * factor), logStdDev, calls);
     }
 }
--- a/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
@@ -74,6 +74,8 @@
     public static final String OWNER_SLOTS = "owner.slots";
     /** Mean time that the local backend server takes to answer. */
     public static final String OWNER_MEAN_US = "owner.mean_us";
+    /** How long work takes at the local backend server now, in per cent of the mean, 0 if it does not state that. */
+    public static final String OWNER_SLOWDOWN_PERCENT = "owner.slowdown_percent";
     /** Connections opened to the local backend server since it registered. */
     public static final String OWNER_CONNECTIONS_OPENED = "owner.connections.opened";
     /** Times that the process of the local backend server was found to have ended. */
--- a/org.berylwick.node/src/org/berylwick/node/member/Member.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/Member.java
@@ -44,6 +44,11 @@
     /** When all large responses that the node is known to produce will have been sent over its VM's link. */
     private long outgoingLinkFreeAt;
 
+    /** How long work takes there, in per cent of the mean, as last stated, and when that was received. */
+    private int slowdownPercent;
+
+    private long slowdownReceivedAt;
+
     /** When the limit that the backend server states is expected to allow one more request. */
     private long limitAllowsAt;
 
@@ -143,6 +148,10 @@
         incomingLinkFreeAt = now + received.incomingLinkBusyNanos();
         outgoingLinkFreeAt = now + received.outgoingLinkBusyNanos();
         limitAllowsAt = now + received.limitWaitNanos();
+        if (received.slowdownPercent() > 0) {
+            slowdownPercent = received.slowdownPercent();
+            slowdownReceivedAt = now;
+        }
     }
 
     /**
@@ -153,6 +162,16 @@
         return load.startIntervalNanos() == 0 ? 0 : Math.max(0, limitAllowsAt - now);
     }
 
+    /** How long work takes at its backend server, in per cent of the mean, as last stated; 0 if it never was. */
+    public int slowdownPercent() {
+        return slowdownPercent;
+    }
+
+    /** Age of {@link #slowdownPercent()}. */
+    public long slowdownAgeNanos(long now) {
+        return now - slowdownReceivedAt;
+    }
+
     /**
      * Estimates the load of the network link of the node's VM from the latest load that was received, and the requests
      * that this node has sent since.
