Rank servers that state their speed by the time until completion

Cause: the cost of a candidate is the probability of being late, which hardly differs while all are in time; fast servers stayed idle until queues had formed at those slowed down.

--- a/org.berylwick.node/src/org/berylwick/node/call/CandidateChooser.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CandidateChooser.java
@@ -14,6 +14,10 @@
  * exceeds its latency objective or its deadline, given the service time distribution of the backend server; the
  * probability that it is lost; and the bytes transferred between zones. It uses probabilities rather than mean times,
  * since a mean hides the tail that misses the objective.
+ *
+ * <p>Where backend servers state their current speed, candidates are ranked by the time until completion instead. It
+ * differs even where all would be in time, so that requests move to the servers that are fast at this moment before
+ * queues form at the others.
  */
 public final class CandidateChooser {
     /** Cost of a response after the latency objective, relative to the cost of no response. */
@@ -54,6 +58,9 @@
      */
     private static final double REFUSAL_COST = 0.65;
 
+    /** Upper bound of the cost of the time until completion; lower than that of a refusal. */
+    private static final double MAX_COMPLETION_COST = REFUSAL_COST - 0.01;
+
     private static final int BISECTION_STEPS = 6;
 
     private final DoubleSupplier random;
@@ -81,6 +88,7 @@
     Optional<Choice> choose(List<Candidate> candidates, RequestProfile profile) {
         double averageMeanNanos = averageMeanNanos(candidates);
         double refusalCost = 1 - (1 - REFUSAL_COST) * profile.callerRetryProbability();
+        boolean bySpeed = anyStatesSpeed(candidates);
         Candidate best = null;
         double bestCost = Double.MAX_VALUE;
         double secondBestCost = Double.MAX_VALUE;
@@ -91,8 +99,8 @@
             if (waitNanos > 0 && (waitNanos > profile.maxWaitNanos() || !better)) {
                 continue;
             }
-            double cost =
-                    timeIndependentCost(candidate, profile) + latenessCost + random.getAsDouble() * MAX_COST_JITTER;
+            double timeCost = bySpeed ? completionCost(candidate, profile, averageMeanNanos, waitNanos) : latenessCost;
+            double cost = timeIndependentCost(candidate, profile) + timeCost + random.getAsDouble() * MAX_COST_JITTER;
             if (cost < bestCost) {
                 secondBestCost = bestCost;
                 bestCost = cost;
@@ -105,14 +113,31 @@
             return Optional.empty();
         }
         long waitNanos = expectedWaitNanos(best, profile, averageMeanNanos);
-        double bestLatenessCost = latenessCost(best, profile, averageMeanNanos, waitNanos);
+        TimeCost timeCost = bySpeed
+                ? (c, nanos) -> Math.min(MAX_COMPLETION_COST, completionCost(c, profile, averageMeanNanos, nanos))
+                : (c, nanos) -> latenessCost(c, profile, averageMeanNanos, nanos);
+        double bestTimeCost = timeCost.of(best, waitNanos);
         double costMargin = profile.finalAttempt()
-                ? refusalCost - bestLatenessCost
-                : Math.min(refusalCost - bestLatenessCost, secondBestCost - bestCost);
+                ? refusalCost - bestTimeCost
+                : Math.min(refusalCost - bestTimeCost, secondBestCost - bestCost);
         return Optional.of(new Choice(
                 best,
                 longestAcceptableWaitNanos(
-                        best, profile, averageMeanNanos, waitNanos, bestLatenessCost + Math.max(0, costMargin))));
+                        best, profile, timeCost, waitNanos, bestTimeCost + Math.max(0, costMargin))));
+    }
+
+    /** The part of the cost that depends on the wait. */
+    private interface TimeCost {
+        double of(Candidate candidate, long waitNanos);
+    }
+
+    private static boolean anyStatesSpeed(List<Candidate> candidates) {
+        for (Candidate candidate : candidates) {
+            if (candidate.slowdown().stated()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /**
@@ -138,16 +163,16 @@
     }
 
     /**
-     * Returns the longest wait with which the lateness cost stays within a limit, found by bisection, plus the
-     * tolerance for stale load data.
+     * Returns the longest wait with which the cost of time stays within a limit, found by bisection, plus the tolerance
+     * for stale load data.
      */
     private static long longestAcceptableWaitNanos(
-            Candidate candidate, RequestProfile profile, double averageMeanNanos, long minWaitNanos, double maxCost) {
+            Candidate candidate, RequestProfile profile, TimeCost timeCost, long minWaitNanos, double maxCost) {
         long lowNanos = minWaitNanos;
         long highNanos = Math.max(minWaitNanos, profile.deadlineRemainingNanos());
         for (int i = 0; i < BISECTION_STEPS; i++) {
             long middleNanos = lowNanos + (highNanos - lowNanos) / 2;
-            if (latenessCost(candidate, profile, averageMeanNanos, middleNanos) <= maxCost) {
+            if (timeCost.of(candidate, middleNanos) <= maxCost) {
                 lowNanos = middleNanos;
             } else {
                 highNanos = middleNanos;
@@ -203,6 +228,15 @@
         return LATE_COST * lateProbability + (1 - LATE_COST) * missedProbability + ELAPSED_TIME_COST * elapsedFraction;
     }
 
+    /** Returns the expected time until completion, as a fraction of the time until the deadline. */
+    private static double completionCost(
+            Candidate candidate, RequestProfile profile, double averageMeanNanos, long waitNanos) {
+        ServiceTimeDistribution serviceTime =
+                atCurrentSpeed(serviceTimeOf(candidate, profile, averageMeanNanos), candidate.slowdown(), waitNanos);
+        double nanos = waitNanos + transferNanos(candidate, profile) + serviceTime.meanNanos();
+        return Math.min(1, nanos / Math.max(1, profile.deadlineRemainingNanos()));
+    }
+
     /** Returns the service time of a request that starts after a wait. */
     private static ServiceTimeDistribution atCurrentSpeed(
             ServiceTimeDistribution usual, Slowdown slowdown, long waitNanos) {
--- a/org.berylwick.node/src/org/berylwick/node/call/CurrentSpeed.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CurrentSpeed.java
@@ -40,7 +40,7 @@
 
     /** Returns how many times as long as in the mean work takes at a time. */
     Slowdown slowdownAt(long time) {
-        return stated ? new Slowdown(latestFactor / meanFactor).after(time - latestAt) : Slowdown.NONE;
+        return stated ? new Slowdown(latestFactor / meanFactor, true).after(time - latestAt) : Slowdown.NONE;
     }
 
     /** Returns how many times as long as the backend server calls usual work takes at a time. */
