Keep the speed that a health answer states; share the speed of servers that state none

Cause: each run allocated a speed of its own although few need one, and the figure of a health answer was dropped. RestartTest now answers health checks with four figures, LeaveTest with three as before.

--- a/org.berylwick.node/src/org/berylwick/node/call/BackendProbe.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/BackendProbe.java
@@ -103,11 +103,20 @@
                 result instanceof BufferedHttpCall.Result.Completed response ? response.status() : 0);
         if (report.isPresent() && owner.backend().isEmpty()) {
             owner.onHealthy(report.get());
+            keepSpeed(report.get(), (BufferedHttpCall.Result.Completed) result);
             return;
         }
         loop.schedule(() -> sendProbe(path), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private void keepSpeed(BackendReport report, BufferedHttpCall.Result.Completed response) {
+        owner.backend()
+                .filter(server -> server.incarnation().equals(report.incarnation()))
+                .ifPresent(server -> BackendLoadHeader.slowdown(
+                                response.headers().get(headerNames.load()))
+                        .ifPresent(factor -> server.speed().onFigure(factor, System.nanoTime())));
+    }
+
     private Optional<BackendReport> parseReport(BufferedHttpCall.Result result) {
         if (!(result instanceof BufferedHttpCall.Result.Completed response) || response.status() != 200) {
             return Optional.empty();
--- a/org.berylwick.node/src/org/berylwick/node/call/CurrentSpeed.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CurrentSpeed.java
@@ -5,6 +5,9 @@
  * event loop. Without figures, it is as usual.
  */
 final class CurrentSpeed {
+    /** The speed of a backend server that has stated no figure; never changed. */
+    static final CurrentSpeed NOT_STATED = new CurrentSpeed();
+
     /** Weight of the past in the mean of the figures; long compared with what slows a server down for a moment. */
     private static final double MEAN_DECAY_NANOS = 5e9;
 
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -68,7 +68,7 @@
     private Backend backend;
     private HeaderNames headerNames;
     private long sentAt;
-    private CurrentSpeed speed = new CurrentSpeed();
+    private CurrentSpeed speed = CurrentSpeed.NOT_STATED;
     private double factorWhenSent;
     private long connectionIdleNanos;
     /** Crashes of the request in succession that were known when it was sent. */
--- a/org.berylwick.test/tst/org/berylwick/node/RestartTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/RestartTest.java
@@ -47,7 +47,7 @@
             return;
         }
         c.write("HTTP/1.1 " + status + " Health\r\nx-instance: " + incarnation
-                + "\r\nx-load: 1,0,3\r\nContent-Length: 0\r\n\r\n");
+                + "\r\nx-load: 1,0,3,250\r\nContent-Length: 0\r\n\r\n");
     }
 
     /**
