--- a/org.berylwick.test/tst/org/berylwick/node/LeaveTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/LeaveTest.java
@@ -114,6 +114,29 @@
         }
     }
 
+    /** Guards against a backend server that is refused for good because an earlier start under its id left. */
+    @Test
+    void laterStartUnderTheSameIdServesAfterALeaveAndARestartOfTheNode() {
+        try (RawServer server = startBackend(Evidence.FALSE_HEALTH);
+                NodeRig rig = new NodeRig()) {
+            rig.configuration.publish(version());
+            Node killed = rig.startWithoutReport(1, server);
+            rig.report(1, "caller-1", server, INCARNATION + "?born=1000", 30, BackendState.READY, 2);
+            rig.awaitReady(1);
+            assertTrue(call(rig, "before").endsWith("ok"), rig::logText);
+            rig.leave(1, INCARNATION);
+            kill(killed);
+            rig.startWithoutReport(1, server);
+            rig.awaitReady(1);
+            rig.report(1, "caller-1", server, INCARNATION + "?born=1000", 31, BackendState.READY, 2);
+            assertTrue(call(rig, "late").startsWith("HTTP/1.1 503"), rig::logText);
+            rig.report(1, "caller-1", server, INCARNATION + "?born=2000", 0, BackendState.READY, 2);
+            Await.until(
+                    "a response of the later start", () -> call(rig, "after").endsWith("ok"), rig::logText);
+            assertEquals(0, server.runs("late"), rig::logText);
+        }
+    }
+
     /** Guards against an acknowledgement that a kill of the node would take back. */
     @Test
     void leaveIsAcknowledgedOnlyOnceItIsRecorded() {
--- a/org.berylwick.test/tst/org/berylwick/node/PlainTextHeartbeats.java
+++ b/org.berylwick.test/tst/org/berylwick/node/PlainTextHeartbeats.java
@@ -7,7 +7,10 @@
 import org.berylwick.node.lib.Incarnation;
 import org.berylwick.node.member.HeartbeatProtocol;
 
-/** Heartbeats with a body of the form {@code PORT SEQUENCE STATE SLOTS SERVICE [VERSION]}. */
+/**
+ * Heartbeats with a body of the form {@code PORT SEQUENCE STATE SLOTS SERVICE [VERSION]}; the path is the text of the
+ * incarnation.
+ */
 final class PlainTextHeartbeats implements HeartbeatProtocol {
     @Override
     public DecodeResult decode(String method, String uri, byte[] body) {
@@ -17,7 +20,7 @@
         }
         String[] fields = new String(body, StandardCharsets.US_ASCII).split(" ");
         return new DecodeResult.Report(new BackendReport(
-                Incarnation.of(incarnation),
+                Incarnation.parse(incarnation),
                 fields[4],
                 new InetSocketAddress("127.0.0.1", Integer.parseInt(fields[0])),
                 "zone-a",
