--- a/org.berylwick.node/src/org/berylwick/node/call/BackendProbe.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/BackendProbe.java
@@ -98,22 +98,32 @@
                 "try",
                 tries,
                 "incarnation",
-                report.map(BackendReport::incarnation).orElse(""),
+                report.map(r -> r.incarnation().text()).orElse(""),
                 "answer",
                 result instanceof BufferedHttpCall.Result.Completed response ? response.status() : 0);
         if (report.isPresent() && owner.backend().isEmpty()) {
             owner.onHealthy(report.get());
+            keepSpeed(report.get(), (BufferedHttpCall.Result.Completed) result);
             return;
         }
         loop.schedule(() -> sendProbe(path), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private void keepSpeed(BackendReport report, BufferedHttpCall.Result.Completed response) {
+        owner.backend()
+                .filter(server -> server.incarnation().equals(report.incarnation()))
+                .ifPresent(server -> BackendLoadHeader.slowdown(
+                                response.headers().get(headerNames.load()))
+                        .ifPresent(factor -> server.speed().onFigure(factor, System.nanoTime())));
+    }
+
     private Optional<BackendReport> parseReport(BufferedHttpCall.Result result) {
         if (!(result instanceof BufferedHttpCall.Result.Completed response) || response.status() != 200) {
             return Optional.empty();
         }
         String incarnation = response.headers().get(headerNames.incarnation(), "");
-        int slots = parseSlots(response.headers().get(headerNames.load(), ""));
+        String load = response.headers().get(headerNames.load());
+        int slots = BackendLoadHeader.slots(load);
         boolean leaving = BackendStatements.isLeaving(response.headers(), headerNames);
         if (incarnation.isBlank() || slots < 1 || leaving) {
             return Optional.empty();
@@ -128,17 +138,4 @@
                 SEQUENCE_BEFORE_FIRST_REPORT,
                 0));
     }
-
-    /** The third field of the load header (running, waiting, slots), 0 if the header is absent or malformed. */
-    private static int parseSlots(String load) {
-        String[] fields = load.split(",");
-        if (fields.length != 3) {
-            return 0;
-        }
-        try {
-            return Integer.parseInt(fields[2].strip());
-        } catch (NumberFormatException e) {
-            return 0;
-        }
-    }
 }
