Move the choice of nodes and the attempts in progress out of EntryCall

No change of behaviour. SilentNodeTest, OverloadTest, LargeResponseTest and CandidateChooserTest pass.

--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.util.List;
 import java.util.Optional;
 import org.berylwick.node.lib.Clock;
 import org.berylwick.node.lib.Route;
@@ -21,11 +20,6 @@
  * failure is used.
  */
 final class EntryCall implements CallHandle {
-    /**
-     * Longest time that a request waits for slots, at all nodes together, as a fraction of its latency objective.
-     * Longer waits make other requests late, and a caller that is refused early still has time to retry.
-     */
-    private static final double MAX_QUEUE_WAIT_SHARE = 0.4;
     /**
      * Time after the deadline during which the entry still waits for a last message of the owner, which may be in
      * transit.
@@ -39,16 +33,12 @@
     private final EntryContext context;
     private final Route route;
     private final CallSpec spec;
-    private final long receivedAt;
-    private final long queueWaitEndsAt;
     private final boolean callerRetried;
     private final RequestQuota.Permit permit;
     private final ResponseSink sink;
     private final CallTrace trace;
-    private final TriedNodes triedNodes = new TriedNodes();
-    private Optional<EntryAttempt> currentAttempt = Optional.empty();
-    /** The previous attempt, which continues at a node that has gone silent. */
-    private Optional<EntryAttempt> silentAttempt = Optional.empty();
+    private final NodeSelection selection;
+    private final RunningAttempts running = new RunningAttempts();
 
     private Clock.Timer deadlineTimer;
     private int attempts;
@@ -59,7 +49,6 @@
     private boolean done;
 
     private Optional<ServerFailure> serverFailure = Optional.empty();
-    private Optional<EntryAttempt> streamingAttempt = Optional.empty();
 
     EntryCall(
             EntryContext context,
@@ -73,11 +62,10 @@
         this.context = context;
         this.route = route;
         this.spec = spec;
-        this.receivedAt = receivedAt;
-        this.queueWaitEndsAt = receivedAt + (long) (MAX_QUEUE_WAIT_SHARE * (spec.objectiveAt() - receivedAt));
         this.callerRetried = callerRetried;
         this.permit = permit;
         this.sink = sink;
+        this.selection = new NodeSelection(context, route, spec, receivedAt, callerRetried);
         this.trace = new CallTrace(context, spec, route, versionNumber, receivedAt);
     }
 
@@ -118,7 +106,7 @@
             conclude();
             return;
         }
-        Optional<CandidateChooser.Choice> choice = triedNodes.isExhausted() ? Optional.empty() : chooseNode(now);
+        Optional<CandidateChooser.Choice> choice = selection.choose(now);
         if (choice.isPresent() && (!isRetry || tryTakeRetry(now))) {
             startAttempt(choice.get(), now);
             return;
@@ -131,31 +119,11 @@
         return context.quarantine().untilNextTrialNanos(spec.uri(), spec::fingerprint);
     }
 
-    private Optional<CandidateChooser.Choice> chooseNode(long now) {
-        List<Candidate> candidates = context.candidates().candidatesFor(spec.service(), triedNodes.excludedKeys(), now);
-        boolean isCall = Candidate.anyReceivesCalls(candidates, spec.requestClass());
-        RequestProfile profile = new RequestProfile(
-                spec.requestClass(),
-                spec.expectedResponseBytes() + spec.body().length(),
-                context.responseEstimates().expectedNanos(route),
-                spec.objectiveAt() - now,
-                spec.remainingNanos(now),
-                (isCall ? spec.deadlineAt() : queueWaitEndsAt) - now,
-                callerRetried || isCall ? 0 : context.callerRetryRates().retryRate(spec.requestClass()),
-                isCall,
-                triedNodes.isNextFinal());
-        Optional<CandidateChooser.Choice> choice = context.chooser().choose(candidates, profile);
-        if (choice.isEmpty()) {
-            triedNodes.onNoneChosen(candidates);
-        }
-        return choice;
-    }
-
     private void startAttempt(CandidateChooser.Choice choice, long now) {
         attempts++;
         context.quarantine().onAttemptStarted(spec.uri(), spec::fingerprint);
         Candidate candidate = choice.candidate();
-        triedNodes.onAttempt(candidate);
+        selection.triedNodes().onAttempt(candidate);
         // A response of the backend server on this VM does not use the network link.
         int linkResponseBytes = candidate.member().isPresent() ? spec.expectedResponseBytes() : 0;
         CallSpec attemptSpec = spec.forAttempt(
@@ -164,7 +132,7 @@
                 linkResponseBytes,
                 context.quarantine().generation(spec.uri(), spec::fingerprint));
         EntryAttempt attempt = new EntryAttempt(this, candidate, now);
-        currentAttempt = Optional.of(attempt);
+        running.start(attempt);
         attempt.setAttempt(context.starter().start(candidate, attemptSpec, attempt));
     }
 
@@ -173,12 +141,12 @@
         if (done) {
             return;
         }
-        if (removeAttempt(attempt)) {
+        if (running.remove(attempt)) {
             possibleRuns--;
             trace.recordOutcome(attempt, refusal.reason().name());
             return;
         }
-        triedNodes.onRefused(attempt.candidate(), refusal);
+        selection.triedNodes().onRefused(attempt.candidate(), refusal);
         trace.recordDecisiveOutcome(attempt, refusal.reason().name());
         context.counters().increment(NodeMetricNames.ENTRY_REFUSALS_BY_REASON + refusal.reason());
         if (refusal.reason() != Refusal.Reason.EXPIRED && refusal.reason() != Refusal.Reason.QUARANTINED) {
@@ -188,39 +156,23 @@
         }
     }
 
-    /**
-     * Removes an attempt that has ended or whose response is now streamed.
-     *
-     * @return whether it was the attempt at a silent node, so that the retry started alongside it goes on
-     */
-    private boolean removeAttempt(EntryAttempt attempt) {
-        if (silentAttempt.isPresent() && silentAttempt.get() == attempt) {
-            silentAttempt = Optional.empty();
-            return true;
-        }
-        currentAttempt = Optional.empty();
-        return false;
-    }
-
     /**
      * Called when the node of an attempt has gone silent. Its VM may have lost power, in which case no connection reset
      * arrives, or only its datagrams may be lost. So the request is also sent to another node if it may be retried.
      */
     void onNodeSilent(EntryAttempt attempt) {
-        boolean secondAttemptExcluded = done || streamingAttempt.isPresent() || silentAttempt.isPresent();
-        if (secondAttemptExcluded
-                || triedNodes.isExhausted()
-                || !mayRetry(possibleRuns + 1)
-                || remainingHoldNanos() > 0) {
+        boolean secondAttemptExcluded =
+                done || running.streaming().isPresent() || running.earlier().isPresent();
+        if (secondAttemptExcluded || !mayRetry(possibleRuns + 1) || remainingHoldNanos() > 0) {
             return;
         }
         long now = context.clock().now();
-        Optional<CandidateChooser.Choice> choice = chooseNode(now);
+        Optional<CandidateChooser.Choice> choice = selection.choose(now);
         if (choice.isEmpty() || !tryTakeRetry(now)) {
             return;
         }
         possibleRuns++;
-        silentAttempt = currentAttempt;
+        running.keepCurrent();
         trace.recordOutcome(attempt, "UNHEARD");
         context.log()
                 .write(
@@ -238,7 +190,7 @@
         if (done) {
             return;
         }
-        boolean retryInProgress = removeAttempt(attempt);
+        boolean retryInProgress = running.remove(attempt);
         trace.recordOutcome(attempt, "LOST");
         trace.setCause(loss.cause());
         context.log()
@@ -294,7 +246,7 @@
             body.release();
             return;
         }
-        boolean retryInProgress = removeAttempt(attempt);
+        boolean retryInProgress = running.remove(attempt);
         possibleRuns += retryInProgress ? 0 : 1;
         if (status >= 500 && spec.kind().isRetryable()) {
             trace.recordDecisiveOutcome(attempt, "status " + status);
@@ -321,9 +273,8 @@
      * may have run, else a refusal. If an attempt at a silent node is still in progress, goes on waiting for that.
      */
     private void conclude() {
-        if (silentAttempt.isPresent()) {
-            currentAttempt = silentAttempt;
-            silentAttempt = Optional.empty();
+        if (running.earlier().isPresent()) {
+            running.resumeEarlier();
             possibleRuns--;
         } else if (serverFailure.isPresent()) {
             ServerFailure f = serverFailure.get();
@@ -354,10 +305,7 @@
 
     /** Called when a response turned out too large to buffer; from now on it is passed on as it arrives. */
     void onStreamingStarted(EntryAttempt attempt, int status, HttpHeaders headers) {
-        streamingAttempt = Optional.of(attempt);
-        removeAttempt(attempt);
-        cancelAttempts();
-        currentAttempt = streamingAttempt;
+        running.stream(attempt);
         sink.beginStream(status, headers);
     }
 
@@ -387,7 +335,7 @@
             return;
         }
         context.clock().schedule(concludeAt, () -> {
-            if (!done && streamingAttempt.isEmpty()) {
+            if (!done && running.streaming().isEmpty()) {
                 concludeEarly("planned stop");
             }
         });
@@ -397,8 +345,8 @@
         if (done) {
             return;
         }
-        if (streamingAttempt.isPresent()) {
-            EntryAttempt attempt = streamingAttempt.get();
+        if (running.streaming().isPresent()) {
+            EntryAttempt attempt = running.streaming().get();
             attempt.cancel();
             onStreamingEnded(attempt, false);
             return;
@@ -408,13 +356,13 @@
 
     private void concludeEarly(String reason) {
         trace.recordAbort(reason);
-        currentAttempt.ifPresent(a -> {
+        running.current().ifPresent(a -> {
             // An owner sends a request to its backend server only once it has all of the body.
             possibleRuns += spec.body().isComplete() ? 1 : 0;
             trace.recordOutcome(a, "PENDING");
         });
-        silentAttempt.ifPresent(a -> trace.recordOutcome(a, "PENDING"));
-        cancelAttempts();
+        running.earlier().ifPresent(a -> trace.recordOutcome(a, "PENDING"));
+        running.cancelAll();
         conclude();
     }
 
@@ -426,7 +374,7 @@
         long remainingNanos = spec.remainingNanos(context.clock().now());
         double retryAfterSeconds = holdNanos > 0
                 ? holdNanos / 1e9
-                : RetryAfter.untilSlot(triedNodes.shortestWaitNanos(), remainingNanos, random);
+                : RetryAfter.untilSlot(selection.triedNodes().shortestWaitNanos(), remainingNanos, random);
         context.callerRetryRates().onRefused(spec.requestClass());
         context.counters().increment(NodeMetricNames.ENTRY_REFUSED);
         log(Event.CALL_REFUSED, 503, "");
@@ -457,7 +405,7 @@
 
     @Override
     public void setAutoRead(boolean autoRead) {
-        streamingAttempt.ifPresent(a -> a.setAutoRead(autoRead));
+        running.streaming().ifPresent(a -> a.setAutoRead(autoRead));
     }
 
     private void finish() {
@@ -465,24 +413,15 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel();
         }
-        cancelAttempts();
+        running.cancelAll();
         discardServerFailure();
         spec.body().release();
     }
 
-    private void cancelAttempts() {
-        Optional<EntryAttempt> current = currentAttempt;
-        Optional<EntryAttempt> silent = silentAttempt;
-        currentAttempt = Optional.empty();
-        silentAttempt = Optional.empty();
-        current.ifPresent(EntryAttempt::cancel);
-        silent.ifPresent(EntryAttempt::cancel);
-    }
-
     private void log(Event event, int status, String node) {
         if (event == Event.CALL_ANSWERED && attempts == 1 && context.random().getAsDouble() >= LOG_SAMPLE_RATE) {
             return;
         }
-        trace.write(event, status, node, attempts, triedNodes.refusals(), retryGranted);
+        trace.write(event, status, node, attempts, selection.triedNodes().refusals(), retryGranted);
     }
 }
