Send slow requests to a second node, within a share set by the operator

A request at a backend server that is slow for a moment waited for it to the end, although others were idle. HedgePolicy decides; TimedHedge is the timer of a call; EntryCall treats a hedge like the second attempt beside a silent node. Off by default.

--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedCaller.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedCaller.java
@@ -85,6 +85,7 @@
         emulation.forget(id);
         if (status == OK) {
             long took = emulation.clock().now() - askedAt;
+            emulation.outcomes().onAnswer(kind.name(), took);
             end(took <= kind.objectiveNanos() ? Outcomes.End.IN_TIME : Outcomes.End.LATE);
             return;
         }
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
@@ -17,6 +17,7 @@
 import org.berylwick.node.call.Candidate;
 import org.berylwick.node.call.CandidateSampler;
 import org.berylwick.node.call.EntryCallFactory;
+import org.berylwick.node.call.HedgePolicy;
 import org.berylwick.node.call.Owner;
 import org.berylwick.node.call.RetryBudget;
 import org.berylwick.node.call.VersionChoice;
@@ -114,6 +115,7 @@
                 this::start,
                 candidates,
                 budget,
+                HedgePolicy.of(emulation.hedgeShare()),
                 quarantine,
                 GATHER_BYTES,
                 new Instruments(counters, emulation.log()),
@@ -129,6 +131,10 @@
         return place;
     }
 
+    Counters counters() {
+        return counters;
+    }
+
     EmulatedServer server() {
         return server;
     }
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedServer.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedServer.java
@@ -39,6 +39,8 @@
     private double slowness;
     private double shedShare;
     private double lostShare;
+    private double disturbedShare;
+    private double disturbedFactor = 1;
     private double limitPerSecond = Double.POSITIVE_INFINITY;
     private long limitedSince;
     /** When requests arrived while a limit held, from the contact time on. */
@@ -71,6 +73,12 @@
         lostShare = share;
     }
 
+    /** A part of what it runs from now on takes so many times as long, whatever is asked. */
+    void disturb(double share, double factor) {
+        disturbedShare = share;
+        disturbedFactor = factor;
+    }
+
     /** States in each answer how many requests a second it takes; infinity states nothing. */
     void limit(double perSecond) {
         limitPerSecond = perSecond;
@@ -167,7 +175,8 @@
                 end = Optional.of(emulation.clock().after(CRASH_AFTER_NANOS, EmulatedServer.this::crash));
                 return;
             }
-            long took = (long) (asked.workNanos() * slowness);
+            double disturbance = disturbedShare > 0 && random.nextDouble() < disturbedShare ? disturbedFactor : 1;
+            long took = (long) (asked.workNanos() * slowness * disturbance);
             long left = Long.parseLong(request.headers().get(Emulation.NAMES.deadline())) * 1_000_000L;
             if (took > left) {
                 end = Optional.of(emulation.clock().after(left, () -> answer(id, 504, 0, false)));
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Emulation.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Emulation.java
@@ -38,6 +38,7 @@
 
     private final VirtualClock clock = new VirtualClock();
     private final Deployment deployment;
+    private final double hedgeShare;
     private final Random random;
     private final EventLog log = new EventLog("emulated", OutputStream.nullOutputStream());
     private final Outcomes outcomes = new Outcomes();
@@ -57,7 +58,19 @@
      * @param seed of all chance
      */
     public Emulation(Deployment deployment, long seed) {
+        this(deployment, seed, 0);
+    }
+
+    /**
+     * Sets up with hedged requests.
+     *
+     * @param deployment that is played
+     * @param seed of all chance
+     * @param hedgeShare extra requests per request
+     */
+    public Emulation(Deployment deployment, long seed, double hedgeShare) {
         this.deployment = deployment;
+        this.hedgeShare = hedgeShare;
         this.random = new Random(seed);
         ConfigurationVersion.Builder builder = new ConfigurationVersion.Builder(1, new byte[0]);
         for (RequestKind kind : deployment.kinds()) {
@@ -127,6 +140,11 @@
         of(service).stream().limit(count).forEach(n -> n.server().slowDown(factor));
     }
 
+    /** From now on a part of what the backend servers of a service run takes so many times as long. */
+    public void disturb(String service, double share, double factor) {
+        of(service).forEach(n -> n.server().disturb(share, factor));
+    }
+
     /** From now on some backend servers of a service state how many requests a second they take. */
     public void limit(String service, int count, double perSecond) {
         of(service).stream().limit(count).forEach(n -> n.server().limit(perSecond));
@@ -164,6 +182,15 @@
         return outcomes;
     }
 
+    /** Sum of a counter over all nodes. */
+    public long count(String counter) {
+        return nodes.stream().mapToLong(n -> n.counters().count(counter)).sum();
+    }
+
+    double hedgeShare() {
+        return hedgeShare;
+    }
+
     VirtualClock clock() {
         return clock;
     }
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Outcomes.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Outcomes.java
@@ -19,6 +19,7 @@
     private final Histogram heldBeforeRefusal = new Histogram(60_000_000_000L, 3);
     private final Map<String, Histogram> toFirstServerByKind = new TreeMap<>();
     private final Map<String, Histogram> callNanos = new TreeMap<>();
+    private final Map<String, Histogram> answerNanos = new TreeMap<>();
     private long crossZoneBytes;
     private long runs;
     private long wastedRuns;
@@ -106,6 +107,27 @@
         }
     }
 
+    /** A caller has an answer of status 200. */
+    void onAnswer(String kind, long tookNanos) {
+        record(answerNanos, kind, tookNanos);
+    }
+
+    /** Forgets how long answers took so far. */
+    public void startAnswers() {
+        answerNanos.clear();
+    }
+
+    /** A percentile of the time until callers had the answers of a kind, in milliseconds. */
+    public double answerMillis(String kind, double percentile) {
+        Histogram histogram = answerNanos.get(kind);
+        return histogram == null ? 0 : histogram.getValueAtPercentile(percentile) / MILLI;
+    }
+
+    /** Runs of all backend servers. */
+    public long runs() {
+        return runs;
+    }
+
     void onRun(String kind, long waitedNanos, boolean first) {
         runs++;
         if (first) {
--- a/org.berylwick.node/src/org/berylwick/node/call/CallPath.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallPath.java
@@ -71,6 +71,7 @@
                 starter,
                 candidates,
                 retryBudget,
+                HedgePolicy.of(settings.hedgeShare()),
                 owner.quarantine(),
                 (long) settings.memoryMb() * (1 << 20) / BUFFER_MEMORY_DIVISOR,
                 instruments,
--- a/org.berylwick.node/src/org/berylwick/node/call/Candidate.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Candidate.java
@@ -67,6 +67,16 @@
         return false;
     }
 
+    /** Returns the measured service time of a request class there, empty if it was not measured. */
+    Optional<ServiceTimeDistribution> serviceTime(RequestClass requestClass) {
+        for (ServiceTimeDistribution time : serviceTimes) {
+            if (time.requestClass().equals(requestClass)) {
+                return Optional.of(time);
+            }
+        }
+        return Optional.empty();
+    }
+
     /** Returns how long one more request would wait there for a slot and the limit. */
     public long waitNanos() {
         return Math.max(limitWaitNanos, load.waitNanos(pendingRequests));
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryAttempt.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryAttempt.java
@@ -44,6 +44,11 @@
         return startedAt;
     }
 
+    /** Whether the response has begun to arrive. */
+    boolean hasHead() {
+        return headers != null;
+    }
+
     void cancel() {
         if (ended) {
             return;
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -37,6 +37,7 @@
     private final RequestQuota.Permit permit;
     private final ResponseSink sink;
     private final CallTrace trace;
+    private final CallHedge hedge;
     private final NodeSelection selection;
     private final RunningAttempts running = new RunningAttempts();
 
@@ -67,6 +68,7 @@
         this.sink = sink;
         this.selection = new NodeSelection(context, route, spec, receivedAt, callerRetried);
         this.trace = new CallTrace(context, spec, route, versionNumber, receivedAt);
+        this.hedge = TimedHedge.of(context, spec, this);
     }
 
     EntryContext context() {
@@ -85,6 +87,7 @@
     public void start() {
         long now = context.clock().now();
         context.retryBudget().onRequest(spec.service(), now);
+        hedge.onCallStarted();
         if (callerRetried) {
             context.callerRetryRates().onRetried(spec.requestClass());
         }
@@ -108,9 +111,12 @@
         }
         Optional<CandidateChooser.Choice> choice = selection.choose(now);
         if (choice.isPresent() && (!isRetry || tryTakeRetry(now))) {
-            startAttempt(choice.get(), now);
+            hedge.watch(startAttempt(choice.get(), now));
             return;
         }
+        if (choice.isEmpty()) {
+            hedge.onShortage();
+        }
         conclude();
     }
 
@@ -119,7 +125,7 @@
         return context.quarantine().untilNextTrialNanos(spec.uri(), spec::fingerprint);
     }
 
-    private void startAttempt(CandidateChooser.Choice choice, long now) {
+    private EntryAttempt startAttempt(CandidateChooser.Choice choice, long now) {
         attempts++;
         context.quarantine().onAttemptStarted(spec.uri(), spec::fingerprint);
         Candidate candidate = choice.candidate();
@@ -134,6 +140,7 @@
         EntryAttempt attempt = new EntryAttempt(this, candidate, now);
         running.start(attempt);
         attempt.setAttempt(context.starter().start(candidate, attemptSpec, attempt));
+        return attempt;
     }
 
     /** Called when an attempt was not run. */
@@ -141,11 +148,18 @@
         if (done) {
             return;
         }
+        hedge.onRefused(attempt, refusal);
         if (running.remove(attempt)) {
             possibleRuns--;
             trace.recordOutcome(attempt, refusal.reason().name());
             return;
         }
+        if (tryResumeFirst(attempt)) {
+            running.current().ifPresent(hedge::onNotRun);
+            selection.triedNodes().forget(attempt.candidate());
+            trace.recordOutcome(attempt, refusal.reason().name());
+            return;
+        }
         selection.triedNodes().onRefused(attempt.candidate(), refusal);
         trace.recordDecisiveOutcome(attempt, refusal.reason().name());
         context.counters().increment(NodeMetricNames.ENTRY_REFUSALS_BY_REASON + refusal.reason());
@@ -156,6 +170,39 @@
         }
     }
 
+    /** Called when an attempt has taken so long that a second one beside it may be worthwhile. */
+    void onHedgeDue(EntryAttempt attempt) {
+        boolean isOnlyAttempt = running.current().filter(a -> a == attempt).isPresent()
+                && running.earlier().isEmpty()
+                && running.streaming().isEmpty();
+        if (done || !isOnlyAttempt || !mayRetry(possibleRuns + 1) || remainingHoldNanos() > 0) {
+            return;
+        }
+        long now = context.clock().now();
+        Optional<CandidateChooser.Choice> choice = hedge.choose(selection, attempt, now);
+        if (choice.isEmpty()) {
+            return;
+        }
+        possibleRuns++;
+        running.keepCurrent();
+        trace.recordOutcome(attempt, "SLOW");
+        hedge.onSent(attempt, startAttempt(choice.get(), now));
+    }
+
+    /**
+     * Lets the first attempt go on alone after its hedge has ended without a response to pass on.
+     *
+     * @return false if the attempt is no hedge, or the first attempt has ended
+     */
+    private boolean tryResumeFirst(EntryAttempt attempt) {
+        if (!hedge.isHedge(attempt) || running.earlier().isEmpty()) {
+            return false;
+        }
+        running.resumeEarlier();
+        possibleRuns--;
+        return true;
+    }
+
     /**
      * Called when the node of an attempt has gone silent. Its VM may have lost power, in which case no connection reset
      * arrives, or only its datagrams may be lost. So the request is also sent to another node if it may be retried.
@@ -190,6 +237,7 @@
         if (done) {
             return;
         }
+        hedge.onEnded(attempt, false);
         boolean retryInProgress = running.remove(attempt);
         trace.recordOutcome(attempt, "LOST");
         trace.setCause(loss.cause());
@@ -206,7 +254,9 @@
                         spec.kind());
         if (!retryInProgress) {
             possibleRuns++;
-            retryOrConclude();
+            if (!tryResumeFirst(attempt)) {
+                retryOrConclude();
+            }
         }
     }
 
@@ -246,17 +296,19 @@
             body.release();
             return;
         }
+        hedge.onEnded(attempt, true);
         boolean retryInProgress = running.remove(attempt);
         possibleRuns += retryInProgress ? 0 : 1;
         if (status >= 500 && spec.kind().isRetryable()) {
             trace.recordDecisiveOutcome(attempt, "status " + status);
             discardServerFailure();
             serverFailure = Optional.of(new ServerFailure(attempt, status, headers, body));
-            if (!retryInProgress) {
+            if (!retryInProgress && !tryResumeFirst(attempt)) {
                 retryOrConclude();
             }
             return;
         }
+        hedge.onAnswered(attempt);
         respond(attempt, status, headers, body);
     }
 
@@ -305,6 +357,8 @@
 
     /** Called when a response turned out too large to buffer; from now on it is passed on as it arrives. */
     void onStreamingStarted(EntryAttempt attempt, int status, HttpHeaders headers) {
+        hedge.onEnded(attempt, true);
+        hedge.onAnswered(attempt);
         running.stream(attempt);
         sink.beginStream(status, headers);
     }
@@ -414,6 +468,7 @@
             deadlineTimer.cancel();
         }
         running.cancelAll();
+        hedge.onCallEnded();
         discardServerFailure();
         spec.body().release();
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCallFactory.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCallFactory.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.Optional;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 import org.berylwick.node.lib.Clock;
@@ -36,6 +37,7 @@
      * @param starter sends attempts to owners
      * @param candidates supplies the nodes that may run a request
      * @param retryBudget limits retries
+     * @param hedging decides on second attempts of slow requests, empty if there are none
      * @param quarantine requests that no backend server should run
      * @param maxBufferedBytes maximum number of bytes that all buffered responses together may take up
      * @param instruments counters and event log
@@ -48,6 +50,7 @@
             AttemptStarter starter,
             CandidateSource candidates,
             RetryBudget retryBudget,
+            Optional<HedgePolicy> hedging,
             Quarantine quarantine,
             long maxBufferedBytes,
             Instruments instruments,
@@ -60,6 +63,7 @@
                 candidates,
                 new CandidateChooser(random),
                 retryBudget,
+                hedging,
                 new ResponseEstimator(),
                 new CallerRetryRate(),
                 new ResponseBufferBudget(maxBufferedBytes),
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryContext.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryContext.java
@@ -1,5 +1,6 @@
 package org.berylwick.node.call;
 
+import java.util.Optional;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 import org.berylwick.node.lib.Clock;
@@ -18,6 +19,7 @@
  * @param candidates supplies the nodes that may run a request
  * @param chooser chooses one of these nodes
  * @param retryBudget limits retries
+ * @param hedging decides on second attempts of slow requests, empty if there are none
  * @param responseEstimates expected sizes and durations of responses
  * @param callerRetryRates how often callers retry after a refusal
  * @param responseBufferBudget memory limit for buffered responses
@@ -34,6 +36,7 @@
         CandidateSource candidates,
         CandidateChooser chooser,
         RetryBudget retryBudget,
+        Optional<HedgePolicy> hedging,
         ResponseEstimator responseEstimates,
         CallerRetryRate callerRetryRates,
         ResponseBufferBudget responseBufferBudget,
--- a/org.berylwick.node/src/org/berylwick/node/call/NodeSelection.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/NodeSelection.java
@@ -44,6 +44,21 @@
         return choice;
     }
 
+    /** Chooses the node for the hedge of an attempt that takes long; the hedge may not wait there. */
+    Optional<CandidateChooser.Choice> chooseForHedge(HedgePolicy policy, HedgePolicy.DueAttempt attempt, long now) {
+        if (triedNodes.isExhausted()) {
+            return Optional.empty();
+        }
+        List<Candidate> candidates = candidates(now);
+        if (!HedgePolicy.hasCapacity(candidates)) {
+            return Optional.empty();
+        }
+        return choose(candidates, now)
+                .map(CandidateChooser.Choice::candidate)
+                .filter(candidate -> policy.isWorthwhile(attempt, candidate, now))
+                .map(candidate -> new CandidateChooser.Choice(candidate, 0));
+    }
+
     private List<Candidate> candidates(long now) {
         return context.candidates().candidatesFor(spec.service(), triedNodes.excludedKeys(), now);
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -440,6 +440,9 @@
             // The request may already have had an effect: let it finish, and discard the response.
             return;
         }
+        if (sentAt == 0) {
+            owner.counters().increment(NodeMetricNames.OWNER_CANCELLED_WAITING);
+        }
         closeConnection();
         finish();
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/RetryBudget.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/RetryBudget.java
@@ -81,6 +81,11 @@
         return true;
     }
 
+    /** Returns a retry that was not run. */
+    void release(String service, long acquiredAt, long now) {
+        windowOf(service).release(acquiredAt, now);
+    }
+
     private double slack(long now) {
         long age = now - startedAt;
         if (age < DISCOVERY_NANOS && !directoryRead.getAsBoolean()) {
@@ -122,6 +127,16 @@
             currentBucket = Math.max(currentBucket, newBucket);
         }
 
+        void release(long acquiredAt, long now) {
+            advance(now);
+            long steps = currentBucket - Math.floorDiv(acquiredAt, bucketNanos);
+            if (steps >= BUCKETS) {
+                return;
+            }
+            int index = Math.floorMod(currentIndex - (int) steps, BUCKETS);
+            retries[index] = Math.max(0, retries[index] - 1);
+        }
+
         int sum(int[] counts) {
             int total = 0;
             for (int count : counts) {
--- a/org.berylwick.node/src/org/berylwick/node/call/TriedNodes.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/TriedNodes.java
@@ -44,6 +44,11 @@
         excludedKeys.add(candidate.key());
     }
 
+    /** Allows a node to be chosen again, since its refusal concerns no attempt but a hedge. */
+    void forget(Candidate candidate) {
+        excludedKeys.remove(candidate.key());
+    }
+
     void onRefused(Candidate candidate, Refusal refusal) {
         refusals++;
         if (refusal.reason() == Refusal.Reason.BUSY && busyKeys.add(candidate.key())) {
--- a/org.berylwick.node/src/org/berylwick/node/lib/NodeSettings.java
+++ b/org.berylwick.node/src/org/berylwick/node/lib/NodeSettings.java
@@ -25,6 +25,7 @@
  * @param memoryMb maximum memory of the process in MB
  * @param linkMbps bandwidth of the VM's network link in Mbit/s
  * @param bounds limits that the platform guarantees or requires
+ * @param hedgeShare extra requests that may be sent per request because it is slow, 0 for none
  */
 public record NodeSettings(
         String vmName,
@@ -45,8 +46,78 @@
         double cpuShare,
         int memoryMb,
         double linkMbps,
-        PlatformBounds bounds) {
+        PlatformBounds bounds,
+        double hedgeShare) {
     public NodeSettings {
         seeds = List.copyOf(seeds);
     }
+
+    /** Creates the settings of a node that sends no extra requests. */
+    public NodeSettings(
+            String vmName,
+            String ip,
+            String zone,
+            String region,
+            String service,
+            InetSocketAddress backendAddress,
+            InetSocketAddress callerAddress,
+            InetSocketAddress peerAddress,
+            InetSocketAddress readinessAddress,
+            InetSocketAddress heartbeatAddress,
+            int gossipPort,
+            int metricsPort,
+            List<InetSocketAddress> seeds,
+            InetSocketAddress storeAddress,
+            long heartbeatNanos,
+            double cpuShare,
+            int memoryMb,
+            double linkMbps,
+            PlatformBounds bounds) {
+        this(
+                vmName,
+                ip,
+                zone,
+                region,
+                service,
+                backendAddress,
+                callerAddress,
+                peerAddress,
+                readinessAddress,
+                heartbeatAddress,
+                gossipPort,
+                metricsPort,
+                seeds,
+                storeAddress,
+                heartbeatNanos,
+                cpuShare,
+                memoryMb,
+                linkMbps,
+                bounds,
+                0);
+    }
+
+    /** Returns these settings with another share of extra requests. */
+    public NodeSettings withHedgeShare(double share) {
+        return new NodeSettings(
+                vmName,
+                ip,
+                zone,
+                region,
+                service,
+                backendAddress,
+                callerAddress,
+                peerAddress,
+                readinessAddress,
+                heartbeatAddress,
+                gossipPort,
+                metricsPort,
+                seeds,
+                storeAddress,
+                heartbeatNanos,
+                cpuShare,
+                memoryMb,
+                linkMbps,
+                bounds,
+                share);
+    }
 }
--- a/org.berylwick.node/src/org/berylwick/node/lib/ServiceTimeDistribution.java
+++ b/org.berylwick.node/src/org/berylwick/node/lib/ServiceTimeDistribution.java
@@ -54,6 +54,12 @@
         return 1 / (1 + Math.exp(LOGISTIC_SLOPE * standardScore));
     }
 
+    /** Returns the time within which a request is completed with the given probability, more than 0 and less than 1. */
+    public long quantileNanos(double probability) {
+        double standardScore = Math.log(probability / (1 - probability)) / LOGISTIC_SLOPE;
+        return (long) (medianNanos * Math.exp(logStdDev * standardScore));
+    }
+
     /** Returns the distribution of a backend server that is slower by the given factor. */
     public ServiceTimeDistribution scaledBy(double factor) {
         return new ServiceTimeDistribution(requestClass, (long) (medianNanos * factor), logStdDev, calls);
--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -87,6 +87,8 @@
     BACKEND_LEFT_EARLIER(7061, 20),
     /** The key of a request is not held by any organisation of the version in force. */
     KEY_UNKNOWN(7062, 10),
+    /** A request took long and was also sent to another node. */
+    REQUEST_HEDGED(7080, 10),
     /** An unexpected error occurred; the connection that it came from was closed. */
     INTERNAL_ERROR(7099, 20);
 
--- a/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
@@ -45,6 +45,16 @@
     public static final String ENTRY_PENDING = "entry.pending";
     /** Memory used by responses that are being buffered. */
     public static final String ENTRY_GATHERED_BYTES = "entry.gathered.bytes";
+    /** Slow requests that were also sent to another node. */
+    public static final String HEDGE_SENT = "hedge.sent";
+    /** Of these, those of which the second node's response was passed on. */
+    public static final String HEDGE_WON = "hedge.won";
+    /** Of these, those that the second node refused. */
+    public static final String HEDGE_NOT_RUN = "hedge.not_run";
+    /** Of these, those that may have run without their response being passed on. */
+    public static final String HEDGE_WASTED = "hedge.wasted";
+    /** Requests that the owner dropped before their start, because the entry cancelled them. */
+    public static final String OWNER_CANCELLED_WAITING = "owner.cancelled.waiting";
     /** Complete responses of the local backend server. */
     public static final String OWNER_ANSWERED = "owner.answered";
     /** Requests sent to the local backend server that got no complete response. */
