--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedRequest.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedRequest.java
@@ -45,6 +45,9 @@
 
     void onRun(Emulation emulation) {
         runs++;
+        if (runs > 1 && !kind.kind().isRetryable()) {
+            throw new IllegalStateException("ran twice, though it may run once only: " + path);
+        }
         emulation.outcomes().onRun(kind.name(), emulation.clock().now() - cameAt, runs == 1);
     }
 }
