--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -91,6 +91,8 @@
     QUOTA_REFUSED(7070, 10),
     /** This node, as the quota server of an organisation, has refused permits. */
     QUOTA_USED_UP(7071, 10),
+    /** A request took long and was also sent to another node. */
+    REQUEST_HEDGED(7080, 10),
     /** An unexpected error occurred; the connection that it came from was closed. */
     INTERNAL_ERROR(7099, 20);
 
