--- a/org.berylwick.node/src/org/berylwick/node/call/HedgeBudget.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/HedgeBudget.java
@@ -15,6 +15,11 @@
 
     private static final int BUCKETS = 21;
     private static final long BUCKET_NANOS = WINDOW_NANOS / (BUCKETS - 1);
+    /**
+     * Fraction of the share that is used over the period. With all of it, a window that ends after the last hedge, when
+     * fewer requests arrive than before, contains a few too many.
+     */
+    private static final double WINDOW_FRACTION = 0.9;
     /** Tolerance for sums of a share that has no exact binary form. */
     private static final double ROUNDING = 1e-9;
 
@@ -46,7 +51,7 @@
             requestCount += requests[i];
             hedgeCount += hedges[i];
         }
-        return hedgeCount + 1 <= share * requestCount + ROUNDING;
+        return hedgeCount + 1 <= WINDOW_FRACTION * share * requestCount + ROUNDING;
     }
 
     void take(long now) {
