Pass on bodies that arrive in more than 1,024 parts

What callers saw: an upload of 16 KB or more whose packets were small ended with its connection, without an answer. Change: a part is held until it has been passed on.

--- a/org.berylwick.node/src/org/berylwick/node/transport/RequestBody.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/RequestBody.java
@@ -118,10 +118,13 @@
             return;
         }
         link.onBytesReceived(part.readableBytes());
+        // Retained, because the buffer merges its parts and releases them once they exceed their maximum number.
+        part.retain();
         ((CompositeByteBuf) receivedBytes).addComponent(true, part);
         for (Subscriber subscriber : List.copyOf(subscribers)) {
             subscriber.onRequestBodyPart(part.retainedDuplicate());
         }
+        part.release();
     }
 
     /** Marks the body as completely arrived. */
