Mend what the reviews of the parts found

Each part was read by someone who had not written it. Addresses that were silent for 10 minutes no longer count as nodes, or a fleet of replaced VMs would never have a majority.

--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -128,7 +128,7 @@
         gossip.setFormerBackendListener(
                 former -> owner.onFormerState(Incarnation.parse(former.incarnation()), former.state()));
         new QuarantineExchange(clock, quarantine, gossip);
-        this.storeReaders = new StoreReaders(settings, members, gossip::silenceTimeoutNanos, this::isReaderCandidate);
+        this.storeReaders = new StoreReaders(settings, members, gossip::silenceTimeoutNanos, () -> !leaving);
         this.versionUpdater = new VersionUpdater(
                 loop,
                 platform.configurationSource(loop),
@@ -210,15 +210,11 @@
                 storeReaders,
                 members,
                 gossip::silenceTimeoutNanos,
-                this::nodeCount,
+                () -> gossip.peerAddressCount(NodeQuotaFleet.MAX_SILENCE_NANOS) + 1,
                 discovery::isDirectoryRead);
         return QuotaExchange.createQuota(clock, fleet, gossip, versionUpdater::version, new Instruments(counters, log));
     }
 
-    private boolean isReaderCandidate(boolean storeRequired) {
-        return !leaving && (versionUpdater.isStoreReachable() || !storeRequired);
-    }
-
     private EntryServer createEntryServer(RetryBudget budget) {
         CallPath.Callers callers = new CallPath.Callers(
                 platform.headerNames(), versionUpdater::version, versionUpdater.freshness(), () -> service, quota);
--- a/org.berylwick.node/src/org/berylwick/node/StoreReaders.java
+++ b/org.berylwick.node/src/org/berylwick/node/StoreReaders.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
-import java.util.function.Predicate;
 import org.berylwick.node.lib.NodeSettings;
 import org.berylwick.node.member.Member;
 import org.berylwick.node.member.MemberTable;
@@ -23,19 +23,16 @@
     private final NodeSettings settings;
     private final MemberTable members;
     private final LongSupplier silenceTimeoutNanos;
-    private final Predicate<Boolean> ownEligible;
+    private final BooleanSupplier ownEligible;
 
     /**
      * @param settings settings of this node
      * @param members the other nodes
      * @param silenceTimeoutNanos time without a datagram after which a node of this zone counts as silent
-     * @param ownEligible whether this node may be a reader, given whether it has to reach the store
+     * @param ownEligible whether this node is not leaving
      */
     StoreReaders(
-            NodeSettings settings,
-            MemberTable members,
-            LongSupplier silenceTimeoutNanos,
-            Predicate<Boolean> ownEligible) {
+            NodeSettings settings, MemberTable members, LongSupplier silenceTimeoutNanos, BooleanSupplier ownEligible) {
         this.settings = settings;
         this.members = members;
         this.silenceTimeoutNanos = silenceTimeoutNanos;
@@ -61,27 +58,20 @@
     }
 
     /**
-     * Returns the addresses of the readers of all zones, as this node sees them. If no node reaches the store, those
-     * that would be readers if all did.
+     * Returns the addresses of the nodes with the highest bandwidth of each zone, as many as there are readers, whether
+     * or not the store answers them. An outage of the store that comes and goes does not change them.
      */
-    List<String> all() {
-        List<String> reachingStore = all(true);
-        return reachingStore.isEmpty() ? all(false) : reachingStore;
-    }
-
-    private List<String> all(boolean requireStore) {
+    List<String> widestNodes() {
         long now = System.nanoTime();
         long timeoutNanos = silenceTimeoutNanos.getAsLong();
         Map<String, List<Candidate>> byZone = new TreeMap<>();
-        if (ownEligible.test(requireStore)) {
+        if (ownEligible.getAsBoolean()) {
             byZone.computeIfAbsent(settings.zone(), zone -> new ArrayList<>())
                     .add(new Candidate(settings.ip(), linkMbps()));
         }
         for (Member member : members.all()) {
             NodeState state = member.state();
-            if ((state.storeReachable() || !requireStore)
-                    && !state.leaving()
-                    && now - member.lastDatagramAt() < timeoutNanos) {
+            if (!state.leaving() && now - member.lastDatagramAt() < timeoutNanos) {
                 byZone.computeIfAbsent(state.zone(), zone -> new ArrayList<>())
                         .add(new Candidate(member.ip(), state.linkMbps()));
             }
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -159,7 +159,8 @@
             trace.recordOutcome(attempt, refusal.reason().name());
             return;
         }
-        if (tryResumeFirst(attempt)) {
+        // A hedge that its server has seen counts as a request to it.
+        if (!refusal.rejectedByBackend() && tryResumeFirst(attempt)) {
             running.current().ifPresent(hedge::onNotRun);
             selection.triedNodes().forget(attempt.candidate());
             trace.recordOutcome(attempt, refusal.reason().name());
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -187,6 +187,10 @@
         return now + expectedServiceNanos(now) + responseTransferNanos <= call.deadlineAt();
     }
 
+    boolean canMeetDeadlineAtUsualSpeed(long now) {
+        return now + medianServiceNanos + responseTransferNanos <= call.deadlineAt();
+    }
+
     private long expectedServiceNanos(long startsAt) {
         return speed.slowdownAt(startsAt).expectedNanos(medianServiceNanos);
     }
