Divide the slots of an owner among organisations

Cause: when capacity was short, the organisation that sent most got most.

Change: OrganisationShares keeps an account of demand and slot time for each organisation and priority, and computes the max-min level. A request of an organisation above it waits behind the others of its priority, is refused first, and is evicted when another needs its place. Requests without an organisation have no account and take the former branches.

--- a/org.berylwick.node/src/org/berylwick/node/NodeGauges.java
+++ b/org.berylwick.node/src/org/berylwick/node/NodeGauges.java
@@ -32,6 +32,11 @@
         counters.registerGauge(
                 NodeMetricNames.LINK_OUTGOING_BUSY_MS, () -> link.outgoing().busyNanos() / 1_000_000);
         counters.registerGauge(NodeMetricNames.OWNER_QUEUED, () -> owner.load().queued());
+        counters.registerGauge(
+                NodeMetricNames.OWNER_ORGANISATIONS, () -> owner.shares().size());
+        counters.registerGauge(
+                NodeMetricNames.OWNER_LARGEST_SHARE_PERCENT,
+                () -> owner.shares().largestPercent());
         counters.registerGauge(NodeMetricNames.OWNER_SLOTS, () -> owner.load().slots());
         counters.registerGauge(
                 NodeMetricNames.OWNER_START_INTERVAL_US, () -> owner.load().startIntervalNanos() / 1_000);
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -52,6 +52,7 @@
     private final StartRateBalancer startRateBalancer = new StartRateBalancer();
     private final RunningRequests running = new RunningRequests();
     private final CallOrigins callOrigins;
+    private final OwnerShares shares;
     private final BackendRegistry registry;
     private VersionGate versionGate = VersionGate.OPEN;
     private boolean stopping;
@@ -94,6 +95,7 @@
         this.onBackendChange = onBackendChange;
         this.quarantine = quarantine;
         this.callOrigins = new CallOrigins(vmsByService);
+        this.shares = new OwnerShares(new Instruments(counters, log));
     }
 
     /** Sets what decides whether the backend server gets requests, considering its version. */
@@ -139,6 +141,11 @@
         return queue.size() + bodyScheduler.size();
     }
 
+    /** Use of the backend server by organisations. */
+    public OrganisationShares shares() {
+        return shares.shares();
+    }
+
     /** Service time of each class of requests that the backend server has answered. */
     public List<ServiceTimeDistribution> serviceTimes() {
         return registry.current()
@@ -288,12 +295,16 @@
         OwnerRun run = new OwnerRun(this, call, listener, advanceNanos, callOrigins.areCalls(call.requestClass()));
         Optional<Refusal.Reason> reason = refusalReason(run);
         if (reason.isPresent()) {
+            if (reason.get() == Refusal.Reason.BUSY) {
+                shares.onRefusedBusy(run);
+            }
             counters.increment(NodeMetricNames.OWNER_REFUSED_BY_REASON + reason.get());
             // Deferred, so that the caller holds the attempt before its listener is notified of the refusal.
             clock.defer(() -> run.refuse(reason.get(), false));
             return run;
         }
         run.announceResponse();
+        shares.onAdmitted(run, clock.now());
         if (call.body().isComplete()) {
             enqueue(run);
         } else {
@@ -321,10 +332,31 @@
         } else {
             queue.addLate(run);
         }
+        evictFor(run);
         dispatch();
         run.startSlotTimeout();
     }
 
+    /**
+     * Refuses queued requests of organisations above their share that have no place in the queue, or would not start in
+     * time, now that one of another organisation is queued.
+     */
+    private void evictFor(OwnerRun run) {
+        if (run.charge().isEmpty() || run.isAboveShare()) {
+            return;
+        }
+        Backend server = registry.current().orElseThrow();
+        Optional<OwnerRun> last = queue.lastAboveShare(run.priority());
+        while (last.isPresent()
+                && (queuedCount() > MAX_QUEUED_PER_SLOT * server.slots()
+                        || clock.now() + waits.expectedNanos(last.get(), server)
+                                > last.get().maxWaitEndsAt())) {
+            shares.onEvicted(last.get());
+            last.get().refuse(Refusal.Reason.BUSY, false);
+            last = queue.lastAboveShare(run.priority());
+        }
+    }
+
     private Optional<Refusal.Reason> refusalReason(OwnerRun run) {
         CallSpec call = run.call();
         if (stopping) {
@@ -342,6 +374,7 @@
         if (!run.canMeetDeadline(now)) {
             return Optional.of(Refusal.Reason.EXPIRED);
         }
+        run.setCharge(shares.onOffered(call, run.meanServiceNanos(), now));
         long linkWaitNanos = run.linkWaitNanos();
         if (waits.canStartNow(server) && call.body().isComplete() && linkWaitNanos == 0) {
             return Optional.empty();
@@ -349,10 +382,13 @@
         long waitNanos = Math.max(
                 Math.max(waits.expectedNanos(run, server), linkWaitNanos),
                 bodyScheduler.transferNanosAhead(call.body()));
-        boolean queueFull = queuedCount() >= MAX_QUEUED_PER_SLOT * server.slots()
-                || !(waits.isTimely(run, server) || queue.acceptsLate(server.slots()));
+        boolean canEvict = run.charge().isPresent()
+                && !run.isAboveShare()
+                && queue.lastAboveShare(run.priority()).isPresent();
+        boolean queueFull =
+                queuedCount() >= MAX_QUEUED_PER_SLOT * server.slots() && !canEvict || !acceptsIntoQueue(run, server);
         if (queueFull
-                || waitNanos > call.maxWaitNanos()
+                || waitNanos > run.longestAdmittedWaitNanos()
                 || !run.canMeetDeadline(now + waitNanos + bodyScheduler.transferNanos(call.body()))) {
             countIfLimited(server, now);
             return Optional.of(Refusal.Reason.BUSY);
@@ -360,6 +396,13 @@
         return Optional.empty();
     }
 
+    private boolean acceptsIntoQueue(OwnerRun run, Backend server) {
+        boolean timely = waits.isTimely(run, server);
+        return run.isAboveShare()
+                ? timely && queue.acceptsAboveShare(server.slots())
+                : timely || queue.acceptsLate(server.slots());
+    }
+
     private void countIfLimited(Backend server, long now) {
         if (server.startLimiter().waitNanos(queue.size(), now) > 0) {
             counters.increment(NodeMetricNames.OWNER_REFUSED_BY_LIMIT);
@@ -405,6 +448,7 @@
             return;
         }
         running.add(run);
+        shares.onStarted(run, clock.now());
         startRateBalancer.onStarted(run.call(), clock.now());
         server.startLimiter().onStarted(clock.now());
         run.start(server, headerNames);
@@ -421,6 +465,7 @@
     void onFinished(OwnerRun run) {
         queue.remove(run);
         bodyScheduler.remove(run, clock.now());
+        shares.onFinished(run, clock.now());
         if (running.remove(run)) {
             // Deferred, because a request may end while dispatch() is starting others.
             clock.defer(this::dispatch);
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -51,6 +51,12 @@
      */
     private static final long CALL_ADVANCE_NANOS = 1_000_000_000L;
 
+    /**
+     * A request of an organisation above its share is admitted only if its expected wait is shorter than its maximum by
+     * this factor, since later requests of other organisations start before it.
+     */
+    private static final int ABOVE_SHARE_WAIT_DIVISOR = 2;
+
     private final Owner owner;
     private final Clock clock;
     private final CallSpec call;
@@ -58,6 +64,7 @@
     private final boolean isCall;
     private final long effectiveObjectiveAt;
     private final long arrivalNumber;
+    private Optional<OwnerShares.Charge> charge = Optional.empty();
     private long waitStartedAt;
     private long meanServiceNanos;
     private long medianServiceNanos;
@@ -118,12 +125,34 @@
         return arrivalNumber;
     }
 
+    int priority() {
+        return call.priority();
+    }
+
     /** Sets the expected service time of the request. */
     void setServiceTime(ServiceTimeDistribution time) {
         meanServiceNanos = time.meanNanos();
         medianServiceNanos = time.medianNanos();
     }
 
+    long meanServiceNanos() {
+        return meanServiceNanos;
+    }
+
+    /** Sets what the request costs its organisation; empty if it belongs to none. */
+    void setCharge(Optional<OwnerShares.Charge> newCharge) {
+        charge = newCharge;
+    }
+
+    Optional<OwnerShares.Charge> charge() {
+        return charge;
+    }
+
+    /** Whether the request belongs to an organisation that was above its fair share when it was offered. */
+    boolean isAboveShare() {
+        return charge.isPresent() && charge.get().isAboveShare();
+    }
+
     /**
      * Time that the response is expected to wait for the outgoing link, behind the large responses that are queued or
      * announced there, beyond the median service time of the request; 0 for a small response.
@@ -189,7 +218,13 @@
         call.body().subscribe(this);
     }
 
-    private long maxWaitEndsAt() {
+    /** Longest expected wait for a slot with which the request is admitted. */
+    long longestAdmittedWaitNanos() {
+        return isAboveShare() ? call.maxWaitNanos() / ABOVE_SHARE_WAIT_DIVISOR : call.maxWaitNanos();
+    }
+
+    /** Time until which the request waits for a slot. */
+    long maxWaitEndsAt() {
         return Math.min(call.deadlineAt(), waitStartedAt + call.maxWaitNanos());
     }
 
--- a/org.berylwick.node/src/org/berylwick/node/call/RequestQueue.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/RequestQueue.java
@@ -23,10 +23,18 @@
     /** Maximum number of queued late requests per slot. They start only when no timely request is queued. */
     private static final double MAX_LATE_PER_SLOT = 0.5;
 
+    /**
+     * Maximum number of queued requests per slot of organisations above their share. They only fill slots that the
+     * others leave, and most that wait longer are refused late.
+     */
+    private static final double MAX_ABOVE_SHARE_PER_SLOT = 0.5;
+
     private static final Comparator<OwnerRun> ORDER = RequestQueue::compare;
 
     private final TreeSet<OwnerRun> timely = new TreeSet<>(ORDER);
     private final TreeSet<OwnerRun> late = new TreeSet<>(ORDER);
+    /** Timely requests of organisations above their share, which wait behind the others of their priority. */
+    private final TreeSet<OwnerRun> aboveShare = new TreeSet<>(ORDER);
 
     private static int compare(OwnerRun a, OwnerRun b) {
         int byObjective = Long.compare(a.effectiveObjectiveAt(), b.effectiveObjectiveAt());
@@ -34,12 +42,40 @@
     }
 
     int size() {
-        return timely.size() + late.size();
+        return timely.size() + late.size() + aboveShare.size();
     }
 
     /** Returns how many queued requests that can meet their objective would start before the given one. */
     int countTimelyAhead(OwnerRun run) {
-        return timely.headSet(run, true).size();
+        if (run.isAboveShare()) {
+            return countAheadOfAboveShare(run);
+        }
+        int ahead = timely.headSet(run, true).size();
+        for (OwnerRun other : aboveShare) {
+            ahead += other.priority() != run.priority() && compare(other, run) < 0 ? 1 : 0;
+        }
+        return ahead;
+    }
+
+    private int countAheadOfAboveShare(OwnerRun run) {
+        int ahead = aboveShare.headSet(run, true).size();
+        for (OwnerRun other : timely) {
+            ahead += other.priority() == run.priority() || compare(other, run) <= 0 ? 1 : 0;
+        }
+        return ahead;
+    }
+
+    /**
+     * Returns the last request that may be evicted in favour of one of the given priority: its organisation is above
+     * its share, and it is not more urgent.
+     */
+    Optional<OwnerRun> lastAboveShare(int priority) {
+        for (OwnerRun run : aboveShare.descendingSet()) {
+            if (run.priority() >= priority) {
+                return Optional.of(run);
+            }
+        }
+        return Optional.empty();
     }
 
     /** Returns whether one more late request may be queued. */
@@ -47,8 +83,13 @@
         return late.size() < Math.max(1, slots * MAX_LATE_PER_SLOT);
     }
 
+    /** Returns whether one more request of an organisation above its share may be queued. */
+    boolean acceptsAboveShare(int slots) {
+        return aboveShare.size() < Math.max(1, slots * MAX_ABOVE_SHARE_PER_SLOT);
+    }
+
     void addTimely(OwnerRun run) {
-        timely.add(run);
+        (run.isAboveShare() ? aboveShare : timely).add(run);
     }
 
     void addLate(OwnerRun run) {
@@ -56,15 +97,15 @@
     }
 
     void remove(OwnerRun run) {
-        if (!timely.remove(run)) {
-            late.remove(run);
+        if (!timely.remove(run) && !late.remove(run)) {
+            aboveShare.remove(run);
         }
     }
 
     /** Removes and returns the request to start next. */
     Optional<OwnerRun> poll(long now) {
-        while (!timely.isEmpty()) {
-            OwnerRun first = timely.pollFirst();
+        while (!timely.isEmpty() || !aboveShare.isEmpty()) {
+            OwnerRun first = nextSet().pollFirst();
             if (first.canMeetObjective(now)) {
                 return Optional.of(first);
             }
@@ -73,10 +114,28 @@
         return Optional.ofNullable(late.pollFirst());
     }
 
+    private TreeSet<OwnerRun> nextSet() {
+        if (aboveShare.isEmpty()) {
+            return timely;
+        }
+        OwnerRun candidate = aboveShare.first();
+        if (!timely.isEmpty() && compare(timely.first(), candidate) < 0) {
+            return timely;
+        }
+        for (OwnerRun other : timely) {
+            if (other.priority() == candidate.priority()) {
+                return timely;
+            }
+        }
+        return aboveShare;
+    }
+
     /** Removes and returns all requests. */
     List<OwnerRun> removeAll() {
         List<OwnerRun> all = new ArrayList<>(timely);
         all.addAll(late);
+        all.addAll(aboveShare);
+        aboveShare.clear();
         timely.clear();
         late.clear();
         return all;
--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -87,6 +87,8 @@
     BACKEND_LEFT_EARLIER(7061, 20),
     /** The key of a request is not held by any organisation of the version in force. */
     KEY_UNKNOWN(7062, 10),
+    /** A request was refused because its organisation used more than its fair share of a service short of capacity. */
+    ORGANISATION_ABOVE_SHARE(7070, 10),
     /** An unexpected error occurred; the connection that it came from was closed. */
     INTERNAL_ERROR(7099, 20);
 
--- a/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
@@ -23,6 +23,8 @@
     public static final String ENTRY_REFUSED_NO_VERSION = "entry.refused.no_version";
     /** Requests refused because they have no route, and the version in force may not be the newest. */
     public static final String ENTRY_REFUSED_OUTDATED = "entry.refused.outdated";
+    /** Requests refused here because their organisation was above its fair share. */
+    public static final String ENTRY_REFUSED_ABOVE_SHARE = "entry.refused.above_share";
     /** Requests answered with 404 because no route matches. */
     public static final String ENTRY_NO_ROUTE = "entry.no_route";
     /** Requests answered with 429 because their organisation has used up its limit. */
@@ -66,6 +68,14 @@
     public static final String LINK_OUTGOING_BUSY_MS = "link.outgoing.busy_ms";
     /** Requests refused as busy while the limit that the local backend server states left no room. */
     public static final String OWNER_REFUSED_BY_LIMIT = "owner.refused_by_limit";
+    /** Requests refused as busy whose organisation was above its fair share. */
+    public static final String OWNER_REFUSED_ABOVE_SHARE = "owner.refused_above_share";
+    /** Queued requests of organisations above their fair share that were refused in favour of others. */
+    public static final String OWNER_EVICTED_ABOVE_SHARE = "owner.evicted_above_share";
+    /** Accounts of organisations that sent requests to the local backend server in the last seconds. */
+    public static final String OWNER_ORGANISATIONS = "owner.organisations";
+    /** Largest part of the recent slot time of one priority that one organisation used. */
+    public static final String OWNER_LARGEST_SHARE_PERCENT = "owner.largest_share_pct";
     /** Least time between two requests to the local backend server, 0 if it states no limit. */
     public static final String OWNER_START_INTERVAL_US = "owner.start_interval_us";
     /** Requests waiting on this node for a slot. */
--- a/org.berylwick.test/tst/org/berylwick/node/call/OwnerRig.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerRig.java
@@ -42,20 +42,21 @@
             "x-organisation");
 
     final VirtualClock clock = new VirtualClock();
+    final Counters counters = new Counters();
     final Quarantine quarantine;
     final Owner owner;
 
     /** @param server creates the connections to an incarnation of the backend server */
     OwnerRig(Supplier<ServerConnectionPool> server) {
         EventLog log = new EventLog("test", OutputStream.nullOutputStream());
-        quarantine = new Quarantine(clock::now, new HoldLog(new Instruments(new Counters(), log)));
+        quarantine = new Quarantine(clock::now, new HoldLog(new Instruments(counters, log)));
         owner = new Owner(
                 clock,
                 address -> server.get(),
                 HEADER_NAMES,
                 VmLink.of(1_000, clock),
                 HEARTBEAT_NANOS,
-                new Counters(),
+                counters,
                 log,
                 () -> {},
                 quarantine,
@@ -69,6 +70,11 @@
 
     /** A request that can be retried, with an objective of 600 ms and a deadline of 2 s from now. */
     CallSpec call(String id, long maxWaitNanos) {
+        return call(id, maxWaitNanos, 1, OrganisationTag.NONE);
+    }
+
+    /** Such a request on a route of the given priority, which belongs to an organisation. */
+    CallSpec call(String id, long maxWaitNanos, int routePriority, OrganisationTag organisation) {
         return new CallSpec(
                 id,
                 HttpMethod.GET,
@@ -77,13 +83,13 @@
                 RequestBody.of(Unpooled.EMPTY_BUFFER),
                 "work",
                 "caller",
-                new RequestClass(RouteKind.IDEMPOTENT, 1, 600),
+                new RequestClass(RouteKind.IDEMPOTENT, routePriority, 600),
                 clock.now() + 600 * MILLIS,
                 clock.now() + 2 * SECONDS,
                 maxWaitNanos,
                 1,
                 0,
                 0,
-                OrganisationTag.NONE);
+                organisation);
     }
 }
