Refuse at the entry node what owners would refuse for an organisation's share

Cause: a request of an organisation above its share was offered to up to three owners before its caller was refused, and callers that returned at once were offered again each time.

Change: EntryShares keeps the accounts of OrganisationShares for each service over the entry node's own requests and refusals. A request of an organisation above its share accepts a shorter wait, is offered to one owner if the excess is large, and is refused without an attempt if its caller returned earlier than any was told. Retry-After grows with the excess and is spread wider. The emulation gives requests an organisation.

CallerWaitEstimator returns the reduction without the tolerance, which entry calls still apply where they did.

--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedCaller.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedCaller.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.berylwick.node.call.CallHandle;
 import org.berylwick.node.lib.Clock;
+import org.berylwick.node.lib.OrganisationTag;
 import org.berylwick.node.transport.RequestBody;
 
 /**
@@ -23,6 +24,7 @@
     private final long workNanos;
     private final boolean makesCall;
     private final String path;
+    private final OrganisationTag organisation;
     private String id = "";
     private long sentAt;
     private int attempts;
@@ -33,11 +35,13 @@
     private Optional<EmulatedWay.BodyFlow> flow = Optional.empty();
     private final Clock.Timer leaves;
 
-    EmulatedCaller(Emulation emulation, EmulatedNode node, RequestKind kind, String path) {
+    EmulatedCaller(
+            Emulation emulation, EmulatedNode node, RequestKind kind, String path, OrganisationTag organisation) {
         this.emulation = emulation;
         this.node = node;
         this.kind = kind;
         this.path = path;
+        this.organisation = organisation;
         this.askedAt = emulation.clock().now();
         this.deadlineAt = askedAt + kind.deadlineNanos();
         this.workNanos = emulation.drawWork(kind);
@@ -73,7 +77,7 @@
                     : RequestBody.of(Unpooled.wrappedBuffer(new byte[bytes]));
             flow.ifPresent(EmulatedWay.BodyFlow::stop);
             flow = streamed ? Optional.of(there.flow(body)) : Optional.empty();
-            call = Optional.of(node.call(id, kind, left, body, next));
+            call = Optional.of(node.call(id, kind, organisation, left, body, next));
         });
     }
 
@@ -99,7 +103,8 @@
             return;
         }
         wasRefused |= refused;
-        long wait = refused ? Math.min((long) (retryAfter * 1e9), left / 3) : 0;
+        long wait =
+                refused && !emulation.returnsAtOnce(organisation) ? Math.min((long) (retryAfter * 1e9), left / 3) : 0;
         emulation.clock().after(wait, () -> {
             if (!over) {
                 send();
@@ -133,7 +138,7 @@
         flow.ifPresent(EmulatedWay.BodyFlow::stop);
         leaves.cancel();
         if (!path.equals(Emulation.crashingPath(kind))) {
-            emulation.outcomes().onEnd(kind, askedAt, how);
+            emulation.outcomes().onEnd(kind, organisation, askedAt, how);
         }
     }
 }
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/EmulatedNode.java
@@ -23,6 +23,7 @@
 import org.berylwick.node.lib.BackendReport;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.ConfigurationVersion;
+import org.berylwick.node.lib.OrganisationTag;
 import org.berylwick.node.lib.PlatformBounds;
 import org.berylwick.node.lib.SuspectReport;
 import org.berylwick.node.log.Counters;
@@ -31,6 +32,7 @@
 import org.berylwick.node.member.NodeState;
 import org.berylwick.node.quarantine.HoldLog;
 import org.berylwick.node.quarantine.Quarantine;
+import org.berylwick.node.quota.RequestQuota;
 import org.berylwick.node.transport.RequestBody;
 import org.berylwick.node.transport.VmLink;
 
@@ -241,11 +243,18 @@
      *
      * @param id of it
      * @param kind of it
+     * @param organisation that it belongs to
      * @param leftNanos that its sender waits
      * @param body of it, which may still be coming
      * @param sink hears the answer
      */
-    CallHandle call(String id, RequestKind kind, long leftNanos, RequestBody body, EmulatedSink sink) {
+    CallHandle call(
+            String id,
+            RequestKind kind,
+            OrganisationTag organisation,
+            long leftNanos,
+            RequestBody body,
+            EmulatedSink sink) {
         HttpHeaders headers = new DefaultHttpHeaders();
         headers.set(Emulation.NAMES.requestId(), id);
         headers.set(Emulation.NAMES.deadline(), leftNanos / 1_000_000);
@@ -254,8 +263,10 @@
                 HttpMethod.GET, emulation.request(id).path(), headers, body);
         CallHandle call = entry.create(
                 version,
-                EntryCallFactory.Admission.withoutOrganisation(
-                        version.route(Emulation.HOST, request.uri()).orElseThrow()),
+                new EntryCallFactory.Admission(
+                        version.route(Emulation.HOST, request.uri()).orElseThrow(),
+                        organisation,
+                        RequestQuota.Permit.UNLIMITED),
                 request,
                 sink);
         call.start();
@@ -274,7 +285,8 @@
             emulation.outcomes().onCall(kindName, emulation.clock().now() - madeAt);
             onAnswer.accept(status == 200);
         });
-        Optional<CallHandle> call = Optional.of(call(id, kind, left, RequestBody.of(Unpooled.EMPTY_BUFFER), sink));
+        Optional<CallHandle> call =
+                Optional.of(call(id, kind, OrganisationTag.NONE, left, RequestBody.of(Unpooled.EMPTY_BUFFER), sink));
         return () -> {
             sink.close();
             call.ifPresent(CallHandle::abandon);
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Emulation.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Emulation.java
@@ -6,8 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.berylwick.node.lib.ConfigurationVersion;
 import org.berylwick.node.lib.HeaderNames;
+import org.berylwick.node.lib.OrganisationTag;
 import org.berylwick.node.lib.Route;
 import org.berylwick.node.lib.WeightedService;
 import org.berylwick.node.log.EventLog;
@@ -47,6 +50,8 @@
     private final Map<String, EmulatedRequest> requests = new HashMap<>();
     private final ConfigurationVersion version;
     private double load = 1;
+    private Supplier<OrganisationTag> organisations = () -> OrganisationTag.NONE;
+    private Predicate<OrganisationTag> returnsAtOnce = organisation -> false;
     private long nextId;
     private long nextPath;
 
@@ -103,7 +108,8 @@
                     .filter(n -> n.place().zone().equals(zone.name()))
                     .toList();
             List<EmulatedNode> from = near.isEmpty() ? nodes : near;
-            new EmulatedCaller(this, from.get(random.nextInt(from.size())), kind, newPath(kind)).send();
+            new EmulatedCaller(this, from.get(random.nextInt(from.size())), kind, newPath(kind), organisations.get())
+                    .send();
         });
     }
 
@@ -117,6 +123,20 @@
         load = factor;
     }
 
+    /** From now on requests belong to the organisations that are supplied, one for each. */
+    public void organisations(Supplier<OrganisationTag> supplier) {
+        organisations = supplier;
+    }
+
+    /** From now on the callers of some organisations return at once after a refusal. */
+    public void returnAtOnce(Predicate<OrganisationTag> which) {
+        returnsAtOnce = which;
+    }
+
+    boolean returnsAtOnce(OrganisationTag organisation) {
+        return returnsAtOnce.test(organisation);
+    }
+
     /** From now on all backend servers of a service turn away a part of what they get. */
     public void shed(String service, double share) {
         of(service).forEach(n -> n.server().shed(share));
@@ -146,7 +166,7 @@
     public void sendCrashing(String kindName, double gapSeconds) {
         EmulatedNode node = nodes.get(random.nextInt(nodes.size()));
         RequestKind kind = kinds.get(kindName);
-        new EmulatedCaller(this, node, kind, crashingPath(kind)).send();
+        new EmulatedCaller(this, node, kind, crashingPath(kind), OrganisationTag.NONE).send();
         clock.after((long) (gapSeconds * 1e9), () -> sendCrashing(kindName, gapSeconds));
     }
 
--- a/org.berylwick.bench/src/org/berylwick/bench/emulate/Outcomes.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/emulate/Outcomes.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
+import org.berylwick.node.lib.OrganisationTag;
 
 /** What callers got. */
 public final class Outcomes {
@@ -15,6 +16,7 @@
 
     private final Map<String, Tally> byKind = new TreeMap<>();
     private final Map<Long, Tally> byWindow = new TreeMap<>();
+    private final Map<String, Tally> byOrganisation = new TreeMap<>();
     private final Histogram toFirstServer = new Histogram(60_000_000_000L, 3);
     private final Histogram heldBeforeRefusal = new Histogram(60_000_000_000L, 3);
     private final Map<String, Histogram> toFirstServerByKind = new TreeMap<>();
@@ -81,10 +83,11 @@
         FAILED
     }
 
-    void onEnd(RequestKind kind, long askedAt, End end) {
+    void onEnd(RequestKind kind, OrganisationTag organisation, long askedAt, End end) {
         for (Tally tally : List.of(
                 byKind.computeIfAbsent(kind.name(), k -> new Tally()),
-                byWindow.computeIfAbsent(askedAt / WINDOW_NANOS, w -> new Tally()))) {
+                byWindow.computeIfAbsent(askedAt / WINDOW_NANOS, w -> new Tally()),
+                byOrganisation.computeIfAbsent(organisation.name(), o -> new Tally()))) {
             tally.asked++;
             tally.owed += kind.value().full();
             switch (end) {
@@ -171,6 +174,11 @@
         return byKind.getOrDefault(kind, new Tally());
     }
 
+    /** Requests of an organisation. */
+    public Tally ofOrganisation(String name) {
+        return byOrganisation.getOrDefault(name, new Tally());
+    }
+
     /** Part of the worth of all requests that was earned. */
     public double worth() {
         double owed = 0;
--- a/org.berylwick.node/src/org/berylwick/node/call/CallerWaitEstimator.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallerWaitEstimator.java
@@ -21,7 +21,8 @@
     private final Map<String, Long> longestTimeoutByRoute = new HashMap<>();
 
     /**
-     * Returns how long the caller had been waiting before it sent a request, 0 for a first attempt.
+     * Returns by how much the timeout is shorter than the longest on the route: how long the caller had been waiting
+     * before it sent the request, or a smaller difference that has other causes.
      *
      * @param routeName name of the route of the request
      * @param timeoutNanos how long the caller will wait from now on
@@ -31,7 +32,11 @@
             longestTimeoutByRoute.clear();
         }
         long fullTimeoutNanos = longestTimeoutByRoute.merge(routeName, timeoutNanos, Math::max);
-        long waitedNanos = fullTimeoutNanos - timeoutNanos;
+        return fullTimeoutNanos - timeoutNanos;
+    }
+
+    /** Returns the time for which a caller had certainly been waiting, 0 for a first attempt. */
+    static long withoutTolerance(long waitedNanos) {
         return waitedNanos < TOLERANCE_NANOS ? 0 : waitedNanos;
     }
 }
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -41,6 +41,7 @@
     private final CallSpec spec;
     private final long receivedAt;
     private final long queueWaitEndsAt;
+    private final long timeoutReductionNanos;
     private final boolean callerRetried;
     private final RequestQuota.Permit permit;
     private final ResponseSink sink;
@@ -50,6 +51,7 @@
     /** The previous attempt, which continues at a node that has gone silent. */
     private Optional<EntryAttempt> silentAttempt = Optional.empty();
 
+    private EntryShares.CallShare share = EntryShares.CallShare.NONE;
     private Clock.Timer deadlineTimer;
     private int attempts;
     /** Number of attempts that may have run the request. */
@@ -67,7 +69,7 @@
             CallSpec spec,
             long receivedAt,
             long versionNumber,
-            boolean callerRetried,
+            long timeoutReductionNanos,
             RequestQuota.Permit permit,
             ResponseSink sink) {
         this.context = context;
@@ -75,7 +77,8 @@
         this.spec = spec;
         this.receivedAt = receivedAt;
         this.queueWaitEndsAt = receivedAt + (long) (MAX_QUEUE_WAIT_SHARE * (spec.objectiveAt() - receivedAt));
-        this.callerRetried = callerRetried;
+        this.timeoutReductionNanos = timeoutReductionNanos;
+        this.callerRetried = CallerWaitEstimator.withoutTolerance(timeoutReductionNanos) > 0;
         this.permit = permit;
         this.sink = sink;
         this.trace = new CallTrace(context, spec, route, versionNumber, receivedAt);
@@ -100,7 +103,11 @@
         if (callerRetried) {
             context.callerRetryRates().onRetried(spec.requestClass());
         }
+        share = context.shares().onRequest(spec, timeoutReductionNanos, context.responseEstimates(), route, now);
         deadlineTimer = context.clock().schedule(spec.deadlineAt() + DEADLINE_GRACE_NANOS, this::onDeadline);
+        if (share.isReturnedEarly()) {
+            triedNodes.exhaust();
+        }
         sendNext(false);
     }
 
@@ -140,7 +147,7 @@
                 context.responseEstimates().expectedNanos(route),
                 spec.objectiveAt() - now,
                 spec.remainingNanos(now),
-                (isCall ? spec.deadlineAt() : queueWaitEndsAt) - now,
+                share.maxWaitNanos((isCall ? spec.deadlineAt() : queueWaitEndsAt) - now, now),
                 callerRetried || isCall ? 0 : context.callerRetryRates().retryRate(spec.requestClass()),
                 isCall,
                 triedNodes.isNextFinal());
@@ -179,6 +186,9 @@
             return;
         }
         triedNodes.onRefused(attempt.candidate(), refusal);
+        if (share.onRefusedByOwner(refusal, context.clock().now())) {
+            triedNodes.exhaust();
+        }
         trace.recordDecisiveOutcome(attempt, refusal.reason().name());
         context.counters().increment(NodeMetricNames.ENTRY_REFUSALS_BY_REASON + refusal.reason());
         if (refusal.reason() != Refusal.Reason.EXPIRED && refusal.reason() != Refusal.Reason.QUARANTINED) {
@@ -423,10 +433,11 @@
         finish();
         permit.release();
         double random = context.random().getAsDouble();
-        long remainingNanos = spec.remainingNanos(context.clock().now());
+        long now = context.clock().now();
+        double returnFactor = share.onRefused(spec, now);
         double retryAfterSeconds = holdNanos > 0
                 ? holdNanos / 1e9
-                : RetryAfter.untilSlot(triedNodes.shortestWaitNanos(), remainingNanos, random);
+                : RetryAfter.untilShare(triedNodes.shortestWaitNanos(), spec.remainingNanos(now), returnFactor, random);
         context.callerRetryRates().onRefused(spec.requestClass());
         context.counters().increment(NodeMetricNames.ENTRY_REFUSED);
         log(Event.CALL_REFUSED, 503, "");
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCallFactory.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCallFactory.java
@@ -64,6 +64,7 @@
                 new CallerRetryRate(),
                 new ResponseBufferBudget(maxBufferedBytes),
                 quarantine,
+                new EntryShares(instruments),
                 instruments.counters(),
                 instruments.log(),
                 random);
@@ -98,7 +99,8 @@
         HttpHeaders headers = Headers.endToEnd(request.headers());
         String id = requestId(headers);
         long callerTimeoutNanos = callerTimeoutNanos(headers);
-        long waitedNanos = callerWaitEstimator.waitedNanos(route.name(), callerTimeoutNanos);
+        long timeoutReductionNanos = callerWaitEstimator.waitedNanos(route.name(), callerTimeoutNanos);
+        long waitedNanos = CallerWaitEstimator.withoutTolerance(timeoutReductionNanos);
         long deadlineAt = now + Math.max(1_000_000L, callerTimeoutNanos - RESPONSE_TRANSIT_NANOS);
         headers.remove(context.headerNames().deadline());
         headers.remove(context.headerNames().targetIncarnation());
@@ -126,7 +128,8 @@
                 0,
                 (int) context.responseEstimates().expectedBytes(route),
                 admission.organisation());
-        return new EntryCall(context, route, spec, now, version.number(), waitedNanos > 0, admission.permit(), sink);
+        return new EntryCall(
+                context, route, spec, now, version.number(), timeoutReductionNanos, admission.permit(), sink);
     }
 
     /** Returns the id of a request from its headers, empty if it has none. */
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryContext.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryContext.java
@@ -22,6 +22,7 @@
  * @param callerRetryRates how often callers retry after a refusal
  * @param responseBufferBudget memory limit for buffered responses
  * @param quarantine requests that no backend server should run
+ * @param shares shares of organisations in services that are short of capacity
  * @param counters metrics
  * @param log event log
  * @param random supplies random numbers, uniform in [0, 1)
@@ -38,6 +39,7 @@
         CallerRetryRate callerRetryRates,
         ResponseBufferBudget responseBufferBudget,
         Quarantine quarantine,
+        EntryShares shares,
         Counters counters,
         EventLog log,
         DoubleSupplier random) {}
--- a/org.berylwick.node/src/org/berylwick/node/call/RetryAfter.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/RetryAfter.java
@@ -17,6 +17,9 @@
      */
     private static final double MIN_REMAINING_SHARE = 0.1;
 
+    /** Latest time for an organisation above its share, as a multiple of the middle one; the earliest is 0.5. */
+    private static final double MAX_SPREAD = 1.5;
+
     private RetryAfter() {}
 
     /**
@@ -33,6 +36,25 @@
         return Math.max(MIN_SECONDS, Math.min(MAX_SECONDS, seconds * (0.75 + 0.5 * random)));
     }
 
+    /**
+     * Returns the time for a caller whose organisation asks for more than its share. It grows with the excess, and is
+     * spread wider, so that not all that is refused returns together to the same few slots.
+     *
+     * @param waitNanos expected wait for a slot, or {@link #UNKNOWN_NANOS}
+     * @param remainingNanos time left until the caller's deadline
+     * @param factor demand of the organisation as a multiple of its share; with 1, the usual time is returned
+     * @param random uniform in [0, 1)
+     */
+    static double untilShare(long waitNanos, long remainingNanos, double factor, double random) {
+        if (factor <= 1) {
+            return untilSlot(waitNanos, remainingNanos, random);
+        }
+        double slotSeconds = waitNanos == UNKNOWN_NANOS ? DEFAULT_SECONDS : waitNanos / 1e9;
+        double excessSeconds = factor * MIN_REMAINING_SHARE * remainingNanos / 1e9;
+        double middleSeconds = Math.min(MAX_SECONDS / MAX_SPREAD, Math.max(slotSeconds, excessSeconds));
+        return Math.max(MIN_SECONDS, middleSeconds * (MAX_SPREAD - 1 + random));
+    }
+
     /** Returns the headers of a refusal, which tell the caller when to retry. */
     static HttpHeaders headers(double seconds) {
         return Headers.empty().set("Retry-After", String.format(Locale.ROOT, "%.3f", seconds));
--- a/org.berylwick.node/src/org/berylwick/node/call/TriedNodes.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/TriedNodes.java
@@ -14,6 +14,7 @@
     private final Set<String> excludedKeys = new HashSet<>();
     private final Set<String> busyKeys = new HashSet<>();
     private int refusals;
+    private boolean exhausted;
     private long shortestWaitNanos = RetryAfter.UNKNOWN_NANOS;
 
     /** Keys of the nodes that are not chosen again. */
@@ -27,7 +28,12 @@
 
     /** Whether so many nodes have refused the request that no other is tried. */
     boolean isExhausted() {
-        return refusals >= MAX_REFUSALS;
+        return exhausted || refusals >= MAX_REFUSALS;
+    }
+
+    /** Tries no other node, since they would refuse the request as well. */
+    void exhaust() {
+        exhausted = true;
     }
 
     /** Whether no other node is tried if the next one refuses the request. */
