Decide on a place in the owner's queue in one method

Cause: refusalReason exceeded the complexity that the linter allows.

Change: the limit of the queue and the eviction for another organisation are part of acceptsIntoQueue; same conditions.

--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -382,11 +382,7 @@
         long waitNanos = Math.max(
                 Math.max(waits.expectedNanos(run, server), linkWaitNanos),
                 bodyScheduler.transferNanosAhead(call.body()));
-        boolean canEvict = run.charge().isPresent()
-                && !run.isAboveShare()
-                && queue.lastAboveShare(run.priority()).isPresent();
-        boolean queueFull =
-                queuedCount() >= MAX_QUEUED_PER_SLOT * server.slots() && !canEvict || !acceptsIntoQueue(run, server);
+        boolean queueFull = !acceptsIntoQueue(run, server);
         if (queueFull
                 || waitNanos > run.longestAdmittedWaitNanos()
                 || !run.canMeetDeadline(now + waitNanos + bodyScheduler.transferNanos(call.body()))) {
@@ -397,6 +393,12 @@
     }
 
     private boolean acceptsIntoQueue(OwnerRun run, Backend server) {
+        boolean canEvict = run.charge().isPresent()
+                && !run.isAboveShare()
+                && queue.lastAboveShare(run.priority()).isPresent();
+        if (queuedCount() >= MAX_QUEUED_PER_SLOT * server.slots() && !canEvict) {
+            return false;
+        }
         boolean timely = waits.isTimely(run, server);
         return run.isAboveShare()
                 ? timely && queue.acceptsAboveShare(server.slots())
