--- a/org.berylwick.node/src/org/berylwick/node/NodeQuotaFleet.java
+++ b/org.berylwick.node/src/org/berylwick/node/NodeQuotaFleet.java
@@ -27,7 +27,7 @@
         implements QuotaFleet {
     @Override
     public List<String> readers() {
-        return storeReaders.all();
+        return storeReaders.widestNodes();
     }
 
     @Override
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -33,6 +33,7 @@
     private final EntryContext context;
     private final Route route;
     private final CallSpec spec;
+    private final long timeoutReductionNanos;
     private final boolean callerRetried;
     private final RequestQuota.Permit permit;
     private final ResponseSink sink;
@@ -41,6 +42,7 @@
     private final NodeSelection selection;
     private final RunningAttempts running = new RunningAttempts();
 
+    private EntryShares.CallShare share = EntryShares.CallShare.NONE;
     private Clock.Timer deadlineTimer;
     private int attempts;
     /** Number of attempts that may have run the request. */
@@ -57,13 +59,14 @@
             CallSpec spec,
             long receivedAt,
             long versionNumber,
-            boolean callerRetried,
+            long timeoutReductionNanos,
             RequestQuota.Permit permit,
             ResponseSink sink) {
         this.context = context;
         this.route = route;
         this.spec = spec;
-        this.callerRetried = callerRetried;
+        this.timeoutReductionNanos = timeoutReductionNanos;
+        this.callerRetried = CallerWaitEstimator.withoutTolerance(timeoutReductionNanos) > 0;
         this.permit = permit;
         this.sink = sink;
         this.selection = new NodeSelection(context, route, spec, receivedAt, callerRetried);
@@ -96,7 +99,12 @@
             refuse();
             return;
         }
+        share = context.shares().onRequest(spec, timeoutReductionNanos, context.responseEstimates(), route, now);
+        selection.setShare(share);
         deadlineTimer = context.clock().schedule(spec.deadlineAt() + DEADLINE_GRACE_NANOS, this::onDeadline);
+        if (share.isReturnedEarly()) {
+            selection.triedNodes().exhaust();
+        }
         sendNext(false);
     }
 
@@ -166,6 +174,9 @@
             return;
         }
         selection.triedNodes().onRefused(attempt.candidate(), refusal);
+        if (share.onRefusedByOwner(refusal, context.clock().now())) {
+            selection.triedNodes().exhaust();
+        }
         trace.recordDecisiveOutcome(attempt, refusal.reason().name());
         context.counters().increment(NodeMetricNames.ENTRY_REFUSALS_BY_REASON + refusal.reason());
         if (refusal.reason() != Refusal.Reason.EXPIRED && refusal.reason() != Refusal.Reason.QUARANTINED) {
@@ -430,10 +441,12 @@
         finish();
         permit.release();
         double random = context.random().getAsDouble();
-        long remainingNanos = spec.remainingNanos(context.clock().now());
+        long now = context.clock().now();
+        double returnFactor = share.onRefused(spec, now);
         double retryAfterSeconds = holdNanos > 0
                 ? holdNanos / 1e9
-                : RetryAfter.untilSlot(selection.triedNodes().shortestWaitNanos(), remainingNanos, random);
+                : RetryAfter.untilShare(
+                        selection.triedNodes().shortestWaitNanos(), spec.remainingNanos(now), returnFactor, random);
         context.callerRetryRates().onRefused(spec.requestClass());
         context.counters().increment(NodeMetricNames.ENTRY_REFUSED);
         log(Event.CALL_REFUSED, 503, "");
--- a/org.berylwick.node/src/org/berylwick/node/call/NodeSelection.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/NodeSelection.java
@@ -18,6 +18,7 @@
     private final long queueWaitEndsAt;
     private final boolean callerRetried;
     private final TriedNodes triedNodes = new TriedNodes();
+    private EntryShares.CallShare share = EntryShares.CallShare.NONE;
 
     NodeSelection(EntryContext context, Route route, CallSpec spec, long receivedAt, boolean callerRetried) {
         this.context = context;
@@ -27,6 +28,11 @@
         this.callerRetried = callerRetried;
     }
 
+    /** Sets the share of the organisation that the request belongs to, which bounds its wait. */
+    void setShare(EntryShares.CallShare callShare) {
+        share = callShare;
+    }
+
     TriedNodes triedNodes() {
         return triedNodes;
     }
@@ -71,7 +77,7 @@
                 context.responseEstimates().expectedNanos(route),
                 spec.objectiveAt() - now,
                 spec.remainingNanos(now),
-                (isCall ? spec.deadlineAt() : queueWaitEndsAt) - now,
+                share.maxWaitNanos((isCall ? spec.deadlineAt() : queueWaitEndsAt) - now, now),
                 callerRetried || isCall ? 0 : context.callerRetryRates().retryRate(spec.requestClass()),
                 isCall,
                 triedNodes.isNextFinal());
