Move the announcement of responses to the link out of OwnerRun

AnnouncedResponse holds what the outgoing link is told of a response; the share of lost requests moved to RunningRequests. No change of behaviour.

--- a/org.berylwick.node/src/org/berylwick/node/StoreReaders.java
+++ b/org.berylwick.node/src/org/berylwick/node/StoreReaders.java
@@ -32,10 +32,7 @@
      * @param ownEligible whether this node is not leaving
      */
     StoreReaders(
-            NodeSettings settings,
-            MemberTable members,
-            LongSupplier silenceTimeoutNanos,
-            BooleanSupplier ownEligible) {
+            NodeSettings settings, MemberTable members, LongSupplier silenceTimeoutNanos, BooleanSupplier ownEligible) {
         this.settings = settings;
         this.members = members;
         this.silenceTimeoutNanos = silenceTimeoutNanos;
--- a/org.berylwick.node/src/org/berylwick/node/call/CurrentSpeed.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CurrentSpeed.java
@@ -46,6 +46,11 @@
         return stated ? new Slowdown(latestFactor / meanFactor, true).after(time - latestAt) : Slowdown.NONE;
     }
 
+    /** Returns the same in percent, 0 if the backend server has not stated a figure. */
+    int statedPercentAt(long time) {
+        return stated ? slowdownAt(time).percent() : 0;
+    }
+
     /** Returns how many times as long as the backend server calls usual work takes at a time. */
     double factorAt(long time) {
         return stated ? meanFactor * slowdownAt(time).factor() : 1;
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -130,14 +130,12 @@
                         queuedCount(),
                         server.slots(),
                         server.serviceTimeEstimator().meanNanos(),
-                        lostPerMille(server, now),
+                        running.lostPerMille(server.lossRate(), now),
                         link.incoming().busyNanos(),
                         link.outgoing().busyNanos(),
                         server.startLimiter().intervalNanos(),
                         server.startLimiter().waitNanos(queuedCount(), now),
-                        server.speed().isStated()
-                                ? server.speed().slowdownAt(now).percent()
-                                : 0))
+                        server.speed().statedPercentAt(now)))
                 .orElse(OwnerLoad.NONE);
     }
 
@@ -157,15 +155,6 @@
                 .orElse(List.of());
     }
 
-    /**
-     * Number of requests per thousand that the backend server loses. Overdue requests count as lost before their
-     * deadline passes: otherwise a backend server that stops responding would be sent requests until all its slots are
-     * taken, and answer none of them.
-     */
-    private int lostPerMille(Backend server, long now) {
-        return Math.max(server.lossRate().perMille(now), running.overduePerMille(now));
-    }
-
     /** Sets where leaves are recorded, called before the first report. */
     public void setDepartureRecord(DepartureRecord record) {
         registry.setDepartureRecord(record);
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -68,8 +68,7 @@
     private long waitStartedAt;
     private long meanServiceNanos;
     private long medianServiceNanos;
-    private long responseTransferNanos;
-    private long announcedBytes;
+    private final AnnouncedResponse response;
     private Clock.Timer timer;
     private ServerConnection connection;
     private Backend backend;
@@ -105,9 +104,7 @@
                 - (isCall ? CALL_ADVANCE_NANOS : 0);
         this.waitStartedAt = clock.now();
         this.arrivalNumber = owner.nextArrivalNumber();
-        if (owner.outgoingLink().isLarge(call.expectedResponseBytes())) {
-            this.responseTransferNanos = owner.outgoingLink().transferNanos(call.expectedResponseBytes());
-        }
+        this.response = new AnnouncedResponse(owner.outgoingLink(), call.expectedResponseBytes());
     }
 
     CallSpec call() {
@@ -166,29 +163,12 @@
      * announced there, beyond the median service time of the request; 0 for a small response.
      */
     long linkWaitNanos() {
-        if (responseTransferNanos == 0) {
-            return 0;
-        }
-        long otherResponsesNanos =
-                owner.outgoingLink().busyNanos() - owner.outgoingLink().transferNanos(announcedBytes);
-        return Math.max(0, otherResponsesNanos - medianServiceNanos);
+        return Math.max(0, response.otherResponsesNanos() - medianServiceNanos);
     }
 
     /** Announces the response of the admitted request to the outgoing link, which counts it as ahead of later ones. */
     void announceResponse() {
-        announcedBytes = responseTransferNanos == 0 ? 0 : call.expectedResponseBytes();
-        owner.outgoingLink().adjustExpectedBytes(announcedBytes);
-    }
-
-    /** Updates the announcement to the number of response bytes that are still to be read from the backend server. */
-    private void updateAnnouncedBytes(long remainingBytes) {
-        long bytesToAnnounce = responseTransferNanos == 0 ? 0 : remainingBytes;
-        owner.outgoingLink().adjustExpectedBytes(bytesToAnnounce - announcedBytes);
-        announcedBytes = bytesToAnnounce;
-    }
-
-    private void withdrawAnnouncedBytes() {
-        updateAnnouncedBytes(0);
+        response.announce();
     }
 
     /**
@@ -209,11 +189,11 @@
         if (isCall) {
             return canMeetDeadline(now);
         }
-        return now + expectedServiceNanos(now) + responseTransferNanos <= call.objectiveAt();
+        return now + expectedServiceNanos(now) + response.transferNanos() <= call.objectiveAt();
     }
 
     boolean canMeetDeadline(long now) {
-        return now + expectedServiceNanos(now) + responseTransferNanos <= call.deadlineAt();
+        return now + expectedServiceNanos(now) + response.transferNanos() <= call.deadlineAt();
     }
 
     private long expectedServiceNanos(long startsAt) {
@@ -381,7 +361,7 @@
             return;
         }
         headForwarded = true;
-        updateAnnouncedBytes(HttpUtil.getContentLength(head, announcedBytes));
+        response.onLength(HttpUtil.getContentLength(head, -1L));
         listener.onHead(status, Headers.endToEnd(headers), owner.load());
     }
 
@@ -391,8 +371,7 @@
             part.release();
             return;
         }
-        // From here on the outgoing link counts these bytes itself.
-        updateAnnouncedBytes(Math.max(0, announcedBytes - part.readableBytes()));
+        response.onRead(part.readableBytes());
         listener.onBody(part);
     }
 
@@ -473,7 +452,7 @@
 
     private void finish() {
         finished = true;
-        withdrawAnnouncedBytes();
+        response.withdraw();
         if (timer != null) {
             timer.cancel();
         }
--- a/org.berylwick.node/src/org/berylwick/node/call/RunningRequests.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/RunningRequests.java
@@ -59,4 +59,13 @@
         }
         return count;
     }
+
+    /**
+     * Returns the number of requests per thousand that the backend server loses. Overdue requests count as lost before
+     * their deadline passes: otherwise a backend server that stops responding would be sent requests until all its
+     * slots are taken, and answer none of them.
+     */
+    int lostPerMille(LossRate lossRate, long now) {
+        return Math.max(lossRate.perMille(now), overduePerMille(now));
+    }
 }
