Mend what the reviews of the parts found

Each part was read by someone who had not written it. Mended: - A figure of a backend server's speed weighed as long as the pause after it, so that one figure before a pause became the mean, and the estimates by it could refuse every request; a figure now holds for 300 ms at most. - A server that is slow for a moment refused as EXPIRED, which ends the whole request; now as BUSY, so another is asked. - A quota bucket that was dropped and opened again was full at once; it now fills from when the node ceased to be the server. The alive readers are brought up to date before a question is answered, as a successor could grant a whole burst. The fallback shares of all nodes reached their first permit at one moment. A changed limit kept the hold of the former one. Addresses that were silent for 10 minutes no longer count as nodes, or a fleet of replaced VMs would never have a majority. The wait for a permit counts towards the deadline. - An above-share request of one priority could let less urgent ones start before a more urgent one. Requests whose body is incomplete no longer evict. A refusal because of a hold is not recorded as one because of the share. - A hedge that its server has rejected is no longer refunded, and a hedge is judged by the server's current speed. - An id that restarts was the first to be forgotten among departed incarnations.

--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -210,7 +210,7 @@
                 storeReaders,
                 members,
                 gossip::silenceTimeoutNanos,
-                this::nodeCount,
+                () -> gossip.peerAddressCount(NodeQuotaFleet.MAX_SILENCE_NANOS) + 1,
                 discovery::isDirectoryRead);
         return QuotaExchange.createQuota(clock, fleet, gossip, versionUpdater::version, new Instruments(counters, log));
     }
--- a/org.berylwick.node/src/org/berylwick/node/NodeQuotaFleet.java
+++ b/org.berylwick.node/src/org/berylwick/node/NodeQuotaFleet.java
@@ -25,6 +25,12 @@
         IntSupplier count,
         BooleanSupplier countKnown)
         implements QuotaFleet {
+    /**
+     * Silence after which an address no longer counts as a node. Without it, VMs that were replaced would leave the
+     * others in a minority for good. A partition that lasts longer may have a quota server on each side.
+     */
+    static final long MAX_SILENCE_NANOS = 600_000_000_000L;
+
     @Override
     public List<String> readers() {
         return storeReaders.widestNodes();
--- a/org.berylwick.node/src/org/berylwick/node/call/CallerExchange.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallerExchange.java
@@ -44,6 +44,7 @@
     private boolean ended;
 
     private long waitedNanos;
+    private long admissionStartedAt;
     private CallerExchange next;
 
     /**
@@ -113,6 +114,7 @@
 
     /** Starts the call if the request is admitted. The response may be sent before this method returns. */
     void start() {
+        admissionStartedAt = System.nanoTime();
         services.admission().decide(request, this);
     }
 
@@ -134,6 +136,7 @@
     }
 
     private void startCall(RequestAdmission.Result.Admitted admitted) {
+        addWait(System.nanoTime() - admissionStartedAt);
         repeatable = admitted.admission().route().kind().isRetryable();
         EntryCallFactory.CallerRequest callerRequest = new EntryCallFactory.CallerRequest(
                 request.method(), request.uri(), request.headers(), body, waitedNanos);
--- a/org.berylwick.node/src/org/berylwick/node/call/CurrentSpeed.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CurrentSpeed.java
@@ -11,6 +11,12 @@
     /** Weight of the past in the mean of the figures; long compared with what slows a server down for a moment. */
     private static final double MEAN_DECAY_NANOS = 5e9;
 
+    /**
+     * Longest time for which a figure is taken to have held. After a pause in the responses, the last figure before it
+     * would otherwise become the mean, and the estimates by it could refuse every request from then on.
+     */
+    private static final long MAX_HELD_NANOS = 300_000_000L;
+
     private double meanFactor = 1;
     private double latestFactor = 1;
     private long latestAt;
@@ -24,7 +30,8 @@
      */
     void onFigure(double factor, long now) {
         if (stated) {
-            meanFactor += (1 - Math.exp(-(now - latestAt) / MEAN_DECAY_NANOS)) * (latestFactor - meanFactor);
+            long heldNanos = Math.min(now - latestAt, MAX_HELD_NANOS);
+            meanFactor += (1 - Math.exp(-heldNanos / MEAN_DECAY_NANOS)) * (latestFactor - meanFactor);
         }
         stated = true;
         latestFactor = factor;
--- a/org.berylwick.node/src/org/berylwick/node/call/DepartedIncarnations.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/DepartedIncarnations.java
@@ -40,6 +40,8 @@
     }
 
     private static void put(Map<String, Long> byId, String id, long millis) {
+        // Removed first, so that an id that restarts is not the oldest entry.
+        byId.remove(id);
         byId.put(id, millis);
         if (byId.size() > MAX_SIZE) {
             byId.remove(byId.keySet().iterator().next());
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCall.java
@@ -50,7 +50,6 @@
 
     private boolean retryGranted;
     private boolean done;
-
     private Optional<ServerFailure> serverFailure = Optional.empty();
 
     EntryCall(
@@ -167,7 +166,8 @@
             trace.recordOutcome(attempt, refusal.reason().name());
             return;
         }
-        if (tryResumeFirst(attempt)) {
+        // A hedge that its server has seen counts as a request to it.
+        if (!refusal.rejectedByBackend() && tryResumeFirst(attempt)) {
             running.current().ifPresent(hedge::onNotRun);
             selection.triedNodes().forget(attempt.candidate());
             trace.recordOutcome(attempt, refusal.reason().name());
@@ -442,7 +442,7 @@
         permit.release();
         double random = context.random().getAsDouble();
         long now = context.clock().now();
-        double returnFactor = share.onRefused(spec, now);
+        double returnFactor = holdNanos > 0 ? 1 : share.onRefused(spec, now);
         double retryAfterSeconds = holdNanos > 0
                 ? holdNanos / 1e9
                 : RetryAfter.untilShare(
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryShares.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryShares.java
@@ -158,7 +158,7 @@
             double excess = shares.excess(account, now);
             double factor = excess > MIN_EXCESS ? Math.min(MAX_RETURN_FACTOR, excess) : 1;
             double leastSeconds = RetryAfter.untilShare(0, spec.remainingNanos(now), factor, 0);
-            account.setLeastReturnNanos((long) (leastSeconds * 1e9));
+            account.onReturnTold((long) (leastSeconds * 1e9), now);
             return factor;
         }
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/HedgePolicy.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/HedgePolicy.java
@@ -155,11 +155,13 @@
             return false;
         }
         long delayNanos = delayNanos(candidate, attempt.expectedBytes());
-        double missed = hedgeTime.get().probabilityOfExceeding(attempt.deadlineAt() - now - delayNanos);
+        ServiceTimeDistribution currentHedgeTime =
+                hedgeTime.get().scaledBy(Math.max(1, candidate.slowdown().factor()));
+        double missed = currentHedgeTime.probabilityOfExceeding(attempt.deadlineAt() - now - delayNanos);
         long firstRemainingNanos = stateOf(attempt.service())
                 .lateAttempts
                 .expectedRemainingNanos(firstTime.get(), firstTime.get().quantileNanos(quantile));
-        return missed <= MAX_MISSED_PROBABILITY && delayNanos + hedgeTime.get().medianNanos() < firstRemainingNanos;
+        return missed <= MAX_MISSED_PROBABILITY && delayNanos + currentHedgeTime.medianNanos() < firstRemainingNanos;
     }
 
     /** Returns whether the share of a service has room for a hedge. */
--- a/org.berylwick.node/src/org/berylwick/node/call/OrganisationShares.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OrganisationShares.java
@@ -18,6 +18,9 @@
     /** Maximum number of accounts of one priority. */
     static final int MAX_ACCOUNTS = 512;
 
+    /** Refused callers have returned after this time, or not at all. */
+    private static final long RETURN_WINDOW_NANOS = 1_000_000_000L;
+
     private static final int PRIORITIES = 16;
     /**
      * Use below this fraction of demand counts as shortage of capacity; the rest are requests that failed otherwise.
@@ -67,6 +70,7 @@
         private long touchedAt;
         private long heldUntil = Long.MIN_VALUE;
         private long leastReturnNanos;
+        private long returnsUntil = Long.MIN_VALUE;
         private boolean dropped;
 
         private Account(String organisation, Group group) {
@@ -83,13 +87,15 @@
             return heldUntil;
         }
 
-        /** Shortest time after which refused callers were last told to return. */
+        /** Shortest time after which refused callers that may not have returned yet were told to return. */
         long leastReturnNanos() {
             return leastReturnNanos;
         }
 
-        void setLeastReturnNanos(long nanos) {
-            leastReturnNanos = nanos;
+        /** Records that a refused caller was told to return after a time. */
+        void onReturnTold(long nanos, long now) {
+            leastReturnNanos = now < returnsUntil ? Math.min(leastReturnNanos, nanos) : nanos;
+            returnsUntil = now + RETURN_WINDOW_NANOS;
         }
 
         void holdUntil(long time) {
@@ -208,7 +214,9 @@
 
     /** Adds to the demand of an organisation; the cost may be negative to correct an estimate made at that time. */
     void addDemand(Account account, long costNanos, long at) {
-        double change = Math.max(-account.demand, costNanos * weight(at));
+        // First, because it may rescale the account.
+        double weight = weight(at);
+        double change = Math.max(-account.demand, costNanos * weight);
         account.demand += change;
         if (!account.dropped) {
             account.group.demand += change;
@@ -223,7 +231,8 @@
      * @param at the current time, or that of the charge which is returned or corrected
      */
     void addUse(Account account, long costNanos, long at) {
-        double change = Math.max(-account.use, costNanos * weight(at));
+        double weight = weight(at);
+        double change = Math.max(-account.use, costNanos * weight);
         account.use += change;
         if (!account.dropped) {
             account.group.use += change;
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -370,7 +370,8 @@
         run.setServiceTime(server.serviceTimeEstimator().distribution(call), server.speed());
         long now = clock.now();
         if (!run.canMeetDeadline(now)) {
-            return Optional.of(Refusal.Reason.EXPIRED);
+            // A server that is slow for a moment is no reason not to ask another one.
+            return Optional.of(run.canMeetDeadlineAtUsualSpeed(now) ? Refusal.Reason.BUSY : Refusal.Reason.EXPIRED);
         }
         run.setCharge(shares.onOffered(call, run.meanServiceNanos(), now));
         long linkWaitNanos = run.linkWaitNanos();
@@ -392,6 +393,7 @@
 
     private boolean acceptsIntoQueue(OwnerRun run, Backend server) {
         boolean canEvict = run.charge().isPresent()
+                && run.call().body().isComplete()
                 && !run.isAboveShare()
                 && queue.lastAboveShare(run.priority()).isPresent();
         if (queuedCount() >= MAX_QUEUED_PER_SLOT * server.slots() && !canEvict) {
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -196,6 +196,10 @@
         return now + expectedServiceNanos(now) + response.transferNanos() <= call.deadlineAt();
     }
 
+    boolean canMeetDeadlineAtUsualSpeed(long now) {
+        return now + medianServiceNanos + response.transferNanos() <= call.deadlineAt();
+    }
+
     private long expectedServiceNanos(long startsAt) {
         return speed.slowdownAt(startsAt).expectedNanos(medianServiceNanos);
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/ReportedStarts.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/ReportedStarts.java
@@ -14,7 +14,9 @@
         if (!incarnation.hasBorn()) {
             return;
         }
-        latestById.merge(incarnation.id(), incarnation.born(), Math::max);
+        // Removed first, so that an id that restarts is not the oldest entry.
+        Long earlier = latestById.remove(incarnation.id());
+        latestById.put(incarnation.id(), earlier == null ? incarnation.born() : Math.max(earlier, incarnation.born()));
         if (latestById.size() > MAX_SIZE) {
             latestById.remove(latestById.keySet().iterator().next());
         }
--- a/org.berylwick.node/src/org/berylwick/node/call/RequestQueue.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/RequestQueue.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 
 /**
@@ -105,7 +107,7 @@
     /** Removes and returns the request to start next. */
     Optional<OwnerRun> poll(long now) {
         while (!timely.isEmpty() || !aboveShare.isEmpty()) {
-            OwnerRun first = nextSet().pollFirst();
+            OwnerRun first = pollFirst();
             if (first.canMeetObjective(now)) {
                 return Optional.of(first);
             }
@@ -114,20 +116,29 @@
         return Optional.ofNullable(late.pollFirst());
     }
 
-    private TreeSet<OwnerRun> nextSet() {
-        if (aboveShare.isEmpty()) {
-            return timely;
+    /** Removes the first request that is not late; one above its share waits behind all timely ones of its priority. */
+    private OwnerRun pollFirst() {
+        Optional<OwnerRun> aboveShareNext = firstUnblockedAboveShare();
+        if (aboveShareNext.isPresent() && (timely.isEmpty() || compare(aboveShareNext.get(), timely.first()) < 0)) {
+            aboveShare.remove(aboveShareNext.get());
+            return aboveShareNext.get();
         }
-        OwnerRun candidate = aboveShare.first();
-        if (!timely.isEmpty() && compare(timely.first(), candidate) < 0) {
-            return timely;
+        // Not empty: without timely requests, none above its share has to wait behind one.
+        return timely.pollFirst();
+    }
+
+    private Optional<OwnerRun> firstUnblockedAboveShare() {
+        if (aboveShare.isEmpty()) {
+            return Optional.empty();
         }
-        for (OwnerRun other : timely) {
-            if (other.priority() == candidate.priority()) {
-                return timely;
+        Set<Integer> timelyPriorities = new HashSet<>();
+        timely.forEach(run -> timelyPriorities.add(run.priority()));
+        for (OwnerRun run : aboveShare) {
+            if (!timelyPriorities.contains(run.priority())) {
+                return Optional.of(run);
             }
         }
-        return aboveShare;
+        return Optional.empty();
     }
 
     /** Removes and returns all requests. */
--- a/org.berylwick.node/src/org/berylwick/node/member/Gossip.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/Gossip.java
@@ -200,6 +200,14 @@
         return lastDatagramAtByAddress.size();
     }
 
+    /** Number of addresses from which a datagram was received, or which were added, within a time. */
+    public int peerAddressCount(long maxAgeNanos) {
+        long now = System.nanoTime();
+        return (int) lastDatagramAtByAddress.values().stream()
+                .filter(at -> now - at <= maxAgeNanos)
+                .count();
+    }
+
     /** Time without a datagram after which a node counts as silent; grows with the length of a round. */
     public long silenceTimeoutNanos() {
         return (long) (periodNanos() * SILENCE_TIMEOUT_ROUNDS);
--- a/org.berylwick.node/src/org/berylwick/node/quota/NodeQuota.java
+++ b/org.berylwick.node/src/org/berylwick/node/quota/NodeQuota.java
@@ -165,6 +165,7 @@
         if (!organisation.equals(client.organisation)) {
             client.organisation = organisation;
             client.pool.removeAll();
+            client.pool.endHold(now);
         }
         long expiresAt = client.pool.nextExpiry(now);
         switch (client.pool.onRequest(now)) {
@@ -261,7 +262,10 @@
         }
         long now = clock.now();
         switch (message) {
-            case QuotaMessage.Ask ask -> server.onAsk(from, ask, now).ifPresent(answer -> sender.accept(from, answer));
+            case QuotaMessage.Ask ask -> {
+                election.update(fleet.readers(), now);
+                server.onAsk(from, ask, now).ifPresent(answer -> sender.accept(from, answer));
+            }
             case QuotaMessage.Return returned -> server.onReturn(from, returned, now);
             case QuotaMessage.Beat beat -> election.onBeat(from, beat, now);
             case QuotaMessage.Answer answer -> {
@@ -351,7 +355,9 @@
         if (client.fallback.isEmpty() && fleet.isNodeCountKnown()) {
             double share =
                     client.organisation.ratePerSecond() * QuotaServer.FALLBACK_SHARE / Math.max(1, fleet.nodeCount());
-            client.fallback = Optional.of(new QuotaBucket(share, 0, now));
+            // A random start, as otherwise all nodes would grant their first request at the same moment.
+            long emptyAt = now - (long) (random.getAsDouble() * NANOS_PER_SECOND / share);
+            client.fallback = Optional.of(new QuotaBucket(share, 0, emptyAt));
         }
         while (!client.waiting.isEmpty()) {
             Consumer<Decision> onDecision = client.waiting.poll();
--- a/org.berylwick.node/src/org/berylwick/node/quota/PermitPool.java
+++ b/org.berylwick.node/src/org/berylwick/node/quota/PermitPool.java
@@ -138,6 +138,11 @@
         paceNanos = newPaceNanos;
     }
 
+    /** Ends the time in which requests are refused without a question, because the limit has changed. */
+    void endHold(long now) {
+        holdUntil = Math.min(holdUntil, now);
+    }
+
     /**
      * Returns the time after which a request that is refused now should be sent again; each refusal gets a later one.
      */
--- a/org.berylwick.node/src/org/berylwick/node/quota/QuotaServer.java
+++ b/org.berylwick.node/src/org/berylwick/node/quota/QuotaServer.java
@@ -41,6 +41,8 @@
      * Whether more than half of the nodes are heard; after a separation into halves, none of them may grant permits.
      */
     private boolean hearsMajority;
+    /** When this node last ceased to be the quota server of an organisation whose bucket it held. */
+    private long lastLostAt = Long.MIN_VALUE;
 
     private double silentShare;
 
@@ -121,7 +123,9 @@
         Optional<Organisation> organisation =
                 organisations.apply(ask.organisation()).filter(Organisation::isLimited);
         if (organisation.isEmpty() || !isServer(ask.organisation(), now)) {
-            accounts.remove(ask.organisation());
+            if (accounts.remove(ask.organisation()) != null) {
+                lastLostAt = now;
+            }
             return Optional.of(new QuotaMessage.NotServer(
                     ask.number(),
                     ask.organisation(),
@@ -144,6 +148,11 @@
         return asker.lastAnswer;
     }
 
+    /** A bucket that is opened again must not contain what the earlier one, or another quota server, has granted. */
+    private long bucketsFillFrom() {
+        return Math.max(election.bucketsFillFrom(), lastLostAt);
+    }
+
     private boolean isServer(String organisation, long now) {
         return hearsMajority && election.isServer(organisation, now);
     }
@@ -152,8 +161,7 @@
         double rate = effectiveRate(organisation);
         Account account = accounts.computeIfAbsent(
                 organisation.name(),
-                name -> new Account(
-                        organisation, new QuotaBucket(rate, organisation.burst(), election.bucketsFillFrom()), now));
+                name -> new Account(organisation, new QuotaBucket(rate, organisation.burst(), bucketsFillFrom()), now));
         account.bucket.setLimit(rate, organisation.burst(), now);
         if (!organisation.equals(account.organisation)) {
             account.organisation = organisation;
@@ -259,10 +267,10 @@
         int heard = fleet.heardCount();
         hearsMajority = heard * 2 > nodes;
         silentShare = (double) Math.max(0, nodes - heard) / nodes;
-        accounts.entrySet()
-                .removeIf(entry -> !isServer(entry.getKey(), now)
-                        || now - entry.getValue().lastAskAt > IDLE_NANOS
-                                && entry.getValue().bucket.isFull(now));
+        if (accounts.keySet().removeIf(organisation -> !isServer(organisation, now))) {
+            lastLostAt = now;
+        }
+        accounts.values().removeIf(account -> now - account.lastAskAt > IDLE_NANOS && account.bucket.isFull(now));
     }
 
     /** Number of organisations whose bucket this node holds. */
