--- a/review/src/Kit.java
+++ b/review/src/Kit.java
@@ -107,6 +107,17 @@
         nodes.forEach(Node::kill);
         instances.forEach(Instance::close);
         store.close();
+        for (Node node : nodes) {
+            try {
+                node.process.waitFor();
+                Files.deleteIfExists(node.log);
+                Files.deleteIfExists(node.settings);
+            } catch (InterruptedException | IOException e) {
+                note("cannot clean up: " + e);
+            }
+        }
+        folder.toFile().delete();
+        record.close();
     }
 
     /** A node: the project's own program, started with the command of the deploy file. */
