review: case 3 is now an acknowledged leave that is forgotten (DRAIN)

Seen: with all processes killed after an acknowledged leave, one machine turned away by the store, and two late heartbeats, the node beside the leaving instance takes it for ready and it is sent requests.

--- a/review/src/Kit.java
+++ b/review/src/Kit.java
@@ -146,7 +146,7 @@
                      "platform":{"address":"127.0.0.1:%12$d","form":"objects","writesPerS":400,"readsPerS":2000,
                        "historyS":20,"valueBytes":1048576,"ttlMinS":1}}
                     """.formatted(number, ip(number), zone, ports[0], ports[1], ports[2], ports[3], ports[4],
-                            ports[4] + 1, ports[6], service, store.port(), linkMbps));
+                            ports[4] + 1, ports[6], service, store.open(number), linkMbps));
             start();
         }
 
@@ -292,7 +292,9 @@
         final ServerSocket server;
         volatile boolean closed;
         volatile String state = "ready";
-        private int seq;
+        /** Whether it sends heartbeats; not once it has deregistered. */
+        volatile boolean beating = true;
+        volatile int seq;
 
         Instance(int number, String service, int slots, Behaviour behaviour) throws IOException {
             this.number = number;
@@ -312,7 +314,9 @@
 
         private void beat() {
             while (!closed) {
-                put(state, ++seq);
+                if (beating) {
+                    put(state, ++seq);
+                }
                 pause(1_500);
             }
         }
@@ -324,6 +328,11 @@
                     .formatted(ip(number), ports[6], service, (char) ('a' + number % 2), slots, sentState, sequence));
         }
 
+        /** Deregisters; returns the status of the answer, 0 if there is none. */
+        int delete() {
+            return call("DELETE", "");
+        }
+
         private int call(String method, String body) {
             try {
                 HttpURLConnection connection = (HttpURLConnection)
@@ -332,8 +341,10 @@
                 connection.setReadTimeout(1_000);
                 connection.setRequestMethod(method);
                 connection.setRequestProperty("Content-Type", "application/json");
-                connection.setDoOutput(true);
-                connection.getOutputStream().write(body.getBytes(StandardCharsets.UTF_8));
+                if (!body.isEmpty()) {
+                    connection.setDoOutput(true);
+                    connection.getOutputStream().write(body.getBytes(StandardCharsets.UTF_8));
+                }
                 return connection.getResponseCode();
             } catch (IOException e) {
                 return 0;
@@ -547,24 +558,33 @@
 
         private record Reply(int status, String body) {}
 
-        private final HttpServer server;
+        private final List<HttpServer> servers = new ArrayList<>();
+        private final java.util.Set<Integer> turnedAway = ConcurrentHashMap.newKeySet();
         private final Map<String, TreeMap<String, Stored>> kinds = new HashMap<>();
         private final List<Change> history = new ArrayList<>();
         private long revision = 10;
 
-        Store() throws IOException {
-            server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 256);
+        /** Opens a port for one machine, so that the store can turn it away, and returns it. */
+        int open(int machine) throws IOException {
+            HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 256);
             server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
-            server.createContext("/objects/", this::handle);
+            server.createContext("/objects/", exchange -> handle(machine, exchange));
             server.start();
+            servers.add(server);
+            return server.getAddress().getPort();
         }
 
-        int port() {
-            return server.getAddress().getPort();
+        /** Answers all calls of a machine with 503 from now on, or no more. */
+        void turnAway(int machine, boolean enabled) {
+            if (enabled) {
+                turnedAway.add(machine);
+            } else {
+                turnedAway.remove(machine);
+            }
         }
 
         void close() {
-            server.stop(0);
+            servers.forEach(server -> server.stop(0));
         }
 
         /** Writes an object as the operator does. */
@@ -580,7 +600,7 @@
             notifyAll();
         }
 
-        private void handle(HttpExchange exchange) throws IOException {
+        private void handle(int machine, HttpExchange exchange) throws IOException {
             try (exchange) {
                 byte[] body = exchange.getRequestBody().readAllBytes();
                 URI uri = exchange.getRequestURI();
@@ -592,7 +612,9 @@
                     }
                 }
                 String[] path = uri.getPath().substring("/objects/".length()).split("/");
-                Reply reply = reply(exchange.getRequestMethod(), path, query, new String(body, StandardCharsets.UTF_8));
+                Reply reply = turnedAway.contains(machine)
+                        ? new Reply(503, "{}")
+                        : reply(exchange.getRequestMethod(), path, query, new String(body, StandardCharsets.UTF_8));
                 byte[] bytes = reply.body.getBytes(StandardCharsets.UTF_8);
                 exchange.getResponseHeaders().set("Content-Type", "application/json");
                 exchange.sendResponseHeaders(reply.status, bytes.length == 0 ? -1 : bytes.length);
