--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -31,7 +31,6 @@
 import org.berylwick.node.log.Event;
 import org.berylwick.node.log.EventLog;
 import org.berylwick.node.log.Instruments;
-import org.berylwick.node.log.NodeMetricNames;
 import org.berylwick.node.member.DirectoryRegistration;
 import org.berylwick.node.member.Gossip;
 import org.berylwick.node.member.Member;
@@ -73,6 +72,7 @@
     private final EventLog log;
     private final MultiThreadIoEventLoopGroup eventLoopGroup;
     private final SingleThreadEventLoop loop;
+    private final MemberLog memberLog;
     private final MemberTable members;
     private final Owner owner;
     private final VmLink link;
@@ -115,7 +115,8 @@
         this.eventLoopGroup =
                 new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop", false), NioIoHandler.newFactory());
         this.loop = (SingleThreadEventLoop) eventLoopGroup.next();
-        this.members = new MemberTable(this::createPeerPool, this::onSuspected);
+        this.memberLog = new MemberLog(new Instruments(counters, log));
+        this.members = new MemberTable(this::createPeerPool, memberLog::onSuspected);
         Clock clock = new EventLoopClock(loop);
         this.link = VmLink.of(settings.linkMbps(), clock);
         this.quarantine = new Quarantine(clock::now, new HoldLog(new Instruments(counters, log)));
@@ -386,37 +387,7 @@
         if (updateResult == MemberTable.UpdateResult.SAME) {
             return;
         }
-        NodeState state = member.state();
-        log.write(
-                Event.MEMBER_CHANGED,
-                "ip",
-                member.ip(),
-                "hearing",
-                updateResult,
-                "boot",
-                state.bootId(),
-                "service",
-                state.service(),
-                "incarnation",
-                state.incarnation(),
-                "state",
-                state.backendState(),
-                "leaving",
-                state.leaving());
-    }
-
-    private void onSuspected(Member member, String cause) {
-        counters.increment(NodeMetricNames.MEMBERS_SUSPECTED);
-        log.write(
-                Event.MEMBER_SUSPECTED,
-                "ip",
-                member.ip(),
-                "cause",
-                cause,
-                "failures",
-                member.consecutiveFailures(),
-                "unheardMs",
-                (System.nanoTime() - member.lastDatagramAt()) / 1_000_000);
+        memberLog.onChanged(member, updateResult);
     }
 
     /** Reloads the settings without interrupting calls. */
