Believe no heartbeats from before a start while the record of departures is unread

Cause: while the record of departures could not be read, two heartbeats with rising numbers, half an interval apart, were taken for a proof that the incarnation still sends them. Two that are late by the same time keep their distance. The record was in the store, and other nodes could read it. Evidence: the log of the node beside it. 7059 acknowledges the leave after 14 ms, so it was recorded; after the start all writes are answered 503 and five health checks, too; 7033 puts sequence 6 by, and 7032 makes it READY by HEARTBEAT, sequence 7, 1.5 s later. So neither a health check nor a leave that was not recorded has a part in it. Change: a node that the store does not answer has another node read its entry, after it has asked (EntryInquiry, event 7063). Where no node can read it, a health check of this process is needed beside the heartbeats, or one that arrives over 10 s after the start. A read of one object is new in the platform's adapter and in the stand-in, which took it for a list. Why it works: what is believed was caused by the new process, so nothing that was sent before the start can bring it about. Tests: LeaveTest.twoDelayedHeartbeatsAreNotEnoughWithoutTheRecord and OwnerLeaveTest.onlyAHeartbeatAfterTheLongestDelayIsEnoughAlone failed on the former rule. LeaveTest.twoHeartbeatsAreEnoughWithoutTheRecord was wrong: it asked for requests after two heartbeats though the health check failed, which is this fault.

--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -32,6 +32,7 @@
 import org.berylwick.node.log.EventLog;
 import org.berylwick.node.log.Instruments;
 import org.berylwick.node.member.DirectoryRegistration;
+import org.berylwick.node.member.EntryInquiry;
 import org.berylwick.node.member.Gossip;
 import org.berylwick.node.member.Member;
 import org.berylwick.node.member.MemberTable;
@@ -194,10 +195,21 @@
         Instruments instruments = new Instruments(counters, log);
         DirectoryRegistration registration = new DirectoryRegistration(
                 clock, directory, instruments, settings.vmName(), settings.ip(), quarantine::lastingCrashes);
+        EntryInquiry inquiry = new EntryInquiry(
+                clock,
+                settings.vmName(),
+                bootId,
+                directory,
+                members,
+                gossip,
+                () -> registration.isRegistered() && versionUpdater.isStoreReachable(),
+                this::onDeparturesRead,
+                instruments);
+        registration.setUnansweredListener(inquiry::startOnce);
         registration.setEntryListener(entry -> {
+            inquiry.end();
             entry.crashes().forEach(quarantine::merge);
-            owner.onDeparturesRead(
-                    entry.departures().stream().map(Incarnation::parse).toList());
+            onDeparturesRead(entry.departures());
         });
         owner.setDepartureRecord(registration);
         quarantine.setLastingHoldListener(registration::recordCrashes);
@@ -205,6 +217,10 @@
                 loop, directory, registration, gossip, instruments, crashes -> crashes.forEach(quarantine::merge));
     }
 
+    private void onDeparturesRead(List<String> departures) {
+        owner.onDeparturesRead(departures.stream().map(Incarnation::parse).toList());
+    }
+
     private NodeQuota createQuota(Clock clock) {
         NodeQuotaFleet fleet = new NodeQuotaFleet(
                 settings.ip(),
--- a/org.berylwick.node/src/org/berylwick/node/call/BackendProbe.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/BackendProbe.java
@@ -31,7 +31,9 @@
 public final class BackendProbe {
     private static final long TIMEOUT_MILLIS = 400;
     private static final long RETRY_DELAY_MILLIS = 100;
-    /** After this many tries a heartbeat is due anyway. */
+    /** Delay of the tries for which there is time until the departures are known. */
+    private static final long LATER_RETRY_DELAY_MILLIS = 500;
+    /** After this many tries a heartbeat is due anyway, which is enough once the departures are known. */
     private static final int MAX_TRIES = 5;
     /** Lower than the sequence number of any heartbeat. */
     private static final long SEQUENCE_BEFORE_FIRST_REPORT = -1;
@@ -77,7 +79,7 @@
     }
 
     private void sendProbe(String path) {
-        if (owner.backend().isPresent() || tries >= MAX_TRIES) {
+        if (owner.backend().isPresent() || tries >= MAX_TRIES && owner.areDeparturesKnown()) {
             return;
         }
         tries++;
@@ -106,7 +108,8 @@
             keepSpeed(report.get(), (BufferedHttpCall.Result.Completed) result);
             return;
         }
-        loop.schedule(() -> sendProbe(path), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        long delayMillis = tries < MAX_TRIES ? RETRY_DELAY_MILLIS : LATER_RETRY_DELAY_MILLIS;
+        loop.schedule(() -> sendProbe(path), delayMillis, TimeUnit.MILLISECONDS);
     }
 
     private void keepSpeed(BackendReport report, BufferedHttpCall.Result.Completed response) {
--- a/org.berylwick.node/src/org/berylwick/node/call/BackendRegistry.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/BackendRegistry.java
@@ -41,7 +41,7 @@
 
     private Optional<Backend> current = Optional.empty();
 
-    private record UnconfirmedReport(BackendReport report, BackendEvidence evidence) {
+    private record UnconfirmedReport(BackendReport report, BackendEvidence evidence, long receivedAt) {
         /** Returns this one if it is of a later start under the same id than the other one. */
         UnconfirmedReport laterStart(UnconfirmedReport other) {
             return other.report.incarnation().isEarlierStartThan(report.incarnation()) ? this : other;
@@ -66,7 +66,7 @@
         this.heartbeatNanos = heartbeatNanos;
         this.instruments = instruments;
         this.onChange = onChange;
-        this.startupEvidence = new StartupEvidence(heartbeatNanos / 2);
+        this.startupEvidence = new StartupEvidence(clock.now(), heartbeatNanos / 2);
     }
 
     /** The current incarnation, empty until one is known. */
@@ -80,6 +80,11 @@
         departuresKnown = false;
     }
 
+    /** Whether the leaves that earlier processes of this node have acknowledged are known. */
+    boolean areDeparturesKnown() {
+        return departuresKnown;
+    }
+
     /**
      * Takes over departures from the record, and takes up what was reported before.
      *
@@ -95,7 +100,7 @@
         departuresKnown = true;
         List<UnconfirmedReport> reports = List.copyOf(unconfirmed.values());
         unconfirmed.clear();
-        reports.forEach(r -> onReport(r.report(), r.evidence()));
+        reports.forEach(this::process);
     }
 
     /**
@@ -110,8 +115,7 @@
         } else if (state == BackendState.READY) {
             reportedStarts.onReady(incarnation);
             startupEvidence.onFormerlyReady(incarnation);
-            Optional.ofNullable(unconfirmed.remove(incarnation.id()))
-                    .ifPresent(r -> onReport(r.report(), r.evidence()));
+            Optional.ofNullable(unconfirmed.remove(incarnation.id())).ifPresent(this::process);
         }
     }
 
@@ -120,6 +124,12 @@
      * is older than the current state, or from an incarnation that has left.
      */
     void onReport(BackendReport report, BackendEvidence evidence) {
+        process(new UnconfirmedReport(report, evidence, clock.now()));
+    }
+
+    private void process(UnconfirmedReport received) {
+        BackendReport report = received.report();
+        BackendEvidence evidence = received.evidence();
         if (departedIncarnations.contains(report.incarnation())) {
             ignore(report, "incarnation has left");
             return;
@@ -134,13 +144,12 @@
         if (evidence == BackendEvidence.HEALTH_CHECK) {
             startupEvidence.onHealthy(report.incarnation());
         } else {
-            startupEvidence.onHeartbeat(report, clock.now());
+            startupEvidence.onHeartbeat(report, received.receivedAt());
         }
         if (departuresKnown || isCurrent(report.incarnation()) || startupEvidence.isEnoughFor(report.incarnation())) {
             apply(report, evidence);
         } else {
-            unconfirmed.merge(
-                    report.incarnation().id(), new UnconfirmedReport(report, evidence), UnconfirmedReport::laterStart);
+            unconfirmed.merge(report.incarnation().id(), received, UnconfirmedReport::laterStart);
             ignore(report, "departures are not known yet");
         }
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -153,6 +153,11 @@
         registry.setDepartureRecord(record);
     }
 
+    /** Whether the incarnations that have left according to the record are known. */
+    boolean areDeparturesKnown() {
+        return registry.areDeparturesKnown();
+    }
+
     /** Takes over the incarnations that have left according to the record. */
     public void onDeparturesRead(List<Incarnation> incarnations) {
         registry.onDeparturesRead(incarnations);
--- a/org.berylwick.node/src/org/berylwick/node/call/StartupEvidence.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/StartupEvidence.java
@@ -7,23 +7,33 @@
  * Collects, while the departures that earlier processes of this node recorded are unknown, what shows that an
  * incarnation is ready now.
  *
- * <p>A heartbeat may have been sent before the incarnation left, and been held up. Those that were held up arrive alone
- * or all at once, so two with rising numbers and time between them show that the incarnation still sends them. A health
- * check may be answered falsely, and other nodes may have missed the leave; both together are enough.
+ * <p>A heartbeat proves only what was true when it was sent: several may be held up on their way by the same time, and
+ * arrive in their usual intervals after the incarnation has left. A health check was asked by this process, but may be
+ * answered falsely, and other nodes may have missed the leave. So a health check and one of the others are needed
+ * together. A heartbeat that arrives when all from before the start must have arrived is enough alone.
  */
 final class StartupEvidence {
+    /** A heartbeat may arrive seconds late; one that arrives this long after the start was sent after the start. */
+    static final long MAX_HEARTBEAT_DELAY_NANOS = 10_000_000_000L;
+
     private static final Incarnation NONE = Incarnation.of("");
 
+    private final long startedAt;
     private final long minHeartbeatGapNanos;
     private Incarnation heartbeatIncarnation = NONE;
     private long heartbeatSequence;
     private long heartbeatAt;
     private Incarnation sendingHeartbeats = NONE;
+    private Incarnation sentAfterStart = NONE;
     private String healthyId = NONE.id();
     private Incarnation formerlyReady = NONE;
 
-    /** @param minHeartbeatGapNanos least time between two heartbeats that were not held up */
-    StartupEvidence(long minHeartbeatGapNanos) {
+    /**
+     * @param startedAt when this process started, or later
+     * @param minHeartbeatGapNanos least time between two heartbeats that did not arrive in a burst
+     */
+    StartupEvidence(long startedAt, long minHeartbeatGapNanos) {
+        this.startedAt = startedAt;
         this.minHeartbeatGapNanos = minHeartbeatGapNanos;
     }
 
@@ -37,6 +47,9 @@
     }
 
     void onHeartbeat(BackendReport heartbeat, long now) {
+        if (now - startedAt > MAX_HEARTBEAT_DELAY_NANOS) {
+            sentAfterStart = heartbeat.incarnation();
+        }
         if (!heartbeat.incarnation().equals(heartbeatIncarnation)) {
             heartbeatIncarnation = heartbeat.incarnation();
             heartbeatSequence = heartbeat.sequence();
@@ -47,8 +60,11 @@
     }
 
     boolean isEnoughFor(Incarnation incarnation) {
-        return incarnation.equals(sendingHeartbeats)
-                || (incarnation.id().equals(healthyId) && isFormerlyReady(incarnation));
+        if (incarnation.equals(sentAfterStart)) {
+            return true;
+        }
+        return incarnation.id().equals(healthyId)
+                && (incarnation.equals(sendingHeartbeats) || isFormerlyReady(incarnation));
     }
 
     /** The answer of a health check does not state when the backend server started. */
--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -87,6 +87,8 @@
     BACKEND_LEFT_EARLIER(7061, 20),
     /** The key of a request is not held by any organisation of the version in force. */
     KEY_UNKNOWN(7062, 10),
+    /** While the store did not answer this node, another node has read the entry of this one. */
+    ENTRY_READ_BY_OTHER_NODE(7063, 20),
     /** Requests were refused at this node because their organisation has used up its limit. */
     QUOTA_REFUSED(7070, 10),
     /** This node, as the quota server of an organisation, has refused permits. */
--- a/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
@@ -118,6 +118,8 @@
     public static final String STORE_HISTORY_GONE = "store.history_gone";
     /** Failed requests for the list of nodes. */
     public static final String DIRECTORY_FAILURES = "directory.failures";
+    /** Counter: reads of an entry in the store for a node that the store does not answer. */
+    public static final String DIRECTORY_READS_FOR_OTHERS = "directory.reads_for_others";
     /** Other nodes from which gossip was received recently. */
     public static final String MEMBERS_HEARD = "members.heard";
     /** Calls to other nodes that failed for a reason that lies with the node or the link. */
--- a/org.berylwick.node/src/org/berylwick/node/member/DirectoryRegistration.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/DirectoryRegistration.java
@@ -50,6 +50,7 @@
 
     private Consumer<NodeDirectory.Entry> onEntryRead = entry -> {};
     private Runnable onRegistered = () -> {};
+    private Runnable onUnanswered = () -> {};
     private OptionalLong revision = OptionalLong.empty();
     private long timeoutMillis = INITIAL_TIMEOUT_MILLIS;
     private boolean registered;
@@ -95,6 +96,18 @@
         onEntryRead = listener;
     }
 
+    /**
+     * Sets what runs when the store has not answered a call before this node was registered, called before the start.
+     */
+    public void setUnansweredListener(Runnable listener) {
+        onUnanswered = listener;
+    }
+
+    /** Whether the store has answered this process, which therefore knows the entry of this node. */
+    public boolean isRegistered() {
+        return registered;
+    }
+
     /**
      * Registers this node, retrying until that succeeds.
      *
@@ -185,6 +198,9 @@
             case NodeDirectory.WriteResult.Failed(String cause) -> {
                 timeoutMillis = Math.min(MAX_TIMEOUT_MILLIS, timeoutMillis * 2);
                 retryLater(cause);
+                if (!registered) {
+                    onUnanswered.run();
+                }
             }
         }
     }
--- a/org.berylwick.node/src/org/berylwick/node/member/NodeDirectory.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/NodeDirectory.java
@@ -36,6 +36,18 @@
         record Failed(String cause) implements WriteResult {}
     }
 
+    /** Result of reading the entry of a node. */
+    sealed interface ReadResult {
+        /** The entry that was stored when the call was made, or a later one. */
+        record Found(Entry entry) implements ReadResult {}
+
+        /** The directory holds no entry of the node. */
+        record Missing() implements ReadResult {}
+
+        /** The store did not respond, or rejected the call. */
+        record Failed(String cause) implements ReadResult {}
+    }
+
     /** Result of listing the nodes. */
     sealed interface ListResult {
         /**
@@ -69,6 +81,15 @@
      */
     void replace(Entry entry, long revision, long timeoutMillis, Consumer<WriteResult> onResult);
 
+    /**
+     * Reads the current entry of a node.
+     *
+     * @param vmName name of its VM
+     * @param timeoutMillis time after which the call fails
+     * @param onResult receives the result
+     */
+    void read(String vmName, long timeoutMillis, Consumer<ReadResult> onResult);
+
     /** Lists the registered nodes. */
     void list(Consumer<ListResult> onResult);
 }
--- a/org.berylwick.standin/src/org/berylwick/standin/objects/ObjectApiServer.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/objects/ObjectApiServer.java
@@ -107,7 +107,7 @@
         byte[] body = exchange.getRequestBody().readAllBytes();
         String query = exchange.getRequestURI().getQuery();
         Reply reply = switch (exchange.getRequestMethod()) {
-            case "GET" -> query != null && query.contains("watch=") ? watch(path[0], query) : list(path[0]);
+            case "GET" -> get(path, query);
             case "POST" -> create(path[0], MAPPER.readTree(body));
             case "PUT" ->
                 path.length > 2 && path[2].equals("status")
@@ -126,6 +126,18 @@
 
     private record Reply(int status, ObjectNode body) {}
 
+    private Reply get(String[] path, String query) throws InterruptedException {
+        if (path.length > 1) {
+            return find(path[0] + "/" + path[1]);
+        }
+        return query != null && query.contains("watch=") ? watch(path[0], query) : list(path[0]);
+    }
+
+    private synchronized Reply find(String key) {
+        ObjectNode object = objects.get(key);
+        return object == null ? new Reply(404, MAPPER.createObjectNode()) : new Reply(200, object.deepCopy());
+    }
+
     private synchronized Reply list(String kind) {
         ObjectNode answer = MAPPER.createObjectNode();
         ArrayNode items = answer.putArray("items");
--- a/org.berylwick.test/tst/org/berylwick/node/InMemoryDirectory.java
+++ b/org.berylwick.test/tst/org/berylwick/node/InMemoryDirectory.java
@@ -1,8 +1,10 @@
 package org.berylwick.node;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.berylwick.node.lib.SuspectReport;
 import org.berylwick.node.member.NodeDirectory;
 
@@ -11,6 +13,7 @@
     private final Map<String, Stored> entries = new HashMap<>();
     private long revision;
     private boolean unavailable;
+    private final Set<String> refusedVms = new HashSet<>();
 
     private record Stored(NodeDirectory.Entry entry, long revision) {}
 
@@ -19,8 +22,31 @@
         unavailable = isUnavailable;
     }
 
+    /** Lets all calls of one node fail from now on, or no more. */
+    synchronized void setRefused(String vmName, boolean isRefused) {
+        if (isRefused) {
+            refusedVms.add(vmName);
+        } else {
+            refusedVms.remove(vmName);
+        }
+    }
+
+    private boolean fails(String callerVmName) {
+        return unavailable || refusedVms.contains(callerVmName);
+    }
+
+    synchronized NodeDirectory.ReadResult read(String callerVmName, String vmName) {
+        if (fails(callerVmName)) {
+            return new NodeDirectory.ReadResult.Failed("unavailable");
+        }
+        Stored stored = entries.get(vmName);
+        return stored == null
+                ? new NodeDirectory.ReadResult.Missing()
+                : new NodeDirectory.ReadResult.Found(stored.entry());
+    }
+
     synchronized NodeDirectory.WriteResult create(NodeDirectory.Entry entry) {
-        if (unavailable) {
+        if (fails(entry.vmName())) {
             return new NodeDirectory.WriteResult.Failed("unavailable");
         }
         Stored stored = entries.get(entry.vmName());
@@ -30,7 +56,7 @@
     }
 
     synchronized NodeDirectory.WriteResult replace(NodeDirectory.Entry entry, long expectedRevision) {
-        if (unavailable) {
+        if (fails(entry.vmName())) {
             return new NodeDirectory.WriteResult.Failed("unavailable");
         }
         Stored stored = entries.get(entry.vmName());
--- a/org.berylwick.test/tst/org/berylwick/node/LeaveTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/LeaveTest.java
@@ -178,15 +178,38 @@
         }
     }
 
-    /** Guards against a backend server without requests for as long as the record of departures cannot be read. */
+    /** Guards against requests after an acknowledged leave when two heartbeats are held up by the same time. */
     @Test
-    void twoHeartbeatsAreEnoughWithoutTheRecord() {
+    void twoDelayedHeartbeatsAreNotEnoughWithoutTheRecord() {
         try (RawServer server = startBackend(Evidence.DELAYED_HEARTBEAT);
                 NodeRig rig = new NodeRig()) {
             rig.configuration.publish(version());
+            Node killed = rig.startWithoutReport(1, server);
+            reportState(rig, server, 3, BackendState.READY);
+            rig.awaitReady(1);
+            rig.leave(1, INCARNATION);
             rig.directory.setUnavailable(true);
+            kill(killed);
             rig.startWithoutReport(1, server);
             rig.awaitReady(1);
+            reportState(rig, server, 4, BackendState.READY);
+            NodeRig.sleep(NodeRig.HEARTBEAT_MILLIS);
+            reportState(rig, server, 5, BackendState.READY);
+            assertTrue(call(rig, "after").startsWith("HTTP/1.1 503"), rig::logText);
+            assertEquals(0, server.runs("after"), rig::logText);
+        }
+    }
+
+    /** Guards against a backend server without requests for as long as the record of departures cannot be read. */
+    @Test
+    void twoHeartbeatsAndAHealthCheckAreEnoughWithoutTheRecord() {
+        try (RawServer server = startBackend(Evidence.FALSE_HEALTH);
+                NodeRig rig = new NodeRig()) {
+            rig.configuration.publish(version());
+            rig.directory.setUnavailable(true);
+            rig.startWithoutReport(1, server);
+            rig.awaitReady(1);
+            Await.until("a health check", () -> rig.logText().contains(Event.BACKEND_PROBED.name()), rig::logText);
             reportState(rig, server, 3, BackendState.READY);
             NodeRig.sleep(NodeRig.HEARTBEAT_MILLIS);
             reportState(rig, server, 4, BackendState.READY);
@@ -194,6 +217,47 @@
         }
     }
 
+    /** Guards against requests after an acknowledged leave that no running process but the store knows of. */
+    @Test
+    void nodeThatTheStoreAnswersReadsTheRecordForOneThatItRefuses() {
+        try (RawServer server = startBackend(Evidence.FALSE_HEALTH);
+                NodeRig rig = new NodeRig()) {
+            rig.configuration.publish(version());
+            Node killed = rig.startWithoutReport(1, server);
+            reportState(rig, server, 3, BackendState.READY);
+            rig.awaitReady(1);
+            rig.leave(1, INCARNATION);
+            rig.directory.setRefused("node-1", true);
+            kill(killed);
+            rig.start(2, Optional.empty());
+            rig.awaitReady(2);
+            rig.startWithoutReport(1, server);
+            Await.until("the record", () -> rig.logText().contains(Event.BACKEND_LEFT_EARLIER.name()), rig::logText);
+            reportState(rig, server, 4, BackendState.READY);
+            NodeRig.sleep(NodeRig.HEARTBEAT_MILLIS);
+            reportState(rig, server, 5, BackendState.READY);
+            assertTrue(call(rig, "after").startsWith("HTTP/1.1 503"), rig::logText);
+            assertEquals(0, server.runs("after"), rig::logText);
+        }
+    }
+
+    /** Guards against a restarted node that waits for evidence though another node can read that nothing has left. */
+    @Test
+    void oneHeartbeatIsEnoughWithTheRecordReadByAnotherNode() {
+        try (RawServer server = startBackend(Evidence.DELAYED_HEARTBEAT);
+                NodeRig rig = new NodeRig()) {
+            rig.configuration.publish(version());
+            rig.directory.setRefused("node-1", true);
+            rig.start(2, Optional.empty());
+            rig.awaitReady(2);
+            rig.startWithoutReport(1, server);
+            Await.until(
+                    "the record", () -> rig.logText().contains(Event.ENTRY_READ_BY_OTHER_NODE.name()), rig::logText);
+            reportState(rig, server, 3, BackendState.READY);
+            assertTrue(call(rig, "served").endsWith("ok"), rig::logText);
+        }
+    }
+
     /**
      * Guards against a restarted node that ignores its backend server while the record of departures cannot be read.
      */
--- a/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
+++ b/org.berylwick.test/tst/org/berylwick/node/NodeRig.java
@@ -472,6 +472,12 @@
                     loop.execute(() -> onResult.accept(result));
                 }
 
+                @Override
+                public void read(String vmName, long timeoutMillis, Consumer<ReadResult> onResult) {
+                    ReadResult result = directory.read(settings.vmName(), vmName);
+                    loop.execute(() -> onResult.accept(result));
+                }
+
                 @Override
                 public void list(Consumer<ListResult> onResult) {
                     List<String> ips = new ArrayList<>();
--- a/org.berylwick.test/tst/org/berylwick/node/call/OwnerLeaveTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/call/OwnerLeaveTest.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import org.berylwick.node.lib.BackendReport;
 import org.berylwick.node.lib.BackendState;
+import org.berylwick.node.lib.Incarnation;
 import org.berylwick.node.transport.HttpResponseHandler;
 import org.berylwick.node.transport.RequestBody;
 import org.berylwick.node.transport.ServerConnection;
@@ -118,6 +119,22 @@
         assertTrue(acceptsRequests());
     }
 
+    /** Guards against late heartbeats taken for new ones, and new ones for late ones, while the record is unknown. */
+    @Test
+    void onlyAHeartbeatAfterTheLongestDelayIsEnoughAlone() {
+        owner.setDepartureRecord((incarnation, onRecorded) -> {});
+        for (long second = 1; second <= 10; second++) {
+            rig.clock.runUntil(second * OwnerRig.SECONDS);
+            report("i-1", second, BackendState.READY);
+            assertFalse(acceptsRequests(), "after " + second + " s");
+        }
+        rig.clock.runUntil(11 * OwnerRig.SECONDS);
+        owner.onFormerState(Incarnation.of("i-1"), BackendState.READY);
+        assertFalse(acceptsRequests(), "the last heartbeat arrived before");
+        report("i-1", 11, BackendState.READY);
+        assertTrue(acceptsRequests());
+    }
+
     /** Guards against a request that is sent after the leave because its connection was still being opened. */
     @Test
     void requestWhoseConnectionOpensAfterTheLeaveIsNotSent() {
--- a/org.berylwick.test/tst/org/berylwick/node/member/DirectoryRegistrationTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/member/DirectoryRegistrationTest.java
@@ -71,6 +71,11 @@
             }
         }
 
+        @Override
+        public void read(String vmName, long timeoutMillis, Consumer<ReadResult> onResult) {
+            throw new AssertionError("no entry is read");
+        }
+
         @Override
         public void list(Consumer<ListResult> onResult) {
             throw new AssertionError("the directory is not listed");
--- a/org.berylwick.test/tst/org/berylwick/platform/StoredDirectoryTest.java
+++ b/org.berylwick.test/tst/org/berylwick/platform/StoredDirectoryTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.berylwick.node.member.NodeDirectory.Entry;
+import org.berylwick.node.member.NodeDirectory.ReadResult;
 import org.berylwick.node.member.NodeDirectory.WriteResult;
 import org.berylwick.standin.objects.ObjectApiServer;
 import org.junit.jupiter.api.AfterEach;
@@ -82,6 +83,21 @@
         assertEquals(second, conflict.revision());
     }
 
+    private ReadResult read(String vmName) {
+        CompletableFuture<ReadResult> result = new CompletableFuture<>();
+        loop.execute(() -> directory.read(vmName, TIMEOUT_MILLIS, result::complete));
+        return result.join();
+    }
+
+    /** Guards against a name in a datagram that leads to another object. */
+    @Test
+    void entryIsReadByItsWholeName() {
+        create(entry("i-1"));
+        assertEquals(new ReadResult.Found(entry("i-1")), read("vm-1"));
+        assertEquals(new ReadResult.Missing(), read("vm-2"));
+        assertEquals(new ReadResult.Missing(), read("vm-1?x=1"));
+    }
+
     @Test
     void missingEntryIsNotReplaced() {
         assertEquals(new WriteResult.Missing(), replace(entry(), 1));
