--- a/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeCallers.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeCallers.java
@@ -13,6 +13,11 @@
     private static final int PATIENT_MILLIS = 7_000;
     private static final int CRASHING_REPEATS = 30;
     private static final long CRASHING_GAP_MILLIS = 150;
+    /** More than the buffers of a connection take, so that an early answer comes while the body is written. */
+    private static final int UPLOAD_BYTES = 6_000_000;
+
+    private static final int UPLOADS = 6;
+    private static final long UPLOAD_GAP_MILLIS = 100;
     private static final int JOIN_MILLIS = 10_000;
 
     private final NodeFleet fleet;
@@ -161,6 +166,17 @@
         }
     }
 
+    /** A caller of a node sends large bodies, one after the other. */
+    void sendUploads(NodeFleet.Vm vm) throws InterruptedException {
+        String body = "u".repeat(UPLOAD_BYTES);
+        for (int i = 0; i < UPLOADS && !over; i++) {
+            try (PlainCaller caller = new PlainCaller(fleet.callers(vm))) {
+                call(vm, caller, "POST", "/pay/upload", CALLER_MILLIS, body);
+            }
+            Thread.sleep(UPLOAD_GAP_MILLIS);
+        }
+    }
+
     @Override
     public void close() {
         over = true;
--- a/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeFleet.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeFleet.java
@@ -37,14 +37,17 @@
     static final class Vm {
         private final int number;
         private final BackendVm backend;
+        private final ObjectApiServer.ClientPort storePort;
         private final Path settings;
         private volatile ChildProcess process;
         private volatile int life;
         private final PrintWriter log;
 
-        private Vm(int number, BackendVm backend, Path settings) throws IOException {
+        private Vm(int number, BackendVm backend, ObjectApiServer.ClientPort storePort, Path settings)
+                throws IOException {
             this.number = number;
             this.backend = backend;
+            this.storePort = storePort;
             this.settings = settings;
             this.log =
                     new PrintWriter(Files.newBufferedWriter(settings.resolveSibling("node-" + number + ".log")), true);
@@ -63,6 +66,11 @@
             return backend;
         }
 
+        /** Where its node reaches the store. */
+        ObjectApiServer.ClientPort storePort() {
+            return storePort;
+        }
+
         /** Counts starts of the node. */
         int life() {
             return life;
@@ -105,9 +113,11 @@
                     i % 2 == 0 ? "alpha" : "beta",
                     backend.port(),
                     linkMbps);
+            ObjectApiServer.ClientPort storePort = store.openClientPort();
             Files.writeString(
-                    settings, PlatformFiles.settings(vm, ports, store.port(), DRAIN_MILLIS / 1e3, GRACE_MILLIS / 1e3));
-            Vm started = new Vm(i, backend, settings);
+                    settings,
+                    PlatformFiles.settings(vm, ports, storePort.number(), DRAIN_MILLIS / 1e3, GRACE_MILLIS / 1e3));
+            Vm started = new Vm(i, backend, storePort, settings);
             vms.add(started);
             start(started);
         }
--- a/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeJudge.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeJudge.java
@@ -45,7 +45,7 @@
         }
         int status = answer.status();
         if (status == 200) {
-            byte[] right = RunBook.answerTo(id, path, body.getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+            byte[] right = RunBook.answerTo(id, path, body.length());
             boolean signed = RunBook.signature(right).equals(answer.headers().get(RunBook.SIGNATURE_HEADER));
             if (!Arrays.equals(right, answer.body()) || !signed) {
                 find("MIXED: " + id + " got " + answer.body().length + " bytes, right are " + right.length);
--- a/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeSoak.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeSoak.java
@@ -1,6 +1,5 @@
 package org.berylwick.bench.nodes;
 
-import java.io.IOException;
 import java.io.PrintStream;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -26,6 +25,14 @@
     private static final int CRASHING_REQUESTS = 3;
     private static final long STATEMENT_SEED_OFFSET = 1_000_003;
     private static final int STEPS_PER_STATEMENT = 4;
+    private static final long UNFRAMED_SEED_OFFSET = 2_000_003;
+    private static final int STEPS_PER_UNFRAMED = 5;
+    private static final double RESET_SHARE = 0.4;
+    private static final long STREAM_SEED_OFFSET = 3_000_017;
+    private static final int STEPS_PER_STREAM = 6;
+    private static final int HELD_HEARTBEATS = 3;
+    private static final long HEARTBEAT_MILLIS = 400;
+    private static final long REFUSED_MILLIS = 9_000;
     private static final String[] LIMITS = {"2", "5.5", "12", "0", "NaN"};
     /** How long a backend server that is replaced serves on. */
     private static final long STAY_MILLIS = 1_300;
@@ -37,11 +44,11 @@
 
     private static final Pattern STARTED = Pattern.compile("\"STARTED\"");
 
-    private final List<Thread> faults = new ArrayList<>();
     private NodeFleet fleet;
     private NodeJudge judge;
     private NodeCallers callers;
-    private volatile boolean over;
+    private FaultThreads threads;
+    private ProcessFaults processes;
     private volatile boolean planned;
 
     @Override
@@ -89,6 +96,7 @@
             // Drawn apart, so that the other faults of a seed stay the same.
             Random crashes = new Random(~seed);
             Random statements = new Random(seed + STATEMENT_SEED_OFFSET);
+            Random unframed = new Random(seed + UNFRAMED_SEED_OFFSET);
             return soak(
                     started,
                     seed,
@@ -97,6 +105,7 @@
                         fault(random);
                         drawCrashingRequest(crashes);
                         drawStatement(statements);
+                        drawUnframedAnswers(unframed);
                     },
                     out);
         }
@@ -129,7 +138,16 @@
      */
     public List<String> soakLeaves(long seed, int seconds, int nodes, PrintStream out) throws Exception {
         try (NodeFleet started = new NodeFleet(nodes, ownNet())) {
-            return soak(started, seed, seconds, this::leaveBesideFaults, out);
+            Random streams = new Random(seed + STREAM_SEED_OFFSET);
+            return soak(
+                    started,
+                    seed,
+                    seconds,
+                    random -> {
+                        leaveBesideFaults(random);
+                        drawDelayedStream(streams);
+                    },
+                    out);
         }
     }
 
@@ -147,7 +165,8 @@
         Random random = new Random(seed);
         fleet = started;
         judge = new NodeJudge(fleet.book());
-        over = false;
+        threads = new FaultThreads(judge);
+        processes = new ProcessFaults(fleet, judge, threads);
         callers = new NodeCallers(fleet, judge, planned);
         awaitReady();
         callers.start();
@@ -159,7 +178,7 @@
         endFaults();
         Thread.sleep(CALM_MILLIS);
         judgeCalm();
-        over = true;
+        processes.end();
         callers.close();
         judge.close();
         judge.counts().forEach((what, count) -> out.println(what + ": " + count));
@@ -174,7 +193,7 @@
      * Waits for the faults that go on, and for the processes they started: how fast a JVM starts is not judged here.
      */
     private void endFaults() throws InterruptedException {
-        join(faults);
+        threads.join();
         fleet.store().setTrouble(Trouble.NONE);
         for (NodeFleet.Vm vm : fleet.vms()) {
             vm.process().awaitLine(STARTED, Duration.ofMillis(START_MILLIS));
@@ -197,20 +216,19 @@
         NodeFleet.Vm vm = fleet.vms().get(random.nextInt(fleet.vms().size()));
         int kind = random.nextInt(10);
         switch (kind) {
-            case 0 ->
-                later("kill", () -> restart(vm, () -> vm.process().process().destroyForcibly(), 0));
-            case 1 -> later("stop", () -> plannedStop(vm));
-            case 2 -> later("pause", () -> pause(vm, 300 + random.nextInt(3_000)));
-            case 3 -> later("replace", () -> vm.backend().leave(BackendVm.LeaveWord.DRAINING, STAY_MILLIS));
+            case 0 -> threads.later("kill", () -> processes.kill(vm, 0));
+            case 1 -> threads.later("stop", () -> processes.plannedStop(vm));
+            case 2 -> threads.later("pause", () -> ProcessFaults.pause(vm, 300 + random.nextInt(3_000)));
+            case 3 -> threads.later("replace", () -> vm.backend().leave(BackendVm.LeaveWord.DRAINING, STAY_MILLIS));
             case 4 -> {
                 Trouble[] all = Trouble.values();
                 Trouble trouble = all[random.nextInt(all.length)];
-                later("store_" + trouble, () -> storeTrouble(trouble));
+                threads.later("store_" + trouble, () -> storeTrouble(trouble));
             }
             case 5 -> fleet.store().forgetHistory();
             case 6, 7 -> fleet.accept();
-            case 8 -> later("lose", () -> loseAnswers(vm));
-            default -> later("herd_kill", this::killAll);
+            case 8 -> threads.later("lose", () -> loseAnswers(vm));
+            default -> threads.later("herd_kill", processes::killAll);
         }
     }
 
@@ -219,14 +237,14 @@
         NodeFleet.Vm vm = fleet.vms().get(random.nextInt(fleet.vms().size()));
         switch (random.nextInt(10)) {
             case 0, 1, 2, 3, 4 -> drawLeave(vm, random);
-            case 5 -> later("herd_kill", this::killAll);
-            case 6 -> later("power_off", this::powerOffAll);
+            case 5 -> threads.later("herd_kill", processes::killAll);
+            case 6 -> threads.later("power_off", processes::powerOffAll);
             case 7 -> {
                 Trouble[] all = Trouble.values();
                 Trouble trouble = all[random.nextInt(all.length)];
-                later("store_" + trouble, () -> storeTrouble(trouble));
+                threads.later("store_" + trouble, () -> storeTrouble(trouble));
             }
-            case 8 -> later("pause", () -> pause(vm, 300 + random.nextInt(1_500)));
+            case 8 -> threads.later("pause", () -> ProcessFaults.pause(vm, 300 + random.nextInt(1_500)));
             default -> fleet.accept();
         }
     }
@@ -235,22 +253,22 @@
         BackendVm.LeaveWord word = BackendVm.LeaveWord.values()[random.nextInt(2)];
         long stayMillis = 1_500 + random.nextInt(5_000);
         boolean healthFalse = random.nextBoolean();
-        later("leave_" + word, () -> {
+        threads.later("leave_" + word, () -> {
             vm.backend().setHealthFalse(healthFalse);
             judge.count(describe(vm.backend().leave(word, stayMillis)));
         });
         if (random.nextInt(4) > 0) {
             long killAfterMillis = random.nextInt(1_500);
-            later("kill", () -> {
+            threads.later("kill", () -> {
                 Thread.sleep(killAfterMillis);
-                restart(vm, () -> vm.process().process().destroyForcibly(), 0);
+                processes.kill(vm, 0);
             });
         }
         BackendVm.Heartbeat held = vm.backend().lastReadyHeartbeat();
         int heartbeats = random.nextInt(4);
         for (int i = 0; i < heartbeats; i++) {
             long delayMillis = random.nextInt(5_000);
-            later("heartbeat_delayed", () -> {
+            threads.later("heartbeat_delayed", () -> {
                 Thread.sleep(delayMillis);
                 vm.backend().deliver(held);
             });
@@ -267,97 +285,69 @@
         };
     }
 
-    private void plannedWork(Random random) throws InterruptedException {
-        NodeFleet.Vm vm = fleet.vms().get(random.nextInt(fleet.vms().size()));
-        switch (random.nextInt(8)) {
-            case 0, 1, 2 -> later("stop", () -> plannedStop(vm));
-            case 3 -> {
-                long gapMillis = 100 + random.nextInt(1_000);
-                later("rolling_stop", () -> stopInTurn(gapMillis));
-            }
-            case 4 -> later("replace", () -> vm.backend().leave(BackendVm.LeaveWord.DRAINING, STAY_MILLIS));
-            case 5 -> later("reload", () -> reload(vm));
-            default -> fleet.accept();
-        }
-    }
-
-    private static void reload(NodeFleet.Vm vm) {
-        if (vm.process().process().isAlive()) {
-            vm.note("SIGHUP");
-            vm.process().signal("HUP");
-        }
-    }
-
-    private void stopInTurn(long gapMillis) throws InterruptedException {
-        List<Thread> stops = new ArrayList<>();
-        for (NodeFleet.Vm vm : fleet.vms()) {
-            stops.add(start("stop", () -> plannedStop(vm)));
-            Thread.sleep(gapMillis);
+    /**
+     * A backend server leaves while its last heartbeats are held up by the same time; when its leave is acknowledged,
+     * all nodes are killed, and the store refuses the one beside it.
+     */
+    private void drawDelayedStream(Random random) {
+        if (random.nextInt(STEPS_PER_STREAM) != 0) {
+            return;
         }
-        join(stops);
-    }
-
-    private interface Step {
-        void run() throws InterruptedException, IOException;
-    }
-
-    private void later(String what, Step step) {
-        judge.count("fault_" + what);
-        faults.add(start(what, step));
-    }
-
-    private Thread start(String what, Step step) {
-        return Thread.ofVirtual().start(() -> {
-            try {
-                step.run();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            } catch (IOException e) {
-                judge.find("the fault " + what + " could not be made: " + e);
+        NodeFleet.Vm vm = fleet.vms().get(random.nextInt(fleet.vms().size()));
+        long delayMillis = 2_500 + random.nextInt(2_500);
+        long stayMillis = delayMillis + 2_000 + random.nextInt(2_000);
+        boolean healthFalse = random.nextInt(3) == 0;
+        threads.later("heartbeats_delayed_alike", () -> {
+            List<Thread> parts = new ArrayList<>();
+            for (int i = 0; i < HELD_HEARTBEATS; i++) {
+                vm.backend()
+                        .holdHeartbeat()
+                        .ifPresent(held -> parts.add(threads.start("heartbeat_delayed", () -> {
+                            Thread.sleep(delayMillis);
+                            vm.backend().deliver(held);
+                        })));
+                Thread.sleep(HEARTBEAT_MILLIS);
             }
+            vm.backend().setHealthFalse(healthFalse);
+            parts.add(threads.start(
+                    "leave",
+                    () -> judge.count(describe(vm.backend().leave(BackendVm.LeaveWord.DEREGISTRATION, stayMillis)))));
+            Thread.sleep(HEARTBEAT_MILLIS);
+            vm.storePort().setRefused(true);
+            processes.killAll();
+            Thread.sleep(REFUSED_MILLIS);
+            vm.storePort().setRefused(false);
+            FaultThreads.join(parts);
         });
     }
 
-    private static void join(List<Thread> threads) throws InterruptedException {
-        for (Thread thread : threads) {
-            thread.join();
-        }
-    }
-
-    private void restart(NodeFleet.Vm vm, Runnable end, long downMillis) throws InterruptedException {
-        synchronized (vm) {
-            end.run();
-            vm.process().process().waitFor();
-            Thread.sleep(downMillis);
-            if (!over) {
-                fleet.start(vm);
-            }
+    /** A backend server answers without a length, uploads before it has read them, and resets some answers midway. */
+    private void drawUnframedAnswers(Random random) {
+        if (random.nextInt(STEPS_PER_UNFRAMED) != 0) {
+            return;
         }
+        NodeFleet.Vm vm = fleet.vms().get(random.nextInt(fleet.vms().size()));
+        NodeFleet.Vm entry = fleet.vms().get(random.nextInt(fleet.vms().size()));
+        long millis = 1_500 + random.nextInt(2_500);
+        threads.later("answers_unframed", () -> {
+            vm.backend().setUnframed(true, RESET_SHARE);
+            Thread.sleep(millis);
+            vm.backend().setUnframed(false, 0);
+        });
+        threads.later("uploads", () -> callers.sendUploads(entry));
     }
 
-    private void plannedStop(NodeFleet.Vm vm) throws InterruptedException {
-        synchronized (vm) {
-            long before = System.nanoTime();
-            vm.note("SIGTERM");
-            vm.process().process().toHandle().destroy();
-            if (!vm.process().process().waitFor(NodeFleet.GRACE_MILLIS, TimeUnit.MILLISECONDS)) {
-                judge.find("a planned stop of node " + vm.number() + " outlasted its grace");
-                vm.note("SIGKILL");
-                vm.process().process().destroyForcibly().waitFor();
-            }
-            vm.note("ended with " + vm.process().process().exitValue());
-            judge.count("stop_under_" + ((System.nanoTime() - before) / 1_000_000_000 + 1) + "s");
-            if (!over) {
-                fleet.start(vm);
+    private void plannedWork(Random random) throws InterruptedException {
+        NodeFleet.Vm vm = fleet.vms().get(random.nextInt(fleet.vms().size()));
+        switch (random.nextInt(8)) {
+            case 0, 1, 2 -> threads.later("stop", () -> processes.plannedStop(vm));
+            case 3 -> {
+                long gapMillis = 100 + random.nextInt(1_000);
+                threads.later("rolling_stop", () -> processes.stopInTurn(gapMillis));
             }
-        }
-    }
-
-    private static void pause(NodeFleet.Vm vm, long millis) throws InterruptedException {
-        synchronized (vm) {
-            vm.process().signal("STOP");
-            Thread.sleep(millis);
-            vm.process().signal("CONT");
+            case 4 -> threads.later("replace", () -> vm.backend().leave(BackendVm.LeaveWord.DRAINING, STAY_MILLIS));
+            case 5 -> threads.later("reload", () -> ProcessFaults.reload(vm));
+            default -> fleet.accept();
         }
     }
 
@@ -370,7 +360,7 @@
     private void drawCrashingRequest(Random random) {
         if (random.nextInt(STEPS_PER_CRASHING_REQUEST) == 0) {
             String path = "/read" + BackendVm.CRASHING + random.nextInt(CRASHING_REQUESTS);
-            later("crashing_request", () -> callers.sendCrashing(path));
+            threads.later("crashing_request", () -> callers.sendCrashing(path));
         }
     }
 
@@ -381,13 +371,13 @@
         }
         NodeFleet.Vm vm = fleet.vms().get(random.nextInt(fleet.vms().size()));
         if (random.nextInt(3) == 0) {
-            later("leave_stated", () -> vm.backend().replaceByStatement(STAY_MILLIS));
+            threads.later("leave_stated", () -> vm.backend().replaceByStatement(STAY_MILLIS));
             return;
         }
         String first = LIMITS[random.nextInt(LIMITS.length)];
         String second = LIMITS[random.nextInt(LIMITS.length)];
         long millis = 1_000 + random.nextInt(6_000);
-        later("limit_stated", () -> stateLimits(vm, millis, first, second));
+        threads.later("limit_stated", () -> stateLimits(vm, millis, first, second));
     }
 
     private static void stateLimits(NodeFleet.Vm vm, long millis, String... limits) throws InterruptedException {
@@ -404,22 +394,6 @@
         vm.backend().setLoseShare(0);
     }
 
-    private void killAll() throws InterruptedException {
-        List<Thread> kills = new ArrayList<>();
-        for (NodeFleet.Vm vm : fleet.vms()) {
-            kills.add(
-                    start("kill", () -> restart(vm, () -> vm.process().process().destroyForcibly(), 500)));
-        }
-        join(kills);
-    }
-
-    private void powerOffAll() throws InterruptedException, IOException {
-        for (NodeFleet.Vm vm : fleet.vms()) {
-            vm.backend().losePower();
-        }
-        killAll();
-    }
-
     /** After a calm, every node is ready, serves, and takes up a version that is accepted now. */
     private void judgeCalm() throws InterruptedException {
         for (NodeFleet.Vm vm : fleet.vms()) {
--- a/org.berylwick.standin/src/org/berylwick/standin/objects/BackendVm.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/objects/BackendVm.java
@@ -40,6 +40,7 @@
     private static final long LEAVE_RETRY_MILLIS = 100;
     private static final int CRASH_AFTER_MILLIS = 40;
     private static final int RESTART_MILLIS = 1_000;
+    private static final int MIN_UPLOAD_BYTES = 1_000_000;
 
     private static final AtomicInteger NEXT = new AtomicInteger();
 
@@ -62,6 +63,8 @@
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private volatile int workMillis = 30;
     private volatile double loseShare;
+    private volatile boolean unframed;
+    private volatile double resetShare;
     private volatile Optional<String> statedLimit = Optional.empty();
     private volatile boolean leaveStated;
 
@@ -103,6 +106,17 @@
         loseShare = share;
     }
 
+    /**
+     * Answers without a length from now on, or no more, and uploads before it has read them.
+     *
+     * @param isUnframed whether it does
+     * @param share of these answers that it resets midway
+     */
+    public void setUnframed(boolean isUnframed, double share) {
+        resetShare = share;
+        unframed = isUnframed;
+    }
+
     /**
      * States in each answer how many requests a second it takes from all nodes together.
      *
@@ -150,7 +164,16 @@
         return lastReady;
     }
 
-    /** Sends a heartbeat once more, as one that was held up on its way. */
+    /** Makes the next heartbeat and does not send it, as one that is held up on its way; empty while it leaves. */
+    public synchronized Optional<Heartbeat> holdHeartbeat() {
+        if (down || deregistered || draining) {
+            return Optional.empty();
+        }
+        lastReady = nextHeartbeat();
+        return Optional.of(lastReady);
+    }
+
+    /** Sends a heartbeat, again or as one that was held up on its way. */
     public void deliver(Heartbeat delayed) {
         call("PUT", delayed.incarnation(), Optional.of(delayed.body()));
     }
@@ -231,17 +254,21 @@
         if (down || deregistered) {
             return false;
         }
+        Heartbeat sent = nextHeartbeat();
+        if (!draining) {
+            lastReady = sent;
+        }
+        return call("PUT", sent.incarnation(), Optional.of(sent.body()));
+    }
+
+    private Heartbeat nextHeartbeat() {
         sequence++;
         String body =
                 "{\"address\":\"%s:%d\",\"info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":\"\",\"slots\":%d},"
                         + "\"status\":{\"state\":\"%s\",\"seq\":%d,\"warmupLeftS\":0}}";
         String address = server.getInetAddress().getHostAddress();
         String state = draining ? "draining" : "ready";
-        Heartbeat sent = new Heartbeat(incarnation, body.formatted(address, port(), service, slots, state, sequence));
-        if (!draining) {
-            lastReady = sent;
-        }
-        return call("PUT", sent.incarnation(), Optional.of(sent.body()));
+        return new Heartbeat(incarnation, body.formatted(address, port(), service, slots, state, sequence));
     }
 
     private boolean call(String method, String id, Optional<String> body) {
@@ -278,16 +305,18 @@
         try (socket) {
             socket.setTcpNoDelay(true);
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            for (String first = line(in); first != null; first = line(in)) {
+            for (String first = RawHttp.line(in); first != null; first = RawHttp.line(in)) {
                 Map<String, String> headers = new HashMap<>();
-                for (String line = line(in); line != null && !line.isEmpty(); line = line(in)) {
+                for (String line = RawHttp.line(in); line != null && !line.isEmpty(); line = RawHttp.line(in)) {
                     int colon = line.indexOf(':');
                     headers.put(
                             line.substring(0, colon).toLowerCase(Locale.ROOT),
                             line.substring(colon + 1).strip());
                 }
-                byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
-                if (!handle(socket, in, first.split(" ")[1], headers, body)) {
+                int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+                int unread = unframed && length >= MIN_UPLOAD_BYTES ? length : 0;
+                int read = in.readNBytes(length - unread).length;
+                if (!handle(socket, in, first.split(" ")[1], headers, new Body(read + unread, unread))) {
                     return;
                 }
             }
@@ -350,26 +379,16 @@
         }
     }
 
-    private static String line(InputStream in) throws IOException {
-        StringBuilder text = new StringBuilder();
-        for (int c = in.read(); c != '\n'; c = in.read()) {
-            if (c < 0) {
-                return null;
-            }
-            if (c != '\r') {
-                text.append((char) c);
-            }
-        }
-        return text.toString();
-    }
+    /** The body of a request, and how much of it is read after the answer. */
+    private record Body(int length, int unread) {}
 
     /** Runs one request; false if the connection is to end. */
-    private boolean handle(Socket socket, InputStream in, String uri, Map<String, String> headers, byte[] body)
+    private boolean handle(Socket socket, InputStream in, String uri, Map<String, String> headers, Body body)
             throws IOException {
         if (uri.equals(HEALTH_PATH)) {
             boolean well = healthFalse || !(draining || deregistered);
             String load = "X-Instance-Load: " + running.get() + ",0," + slots;
-            write(
+            RawHttp.write(
                     socket,
                     well ? "200 OK" : "503 Service Unavailable",
                     "X-Instance-Id: " + incarnation + "\r\n" + load,
@@ -378,8 +397,8 @@
         }
         String id = headers.get("x-request-id");
         if (id == null || !incarnation.equals(headers.get("x-target-instance"))) {
-            write(socket, "421 Misdirected Request", "X-Instance-Id: " + incarnation, new byte[0]);
-            return true;
+            RawHttp.write(socket, "421 Misdirected Request", "X-Instance-Id: " + incarnation, new byte[0]);
+            return body.unread() == 0;
         }
         if (uri.contains(CRASHING)) {
             book.onCrashingArrival(uri);
@@ -393,7 +412,7 @@
         AtomicInteger owned = running;
         book.onRun(id, incarnation, owned.incrementAndGet() > slots + QUEUE);
         try {
-            if (!work(socket, in)) {
+            if (!work(socket, in, body)) {
                 return false;
             }
         } finally {
@@ -402,9 +421,18 @@
         if (ThreadLocalRandom.current().nextDouble() < loseShare) {
             return false;
         }
-        byte[] answer = RunBook.answerTo(id, uri, body);
-        String signature = RunBook.SIGNATURE_HEADER + ": " + RunBook.signature(answer);
-        write(socket, "200 OK", signature + "\r\nX-Request-Id: " + id + statements(runningIncarnation), answer);
+        byte[] answer = RunBook.answerTo(id, uri, body.length());
+        String headersOfAnswer = RunBook.SIGNATURE_HEADER + ": " + RunBook.signature(answer) + "\r\nX-Request-Id: " + id
+                + statements(runningIncarnation);
+        if (unframed || body.unread() > 0) {
+            boolean reset = ThreadLocalRandom.current().nextDouble() < resetShare;
+            RawHttp.writeUnframed(socket, headersOfAnswer, answer, reset);
+            if (!reset) {
+                in.skipNBytes(body.unread());
+            }
+            return false;
+        }
+        RawHttp.write(socket, "200 OK", headersOfAnswer, answer);
         return true;
     }
 
@@ -425,7 +453,11 @@
     }
 
     /** Works as long as it is set to; false if the other end closed meanwhile, which ends the work. */
-    private boolean work(Socket socket, InputStream in) throws IOException {
+    private boolean work(Socket socket, InputStream in, Body body) throws IOException {
+        if (body.unread() > 0) {
+            sleep(workMillis);
+            return true;
+        }
         socket.setSoTimeout(workMillis);
         try {
             return in.read() >= 0;
@@ -436,14 +468,6 @@
         }
     }
 
-    private static void write(Socket socket, String status, String headers, byte[] body) throws IOException {
-        String head = "HTTP/1.1 " + status + "\r\n" + headers + "\r\nContent-Length: " + body.length + "\r\n\r\n";
-        byte[] bytes = head.getBytes(StandardCharsets.US_ASCII);
-        byte[] all = java.util.Arrays.copyOf(bytes, bytes.length + body.length);
-        System.arraycopy(body, 0, all, bytes.length, body.length);
-        socket.getOutputStream().write(all);
-    }
-
     @Override
     public void close() throws IOException {
         closed = true;
--- a/org.berylwick.standin/src/org/berylwick/standin/objects/ObjectApiServer.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/objects/ObjectApiServer.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -21,6 +22,7 @@
     private static final String PREFIX = "/objects/";
 
     private final HttpServer server;
+    private final List<ClientPort> clientPorts = new ArrayList<>();
     private final Map<String, ObjectNode> objects = new TreeMap<>();
     private final AtomicInteger calls = new AtomicInteger();
     private long revision = 1;
@@ -41,12 +43,46 @@
         SLOW
     }
 
+    /** A port for one client, whose calls alone can be refused. */
+    public final class ClientPort {
+        private final HttpServer port = open(this::handle);
+        private volatile boolean refused;
+
+        private ClientPort() throws IOException {}
+
+        /** The number of the port. */
+        public int number() {
+            return port.getAddress().getPort();
+        }
+
+        /** Answers 503 to this client from now on, or no more. */
+        public void setRefused(boolean isRefused) {
+            refused = isRefused;
+        }
+
+        private void handle(HttpExchange exchange) throws IOException {
+            ObjectApiServer.this.handle(exchange, refused ? Trouble.BUSY : trouble);
+        }
+    }
+
     /** Opens it on a free port of loopback. */
     public ObjectApiServer() throws IOException {
-        server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
-        server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
-        server.createContext(PREFIX, this::handle);
-        server.start();
+        server = open(exchange -> handle(exchange, trouble));
+    }
+
+    private static HttpServer open(HttpHandler handler) throws IOException {
+        HttpServer opened = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        opened.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
+        opened.createContext(PREFIX, handler);
+        opened.start();
+        return opened;
+    }
+
+    /** Opens another free port, for one client. */
+    public ClientPort openClientPort() throws IOException {
+        ClientPort opened = new ClientPort();
+        clientPorts.add(opened);
+        return opened;
     }
 
     /** The port it listens on. */
@@ -81,10 +117,9 @@
         notifyAll();
     }
 
-    private void handle(HttpExchange exchange) throws IOException {
+    private void handle(HttpExchange exchange, Trouble now) throws IOException {
         calls.incrementAndGet();
         try (exchange) {
-            Trouble now = trouble;
             if (now == Trouble.RESET) {
                 return;
             }
@@ -244,5 +279,6 @@
     @Override
     public void close() {
         server.stop(0);
+        clientPorts.forEach(opened -> opened.port.stop(0));
     }
 }
--- a/org.berylwick.standin/src/org/berylwick/standin/objects/PlatformFiles.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/objects/PlatformFiles.java
@@ -71,7 +71,7 @@
         services.addObject().put("name", "beta").put("maxConnections", 50).put("healthPath", BackendVm.HEALTH_PATH);
         spec.putObject("limits")
                 .put("maxHeaderBytes", 16_384)
-                .put("maxBodyBytes", 1 << 20)
+                .put("maxBodyBytes", 1 << 23)
                 .put("headerTimeoutS", 3)
                 .put("idleTimeoutS", 15);
         ArrayNode paths =
--- a/org.berylwick.standin/src/org/berylwick/standin/objects/RunBook.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/objects/RunBook.java
@@ -190,9 +190,9 @@
     }
 
     /** The right answer to a request; its length follows from the request, and is large for bulk. */
-    public static byte[] answerTo(String id, String uri, byte[] body) {
+    public static byte[] answerTo(String id, String uri, int bodyLength) {
         int copies = (uri.startsWith("/bulk/") ? BULK_COPIES : 1) * (1 + Math.floorMod(id.hashCode(), 400));
-        return (id + " " + uri + " " + body.length + "\n").repeat(copies).getBytes(StandardCharsets.UTF_8);
+        return (id + " " + uri + " " + bodyLength + "\n").repeat(copies).getBytes(StandardCharsets.UTF_8);
     }
 
     /** A backend server's signature of an answer. */
