--- a/review/stand-ins-2/Instance.java
+++ b/review/stand-ins-2/Instance.java
@@ -52,6 +52,12 @@
 
     Instance(String id, String service, String zone, String ip, int slots, InetSocketAddress control, Work work,
             Record record) throws IOException {
+        this(id, service, zone, ip, 0, slots, control, work, record);
+    }
+
+    /** The same, at a port; 0 for any free one. */
+    Instance(String id, String service, String zone, String ip, int port, int slots, InetSocketAddress control,
+            Work work, Record record) throws IOException {
         this.id = id;
         this.service = service;
         this.zone = zone;
@@ -60,7 +66,7 @@
         this.work = work;
         this.record = record;
         this.freeSlots = new Semaphore(slots, true);
-        this.listener = new ServerSocket(0, 256, InetAddress.getByName(ip));
+        this.listener = new ServerSocket(port, 256, InetAddress.getByName(ip));
         start("accept " + id, this::accept);
         start("beats " + id, this::beat);
     }
@@ -208,5 +214,8 @@
     public void close() throws IOException {
         closed = true;
         listener.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
     }
 }
--- a/review/stand-ins-2/Node.java
+++ b/review/stand-ins-2/Node.java
@@ -5,10 +5,12 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 /** A daemon as a process, started with the command of the deploy file, and the platform's readiness checks of it. */
 final class Node implements AutoCloseable {
@@ -23,6 +25,7 @@
     private final Path settings;
     private final Path log;
     private final Record record;
+    private UnaryOperator<String> settingsText;
     private volatile Process process;
     private volatile boolean closed;
     /** Whether the platform counts it as ready. */
@@ -71,11 +74,18 @@
 
     void start(String zone, List<String> zones, int[] ports, String service, String appAddr, int storePort)
             throws IOException {
+        this.settingsText = newService -> text(zone, zones, ports, newService, appAddr, storePort);
+        Files.writeString(settings, settingsText.apply(service));
+        launch();
+        Thread checks = new Thread(this::checkReadiness, "readiness " + name);
+        checks.setDaemon(true);
+        checks.start();
+    }
+
+    private String text(String zone, List<String> zones, int[] ports, String service, String appAddr, int storePort) {
         StringBuilder zoneMap = new StringBuilder();
         zones.forEach(z -> zoneMap.append(zoneMap.isEmpty() ? "" : ",").append("\"" + z + "\":\"region-1\""));
-        Files.writeString(
-                settings,
-                "{\"node\":\"" + name + "\",\"role\":\"node\",\"machineClass\":\"sidecar\",\"serves\":[\"sidecar\"],"
+        return "{\"node\":\"" + name + "\",\"role\":\"node\",\"machineClass\":\"sidecar\",\"serves\":[\"sidecar\"],"
                         + "\"ip\":\"" + ip + "\",\"zone\":\"" + zone + "\",\"region\":\"region-1\",\"zones\":{" + zoneMap
                         + "},\"listen\":{\"inbound\":\"" + ip + ":" + ports[0] + "\",\"outbound\":\"" + ip + ":"
                         + ports[1] + "\",\"readinessAddr\":\"" + ip + ":" + ports[2] + "\",\"control\":\"" + ip + ":"
@@ -88,11 +98,21 @@
                         + "\"outerS\":5,\"budgetRatio\":0.2,\"budgetWindowS\":10,\"budgetSlack\":58,\"recoverS\":15},"
                         + "\"appAddr\":\"" + appAddr + "\",\"service\":\"" + service + "\",\"platform\":{\"address\":"
                         + "\"127.0.0.1:" + storePort + "\",\"form\":\"objects\",\"writesPerS\":400,\"readsPerS\":2000,"
-                        + "\"historyS\":20,\"valueBytes\":1048576,\"ttlMinS\":1}}");
-        launch();
-        Thread checks = new Thread(this::checkReadiness, "readiness " + name);
-        checks.setDaemon(true);
-        checks.start();
+                        + "\"historyS\":20,\"valueBytes\":1048576,\"ttlMinS\":1}}";
+    }
+
+    /** Changes the service in the settings file, which is replaced as a whole. */
+    void changeService(String service) throws IOException {
+        Path changed = settings.resolveSibling(name + ".new");
+        Files.writeString(changed, settingsText.apply(service));
+        Files.move(changed, settings, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        record.write("platform changes the settings file of " + name + ": service " + service);
+    }
+
+    /** Sends SIGHUP. */
+    void hangUp() throws Exception {
+        record.write("platform sends SIGHUP to " + name);
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
     }
 
     /** Starts the process. */
