--- a/review/stand-ins-2/Instance.java
+++ b/review/stand-ins-2/Instance.java
@@ -187,6 +187,27 @@
         return false;
     }
 
+    /**
+     * Works for some time, but not beyond the time that the request gives it.
+     *
+     * @return false if that time has passed, and an answer of 504 has been written
+     */
+    static boolean work(Run run, Http.Head head, int millis, OutputStream out)
+            throws IOException, InterruptedException {
+        String limit = head.header("x-deadline-ms");
+        int allowed = limit.isEmpty() ? millis : Integer.parseInt(limit);
+        Thread.sleep(Math.min(millis, allowed));
+        if (millis <= allowed) {
+            return true;
+        }
+        out.write(("HTTP/1.1 504 Gateway Timeout\r\nX-Request-Id: " + run.request
+                        + "\r\nX-Response-Signature: 0.1\r\nContent-Length: 0\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+        run.end = "answered 504 at its time limit of " + allowed + " ms";
+        return false;
+    }
+
     /** Writes a whole answer with its length. */
     static boolean reply(Run run, Http.Head head, OutputStream out, byte[] body) throws IOException {
         out.write(head(run, "Content-Length: " + body.length + "\r\n"));
