Review case 8: uploads on an added route are never served over narrow links

With links of 4.9 Mbit/s no upload of 14,000 bytes on an added route is served; each hangs until its timeout.

--- a/review/stand-ins-2/Config.java
+++ b/review/stand-ins-2/Config.java
@@ -15,6 +15,16 @@
                 + "\",\"maxAttempts\":2}]}]}";
     }
 
+    /** The next version, which has a further route. */
+    static String textWithRoute(String service, String kind, double timeoutS, long maxBodyBytes, String route) {
+        String added = ",{\"name\":\"r-2\",\"pathPrefix\":\"/" + route + "/\",\"kind\":\"" + kind + "\",\"timeoutS\":"
+                + timeoutS + ",\"targetLatencyS\":0.8,\"priority\":1,\"service\":\"" + service
+                + "\",\"maxAttempts\":2}";
+        String first = text(service, kind, timeoutS, maxBodyBytes).replace("00000007", "00000009");
+        int end = first.lastIndexOf("]}]}");
+        return first.substring(0, end) + added + first.substring(end);
+    }
+
     static boolean awaitReady(List<Node> nodes, Record record) throws Exception {
         long until = System.nanoTime() + 25_000_000_000L;
         for (Node node : nodes) {
--- a/review/stand-ins-2/Node.java
+++ b/review/stand-ins-2/Node.java
@@ -25,6 +25,8 @@
     private final Path settings;
     private final Path log;
     private final Record record;
+    /** Width of the machine's link, as its settings say. */
+    double linkMbps = 1_000;
     private UnaryOperator<String> settingsText;
     private volatile Process process;
     private volatile boolean closed;
@@ -91,7 +93,7 @@
                         + ports[1] + "\",\"readinessAddr\":\"" + ip + ":" + ports[2] + "\",\"control\":\"" + ip + ":"
                         + ports[3] + "\"},\"internalPorts\":[" + ports[4] + "," + (ports[4] + 1)
                         + "],\"seeds\":[],\"bootstrap\":true,\"countsAsLoss\":false,\"limits\":{\"cpuShare\":0.6,"
-                        + "\"cores\":1,\"memoryMb\":430,\"maxFds\":4100,\"linkMbps\":1000.0,\"diskMb\":0},"
+                        + "\"cores\":1,\"memoryMb\":430,\"maxFds\":4100,\"linkMbps\":" + linkMbps + ",\"diskMb\":0},"
                         + "\"dataDir\":null,\"discovery\":\"static\",\"entry\":\"static\",\"heartbeatS\":1.5,"
                         + "\"bounds\":{\"seedLagS\":3,\"reuseAfterS\":2,\"contactS\":3,\"ackS\":4,\"catchUpS\":4,"
                         + "\"drainS\":2,\"graceS\":" + GRACE_S + ",\"lostS\":0.2,\"configS\":2,\"downgradeS\":0.25,"
