--- a/review/stand-ins-2/Http.java
+++ b/review/stand-ins-2/Http.java
@@ -85,11 +85,6 @@
 
     /** Sends a request on a new connection and reads the answer. */
     static Answer call(InetSocketAddress to, String head, byte[] body, int timeoutMillis) {
-        return call(to, head, body, timeoutMillis, () -> {});
-    }
-
-    /** The same; a task runs when all of the request has been written. */
-    static Answer call(InetSocketAddress to, String head, byte[] body, int timeoutMillis, Runnable onSent) {
         try (Socket socket = new Socket()) {
             socket.connect(to, 1_000);
             socket.setTcpNoDelay(true);
@@ -97,7 +92,6 @@
             socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
             socket.getOutputStream().write(body);
             socket.getOutputStream().flush();
-            onSent.run();
             InputStream in = new java.io.BufferedInputStream(socket.getInputStream(), 65_536);
             Head answer = readHead(in);
             if (answer == null) {
--- a/review/stand-ins-2/Node.java
+++ b/review/stand-ins-2/Node.java
@@ -14,7 +14,7 @@
 
 /** A daemon as a process, started with the command of the deploy file, and the platform's readiness checks of it. */
 final class Node implements AutoCloseable {
-    static final double GRACE_S = 6;
+    private static final double GRACE_S = 6;
 
     final String name;
     final String ip;
@@ -164,47 +164,10 @@
         return in;
     }
 
-    boolean isAlive() {
-        return process.isAlive();
-    }
-
-    /** Exit code, or -1 while it runs. */
-    int exitCode() {
-        return process.isAlive() ? -1 : process.exitValue();
-    }
-
     String log() throws IOException {
         return Files.exists(log) ? Files.readString(log) : "";
     }
 
-    /** Sends SIGTERM, and SIGKILL after the grace period. */
-    void terminate() {
-        record.write("platform sends SIGTERM to " + name);
-        Process stopped = process;
-        stopped.destroy();
-        Thread end = new Thread(
-                () -> {
-                    try {
-                        if (!stopped.waitFor((long) (GRACE_S * 1_000), TimeUnit.MILLISECONDS)) {
-                            record.write("platform sends SIGKILL to " + name);
-                            stopped.destroyForcibly();
-                        } else {
-                            record.write(name + " has ended");
-                        }
-                    } catch (InterruptedException e) {
-                        stopped.destroyForcibly();
-                    }
-                },
-                "end " + name);
-        end.setDaemon(true);
-        end.start();
-    }
-
-    void kill() {
-        record.write("kill of " + name);
-        process.destroyForcibly();
-    }
-
     @Override
     public void close() {
         closed = true;
