Log and count bytes of servers that are not the response to a request

The record of the incident has "unreadable answer" without connection, position or former request, so that the hypotheses could not be told apart. RESPONSE_FAULT (7066) names what is wrong with the bytes, the request that waited, the one that was answered before on the connection, and how many bytes came since; responses.faults.* counts them by kind. A head with a second status line is only reported. The decoder stands apart from the encoder, to count bytes; what is decoded is as before.

--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -165,7 +165,8 @@
         return new Owner(
                 clock,
                 backendAddress -> new ConnectionPool(
-                        loop, backendAddress, BACKEND_CONNECT_TIMEOUT_MILLIS, BACKEND_MAX_IDLE_NANOS),
+                                loop, backendAddress, BACKEND_CONNECT_TIMEOUT_MILLIS, BACKEND_MAX_IDLE_NANOS)
+                        .onResponseFault(new ResponseFaultLog(counters, log)),
                 platform.headerNames(),
                 link,
                 settings.heartbeatNanos(),
@@ -261,7 +262,8 @@
     private ConnectionPool createPeerPool(String ip) {
         InetSocketAddress target =
                 new InetSocketAddress(ip, settings.peerAddress().getPort());
-        return new ConnectionPool(loop, target, PEER_CONNECT_TIMEOUT_MILLIS, PEER_MAX_IDLE_NANOS);
+        return new ConnectionPool(loop, target, PEER_CONNECT_TIMEOUT_MILLIS, PEER_MAX_IDLE_NANOS)
+                .onResponseFault(new ResponseFaultLog(counters, log));
     }
 
     /** Opens the ports and starts all components, unless the node has been asked to stop, also in the meantime. */
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -332,6 +332,11 @@
         return false;
     }
 
+    @Override
+    public String requestId() {
+        return call.id();
+    }
+
     @Override
     public void onHead(HttpResponse head) {
         int status = head.status().code();
--- a/org.berylwick.node/src/org/berylwick/node/call/PeerAttempt.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerAttempt.java
@@ -95,6 +95,11 @@
         onFailure("silent");
     }
 
+    @Override
+    public String requestId() {
+        return call.id();
+    }
+
     @Override
     public void onHead(HttpResponse head) {
         member.onResponseProgress(System.nanoTime());
--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -89,6 +89,8 @@
     KEY_UNKNOWN(7062, 10),
     /** While the store did not answer this node, another node has read the entry of this one. */
     ENTRY_READ_BY_OTHER_NODE(7063, 20),
+    /** A server sent bytes that are not the response to the request on their connection. */
+    RESPONSE_FAULT(7066, 20),
     /** Requests were refused at this node because their organisation has used up its limit. */
     QUOTA_REFUSED(7070, 10),
     /** This node, as the quota server of an organisation, has refused permits. */
--- a/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
@@ -63,6 +63,8 @@
     public static final String OWNER_LOST = "owner.lost";
     /** Responses of the local backend server that were discarded because they belong to other requests. */
     public static final String OWNER_DISCARDED = "owner.discarded";
+    /** Bytes of servers that are not the response to the request on their connection, by kind of fault. */
+    public static final String RESPONSE_FAULTS_BY_KIND = "responses.faults.";
     /** Requests that this node refused as an owner, by reason. */
     public static final String OWNER_REFUSED_BY_REASON = "owner.refused.";
     /** Requests running on the local backend server. */
--- a/org.berylwick.node/src/org/berylwick/node/transport/ConnectionPool.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/ConnectionPool.java
@@ -9,7 +9,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -25,8 +25,6 @@
  * <p>The most recently used idle connection is handed out first.
  */
 public final class ConnectionPool implements ServerConnectionPool {
-    private static final int MAX_HEADER_BYTES = 65_536;
-    private static final int MAX_CHUNK_BYTES = 65_536;
     /**
      * A connection can go silent for good without a reset while new connections to the same server work. With these
      * settings TCP keepalive closes it within 5 s. Shorter intervals would cost traffic between availability zones on
@@ -48,6 +46,7 @@
     private final long maxIdleNanos;
     private final ArrayDeque<HttpConnection> idleConnections = new ArrayDeque<>();
     private final Set<HttpConnection> openConnections = new HashSet<>();
+    private Consumer<ResponseFault> faultRecipient = fault -> {};
     private long openedCount;
     private boolean closed;
 
@@ -78,15 +77,36 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         EndOfStream endOfStream = new EndOfStream();
-                        channel.pipeline().addLast(endOfStream);
-                        channel.pipeline().addLast(new HttpClientCodec(8192, MAX_HEADER_BYTES, MAX_CHUNK_BYTES));
-                        channel.pipeline().addLast(createConnection(channel, endOfStream));
+                        ResponseDecoder decoder = new ResponseDecoder();
+                        channel.pipeline().addLast(endOfStream, new HttpRequestEncoder(), decoder);
+                        channel.pipeline().addLast(createConnection(channel, endOfStream, decoder));
                     }
                 });
     }
 
-    private HttpConnection createConnection(Channel channel, EndOfStream endOfStream) {
-        return new HttpConnection(channel, endOfStream, this::returnToPool, this::remove);
+    /** Sets the recipient of faults in the responses of the server; without it, they are not reported. */
+    public ConnectionPool onResponseFault(Consumer<ResponseFault> recipient) {
+        faultRecipient = recipient;
+        return this;
+    }
+
+    private HttpConnection createConnection(Channel channel, EndOfStream endOfStream, ResponseDecoder decoder) {
+        return new HttpConnection(channel, target, endOfStream, decoder, new HttpConnection.Listener() {
+            @Override
+            public void onIdle(HttpConnection connection) {
+                returnToPool(connection);
+            }
+
+            @Override
+            public void onClosed(HttpConnection connection) {
+                remove(connection);
+            }
+
+            @Override
+            public void onFault(ResponseFault fault) {
+                faultRecipient.accept(fault);
+            }
+        });
     }
 
     @Override
--- a/org.berylwick.node/src/org/berylwick/node/transport/HttpConnection.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/HttpConnection.java
@@ -16,7 +16,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.util.function.Consumer;
+import java.net.InetSocketAddress;
+import org.berylwick.node.transport.ResponseFault.Kind;
 
 /**
  * An HTTP/1.1 connection to a server that carries one request at a time; confined to the event loop.
@@ -28,10 +29,23 @@
 public final class HttpConnection extends ChannelInboundHandlerAdapter implements ServerConnection {
     private static final String KEEP_ALIVE_TIMEOUT_PARAMETER = "timeout=";
 
+    /** Is notified of what happens to a connection. */
+    interface Listener {
+        /** Called when the connection may carry the next request. */
+        void onIdle(HttpConnection connection);
+
+        /** Called when the connection is closed. */
+        void onClosed(HttpConnection connection);
+
+        /** Called when bytes arrive that are not the response to the request, or cannot be shown to be. */
+        void onFault(ResponseFault fault);
+    }
+
     private final Channel channel;
+    private final InetSocketAddress server;
     private final EndOfStream endOfStream;
-    private final Consumer<HttpConnection> onIdle;
-    private final Consumer<HttpConnection> onClosed;
+    private final ResponseDecoder decoder;
+    private final Listener listener;
     private HttpResponseHandler responseHandler;
     private HttpResponse responseHead;
     private boolean discardingResponse;
@@ -45,22 +59,26 @@
     private long idleSince;
     private long keepAliveNanos;
     private int servedRequests;
+    private String previousRequest = "";
 
     /**
-     * @param channel has the HTTP codec in its pipeline, and allows half-closure
-     * @param endOfStream stands before that codec
-     * @param onIdle receives this connection when it may carry the next request
-     * @param onClosed receives this connection when it is closed
+     * @param channel has an HTTP encoder and the decoder in its pipeline, and allows half-closure
+     * @param server address that the channel is connected to
+     * @param endOfStream stands before the decoder
+     * @param decoder decodes the responses
+     * @param listener is notified of what happens to this connection
      */
     HttpConnection(
             Channel channel,
+            InetSocketAddress server,
             EndOfStream endOfStream,
-            Consumer<HttpConnection> onIdle,
-            Consumer<HttpConnection> onClosed) {
+            ResponseDecoder decoder,
+            Listener listener) {
         this.channel = channel;
+        this.server = server;
         this.endOfStream = endOfStream;
-        this.onIdle = onIdle;
-        this.onClosed = onClosed;
+        this.decoder = decoder;
+        this.listener = listener;
         this.idleSince = System.nanoTime();
     }
 
@@ -86,7 +104,7 @@
 
     @Override
     public void returnUnused() {
-        onIdle.accept(this);
+        listener.onIdle(this);
     }
 
     @Override
@@ -97,6 +115,7 @@
         reusable = true;
         closeDelimited = false;
         requestEndWrite = null;
+        decoder.expectResponse(request.method());
         channel.write(request);
         pendingBody = requestBody;
         bodyRequested = !HttpUtil.is100ContinueExpected(request);
@@ -151,11 +170,13 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         if (!(message instanceof HttpObject object) || object.decoderResult().isFailure()) {
+            reportFault(Kind.UNREADABLE, decoderError(message));
             ReferenceCountUtil.release(message);
             fail("unreadable answer");
             return;
         }
         if (responseHandler == null) {
+            reportFault(Kind.UNEXPECTED, "");
             ReferenceCountUtil.release(message);
             channel.close();
             return;
@@ -168,7 +189,19 @@
         }
     }
 
+    private static String decoderError(Object message) {
+        return message instanceof HttpObject object
+                ? object.decoderResult().cause().getClass().getSimpleName()
+                : message.getClass().getSimpleName();
+    }
+
+    private void reportFault(Kind kind, String detail) {
+        String request = responseHandler == null ? "" : responseHandler.requestId();
+        listener.onFault(new ResponseFault(kind, server, request, previousRequest, decoder.receivedBytes(), detail));
+    }
+
     private void handleHead(HttpResponse response) {
+        ResponseHead.headerWithStatusLine(response).ifPresent(name -> reportFault(Kind.JOINED, name));
         int status = response.status().code();
         if (status >= 100 && status < 200) {
             discardingResponse = true;
@@ -180,6 +213,7 @@
         }
         if (!responseHandler.matches(response)) {
             // This is a second response to an earlier request; the response to the current request follows it.
+            reportFault(Kind.FOREIGN, "");
             discardingResponse = true;
             reusable = false;
             return;
@@ -238,6 +272,8 @@
         responseHandler = null;
         responseComplete = true;
         servedRequests++;
+        previousRequest = handler.requestId();
+        decoder.endResponse();
         stopWritingBody();
         reusable &= requestEndWrite != null && requestEndWrite.isSuccess();
         handler.onEnd();
@@ -255,7 +291,7 @@
         }
         channel.config().setAutoRead(true);
         idleSince = System.nanoTime();
-        onIdle.accept(this);
+        listener.onIdle(this);
     }
 
     @Override
@@ -273,7 +309,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         fail(closeCause());
-        onClosed.accept(this);
+        listener.onClosed(this);
     }
 
     private String closeCause() {
--- a/org.berylwick.node/src/org/berylwick/node/transport/HttpResponseHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/HttpResponseHandler.java
@@ -14,6 +14,11 @@
         return true;
     }
 
+    /** Returns the id of the request for the log, empty if it has none. */
+    default String requestId() {
+        return "";
+    }
+
     /** Called with the head of the response. */
     void onHead(HttpResponse head);
 
