Decode bytes of a server only while a request waits, and only one response a head

Cause: a server's second answer to request A, broken off within its head, stayed in the decoder of a connection that was taken for idle, since the decoder passes nothing on before a head is complete. The answer to request B was joined to it: status line of the one, id, signature and body of the other. With a refusal broken off it made an order run twice. Change: bytes that arrive while no request waits close the connection undecoded, those read together with the end of a response included; what the socket already holds is read before a connection is reused. Bytes can also come after B was sent, so time alone proves nothing: a head that holds a second status line is no response, whatever else stands in it, and the id must be the only one. A response to another request must have an end, and reach it within 250 ms of its head, or the request fails at once, which another attempt can make up for, in place of waiting for its deadline. Why it works: the answer to B begins with a status line. If anything of another answer precedes it in the same head, that status line stands within a reason phrase, a name or a value; names can't hold it, and the others are searched. So a head with one status line, at its start, and B's id was written as one, for B.

--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -18,6 +18,7 @@
 import org.berylwick.node.lib.ServiceTimeDistribution;
 import org.berylwick.node.lib.SuspectReport;
 import org.berylwick.node.log.Counters;
+import org.berylwick.node.log.Event;
 import org.berylwick.node.log.EventLog;
 import org.berylwick.node.log.Instruments;
 import org.berylwick.node.log.NodeMetricNames;
@@ -220,6 +221,12 @@
         return registry.hasLatestLeft(id);
     }
 
+    /** Called when the backend server has sent a response to another request than the one that waits. */
+    void onOtherResponse(String id, String otherId) {
+        counters.increment(NodeMetricNames.OWNER_DISCARDED);
+        log.write(Event.ANSWER_DISCARDED, "id", id, "belongsTo", otherId);
+    }
+
     /** Processes the head of a response of a backend server. */
     void onResponseHead(Backend responder, HttpHeaders headers) {
         statements.onResponseHead(responder, headers);
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -1,12 +1,9 @@
 package org.berylwick.node.call;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
 import org.berylwick.node.lib.BackendState;
 import org.berylwick.node.lib.Clock;
@@ -309,27 +306,17 @@
         sentAt = now;
         factorWhenSent = backend.speed().factorAt(now);
         connectionIdleNanos = acquired.servedRequests() == 0 ? 0 : now - acquired.idleSince();
-        HttpHeaders headers = Headers.copy(call.headers());
-        headers.set(headerNames.deadline(), remainingMillis);
-        headers.set(headerNames.targetIncarnation(), backend.incarnation().id());
-        headers.set(headerNames.callerService(), call.callerService());
-        if (call.organisation().isPresent()) {
-            headers.set(headerNames.organisation(), call.organisation().name());
-        }
-        HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri(), headers);
-        HttpConnection.setContentLength(head, call.body().length());
-        acquired.send(head, call.body(), this);
+        String incarnationId = backend.incarnation().id();
+        acquired.send(BackendRequestHead.of(call, headerNames, incarnationId, remainingMillis), call.body(), this);
     }
 
     @Override
-    public boolean matches(HttpResponse head) {
-        String id = head.headers().get(headerNames.requestId());
-        if (id == null || id.equals(call.id())) {
-            return true;
+    public Origin originOf(HttpResponse head, boolean connectionReused) {
+        Origin origin = ResponseOrigin.of(head, call.id(), headerNames, connectionReused);
+        if (origin == Origin.OTHER) {
+            owner.onOtherResponse(call.id(), head.headers().get(headerNames.requestId()));
         }
-        owner.counters().increment(NodeMetricNames.OWNER_DISCARDED);
-        owner.log().write(Event.ANSWER_DISCARDED, "id", call.id(), "belongsTo", id);
-        return false;
+        return origin;
     }
 
     @Override
--- a/org.berylwick.node/src/org/berylwick/node/transport/ConnectionPool.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/ConnectionPool.java
@@ -138,7 +138,11 @@
             HttpConnection connection = idleConnections.peekFirst();
             if (connection.isIdle()
                     && now - connection.idleSince() <= usableIdleNanos(connection, effectiveLimitNanos)) {
-                return idleConnections.pollFirst();
+                idleConnections.pollFirst();
+                if (connection.isIdleAfterRead()) {
+                    return connection;
+                }
+                continue;
             }
             if (connection.isIdle() && now - connection.idleSince() <= usableIdleNanos(connection, maxIdleNanos)) {
                 return null;
--- a/org.berylwick.node/src/org/berylwick/node/transport/HttpConnection.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/HttpConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -17,17 +18,23 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import org.berylwick.node.transport.ResponseFault.Kind;
 
 /**
  * An HTTP/1.1 connection to a server that carries one request at a time; confined to the event loop.
  *
  * <p>The connection returns to its pool only after the event loop has processed everything that was read together with
- * the end of a response. Bytes after a complete response belong to no request, and a connection that receives such
- * bytes is closed.
+ * the end of a response. Bytes that arrive while no request waits belong to none, and the connection is closed without
+ * decoding them. A response to an earlier request may also arrive after the next request was sent, whole or broken off.
+ * So a response is passed on only if its head has one status line and its handler finds the request it belongs to.
  */
 public final class HttpConnection extends ChannelInboundHandlerAdapter implements ServerConnection {
     private static final String KEEP_ALIVE_TIMEOUT_PARAMETER = "timeout=";
+    /** Time within which the body of a response to another request must be complete after its head. */
+    private static final long OTHER_RESPONSE_TIMEOUT_MILLIS = 250;
 
     /** Is notified of what happens to a connection. */
     interface Listener {
@@ -60,6 +67,7 @@
     private long keepAliveNanos;
     private int servedRequests;
     private String previousRequest = "";
+    private Future<?> otherResponseTimeout;
 
     /**
      * @param channel has an HTTP encoder and the decoder in its pipeline, and allows half-closure
@@ -79,6 +87,7 @@
         this.endOfStream = endOfStream;
         this.decoder = decoder;
         this.listener = listener;
+        decoder.onUnexpectedBytes(this::handleUnexpectedBytes);
         this.idleSince = System.nanoTime();
     }
 
@@ -102,6 +111,17 @@
         return responseHandler == null && !responseComplete && channel.isActive();
     }
 
+    /**
+     * Reads what the server has sent meanwhile, and returns whether the connection is open and carries no request.
+     * Bytes or an end of the stream that the event loop has not read yet make it unusable.
+     */
+    boolean isIdleAfterRead() {
+        if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            unsafe.read();
+        }
+        return isIdle();
+    }
+
     @Override
     public void returnUnused() {
         listener.onIdle(this);
@@ -176,7 +196,6 @@
             return;
         }
         if (responseHandler == null) {
-            reportFault(Kind.UNEXPECTED, "");
             ReferenceCountUtil.release(message);
             channel.close();
             return;
@@ -189,6 +208,15 @@
         }
     }
 
+    private void handleUnexpectedBytes() {
+        reportFault(Kind.UNEXPECTED, "");
+        if (responseComplete) {
+            reusable = false;
+            return;
+        }
+        channel.close();
+    }
+
     private static String decoderError(Object message) {
         return message instanceof HttpObject object
                 ? object.decoderResult().cause().getClass().getSimpleName()
@@ -201,7 +229,12 @@
     }
 
     private void handleHead(HttpResponse response) {
-        ResponseHead.headerWithStatusLine(response).ifPresent(name -> reportFault(Kind.JOINED, name));
+        Optional<String> secondStatusLine = ResponseHead.headerWithStatusLine(response);
+        if (secondStatusLine.isPresent()) {
+            reportFault(Kind.JOINED, secondStatusLine.get());
+            fail("unreadable answer: parts of two responses");
+            return;
+        }
         int status = response.status().code();
         if (status >= 100 && status < 200) {
             discardingResponse = true;
@@ -211,13 +244,36 @@
             }
             return;
         }
-        if (!responseHandler.matches(response)) {
-            // This is a second response to an earlier request; the response to the current request follows it.
-            reportFault(Kind.FOREIGN, "");
-            discardingResponse = true;
-            reusable = false;
+        switch (responseHandler.originOf(response, servedRequests > 0)) {
+            case OWN -> startResponse(response);
+            case OTHER -> discardOtherResponse(response);
+            case UNKNOWN -> {
+                reportFault(Kind.UNIDENTIFIED, Integer.toString(status));
+                fail("answer names no request, or several");
+            }
+        }
+    }
+
+    private void discardOtherResponse(HttpResponse response) {
+        reportFault(Kind.FOREIGN, "");
+        if (isCloseDelimited(response) && !decoder.isContentAlwaysEmpty(response)) {
+            fail("answer to another request, without an end");
             return;
         }
+        // The response to the current request follows.
+        discardingResponse = true;
+        reusable = false;
+        otherResponseTimeout = channel.eventLoop()
+                .schedule(this::onOtherResponseTimeout, OTHER_RESPONSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void onOtherResponseTimeout() {
+        if (discardingResponse) {
+            fail("answer to another request, broken off");
+        }
+    }
+
+    private void startResponse(HttpResponse response) {
         discardingResponse = false;
         responseHead = response;
         closeDelimited = isCloseDelimited(response);
@@ -249,7 +305,9 @@
         boolean isLast = content instanceof LastHttpContent;
         if (discardingResponse) {
             content.release();
-            discardingResponse = !isLast;
+            if (isLast) {
+                endDiscardedResponse();
+            }
             return;
         }
         if (responseHead == null) {
@@ -279,6 +337,14 @@
         handler.onEnd();
     }
 
+    private void endDiscardedResponse() {
+        discardingResponse = false;
+        if (otherResponseTimeout != null) {
+            otherResponseTimeout.cancel(false);
+            otherResponseTimeout = null;
+        }
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (!responseComplete) {
--- a/org.berylwick.node/src/org/berylwick/node/transport/HttpResponseHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/HttpResponseHandler.java
@@ -5,13 +5,24 @@
 
 /** Receives the response to one request on an {@link HttpConnection}; called on the event loop. */
 public interface HttpResponseHandler {
+    /** The request that a response belongs to. */
+    enum Origin {
+        /** The request of this handler. */
+        OWN,
+        /** Another one. The response is read to its end and discarded, and the next one is awaited. */
+        OTHER,
+        /** It cannot be told. The connection is closed, and the request fails. */
+        UNKNOWN
+    }
+
     /**
-     * Returns whether a response belongs to this request. A response that does not is read to its end and discarded.
+     * Returns which request a response belongs to.
      *
      * @param head head of the response
+     * @param connectionReused whether the connection has carried an earlier request, which may be answered once more
      */
-    default boolean matches(HttpResponse head) {
-        return true;
+    default Origin originOf(HttpResponse head, boolean connectionReused) {
+        return Origin.OWN;
     }
 
     /** Returns the id of the request for the log, empty if it has none. */
--- a/org.berylwick.test/tst/org/berylwick/node/JoinedResponseTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/JoinedResponseTest.java
@@ -83,13 +83,15 @@
     }
 
     private static void assertFailureIsDelivered(Moment moment, String method, String path) {
-        for (String part : PARTS_OF_SUCCESS) {
-            try (RawServer server = new RawServer(stutter(part, moment));
-                    NodeRig rig = rigWith(server)) {
-                String response = callAfterFirst(rig, method, path, "a1");
+        try (RawServer server = new RawServer(NodeRig::respondOk);
+                NodeRig rig = rigWith(server)) {
+            for (int i = 0; i < PARTS_OF_SUCCESS.size(); i++) {
+                String part = PARTS_OF_SUCCESS.get(i);
+                server.setScript(stutter(part, moment));
+                String response = callAfterFirst(rig, method, path, "a" + i);
                 String statusLine = response.lines().findFirst().orElse("");
                 assertTrue(statusLine.matches("HTTP/1.1 50[02] .*"), () -> part + " -> " + response + rig.logText());
-                assertEquals(1, server.runs("a1"), part);
+                assertEquals(1, server.runs("a" + i), part);
             }
         }
     }
