Believe a response without an id only on a connection that has carried no other request

A refusal is a promise that the request has not run, and was believed without an id; a second copy of one, late, was taken for that of the next request. The same acts where the id is the same: the refusal of a request's first attempt, late, during its second one. Change: without an id, or with several, a response on a connection that has carried an earlier request fails the request as lost, whose outcome is unknown, and closes the connection (RESPONSE_FAULT UNIDENTIFIED). On a new one it is believed: there is no other request that it could belong to. A request is not sent again on a connection that carried it lately.

--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -47,6 +47,9 @@
      */
     private static final long CALL_ADVANCE_NANOS = 1_000_000_000L;
 
+    /** Limit on the idle time that no idle connection meets. */
+    private static final long NEW_CONNECTION = -1;
+
     private final Owner owner;
     private final Clock clock;
     private final CallSpec call;
@@ -290,6 +293,11 @@
             acquired.returnUnused();
             return;
         }
+        if (acquired.hasCarried(call.id())) {
+            acquired.returnUnused();
+            backend.pool().acquire(NEW_CONNECTION, this::send, this::onConnectFailed);
+            return;
+        }
         long now = clock.now();
         long remainingMillis = (call.deadlineAt() - RESPONSE_TRANSIT_NANOS - now) / 1_000_000;
         if (remainingMillis <= 0) {
--- a/org.berylwick.node/src/org/berylwick/node/call/ResponseOrigin.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/ResponseOrigin.java
@@ -10,7 +10,8 @@
     private ResponseOrigin() {}
 
     /**
-     * Returns which request a response belongs to.
+     * Returns which request a response belongs to. Only its id shows that. A response without one is taken for the own
+     * on a connection that has carried no earlier request, since there is no other that it could belong to.
      *
      * @param head head of the response
      * @param id id of the request that waits for its response
@@ -20,7 +21,7 @@
     static Origin of(HttpResponse head, String id, HeaderNames names, boolean connectionReused) {
         List<String> ids = head.headers().getAll(names.requestId());
         if (ids.isEmpty()) {
-            return Origin.OWN;
+            return connectionReused ? Origin.UNKNOWN : Origin.OWN;
         }
         if (ids.size() > 1 || head.headers().getAll(names.signature()).size() > 1) {
             return Origin.UNKNOWN;
--- a/org.berylwick.node/src/org/berylwick/node/transport/HttpConnection.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/HttpConnection.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -33,6 +34,7 @@
  */
 public final class HttpConnection extends ChannelInboundHandlerAdapter implements ServerConnection {
     private static final String KEEP_ALIVE_TIMEOUT_PARAMETER = "timeout=";
+    private static final int MAX_REMEMBERED_REQUESTS = 32;
     /** Time within which the body of a response to another request must be complete after its head. */
     private static final long OTHER_RESPONSE_TIMEOUT_MILLIS = 250;
 
@@ -66,6 +68,9 @@
     private long idleSince;
     private long keepAliveNanos;
     private int servedRequests;
+    /** Ids of the requests that were sent on this connection last. */
+    private final ArrayDeque<String> sentRequests = new ArrayDeque<>();
+
     private String previousRequest = "";
     private Future<?> otherResponseTimeout;
 
@@ -122,6 +127,11 @@
         return isIdle();
     }
 
+    @Override
+    public boolean hasCarried(String requestId) {
+        return sentRequests.contains(requestId);
+    }
+
     @Override
     public void returnUnused() {
         listener.onIdle(this);
@@ -136,6 +146,7 @@
         closeDelimited = false;
         requestEndWrite = null;
         decoder.expectResponse(request.method());
+        rememberRequest(handler.requestId());
         channel.write(request);
         pendingBody = requestBody;
         bodyRequested = !HttpUtil.is100ContinueExpected(request);
@@ -145,6 +156,16 @@
         channel.flush();
     }
 
+    private void rememberRequest(String id) {
+        if (id.isEmpty()) {
+            return;
+        }
+        sentRequests.addLast(id);
+        if (sentRequests.size() > MAX_REMEMBERED_REQUESTS) {
+            sentRequests.removeFirst();
+        }
+    }
+
     /** Writes the body of a request as it arrives. */
     private final class BodyWriter implements RequestBody.Subscriber {
         @Override
--- a/org.berylwick.node/src/org/berylwick/node/transport/ServerConnection.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/ServerConnection.java
@@ -34,6 +34,14 @@
     /** Closes the connection; the response handler is not called any more. */
     void abort();
 
+    /**
+     * Returns whether this connection has carried a request of that id lately. A late second response to it could not
+     * be told from the response to the next attempt.
+     */
+    default boolean hasCarried(String requestId) {
+        return false;
+    }
+
     /** Returns the number of requests that were answered on this connection. */
     int servedRequests();
 
