Look for status lines in the bytes of a head, before it is decoded

The check of decoded headers missed a second status line that the decoder drops or rewrites: after a name and a space (an order ran twice), with two spaces or a tab, in lower case, in a length of HTTP/1.0. What was left of a body whose beginning a second answer had swallowed waited for the deadline. It also took joined answers for closes of idle connections, which shortens the reuse of all; a header that quotes a status line for a fault on a new connection; an empty line after a response for surplus bytes; and its own abort within a head for a fault. Change: ResponseHeadScanner reads the bytes of a head: it begins with HTTP/1., or the request fails at once; a further HTTP/ and digit makes it a joined one. On a connection's first response a header's value may quote one, but then the connection is not reused, and a refusal is not believed. Trailers of another request's answer fail the request. The bound of 250 ms holds for repeatable requests alone: an order that ran may still get its answer. Line breaks between responses are skipped. A server's end within a head is "closed within the head of an answer" in the log, apart from unreadable ones.

--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -1,7 +1,6 @@
 package org.berylwick.node.call;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Optional;
@@ -319,14 +318,19 @@
     }
 
     @Override
-    public Origin originOf(HttpResponse head, boolean connectionReused) {
-        Origin origin = ResponseOrigin.of(head, call.id(), headerNames, connectionReused);
+    public Origin originOf(HttpResponse head, boolean connectionReused, boolean statusLineInValue) {
+        Origin origin = BackendResponseHead.originOf(head, call.id(), headerNames, connectionReused, statusLineInValue);
         if (origin == Origin.OTHER) {
             owner.onOtherResponse(call.id(), head.headers().get(headerNames.requestId()));
         }
         return origin;
     }
 
+    @Override
+    public boolean isRepeatable() {
+        return call.kind().isRetryable();
+    }
+
     @Override
     public String requestId() {
         return call.id();
@@ -336,22 +340,19 @@
     public void onHead(HttpResponse head) {
         int status = head.status().code();
         failed = status >= 500;
-        HttpHeaders headers = head.headers();
-        owner.onResponseHead(backend, headers);
-        if (headers.contains(headerNames.notExecuted()) || status == 421) {
+        owner.onResponseHead(backend, head.headers());
+        if (BackendResponseHead.isRefusal(head, headerNames)) {
             notExecuted = true;
             return;
         }
-        boolean idMissing = headers.get(headerNames.requestId()) == null;
-        if (status < 300
-                && (idMissing || !headers.contains(headerNames.signature()) || headers.contains("Content-Encoding"))) {
+        if (BackendResponseHead.isInvalidSuccess(head, headerNames)) {
             failAsLost(Loss.of("answer without id, signature or plain body"));
             return;
         }
         headForwarded = true;
         closeDelimited = HttpConnection.isCloseDelimited(head);
         updateAnnouncedBytes(HttpUtil.getContentLength(head, announcedBytes));
-        listener.onHead(status, Headers.endToEnd(headers), owner.load());
+        listener.onHead(status, Headers.endToEnd(head.headers()), owner.load());
     }
 
     @Override
@@ -405,6 +406,13 @@
         checkExit(cause, () -> failAsLost(Loss.of(cause)));
     }
 
+    @Override
+    public void onInvalidResponse(String cause) {
+        // The server has not closed the connection while it was idle.
+        connectionIdleNanos = 0;
+        onFailure(cause);
+    }
+
     /** Ends the request as lost if the backend server has ended; runs a task if it has not, or if that is unknown. */
     private void checkExit(String cause, Runnable otherwise) {
         Optional<RequestFingerprint> fingerprint = call.fingerprint();
--- a/org.berylwick.node/src/org/berylwick/node/transport/HttpConnection.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/HttpConnection.java
@@ -7,6 +7,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.PrematureChannelClosureException;
+import io.netty.handler.codec.UnsupportedMessageTypeException;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -19,7 +21,6 @@
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
-import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.berylwick.node.transport.ResponseFault.Kind;
@@ -35,7 +36,10 @@
 public final class HttpConnection extends ChannelInboundHandlerAdapter implements ServerConnection {
     private static final String KEEP_ALIVE_TIMEOUT_PARAMETER = "timeout=";
     private static final int MAX_REMEMBERED_REQUESTS = 32;
-    /** Time within which the body of a response to another request must be complete after its head. */
+    /**
+     * Time within which the body of a response to another request must be complete after its head, if another attempt
+     * can take the place of the current request.
+     */
     private static final long OTHER_RESPONSE_TIMEOUT_MILLIS = 250;
 
     /** Is notified of what happens to a connection. */
@@ -92,7 +96,7 @@
         this.endOfStream = endOfStream;
         this.decoder = decoder;
         this.listener = listener;
-        decoder.onUnexpectedBytes(this::handleUnexpectedBytes);
+        decoder.setListener(new DecoderListener());
         this.idleSince = System.nanoTime();
     }
 
@@ -203,24 +207,20 @@
 
     @Override
     public void abort() {
-        stopWritingBody();
-        responseHandler = null;
-        channel.close();
+        end();
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-        if (!(message instanceof HttpObject object) || object.decoderResult().isFailure()) {
-            reportFault(Kind.UNREADABLE, decoderError(message));
-            ReferenceCountUtil.release(message);
-            fail("unreadable answer");
-            return;
-        }
         if (responseHandler == null) {
             ReferenceCountUtil.release(message);
             channel.close();
             return;
         }
+        if (!(message instanceof HttpObject object) || object.decoderResult().isFailure()) {
+            handleUndecodable(message);
+            return;
+        }
         if (message instanceof HttpResponse response) {
             handleHead(response);
         }
@@ -229,19 +229,44 @@
         }
     }
 
-    private void handleUnexpectedBytes() {
-        reportFault(Kind.UNEXPECTED, "");
-        if (responseComplete) {
-            reusable = false;
-            return;
+    private final class DecoderListener implements ResponseDecoder.Listener {
+        @Override
+        public void onUnexpectedBytes() {
+            reportFault(Kind.UNEXPECTED, "");
+            if (responseComplete) {
+                reusable = false;
+                return;
+            }
+            channel.close();
+        }
+
+        @Override
+        public void onMissingStatusLine() {
+            failResponse(Kind.UNREADABLE, "no status line", "unreadable answer: no status line");
+        }
+
+        @Override
+        public boolean onSecondStatusLine(int position, boolean inValue) {
+            if (servedRequests == 0 && inValue) {
+                // The server quotes it, so that no later response could be told from parts of two.
+                reusable = false;
+                return true;
+            }
+            failResponse(Kind.JOINED, Integer.toString(position), "unreadable answer: parts of two responses");
+            return false;
         }
-        channel.close();
     }
 
-    private static String decoderError(Object message) {
-        return message instanceof HttpObject object
-                ? object.decoderResult().cause().getClass().getSimpleName()
-                : message.getClass().getSimpleName();
+    private void handleUndecodable(Object message) {
+        ReferenceCountUtil.release(message);
+        Throwable error = message instanceof HttpObject object
+                ? object.decoderResult().cause()
+                : new UnsupportedMessageTypeException(message, HttpObject.class);
+        if (error instanceof PrematureChannelClosureException) {
+            failInvalid("closed within the head of an answer");
+            return;
+        }
+        failResponse(Kind.UNREADABLE, error.getClass().getSimpleName(), "unreadable answer");
     }
 
     private void reportFault(Kind kind, String detail) {
@@ -250,12 +275,6 @@
     }
 
     private void handleHead(HttpResponse response) {
-        Optional<String> secondStatusLine = ResponseHead.headerWithStatusLine(response);
-        if (secondStatusLine.isPresent()) {
-            reportFault(Kind.JOINED, secondStatusLine.get());
-            fail("unreadable answer: parts of two responses");
-            return;
-        }
         int status = response.status().code();
         if (status >= 100 && status < 200) {
             discardingResponse = true;
@@ -265,32 +284,34 @@
             }
             return;
         }
-        switch (responseHandler.originOf(response, servedRequests > 0)) {
+        switch (responseHandler.originOf(response, servedRequests > 0, decoder.containsSecondStatusLine())) {
             case OWN -> startResponse(response);
             case OTHER -> discardOtherResponse(response);
             case UNKNOWN -> {
-                reportFault(Kind.UNIDENTIFIED, Integer.toString(status));
-                fail("answer names no request, or several");
+                String statusText = Integer.toString(status);
+                failResponse(Kind.UNIDENTIFIED, statusText, "answer names no request, or several");
             }
         }
     }
 
     private void discardOtherResponse(HttpResponse response) {
-        reportFault(Kind.FOREIGN, "");
         if (isCloseDelimited(response) && !decoder.isContentAlwaysEmpty(response)) {
-            fail("answer to another request, without an end");
+            failResponse(Kind.FOREIGN, "", "answer to another request, without an end");
             return;
         }
+        reportFault(Kind.FOREIGN, "");
         // The response to the current request follows.
         discardingResponse = true;
         reusable = false;
-        otherResponseTimeout = channel.eventLoop()
-                .schedule(this::onOtherResponseTimeout, OTHER_RESPONSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        if (responseHandler.isRepeatable()) {
+            otherResponseTimeout = channel.eventLoop()
+                    .schedule(this::onOtherResponseTimeout, OTHER_RESPONSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        }
     }
 
     private void onOtherResponseTimeout() {
         if (discardingResponse) {
-            fail("answer to another request, broken off");
+            failResponse(Kind.FOREIGN, "", "answer to another request, broken off");
         }
     }
 
@@ -326,8 +347,8 @@
         boolean isLast = content instanceof LastHttpContent;
         if (discardingResponse) {
             content.release();
-            if (isLast) {
-                endDiscardedResponse();
+            if (content instanceof LastHttpContent end) {
+                endDiscardedResponse(end);
             }
             return;
         }
@@ -358,8 +379,12 @@
         handler.onEnd();
     }
 
-    private void endDiscardedResponse() {
+    private void endDiscardedResponse(LastHttpContent end) {
         discardingResponse = false;
+        if (!end.trailingHeaders().isEmpty()) {
+            // The head of the response to the current request may be among them.
+            failResponse(Kind.FOREIGN, "", "answer to another request, with trailers");
+        }
         if (otherResponseTimeout != null) {
             otherResponseTimeout.cancel(false);
             otherResponseTimeout = null;
@@ -406,13 +431,32 @@
     }
 
     private void fail(String cause) {
+        HttpResponseHandler handler = end();
+        if (handler != null) {
+            handler.onFailure(cause);
+        }
+    }
+
+    private void failResponse(Kind kind, String detail, String cause) {
+        reportFault(kind, detail);
+        failInvalid(cause);
+    }
+
+    private void failInvalid(String cause) {
+        HttpResponseHandler handler = end();
+        if (handler != null) {
+            handler.onInvalidResponse(cause);
+        }
+    }
+
+    /** Closes the connection, and returns the handler of the request that waits for its response, or null. */
+    private HttpResponseHandler end() {
         HttpResponseHandler handler = responseHandler;
         responseHandler = null;
+        decoder.stop();
         stopWritingBody();
         channel.close();
-        if (handler != null) {
-            handler.onFailure(cause);
-        }
+        return handler;
     }
 
     /** Whether only the close of the connection ends the body of a response, if it has one. */
--- a/org.berylwick.node/src/org/berylwick/node/transport/HttpResponseHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/HttpResponseHandler.java
@@ -20,11 +20,18 @@
      *
      * @param head head of the response
      * @param connectionReused whether the connection has carried an earlier request, which may be answered once more
+     * @param statusLineInValue whether the value of a header contains a status line, as if the head consisted of parts
+     *     of two responses
      */
-    default Origin originOf(HttpResponse head, boolean connectionReused) {
+    default Origin originOf(HttpResponse head, boolean connectionReused, boolean statusLineInValue) {
         return Origin.OWN;
     }
 
+    /** Returns whether the request may be sent again after it has failed. */
+    default boolean isRepeatable() {
+        return false;
+    }
+
     /** Returns the id of the request for the log, empty if it has none. */
     default String requestId() {
         return "";
@@ -41,4 +48,9 @@
 
     /** Called when no complete response will arrive; the server may have executed the request. */
     void onFailure(String cause);
+
+    /** Called in place of {@link #onFailure} if the server has sent something that is no response to the request. */
+    default void onInvalidResponse(String cause) {
+        onFailure(cause);
+    }
 }
--- a/org.berylwick.node/src/org/berylwick/node/transport/ResponseDecoder.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/ResponseDecoder.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 
 /**
@@ -20,18 +21,39 @@
     private static final int MAX_HEADER_BYTES = 65_536;
     private static final int MAX_CHUNK_BYTES = 65_536;
 
+    /** Is notified of bytes that are no response. */
+    interface Listener {
+        /** Called when bytes arrive while no request waits for a response. */
+        void onUnexpectedBytes();
+
+        /** Called when a head does not begin with a status line; the connection cannot be used any further. */
+        void onMissingStatusLine();
+
+        /**
+         * Called when a head contains a second status line.
+         *
+         * @param position number of bytes from the start of the head to the second status line's version
+         * @param inValue whether it stands in the value of a header
+         * @return whether to decode the response all the same
+         */
+        boolean onSecondStatusLine(int position, boolean inValue);
+    }
+
+    private final ResponseHeadScanner headScanner = new ResponseHeadScanner();
     private HttpMethod method = HttpMethod.GET;
     private boolean awaitingResponse;
+    private boolean failed;
+    private boolean secondStatusLineAccepted;
     private long receivedBytes;
-    private Runnable onUnexpectedBytes = () -> {};
+    private Listener listener;
 
     ResponseDecoder() {
         super(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
     }
 
-    /** Sets a task that runs when bytes arrive while no request waits for a response. */
-    void onUnexpectedBytes(Runnable task) {
-        onUnexpectedBytes = task;
+    /** Sets the recipient of notifications, before any bytes arrive. */
+    void setListener(Listener recipient) {
+        listener = recipient;
     }
 
     /** Called when a request is sent. */
@@ -39,6 +61,17 @@
         method = requestMethod;
         awaitingResponse = true;
         receivedBytes = 0;
+        startHead();
+    }
+
+    /** Ends decoding for good. */
+    void stop() {
+        failed = true;
+    }
+
+    /** Returns whether the head decoded last contains a second status line. */
+    boolean containsSecondStatusLine() {
+        return secondStatusLineAccepted;
     }
 
     /** Called when the response to the request is complete; bytes of the same read may follow. */
@@ -62,17 +95,61 @@
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
-        if (awaitingResponse) {
-            super.decode(ctx, in, out);
+        if (!awaitingResponse) {
+            skipUnexpectedBytes(in);
             return;
         }
+        if (failed || !isHeadAcceptable(in)) {
+            failed = true;
+            in.skipBytes(in.readableBytes());
+            return;
+        }
+        int outBefore = out.size();
+        int readableBefore = in.readableBytes();
+        super.decode(ctx, in, out);
+        headScanner.onRead(readableBefore - in.readableBytes());
+        if (out.size() > outBefore && out.get(out.size() - 1) instanceof LastHttpContent) {
+            startHead();
+        }
+    }
+
+    private void startHead() {
+        headScanner.reset();
+        secondStatusLineAccepted = false;
+    }
+
+    private void skipUnexpectedBytes(ByteBuf in) {
+        // A server may end a response with an empty line too many.
+        boolean onlyLineBreaks = in.forEachByte(ResponseHeadScanner::isLineBreak) < 0;
         in.skipBytes(in.readableBytes());
-        onUnexpectedBytes.run();
+        if (!onlyLineBreaks) {
+            listener.onUnexpectedBytes();
+        }
+    }
+
+    private boolean isHeadAcceptable(ByteBuf in) {
+        if (secondStatusLineAccepted) {
+            return true;
+        }
+        return switch (headScanner.scan(in)) {
+            case ONE_STATUS_LINE -> true;
+            case NO_STATUS_LINE -> {
+                listener.onMissingStatusLine();
+                yield false;
+            }
+            case SECOND_STATUS_LINE -> isSecondStatusLineAccepted(false);
+            case STATUS_LINE_IN_VALUE -> isSecondStatusLineAccepted(true);
+        };
+    }
+
+    private boolean isSecondStatusLineAccepted(boolean inValue) {
+        secondStatusLineAccepted = listener.onSecondStatusLine(headScanner.headBytes(), inValue);
+        return secondStatusLineAccepted;
     }
 
     @Override
     protected void decodeLast(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
-        if (awaitingResponse) {
+        if (awaitingResponse && !failed) {
             super.decodeLast(ctx, in, out);
         }
     }
--- a/org.berylwick.test/tst/org/berylwick/node/transport/SecondResponseBytesTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/transport/SecondResponseBytesTest.java
@@ -56,7 +56,7 @@
         }
 
         @Override
-        public Origin originOf(HttpResponse response, boolean connectionReused) {
+        public Origin originOf(HttpResponse response, boolean connectionReused, boolean statusLineInValue) {
             List<String> ids = response.headers().getAll("x-request-id");
             if (ids.isEmpty()) {
                 return connectionReused ? Origin.UNKNOWN : Origin.OWN;
