Keep heads of two responses of a backend server apart in berylwickd

What callers saw: a 200 where the backend server had answered 500, and an order that ran twice. The backend server sends a second response to an earlier request on the kept connection and breaks it off within its head. The client library's codec holds these bytes and decodes them with the head of the next response: the status line of the former, the request id of the latter. Cut within "x-shed", the result reads as shed, so the request counts as not run and is sent again.

Ruled out: the check of the request id alone. The joined head bears the id of the request that waits.

The codec of connections to the backend server is replaced by one that knows whether a request awaits its response. Bytes outside of that are dropped and close the connection, also when they are read together with the end of a response. A broken-off head that arrives after the next request was sent can't be told by time; the second status line in its reason phrase, a header name or a header value shows it, and the response counts as malformed, its outcome as unknown.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/FramingCheck.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/FramingCheck.java
@@ -1,12 +1,9 @@
 package org.berylwick.daemon.call;
 
-import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -22,19 +19,6 @@
 final class FramingCheck extends ChannelInboundHandlerAdapter {
     private boolean selfDelimited = true;
 
-    /** Inserts the check after the HTTP codec of a client pipeline, at the first write after the codec was added. */
-    static final class Installer extends ChannelDuplexHandler {
-        @Override
-        public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
-            ChannelHandlerContext codec = ctx.pipeline().context(HttpClientCodec.class);
-            if (codec != null) {
-                ctx.pipeline().addAfter(codec.name(), null, new FramingCheck());
-                ctx.pipeline().remove(this);
-            }
-            ctx.write(message, promise);
-        }
-    }
-
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         if (message instanceof HttpResponse head) {
--- /dev/null
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/SingleResponseCodec.java
@@ -0,0 +1,130 @@
+package org.berylwick.daemon.call;
+
+import com.linecorp.armeria.common.Flags;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.net.SocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/**
+ * HTTP/1.1 client codec for one request at a time that never composes a response of two.
+ *
+ * <p>A server may send a second response to an earlier request and break it off within its head. A codec that keeps
+ * these bytes decodes them with the head of the next response: the status line of one, the header fields of the other.
+ * Here, bytes that arrive while no request awaits its response are dropped and close the connection, and a head that
+ * contains a second status line is malformed.
+ */
+public final class SingleResponseCodec extends CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder> {
+    private static final String VERSION_PREFIX = "HTTP/1.";
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]");
+
+    /** Method of the request that awaits its response; null if there is none. */
+    private HttpMethod pendingMethod;
+
+    private SingleResponseCodec() {
+        init(new ResponseDecoder(), new RequestEncoder());
+    }
+
+    /** Replaces the HTTP codec of a client pipeline, and adds the {@link FramingCheck}, before it connects. */
+    public static final class Installer extends ChannelOutboundHandlerAdapter {
+        @Override
+        public void connect(
+                ChannelHandlerContext ctx, SocketAddress remote, SocketAddress local, ChannelPromise promise) {
+            ChannelPipeline pipeline = ctx.pipeline();
+            String name = pipeline.context(HttpClientCodec.class).name();
+            pipeline.replace(name, name, new SingleResponseCodec());
+            pipeline.addAfter(name, null, new FramingCheck());
+            ctx.connect(remote, local, promise);
+            pipeline.remove(this);
+        }
+    }
+
+    private final class RequestEncoder extends HttpRequestEncoder {
+        @Override
+        protected void encode(ChannelHandlerContext ctx, Object message, List<Object> out) throws Exception {
+            if (message instanceof HttpRequest request) {
+                pendingMethod = request.method();
+            }
+            super.encode(ctx, message, out);
+        }
+    }
+
+    private final class ResponseDecoder extends HttpResponseDecoder {
+        private boolean informational;
+        /** More bytes than the response were read. A request that is sent after them must not be given them. */
+        private boolean surplus;
+
+        private ResponseDecoder() {
+            super(new HttpDecoderConfig()
+                    .setMaxInitialLineLength(Flags.defaultHttp1MaxInitialLineLength())
+                    .setMaxHeaderSize(Flags.defaultHttp1MaxHeaderSize())
+                    .setMaxChunkSize(Flags.defaultHttp1MaxChunkSize()));
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
+            if (pendingMethod == null || surplus) {
+                surplus = true;
+                buffer.skipBytes(buffer.readableBytes());
+                ctx.close();
+                return;
+            }
+            int decodedBefore = out.size();
+            super.decode(ctx, buffer, out);
+            for (Object message : out.subList(decodedBefore, out.size())) {
+                onDecoded(message, buffer);
+            }
+        }
+
+        private void onDecoded(Object message, ByteBuf buffer) {
+            if (message instanceof HttpResponse response) {
+                informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+                if (containsStatusLine(response)) {
+                    response.setDecoderResult(DecoderResult.failure(
+                            new IllegalArgumentException("head of a response contains a second status line")));
+                }
+            }
+            if (message instanceof LastHttpContent && !informational) {
+                pendingMethod = null;
+                surplus = buffer.isReadable();
+            }
+        }
+
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            return HttpMethod.HEAD.equals(pendingMethod) || super.isContentAlwaysEmpty(message);
+        }
+    }
+
+    private static boolean containsStatusLine(HttpResponse response) {
+        if (STATUS_LINE.matcher(response.status().reasonPhrase()).find()) {
+            return true;
+        }
+        for (Map.Entry<String, String> header : response.headers()) {
+            boolean inName = header.getKey().contains(VERSION_PREFIX);
+            boolean inValue = header.getValue().contains(VERSION_PREFIX)
+                    && STATUS_LINE.matcher(header.getValue()).find();
+            if (inName || inValue) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
