Name the request in responses between nodes

What a caller would see: the success of another request, or a request that counts as not run although it may have. Between nodes, bw-outcome shows that a node responds, but not to which request. A response that follows the one to an earlier request on the same connection was taken for the response to the request that waits there.

Ruled out: a former process at the address, or another service's server that took the address over. Their connections don't outlive them, a server that is no node sends no bw-outcome, and a node refuses requests for a service that isn't its own. What is left is a fault of the owner's program, which the tests play with a scripted node.

The owner names the request in bw-request, and the entry takes a response that names another one as lost and closes the connection. Owners of earlier versions name none and are still believed, so that versions may be mixed.

Seen to fail before: secondResponseToEarlierRequestIsNotDelivered got a 200 of the earlier request, refusalOfEarlierRequestIsNotBelieved kept the request for another node until its deadline instead of ending it as lost.

--- a/org.berylwick.node/src/org/berylwick/node/call/Headers.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Headers.java
@@ -11,6 +11,8 @@
     static final String CALL = "bw-call";
     /** Header with which an owner reports the outcome of an attempt to the entry; see {@link PeerCodec}. */
     static final String OUTCOME = "bw-outcome";
+    /** Header with which an owner names the request whose outcome it reports. */
+    static final String REQUEST = "bw-request";
 
     /** Header with which an entry names the organisation that a request belongs to; see {@link PeerCodec}. */
     static final String ORGANISATION = "bw-organisation";
@@ -35,6 +37,7 @@
         AsciiString.cached("Expect"),
         AsciiString.cached(CALL),
         AsciiString.cached(OUTCOME),
+        AsciiString.cached(REQUEST),
         AsciiString.cached(ORGANISATION),
         AsciiString.cached(KNOWN_CRASHES),
         AsciiString.cached(CRASH)
--- a/org.berylwick.node/src/org/berylwick/node/call/PeerAttempt.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerAttempt.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
 import java.util.Optional;
 import org.berylwick.node.lib.OwnerLoad;
 import org.berylwick.node.member.Member;
@@ -97,6 +98,11 @@
 
     @Override
     public void onHead(HttpResponse head) {
+        if (!isOwn(head)) {
+            connection.abort();
+            onFailure("answer to another request");
+            return;
+        }
         member.onResponseProgress(System.nanoTime());
         outcome = PeerCodec.decodeOutcome(head.headers(), System.nanoTime());
         if (outcome.orElse(null) instanceof PeerCodec.Outcome.Answered answered) {
@@ -105,6 +111,12 @@
         }
     }
 
+    /** Whether a response names this request. Owners of earlier versions name none. */
+    private boolean isOwn(HttpResponse head) {
+        List<String> ids = head.headers().getAll(Headers.REQUEST);
+        return ids.isEmpty() || ids.equals(List.of(call.id()));
+    }
+
     @Override
     public void onBody(ByteBuf part) {
         member.onResponseProgress(System.nanoTime());
--- a/org.berylwick.node/src/org/berylwick/node/call/PeerHandler.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerHandler.java
@@ -185,6 +185,10 @@
         }
     }
 
+    private HttpHeaders setOutcome(HttpHeaders headers, String outcome) {
+        return headers.set(Headers.OUTCOME, outcome).set(Headers.REQUEST, requestId);
+    }
+
     private void writeResponse(int status, ByteBuf bytes, HttpHeaders headers) {
         DefaultFullHttpResponse response =
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), bytes);
@@ -197,7 +201,7 @@
     public void onHead(int status, HttpHeaders headers, OwnerLoad load) {
         HttpResponse response =
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
-        response.headers().set(Headers.OUTCOME, PeerCodec.encodeAnswered(load));
+        setOutcome(response.headers(), PeerCodec.encodeAnswered(load));
         HttpUtil.setTransferEncodingChunked(response, true);
         if (!channel.isActive()) {
             // A non-idempotent request runs to its end even if the connection of its entry node has closed.
@@ -313,8 +317,7 @@
     @Override
     public void onRefused(Refusal refusal) {
         finishAttempt();
-        writeResponse(
-                503, Unpooled.EMPTY_BUFFER, Headers.empty().set(Headers.OUTCOME, PeerCodec.encodeRefused(refusal)));
+        writeResponse(503, Unpooled.EMPTY_BUFFER, setOutcome(Headers.empty(), PeerCodec.encodeRefused(refusal)));
     }
 
     @Override
@@ -324,7 +327,7 @@
             channel.close();
             return;
         }
-        HttpHeaders headers = Headers.empty().set(Headers.OUTCOME, PeerCodec.encodeLost(loss.cause()));
+        HttpHeaders headers = setOutcome(Headers.empty(), PeerCodec.encodeLost(loss.cause()));
         loss.crash().ifPresent(c -> headers.set(Headers.CRASH, PeerCodec.encodeCrash(c, System.nanoTime())));
         writeResponse(502, Unpooled.EMPTY_BUFFER, headers);
     }
