--- a/org.berylwick.test/tst/org/berylwick/platform/StoredDirectoryTest.java
+++ b/org.berylwick.test/tst/org/berylwick/platform/StoredDirectoryTest.java
@@ -16,6 +16,7 @@
 import org.berylwick.node.member.NodeDirectory.ReadResult;
 import org.berylwick.node.member.NodeDirectory.WriteResult;
 import org.berylwick.standin.objects.ObjectApiServer;
+import org.berylwick.testing.RawServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -61,6 +62,25 @@
         return await(onResult -> directory.replace(entry, revision, TIMEOUT_MILLIS, onResult));
     }
 
+    /**
+     * Guards against a departure that counts as recorded although it is not: the response to a write contains the
+     * object that was written, and one with another object belongs to another call.
+     */
+    @Test
+    void responseWithAnotherObjectDoesNotConfirmWrite() {
+        String body = "{\"metadata\":{\"name\":\"vm-2\",\"rev\":7},\"spec\":{}}";
+        try (RawServer store = new RawServer((c, r) -> {
+            c.read(Integer.parseInt(r.header("content-length")));
+            c.write("HTTP/1.1 200 OK\r\ncontent-length: " + body.length() + "\r\n\r\n" + body);
+        })) {
+            InetSocketAddress address =
+                    new InetSocketAddress("127.0.0.1", store.address().port());
+            directory = new StoredDirectory(new ObjectStore(loop, address));
+            assertInstanceOf(WriteResult.Failed.class, create(entry("i-1")));
+            assertInstanceOf(WriteResult.Failed.class, replace(entry("i-1"), 5));
+        }
+    }
+
     @Test
     void existingEntryIsReturnedWithItsDepartures() {
         long revision = assertInstanceOf(WriteResult.Written.class, create(entry("i-1", "i-2")))
