Send no request again on the connection on which it was shed

What callers saw: an order that ran twice. The backend server sheds an order and, after the retry has arrived on the same connection, sends the refusal a second time. Both attempts bear the same request id, so the late refusal reads as that of the retry; the request counts as not run and is sent a third time, while the second runs.

Ruled out: not believing a second refusal of the same request, since under overload true ones are frequent and a caller would be told that the outcome is unknown.

If one of them is to be written there again, nothing is written and the connection is closed; the attempt counts as not run, which is true, and the next one opens a connection. It takes one of the attempts of the route.

Seen to fail before: secondShedResponseIsNotTakenForThatOfTheRetry, without the call of Exchange.onShed, had two runs beyond the one that was shed.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/Exchange.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/Exchange.java
@@ -75,6 +75,14 @@
         return channel != null && RequestIdEcho.matches(channel, headers, requestId);
     }
 
+    /** Records that the request was shed, so that it isn't sent on the same connection again. */
+    void onShed(String requestId) {
+        Channel channel = context.log().partial().channel();
+        if (channel != null) {
+            ShedRequests.add(channel, requestId);
+        }
+    }
+
     /** Sets the response timeout to {@code millis} from now, at least 1 ms. */
     void extendResponseTimeout(long millis) {
         context.setResponseTimeout(TimeoutMode.SET_FROM_NOW, Duration.ofMillis(Math.max(1, millis)));
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerRun.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/OwnerRun.java
@@ -155,6 +155,7 @@
         if (responseHeaders.status().equals(HttpStatus.SERVICE_UNAVAILABLE)
                 && responseHeaders.contains(CallHeaders.SHED)) {
             permit.closeAfterShed();
+            exchange.onShed(request.requestId());
             // The connection can be reused only after the body was read to its end.
             split.body().subscribe();
             refuse(RefusalReason.SHED);
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/SingleResponseCodec.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/SingleResponseCodec.java
@@ -60,6 +60,12 @@
         @Override
         protected void encode(ChannelHandlerContext ctx, Object message, List<Object> out) throws Exception {
             if (message instanceof HttpRequest request) {
+                String requestId = request.headers().get(CallHeaders.REQUEST_ID, "");
+                if (ShedRequests.contains(ctx.channel(), requestId)) {
+                    // Nothing is written, so that the request counts as not run; its next attempt opens a connection.
+                    ctx.close();
+                    throw new IllegalStateException("request was shed on this connection before");
+                }
                 pendingMethod = request.method();
             }
             super.encode(ctx, message, out);
--- a/org.berylwick.test/tst/org/berylwick/daemon/call/SurplusBytesTest.java
+++ b/org.berylwick.test/tst/org/berylwick/daemon/call/SurplusBytesTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.berylwick.daemon.call.CallPathCluster.TestDaemon;
 import org.berylwick.testing.RawServer;
 import org.junit.jupiter.api.AfterEach;
@@ -44,6 +45,8 @@
     private final RawServer server = new RawServer();
     private final TestDaemon entry = cluster.addDaemon("entry", "none", server.address());
     private final CountDownLatch surplusWritten = new CountDownLatch(1);
+    private final AtomicInteger ranRetries = new AtomicInteger();
+    private volatile RawServer.Connection shedConnection;
 
     SurplusBytesTest() {
         cluster.addMember("a", "web", server.address());
@@ -199,6 +202,33 @@
         assertSecondRequestFails(Moment.AFTER_REQUEST, surplus);
     }
 
+    /**
+     * Guards against a second run: the server sheds a request, and sheds it once more after the retry has arrived on
+     * the same connection. Only the id could tell these responses apart, and the retry bears the same one.
+     */
+    @Test
+    void secondShedResponseIsNotTakenForThatOfTheRetry() {
+        server.setScript((connection, request) -> {
+            connection.read(ORDER.length());
+            String shed = "HTTP/1.1 503 Busy\r\nx-request-id: " + request.id()
+                    + "\r\nx-shed: true\r\ncontent-length: 4\r\n\r\nbusy";
+            if (server.runs(request.id()) == 1) {
+                connection.write(shed);
+                shedConnection = connection;
+                return;
+            }
+            ranRetries.incrementAndGet();
+            if (connection == shedConnection) {
+                connection.write(shed);
+                settle();
+            }
+            connection.write(response("200 OK", request.id(), "booked"));
+        });
+        AggregatedHttpResponse received = sendOrder("retried");
+        assertEquals("booked", received.contentUtf8(), received.headers().toString());
+        assertEquals(1, ranRetries.get());
+    }
+
     /** A connection without surplus bytes must stay in use: each new one costs the server processor time. */
     @Test
     void connectionWithoutSurplusIsReused() {
