--- a/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeSoak.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/nodes/NodeSoak.java
@@ -50,6 +50,7 @@
     private FaultThreads threads;
     private ProcessFaults processes;
     private ResponseFaultDraw responses;
+    private DirectoryFaultDraw entries;
     private volatile boolean planned;
 
     @Override
@@ -108,6 +109,7 @@
                         drawStatement(statements);
                         drawUnframedAnswers(unframed);
                         responses.draw();
+                        entries.draw();
                     },
                     out);
         }
@@ -149,6 +151,7 @@
                         leaveBesideFaults(random);
                         drawDelayedStream(streams);
                         responses.draw();
+                        entries.draw();
                     },
                     out);
         }
@@ -171,6 +174,7 @@
         threads = new FaultThreads(judge);
         processes = new ProcessFaults(fleet, judge, threads);
         responses = new ResponseFaultDraw(seed, fleet, threads);
+        entries = new DirectoryFaultDraw(seed, fleet, threads);
         callers = new NodeCallers(fleet, judge, planned);
         awaitReady();
         callers.start();
