--- a/org.berylwick.node/src/org/berylwick/node/transport/HttpConnection.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/HttpConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -16,22 +17,44 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.util.function.Consumer;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Optional;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.berylwick.node.transport.ResponseFault.Kind;
 
 /**
  * An HTTP/1.1 connection to a server that carries one request at a time; confined to the event loop.
  *
  * <p>The connection returns to its pool only after the event loop has processed everything that was read together with
- * the end of a response. Bytes after a complete response belong to no request, and a connection that receives such
- * bytes is closed.
+ * the end of a response. Bytes that arrive while no request waits belong to none, and the connection is closed without
+ * decoding them. A response to an earlier request may also arrive after the next request was sent, whole or broken off.
+ * So a response is passed on only if its head has one status line and its handler finds the request it belongs to.
  */
 public final class HttpConnection extends ChannelInboundHandlerAdapter implements ServerConnection {
     private static final String KEEP_ALIVE_TIMEOUT_PARAMETER = "timeout=";
+    private static final int MAX_REMEMBERED_REQUESTS = 32;
+    /** Time within which the body of a response to another request must be complete after its head. */
+    private static final long OTHER_RESPONSE_TIMEOUT_MILLIS = 250;
+
+    /** Is notified of what happens to a connection. */
+    interface Listener {
+        /** Called when the connection may carry the next request. */
+        void onIdle(HttpConnection connection);
+
+        /** Called when the connection is closed. */
+        void onClosed(HttpConnection connection);
+
+        /** Called when bytes arrive that are not the response to the request, or cannot be shown to be. */
+        void onFault(ResponseFault fault);
+    }
 
     private final Channel channel;
+    private final InetSocketAddress server;
     private final EndOfStream endOfStream;
-    private final Consumer<HttpConnection> onIdle;
-    private final Consumer<HttpConnection> onClosed;
+    private final ResponseDecoder decoder;
+    private final Listener listener;
     private HttpResponseHandler responseHandler;
     private HttpResponse responseHead;
     private boolean discardingResponse;
@@ -45,22 +68,31 @@
     private long idleSince;
     private long keepAliveNanos;
     private int servedRequests;
+    /** Ids of the requests that were sent on this connection last. */
+    private final ArrayDeque<String> sentRequests = new ArrayDeque<>();
+
+    private String previousRequest = "";
+    private Future<?> otherResponseTimeout;
 
     /**
-     * @param channel has the HTTP codec in its pipeline, and allows half-closure
-     * @param endOfStream stands before that codec
-     * @param onIdle receives this connection when it may carry the next request
-     * @param onClosed receives this connection when it is closed
+     * @param channel has an HTTP encoder and the decoder in its pipeline, and allows half-closure
+     * @param server address that the channel is connected to
+     * @param endOfStream stands before the decoder
+     * @param decoder decodes the responses
+     * @param listener is notified of what happens to this connection
      */
     HttpConnection(
             Channel channel,
+            InetSocketAddress server,
             EndOfStream endOfStream,
-            Consumer<HttpConnection> onIdle,
-            Consumer<HttpConnection> onClosed) {
+            ResponseDecoder decoder,
+            Listener listener) {
         this.channel = channel;
+        this.server = server;
         this.endOfStream = endOfStream;
-        this.onIdle = onIdle;
-        this.onClosed = onClosed;
+        this.decoder = decoder;
+        this.listener = listener;
+        decoder.onUnexpectedBytes(this::handleUnexpectedBytes);
         this.idleSince = System.nanoTime();
     }
 
@@ -84,9 +116,25 @@
         return responseHandler == null && !responseComplete && channel.isActive();
     }
 
+    /**
+     * Reads what the server has sent meanwhile, and returns whether the connection is open and carries no request.
+     * Bytes or an end of the stream that the event loop has not read yet make it unusable.
+     */
+    boolean isIdleAfterRead() {
+        if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            unsafe.read();
+        }
+        return isIdle();
+    }
+
+    @Override
+    public boolean hasCarried(String requestId) {
+        return sentRequests.contains(requestId);
+    }
+
     @Override
     public void returnUnused() {
-        onIdle.accept(this);
+        listener.onIdle(this);
     }
 
     @Override
@@ -97,6 +145,8 @@
         reusable = true;
         closeDelimited = false;
         requestEndWrite = null;
+        decoder.expectResponse(request.method());
+        rememberRequest(handler.requestId());
         channel.write(request);
         pendingBody = requestBody;
         bodyRequested = !HttpUtil.is100ContinueExpected(request);
@@ -106,6 +156,16 @@
         channel.flush();
     }
 
+    private void rememberRequest(String id) {
+        if (id.isEmpty()) {
+            return;
+        }
+        sentRequests.addLast(id);
+        if (sentRequests.size() > MAX_REMEMBERED_REQUESTS) {
+            sentRequests.removeFirst();
+        }
+    }
+
     /** Writes the body of a request as it arrives. */
     private final class BodyWriter implements RequestBody.Subscriber {
         @Override
@@ -151,6 +211,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         if (!(message instanceof HttpObject object) || object.decoderResult().isFailure()) {
+            reportFault(Kind.UNREADABLE, decoderError(message));
             ReferenceCountUtil.release(message);
             fail("unreadable answer");
             return;
@@ -168,7 +229,33 @@
         }
     }
 
+    private void handleUnexpectedBytes() {
+        reportFault(Kind.UNEXPECTED, "");
+        if (responseComplete) {
+            reusable = false;
+            return;
+        }
+        channel.close();
+    }
+
+    private static String decoderError(Object message) {
+        return message instanceof HttpObject object
+                ? object.decoderResult().cause().getClass().getSimpleName()
+                : message.getClass().getSimpleName();
+    }
+
+    private void reportFault(Kind kind, String detail) {
+        String request = responseHandler == null ? "" : responseHandler.requestId();
+        listener.onFault(new ResponseFault(kind, server, request, previousRequest, decoder.receivedBytes(), detail));
+    }
+
     private void handleHead(HttpResponse response) {
+        Optional<String> secondStatusLine = ResponseHead.headerWithStatusLine(response);
+        if (secondStatusLine.isPresent()) {
+            reportFault(Kind.JOINED, secondStatusLine.get());
+            fail("unreadable answer: parts of two responses");
+            return;
+        }
         int status = response.status().code();
         if (status >= 100 && status < 200) {
             discardingResponse = true;
@@ -178,12 +265,36 @@
             }
             return;
         }
-        if (!responseHandler.matches(response)) {
-            // This is a second response to an earlier request; the response to the current request follows it.
-            discardingResponse = true;
-            reusable = false;
+        switch (responseHandler.originOf(response, servedRequests > 0)) {
+            case OWN -> startResponse(response);
+            case OTHER -> discardOtherResponse(response);
+            case UNKNOWN -> {
+                reportFault(Kind.UNIDENTIFIED, Integer.toString(status));
+                fail("answer names no request, or several");
+            }
+        }
+    }
+
+    private void discardOtherResponse(HttpResponse response) {
+        reportFault(Kind.FOREIGN, "");
+        if (isCloseDelimited(response) && !decoder.isContentAlwaysEmpty(response)) {
+            fail("answer to another request, without an end");
             return;
         }
+        // The response to the current request follows.
+        discardingResponse = true;
+        reusable = false;
+        otherResponseTimeout = channel.eventLoop()
+                .schedule(this::onOtherResponseTimeout, OTHER_RESPONSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void onOtherResponseTimeout() {
+        if (discardingResponse) {
+            fail("answer to another request, broken off");
+        }
+    }
+
+    private void startResponse(HttpResponse response) {
         discardingResponse = false;
         responseHead = response;
         closeDelimited = isCloseDelimited(response);
@@ -215,7 +326,9 @@
         boolean isLast = content instanceof LastHttpContent;
         if (discardingResponse) {
             content.release();
-            discardingResponse = !isLast;
+            if (isLast) {
+                endDiscardedResponse();
+            }
             return;
         }
         if (responseHead == null) {
@@ -238,11 +351,21 @@
         responseHandler = null;
         responseComplete = true;
         servedRequests++;
+        previousRequest = handler.requestId();
+        decoder.endResponse();
         stopWritingBody();
         reusable &= requestEndWrite != null && requestEndWrite.isSuccess();
         handler.onEnd();
     }
 
+    private void endDiscardedResponse() {
+        discardingResponse = false;
+        if (otherResponseTimeout != null) {
+            otherResponseTimeout.cancel(false);
+            otherResponseTimeout = null;
+        }
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (!responseComplete) {
@@ -255,7 +378,7 @@
         }
         channel.config().setAutoRead(true);
         idleSince = System.nanoTime();
-        onIdle.accept(this);
+        listener.onIdle(this);
     }
 
     @Override
@@ -273,7 +396,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         fail(closeCause());
-        onClosed.accept(this);
+        listener.onClosed(this);
     }
 
     private String closeCause() {
