--- a/org.berylwick.node/src/org/berylwick/node/call/Owner.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/Owner.java
@@ -303,7 +303,7 @@
             clock.defer(() -> run.refuse(reason.get(), false));
             return run;
         }
-        run.announceResponse();
+        run.announcement().announce();
         if (call.body().isComplete()) {
             enqueue(run);
         } else {
--- a/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/OwnerRun.java
@@ -59,8 +59,7 @@
     private long waitStartedAt;
     private long meanServiceNanos;
     private long medianServiceNanos;
-    private long responseTransferNanos;
-    private long announcedBytes;
+    private final ResponseAnnouncement announcement;
     private Clock.Timer timer;
     private ServerConnection connection;
     private Backend backend;
@@ -97,9 +96,7 @@
                 - (isCall ? CALL_ADVANCE_NANOS : 0);
         this.waitStartedAt = clock.now();
         this.arrivalNumber = owner.nextArrivalNumber();
-        if (owner.outgoingLink().isLarge(call.expectedResponseBytes())) {
-            this.responseTransferNanos = owner.outgoingLink().transferNanos(call.expectedResponseBytes());
-        }
+        this.announcement = new ResponseAnnouncement(owner.outgoingLink(), call.expectedResponseBytes());
     }
 
     CallSpec call() {
@@ -131,34 +128,14 @@
         medianServiceNanos = time.medianNanos();
     }
 
-    /**
-     * Time that the response is expected to wait for the outgoing link, behind the large responses that are queued or
-     * announced there, beyond the median service time of the request; 0 for a small response.
-     */
-    long linkWaitNanos() {
-        if (responseTransferNanos == 0) {
-            return 0;
-        }
-        long otherResponsesNanos =
-                owner.outgoingLink().busyNanos() - owner.outgoingLink().transferNanos(announcedBytes);
-        return Math.max(0, otherResponsesNanos - medianServiceNanos);
-    }
-
-    /** Announces the response of the admitted request to the outgoing link, which counts it as ahead of later ones. */
-    void announceResponse() {
-        announcedBytes = responseTransferNanos == 0 ? 0 : call.expectedResponseBytes();
-        owner.outgoingLink().adjustExpectedBytes(announcedBytes);
+    /** The announcement of the response to the outgoing link. */
+    ResponseAnnouncement announcement() {
+        return announcement;
     }
 
-    /** Updates the announcement to the number of response bytes that are still to be read from the backend server. */
-    private void updateAnnouncedBytes(long remainingBytes) {
-        long bytesToAnnounce = responseTransferNanos == 0 ? 0 : remainingBytes;
-        owner.outgoingLink().adjustExpectedBytes(bytesToAnnounce - announcedBytes);
-        announcedBytes = bytesToAnnounce;
-    }
-
-    private void withdrawAnnouncedBytes() {
-        updateAnnouncedBytes(0);
+    /** Time for which the response is expected to wait for the outgoing link. */
+    long linkWaitNanos() {
+        return announcement.waitNanos(medianServiceNanos);
     }
 
     /**
@@ -179,15 +156,15 @@
         if (isCall) {
             return canMeetDeadline(now);
         }
-        return now + expectedServiceNanos(now) + responseTransferNanos <= call.objectiveAt();
+        return now + expectedServiceNanos(now) + announcement.transferNanos() <= call.objectiveAt();
     }
 
     boolean canMeetDeadline(long now) {
-        return now + expectedServiceNanos(now) + responseTransferNanos <= call.deadlineAt();
+        return now + expectedServiceNanos(now) + announcement.transferNanos() <= call.deadlineAt();
     }
 
     boolean canMeetDeadlineAtUsualSpeed(long now) {
-        return now + medianServiceNanos + responseTransferNanos <= call.deadlineAt();
+        return now + medianServiceNanos + announcement.transferNanos() <= call.deadlineAt();
     }
 
     private long expectedServiceNanos(long startsAt) {
@@ -351,7 +328,7 @@
         }
         headForwarded = true;
         closeDelimited = HttpConnection.isCloseDelimited(head);
-        updateAnnouncedBytes(HttpUtil.getContentLength(head, announcedBytes));
+        announcement.onLength(HttpUtil.getContentLength(head, -1L));
         listener.onHead(status, Headers.endToEnd(head.headers()), owner.load());
     }
 
@@ -361,8 +338,7 @@
             part.release();
             return;
         }
-        // From here on the outgoing link counts these bytes itself.
-        updateAnnouncedBytes(Math.max(0, announcedBytes - part.readableBytes()));
+        announcement.onPart(part.readableBytes());
         listener.onBody(part);
     }
 
@@ -468,7 +444,7 @@
 
     private void finish() {
         finished = true;
-        withdrawAnnouncedBytes();
+        announcement.withdraw();
         if (timer != null) {
             timer.cancel();
         }
