Orders and the configuration are read from all pages of their lists

What callers saw: another writer left an entry of nearly 1 MB before the others of its kind. The store then ends the first page after it. Orders on the next page were not read, so the nodes held that there were none and gave a new version all its requests; with such an entry in the kind of the configuration, the configuration seemed to be missing, and a node that started never got one from the store.

Cause: only the directory of nodes read the pages that follow the first.

The revision is that of the first page; a watch from there sees each change that the later pages may lack.

--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/platform/StoreListTest.java
@@ -0,0 +1,102 @@
+package org.berylwick.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.berylwick.node.rollout.RolloutOrders;
+import org.berylwick.node.transport.BufferedHttpServer;
+import org.berylwick.node.version.ConfigurationSource;
+import org.berylwick.node.version.ConfigurationSource.ReadResult;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Reads lists of the store that have several pages. */
+@Timeout(60)
+class StoreListTest {
+    private static final String CONFIGURATION =
+            "{\"metadata\":{\"name\":\"main\",\"rev\":15},\"spec\":{\"version\":\"0000000a\"}}";
+    private static final String ORDER = "{\"metadata\":{\"name\":\"work\",\"rev\":4,\"createdRev\":3},"
+            + "\"spec\":{\"service\":\"work\",\"targetVersion\":\"v2\",\"durationS\":10}}";
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) group.next();
+    private Function<Optional<String>, String> pageAfter = after -> "{}";
+    private BufferedHttpServer server;
+    private ObjectStore store;
+
+    @BeforeEach
+    void openStore() {
+        server = BufferedHttpServer.open(loop, new InetSocketAddress("127.0.0.1", 0), request -> {
+            List<String> after =
+                    new QueryStringDecoder(request.uri()).parameters().getOrDefault("after", List.of());
+            String body = pageAfter.apply(after.stream().findFirst());
+            return BufferedHttpServer.Response.of("application/json", body.getBytes(StandardCharsets.UTF_8));
+        });
+        store = new ObjectStore(loop, new InetSocketAddress("127.0.0.1", server.port()));
+    }
+
+    @AfterEach
+    void closeStore() {
+        server.close();
+        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+
+    private <T> T await(Consumer<Consumer<T>> call) throws Exception {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        loop.execute(() -> call.accept(result::complete));
+        return result.get(5, TimeUnit.SECONDS);
+    }
+
+    private RolloutOrders.ListResult listOrders() throws Exception {
+        return await(new StoredRollouts(store)::list);
+    }
+
+    private ReadResult readConfiguration() throws Exception {
+        return await(onResult ->
+                new StoredConfiguration(store).read(ConfigurationSource.Consistency.LINEARIZABLE, onResult));
+    }
+
+    private static String page(boolean more, int revision, String... items) {
+        return "{\"items\":[" + String.join(",", items) + "],\"more\":" + more + ",\"asOf\":" + revision + "}";
+    }
+
+    private static String large(String name) {
+        return "{\"metadata\":{\"name\":" + JsonText.quote(name) + ",\"rev\":7},\"spec\":{\"text\":\""
+                + "x".repeat(1_000_000) + "\"}}";
+    }
+
+    /** Guards against an entry so large that it fills the first page, and hides the orders on the next one. */
+    @Test
+    void ordersAreReadFromAllPages() throws Exception {
+        pageAfter = after -> after.isEmpty() ? page(true, 300, large("a")) : page(false, 302, ORDER);
+        RolloutOrders.ListResult.Listed listed = assertInstanceOf(RolloutOrders.ListResult.Listed.class, listOrders());
+        assertEquals(
+                List.of("work"),
+                listed.orders().stream().map(RolloutOrders.Order::service).toList());
+        assertEquals(300, listed.revision());
+    }
+
+    /** Guards against an entry so large that the configuration seems to be missing. */
+    @Test
+    void configurationIsReadFromAllPages() throws Exception {
+        pageAfter = after -> after.isEmpty() ? page(true, 300, large("a")) : page(false, 302, CONFIGURATION);
+        ReadResult.Found found = assertInstanceOf(ReadResult.Found.class, readConfiguration());
+        assertEquals(10, found.version().number());
+        // A watch from the first page's revision sees every change since.
+        assertEquals(300, found.revision());
+    }
+}
