--- a/org.berylwick.test/tst/org/berylwick/platform/StoreListTest.java
+++ b/org.berylwick.test/tst/org/berylwick/platform/StoreListTest.java
@@ -12,9 +12,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.berylwick.node.lib.RolloutPhase;
+import org.berylwick.node.member.NodeDirectory;
 import org.berylwick.node.rollout.RolloutOrders;
 import org.berylwick.node.transport.BufferedHttpServer;
 import org.berylwick.node.version.ConfigurationSource;
@@ -23,8 +26,10 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
-/** Reads lists of the store that have several pages. */
+/** Reads lists of the store that have several pages, and names of entries with any characters. */
 @Timeout(60)
 class StoreListTest {
     private static final String CONFIGURATION =
@@ -34,6 +39,7 @@
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) group.next();
+    private final List<String> uris = new CopyOnWriteArrayList<>();
     private Function<Optional<String>, String> pageAfter = after -> "{}";
     private BufferedHttpServer server;
     private ObjectStore store;
@@ -41,6 +47,7 @@
     @BeforeEach
     void openStore() {
         server = BufferedHttpServer.open(loop, new InetSocketAddress("127.0.0.1", 0), request -> {
+            uris.add(request.uri());
             List<String> after =
                     new QueryStringDecoder(request.uri()).parameters().getOrDefault("after", List.of());
             String body = pageAfter.apply(after.stream().findFirst());
@@ -61,6 +68,10 @@
         return result.get(5, TimeUnit.SECONDS);
     }
 
+    private NodeDirectory.ListResult listNodes() throws Exception {
+        return await(new StoredDirectory(store)::list);
+    }
+
     private RolloutOrders.ListResult listOrders() throws Exception {
         return await(new StoredRollouts(store)::list);
     }
@@ -99,4 +110,30 @@
         // A watch from the first page's revision sees every change since.
         assertEquals(300, found.revision());
     }
+
+    /** Guards against a name that alters the request for the next page, or that no request can contain. */
+    @ParameterizedTest
+    @ValueSource(strings = {"a b", "a&after=", "a#b", "a%2", "a+b", "a?b=c", "a\r\nX-Y: z", "\u0001", "é\ud83d\ude00"})
+    void listContinuesAfterAnyName(String name) throws Exception {
+        String entry = "{\"metadata\":{\"name\":" + JsonText.quote(name) + "},\"spec\":{\"ip\":\"10.0.0.1\"}}";
+        pageAfter = after -> after.isEmpty()
+                ? page(true, 300, entry)
+                : page(false, 300, after.get().equals(name) ? entry.replace("10.0.0.1", "10.0.0.2") : "");
+        NodeDirectory.ListResult.Listed listed = assertInstanceOf(NodeDirectory.ListResult.Listed.class, listNodes());
+        assertEquals(List.of("10.0.0.1", "10.0.0.2"), listed.addresses());
+    }
+
+    /** Guards against an outcome that is written elsewhere, or a call that never ends, because of a service's name. */
+    @ParameterizedTest
+    @ValueSource(strings = {"a b", "../config/main", "a/status?x=", "a\r\nX-Y: z", "a#b"})
+    void outcomeIsWrittenToTheOrderOfAnyName(String service) throws Exception {
+        RolloutOrders.Order order = new RolloutOrders.Order(service, "v2", 1, 3, 4, Optional.empty());
+        assertEquals(
+                true,
+                this.<Boolean>await(onResult -> new StoredRollouts(store).tell(order, RolloutPhase.TRIAL, onResult)));
+        assertEquals(1, uris.size());
+        QueryStringDecoder uri = new QueryStringDecoder(uris.get(0));
+        assertEquals("/objects/rollouts/" + service + "/status", uri.path());
+        assertEquals(java.util.Map.of(), uri.parameters());
+    }
 }
