A page of the store that is no list is an error

What callers saw: a response with status 200 whose body was no list (null, an array, an object without items) was taken for an empty list. A node held that the directory had been read, or that there were no orders and a new version may have all requests. A response to a watch without a revision was taken for one without changes, and the node watched the same revision again at once, in a loop without a pause.

Cause: a missing field read as its default.

--- a/org.berylwick.test/tst/org/berylwick/platform/StoreListTest.java
+++ b/org.berylwick.test/tst/org/berylwick/platform/StoreListTest.java
@@ -29,7 +29,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Reads lists of the store that have several pages, and names of entries with any characters. */
+/**
+ * Reads lists of the store that have several pages, names of entries with any characters, and pages that are no lists.
+ */
 @Timeout(60)
 class StoreListTest {
     private static final String CONFIGURATION =
@@ -136,4 +138,49 @@
         assertEquals("/objects/rollouts/" + service + "/status", uri.path());
         assertEquals(java.util.Map.of(), uri.parameters());
     }
+
+    /** Guards against a page that is no list being taken for an empty list. */
+    @ParameterizedTest
+    @ValueSource(strings = {"null", "[]", "{}", "7", "{\"items\":{}}", "{\"items\":{},\"asOf\":3}", "{\"items\":[}"})
+    void pageThatIsNoListFails(String body) throws Exception {
+        pageAfter = after -> body;
+        assertInstanceOf(NodeDirectory.ListResult.Failed.class, listNodes());
+        assertInstanceOf(RolloutOrders.ListResult.Failed.class, listOrders());
+        assertInstanceOf(ReadResult.Failed.class, readConfiguration());
+    }
+
+    /**
+     * Guards against a watch that is repeated without a pause: a response without events and revision was taken for one
+     * without changes, after which the node watches the same revision again at once.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "null",
+                "[]",
+                "{}",
+                "7",
+                "{\"events\":[]}",
+                "{\"events\":{},\"asOf\":301}",
+                "{\"events\":[],\"asOf\":\"9\"}"
+            })
+    void watchResponseWithoutEventsOrRevisionFails(String body) throws Exception {
+        pageAfter = after -> body;
+        assertInstanceOf(
+                ReadResult.Failed.class,
+                this.<ReadResult>await(onResult -> new StoredConfiguration(store).watch(300, 100, onResult)));
+    }
+
+    /** Guards against a store being held to fail because it leaves out, or sends as null, what is empty. */
+    @Test
+    void emptyListMayBeMissing() throws Exception {
+        pageAfter = after -> "{\"items\":null,\"more\":false,\"asOf\":301}";
+        assertEquals(new NodeDirectory.ListResult.Listed(List.of(), List.of()), listNodes());
+        assertEquals(new RolloutOrders.ListResult.Listed(List.of(), 301), listOrders());
+        assertInstanceOf(ReadResult.Missing.class, readConfiguration());
+        pageAfter = after -> "{\"asOf\":301}";
+        assertEquals(
+                new ReadResult.Unchanged(301),
+                this.<ReadResult>await(onResult -> new StoredConfiguration(store).watch(300, 100, onResult)));
+    }
 }
