Entries of the store that cannot be used are reported, orders hold

What callers saw: entries that could not be used were skipped without a trace, so nobody found the writer. Worse for an order: "not usable" was taken for "no order", after which the nodes hold that every version of the service is in use.

Change: lists return the entries that were skipped. The service that an unusable order is named after stays in doubt: a new version keeps its small share until the order is mended or removed. The price is that a service with a stray entry and a release without an order is moved more slowly; a version that fails for everybody is worse. An order that turns odd after it was read is carried on as it was.

OddStoreEntryTest checks what is reported; that could not be asked before.

--- a/org.berylwick.node/src/org/berylwick/node/log/Event.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/Event.java
@@ -89,6 +89,8 @@
     KEY_UNKNOWN(7062, 10),
     /** While the store did not answer this node, another node has read the entry of this one. */
     ENTRY_READ_BY_OTHER_NODE(7063, 20),
+    /** An entry of a list in the store cannot be used; the others are. */
+    STORE_ENTRY_UNUSABLE(7064, 5),
     /** Requests were refused at this node because their organisation has used up its limit. */
     QUOTA_REFUSED(7070, 10),
     /** This node, as the quota server of an organisation, has refused permits. */
--- a/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
+++ b/org.berylwick.node/src/org/berylwick/node/log/NodeMetricNames.java
@@ -116,6 +116,8 @@
     public static final String STORE_FAILURES = "store.failures";
     /** Watches that the store could not continue because it no longer has the changes since their revision. */
     public static final String STORE_HISTORY_GONE = "store.history_gone";
+    /** Counter: entries of lists in the store that were skipped because they cannot be used. */
+    public static final String STORE_ENTRIES_UNUSABLE = "store.entries.unusable";
     /** Failed requests for the list of nodes. */
     public static final String DIRECTORY_FAILURES = "directory.failures";
     /** Counter: reads of an entry in the store for a node that the store does not answer. */
--- a/org.berylwick.node/src/org/berylwick/node/member/NodeDirectory.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/NodeDirectory.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.berylwick.node.lib.SuspectReport;
+import org.berylwick.node.lib.UnusableEntry;
 
 /** Persistent list of all nodes. Calls are asynchronous; results are delivered on the event loop. */
 public interface NodeDirectory {
@@ -55,8 +56,15 @@
          *
          * @param addresses addresses of registered nodes; some of these nodes may no longer exist
          * @param crashes crashes of requests that the nodes have recorded
+         * @param unusable entries without a valid address
          */
-        record Listed(List<String> addresses, List<SuspectReport.Crashed> crashes) implements ListResult {}
+        record Listed(List<String> addresses, List<SuspectReport.Crashed> crashes, List<UnusableEntry> unusable)
+                implements ListResult {
+            /** Creates a list of which all entries are usable. */
+            public Listed(List<String> addresses, List<SuspectReport.Crashed> crashes) {
+                this(addresses, crashes, List.of());
+            }
+        }
 
         /** The store did not respond, or rejected the call. */
         record Failed(String cause) implements ListResult {}
--- a/org.berylwick.node/src/org/berylwick/node/member/NodeDiscovery.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/NodeDiscovery.java
@@ -74,6 +74,7 @@
             switch (result) {
                 case NodeDirectory.ListResult.Listed found -> {
                     directoryRead = true;
+                    instruments.reportUnusable("nodes", found.unusable());
                     retryDelay.reset();
                     found.addresses().forEach(gossip::addPeerAddress);
                     onCrashes.accept(found.crashes());
--- a/org.berylwick.node/src/org/berylwick/node/rollout/RolloutController.java
+++ b/org.berylwick.node/src/org/berylwick/node/rollout/RolloutController.java
@@ -368,7 +368,10 @@
             case RolloutOrders.ListResult.Failed failed ->
                 instruments.log().write(Event.STORE_CALL_FAILED, "call", "list roll-outs", "cause", failed.cause());
             case RolloutOrders.ListResult.Listed listed -> {
+                instruments.reportUnusable("roll-outs", listed.unusable());
                 Set<String> ordered = new HashSet<>();
+                // An order that cannot be read may forbid what the lack of an order allows.
+                listed.unusable().forEach(entry -> ordered.add(entry.name()));
                 for (RolloutOrders.Order order : listed.orders()) {
                     ordered.add(order.service());
                     onOrder(order);
--- a/org.berylwick.node/src/org/berylwick/node/rollout/RolloutOrders.java
+++ b/org.berylwick.node/src/org/berylwick/node/rollout/RolloutOrders.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.berylwick.node.lib.RolloutPhase;
+import org.berylwick.node.lib.UnusableEntry;
 
 /** The operator's orders in the platform's store. Calls are asynchronous; results are delivered on the event loop. */
 public interface RolloutOrders {
@@ -27,8 +28,19 @@
 
     /** Result of listing the orders. */
     sealed interface ListResult {
-        /** All valid orders, and the store revision at which they were read. */
-        record Listed(List<Order> orders, long revision) implements ListResult {}
+        /**
+         * The orders.
+         *
+         * @param orders all valid orders
+         * @param revision store revision at which they were read
+         * @param unusable entries that are no valid orders; their names are those of services
+         */
+        record Listed(List<Order> orders, long revision, List<UnusableEntry> unusable) implements ListResult {
+            /** Creates a list of which all entries are valid. */
+            public Listed(List<Order> orders, long revision) {
+                this(orders, revision, List.of());
+            }
+        }
 
         /** The store did not respond, or rejected the call. */
         record Failed(String cause) implements ListResult {}
--- a/org.berylwick.test/tst/org/berylwick/node/rollout/RolloutDaysTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/rollout/RolloutDaysTest.java
@@ -112,4 +112,22 @@
             assertEquals(List.of(RolloutPhase.TRIAL, RolloutPhase.ROLLED_BACK), told, "seed " + seed);
         }
     }
+
+    /** Guards against a version getting all its requests because the order that is to limit them cannot be read. */
+    @Test
+    void unusableOrderLeavesTheVersionInDoubtUntilItIsMended() {
+        RolloutFleet fleet = new RolloutFleet(68, 12);
+        fleet.startOld(6);
+        fleet.run(3, 300);
+        fleet.requests = 0;
+        fleet.store.leaveUnusable(RolloutFleet.SERVICE);
+        fleet.startNew(6);
+        fleet.run(5, 300);
+        assertTrue(
+                fleet.targetRequests <= EXPOSURE_SHARE * fleet.requests + EXPOSURE_SLACK,
+                fleet.targetRequests + " requests of " + fleet.requests);
+        fleet.store.give(ORDER_SECONDS);
+        fleet.run(ORDER_SECONDS, 300);
+        assertEquals(Optional.of(RolloutPhase.COMPLETE), fleet.store.outcome());
+    }
 }
--- a/org.berylwick.test/tst/org/berylwick/node/rollout/RolloutFleet.java
+++ b/org.berylwick.test/tst/org/berylwick/node/rollout/RolloutFleet.java
@@ -25,6 +25,7 @@
 import org.berylwick.node.lib.RolloutPhase;
 import org.berylwick.node.lib.RouteKind;
 import org.berylwick.node.lib.ServiceTimeDistribution;
+import org.berylwick.node.lib.UnusableEntry;
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.EventLog;
 import org.berylwick.node.log.Instruments;
@@ -80,10 +81,12 @@
         private Optional<Order> order = Optional.empty();
         private long revision = 100;
         private boolean out;
+        private List<UnusableEntry> unusable = List.of();
         private final List<RolloutPhase> told = new ArrayList<>();
 
         void give(double seconds) {
             revision++;
+            unusable = List.of();
             order = Optional.of(new Order(SERVICE, "v2", (long) (seconds * 1e9), revision, revision, Optional.empty()));
         }
 
@@ -91,6 +94,11 @@
             out = isOut;
         }
 
+        /** Leaves an entry for a service that cannot be used, until the order is given. */
+        void leaveUnusable(String service) {
+            unusable = List.of(new UnusableEntry(service, "not an order"));
+        }
+
         List<RolloutPhase> told() {
             return told;
         }
@@ -106,7 +114,7 @@
                     () -> onResult.accept(
                             out
                                     ? new ListResult.Failed("out")
-                                    : new ListResult.Listed(order.stream().toList(), revision)));
+                                    : new ListResult.Listed(order.stream().toList(), revision, unusable)));
         }
 
         @Override
--- a/org.berylwick.test/tst/org/berylwick/platform/OddStoreEntryTest.java
+++ b/org.berylwick.test/tst/org/berylwick/platform/OddStoreEntryTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.berylwick.node.lib.UnusableEntry;
 import org.berylwick.node.member.NodeDirectory;
 import org.berylwick.node.rollout.RolloutOrders;
 import org.berylwick.node.transport.BufferedHttpServer;
@@ -102,7 +103,11 @@
                 odd,
                 "{\"metadata\":" + odd + ",\"spec\":null}",
                 node("d", "\"10.0.0.4\""));
-        assertEquals(List.of("10.0.0.1", "10.0.0.4"), listNodes().addresses());
+        NodeDirectory.ListResult.Listed listed = listNodes();
+        assertEquals(List.of("10.0.0.1", "10.0.0.4"), listed.addresses());
+        assertEquals(
+                List.of("b", "c", "", ""),
+                listed.unusable().stream().map(UnusableEntry::name).toList());
     }
 
     @ParameterizedTest
@@ -117,6 +122,9 @@
         assertEquals(
                 List.of("a", "d"),
                 listed.orders().stream().map(RolloutOrders.Order::service).toList());
+        assertEquals(
+                List.of("b", ""),
+                listed.unusable().stream().map(UnusableEntry::name).toList());
         assertEquals(300, listed.revision());
     }
 
