Orders for services without backend servers take no room

What callers saw: another writer left 64 or more orders for services that nobody runs. The table of roll-outs holds 64 states; the next order in the list ended the read with a NoSuchElementException on the event loop, at each read, so no order was carried out any more.

Cause: the code relied on an order being in the table after it was merged.

Change: an order for a service without backend servers is left out until there are some, and one that has no room in the table is not acted on.

Test: RolloutDaysTest.ordersForOtherServicesLeaveRoom failed before with that exception.

--- a/org.berylwick.node/src/org/berylwick/node/rollout/RolloutController.java
+++ b/org.berylwick.node/src/org/berylwick/node/rollout/RolloutController.java
@@ -399,6 +399,10 @@
     }
 
     private void onOrder(RolloutOrders.Order order) {
+        // Orders for services without backend servers are of no use, and would take the table's room.
+        if (!serversByVersion.containsKey(order.service())) {
+            return;
+        }
         long now = clock.now();
         RolloutPhase told = order.told().orElse(RolloutPhase.TRIAL);
         long number = orderNumber(order);
@@ -414,10 +418,12 @@
         if (told.isFinal()) {
             return;
         }
-        RolloutState state = table.find(order.service(), order.targetVersion()).orElseThrow();
-        if (state.order() != number) {
-            return;
-        }
+        table.find(order.service(), order.targetVersion())
+                .filter(state -> state.order() == number)
+                .ifPresent(state -> tellProgress(order, state, now));
+    }
+
+    private void tellProgress(RolloutOrders.Order order, RolloutState state, long now) {
         Optional<RolloutPhase> outcome =
                 switch (RolloutProgress.next(state, fleet(state), now).phase()) {
                     case CONDEMNED, ROLLED_BACK -> Optional.of(RolloutPhase.ROLLED_BACK);
--- a/org.berylwick.test/tst/org/berylwick/node/rollout/RolloutDaysTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/rollout/RolloutDaysTest.java
@@ -130,4 +130,17 @@
         fleet.run(ORDER_SECONDS, 300);
         assertEquals(Optional.of(RolloutPhase.COMPLETE), fleet.store.outcome());
     }
+
+    /** Guards against orders that nobody can carry out using up the room for the one that is under way. */
+    @Test
+    void ordersForOtherServicesLeaveRoom() {
+        RolloutFleet fleet = new RolloutFleet(68, 12);
+        fleet.startOld(6);
+        fleet.run(3, 300);
+        fleet.store.leaveOthers(100);
+        fleet.store.give(ORDER_SECONDS);
+        fleet.startNew(6);
+        fleet.run(ORDER_SECONDS, 300);
+        assertEquals(Optional.of(RolloutPhase.COMPLETE), fleet.store.outcome());
+    }
 }
--- a/org.berylwick.test/tst/org/berylwick/node/rollout/RolloutFleet.java
+++ b/org.berylwick.test/tst/org/berylwick/node/rollout/RolloutFleet.java
@@ -11,6 +11,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.berylwick.bench.emulate.VirtualClock;
 import org.berylwick.node.call.Backend;
 import org.berylwick.node.call.CallSpec;
@@ -82,6 +84,7 @@
         private long revision = 100;
         private boolean out;
         private List<UnusableEntry> unusable = List.of();
+        private List<Order> others = List.of();
         private final List<RolloutPhase> told = new ArrayList<>();
 
         void give(double seconds) {
@@ -99,6 +102,13 @@
             unusable = List.of(new UnusableEntry(service, "not an order"));
         }
 
+        /** Leaves orders for services that have no backend server, listed before the order for this one. */
+        void leaveOthers(int count) {
+            others = IntStream.range(0, count)
+                    .mapToObj(i -> new Order("other-" + i, "v1", 1_000_000_000L, 50 + i, 50 + i, Optional.empty()))
+                    .toList();
+        }
+
         List<RolloutPhase> told() {
             return told;
         }
@@ -114,7 +124,11 @@
                     () -> onResult.accept(
                             out
                                     ? new ListResult.Failed("out")
-                                    : new ListResult.Listed(order.stream().toList(), revision, unusable)));
+                                    : new ListResult.Listed(
+                                            Stream.concat(others.stream(), order.stream())
+                                                    .toList(),
+                                            revision,
+                                            unusable)));
         }
 
         @Override
