--- a/org.berylwick.node/src/org/berylwick/node/member/DirectoryRegistration.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/DirectoryRegistration.java
@@ -25,9 +25,6 @@
  * this node, therefore never removes what was added since.
  */
 public final class DirectoryRegistration implements DepartureRecord {
-    /** Departures in an entry. A backend server is replaced too rarely for a late heartbeat of an older one. */
-    private static final int MAX_DEPARTURES = 16;
-
     private static final long INITIAL_RETRY_MILLIS = 150;
     private static final long MAX_RETRY_MILLIS = 2_000;
     /** Upper bound of the delay while a backend server waits for the acknowledgement of its leave. */
@@ -142,7 +139,7 @@
         writing = true;
         boolean withNewCrashes = crashesChanged;
         crashesChanged = false;
-        NodeDirectory.Entry entry = new NodeDirectory.Entry(vmName, ip, crashes.get(), latestDepartures());
+        NodeDirectory.Entry entry = new NodeDirectory.Entry(vmName, ip, crashes.get(), allDepartures());
         Consumer<NodeDirectory.WriteResult> onResult = result -> {
             writing = false;
             crashesChanged |= withNewCrashes && !(result instanceof NodeDirectory.WriteResult.Written);
@@ -159,14 +156,14 @@
         return registered && !addressChanged && !crashesChanged && pending.isEmpty();
     }
 
-    private List<String> latestDepartures() {
+    private List<String> allDepartures() {
         List<String> all = new ArrayList<>(recorded);
         for (String departure : pending.keySet()) {
             if (!recorded.contains(departure)) {
                 all.add(departure);
             }
         }
-        return all.subList(Math.max(0, all.size() - MAX_DEPARTURES), all.size());
+        return all;
     }
 
     private void onResult(NodeDirectory.Entry sent, NodeDirectory.WriteResult result) {
--- a/org.berylwick.node/src/org/berylwick/node/member/NodeDirectory.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/NodeDirectory.java
@@ -12,13 +12,24 @@
      *
      * @param vmName name of its VM, the key of the entry
      * @param ip IP address of its VM
-     * @param crashes crashes of requests that the node has seen
-     * @param departures incarnations of its backend server that have left, the latest last
+     * @param crashes crashes of requests that the node has seen, at most {@link #MAX_CRASHES}
+     * @param departures incarnations of its backend server that have left, the latest last, at most
+     *     {@link #MAX_DEPARTURES}
      */
     record Entry(String vmName, String ip, List<SuspectReport.Crashed> crashes, List<String> departures) {
+        /** Enough for all crashes that a node records. */
+        public static final int MAX_CRASHES = 256;
+        /** A backend server is replaced too rarely for a late heartbeat of an older one. */
+        public static final int MAX_DEPARTURES = 16;
+
+        /** Keeps the last ones of too many crashes or departures, which no node has written. */
         public Entry {
-            crashes = List.copyOf(crashes);
-            departures = List.copyOf(departures);
+            crashes = last(crashes, MAX_CRASHES);
+            departures = last(departures, MAX_DEPARTURES);
+        }
+
+        private static <T> List<T> last(List<T> elements, int count) {
+            return List.copyOf(elements.subList(Math.max(0, elements.size() - count), elements.size()));
         }
     }
 
--- a/org.berylwick.test/tst/org/berylwick/platform/OddStoreEntryTest.java
+++ b/org.berylwick.test/tst/org/berylwick/platform/OddStoreEntryTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -13,6 +14,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.berylwick.node.lib.SuspectReport;
 import org.berylwick.node.lib.UnusableEntry;
 import org.berylwick.node.member.NodeDirectory;
 import org.berylwick.node.rollout.RolloutOrders;
@@ -24,6 +28,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Another program writes one entry that is nested deeply, or has a number or a string that cannot be represented. The
@@ -180,4 +185,50 @@
         responder = uri -> page(node("a", "\"10.0.0.1\""), node("b", "\"10.0.0.2\""));
         assertEquals(List.of("10.0.0.1", "10.0.0.2"), listNodes().addresses());
     }
+
+    /**
+     * Guards against crashes of no known time counting as new ones, or as crashes in the future that hold for years.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            longs = {
+                Long.MIN_VALUE,
+                -10_000_000_000_000_000L,
+                -13_000_000_000_000L,
+                -1,
+                0,
+                1,
+                Long.MAX_VALUE - 1,
+                Long.MAX_VALUE
+            })
+    void crashOfAnyTimeLiesInThePast(long epochMillis) throws Exception {
+        responder = uri -> page("{\"metadata\":{\"name\":\"a\"},\"spec\":{\"ip\":\"10.0.0.1\",\"crashes\":[\"1;2;3;4;"
+                + epochMillis + "\"]}}");
+        long startedAt = System.nanoTime();
+        for (SuspectReport.Crashed crash : listNodes().crashes()) {
+            long ageNanos = System.nanoTime() - crash.at();
+            assertTrue(ageNanos >= 0, "age " + ageNanos);
+            boolean future = epochMillis > System.currentTimeMillis();
+            assertTrue(future || crash.at() - startedAt < -TimeUnit.DAYS.toNanos(365), "age " + ageNanos);
+        }
+    }
+
+    /** Guards against an entry that floods the record of crashes, or leaves out the latest departures in a datagram. */
+    @Test
+    void entryWithManyElementsIsCut() throws Exception {
+        String crashes = IntStream.range(0, 20_000)
+                .mapToObj(i -> "\"" + i + ";2;3;4;5\"")
+                .collect(Collectors.joining(","));
+        String departures =
+                IntStream.range(0, 20_000).mapToObj(i -> "\"i-" + i + "\"").collect(Collectors.joining(","));
+        String entry = "{\"metadata\":{\"name\":\"vm-2\",\"rev\":4},\"spec\":{\"ip\":\"10.0.0.2\",\"crashes\":["
+                + crashes + "],\"departures\":[" + departures + "]}}";
+        responder = uri -> uri.contains("vm-2") ? entry : page(entry);
+        assertTrue(listNodes().crashes().size() <= NodeDirectory.Entry.MAX_CRASHES);
+        NodeDirectory.ReadResult.Found found = assertInstanceOf(
+                NodeDirectory.ReadResult.Found.class,
+                this.<NodeDirectory.ReadResult>await(onResult -> directory().read("vm-2", 2_000, onResult)));
+        assertTrue(found.entry().departures().size() <= NodeDirectory.Entry.MAX_DEPARTURES);
+        assertEquals("i-19999", found.entry().departures().getLast());
+    }
 }
