Gossip takes over addresses of peers only if they are IPv4 addresses

What callers saw: nothing yet. A datagram whose list of peers holds any other text made the node resolve it as a host name, on the event loop and again in each round, while requests waited; the text was also passed on to other nodes.

Change: such a text is left out when the datagram is decoded.

Test: NodeStateCodecTest.onlyAddressesOfPeersAreDecoded failed before.

--- a/org.berylwick.node/src/org/berylwick/node/member/NodeStateCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/member/NodeStateCodec.java
@@ -1,6 +1,7 @@
 package org.berylwick.node.member;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.util.NetUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -152,6 +153,19 @@
                 || !state.rollout().states().isEmpty();
     }
 
+    private static List<String> readAddresses(ByteBuf in) {
+        int count = in.readUnsignedByte();
+        List<String> addresses = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            String address = readString(in);
+            // Anything else would be resolved as a host name, which blocks the event loop.
+            if (NetUtil.isValidIpV4Address(address)) {
+                addresses.add(address);
+            }
+        }
+        return addresses;
+    }
+
     private static OwnerLoad readLoad(ByteBuf in) {
         return new OwnerLoad(
                 in.readUnsignedShort(),
@@ -183,11 +197,7 @@
             String service = readString(in);
             String incarnation = readString(in);
             List<ServiceTimeDistribution> serviceTimes = readServiceTimes(in);
-            int peerAddressCount = in.readUnsignedByte();
-            List<String> peerAddresses = new ArrayList<>(peerAddressCount);
-            for (int i = 0; i < peerAddressCount; i++) {
-                peerAddresses.add(readString(in));
-            }
+            List<String> peerAddresses = readAddresses(in);
             int quarantineChecksum = in.readableBytes() >= Integer.BYTES ? in.readInt() : 0;
             if ((flags & FLAG_LIMITED) != 0) {
                 load = load.withLimit(in.readInt() * 1_000L, in.readUnsignedShort() * 1_000_000L);
--- a/org.berylwick.test/tst/org/berylwick/node/member/NodeStateCodecTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/member/NodeStateCodecTest.java
@@ -67,6 +67,24 @@
         assertEquals(Optional.of(message), NodeStateCodec.decode(encoded));
     }
 
+    /**
+     * Guards against a text in a damaged datagram that is taken for a host name: it is resolved on the event loop,
+     * which blocks for seconds in each round of gossip, and passed on to other nodes.
+     */
+    @Property(tries = 500, seed = "68")
+    void onlyAddressesOfPeersAreDecoded(@ForAll @StringLength(max = 40) String text) {
+        NodeState state = new NodeState(
+                1, 1, "zone", 100, 1, true, false, "service", "i-1", BackendState.READY, 0, OwnerLoad.NONE, List.of());
+        ByteBuf encoded = Unpooled.buffer();
+        NodeStateCodec.encode(
+                new NodeStateCodec.Message(
+                        state, false, List.of("10.0.0.1", text, "localhost", "10.0.0.256", "", "10.0.0.2"), 0),
+                encoded);
+        assertEquals(
+                List.of("10.0.0.1", "10.0.0.2"),
+                NodeStateCodec.decode(encoded).orElseThrow().peerAddresses());
+    }
+
     @Property(tries = 500)
     void invalidOrTruncatedDatagramIsRejected(@ForAll byte[] bytes, @ForAll @IntRange(max = 200) int truncatedLength) {
         NodeStateCodec.decode(Unpooled.wrappedBuffer(bytes));
