Records of members with missing or impossible values are refused

What operators saw: another program wrote a record under "members/", or sent one, in which a field was null. It was decoded, and whatever used it next ended with a NullPointerException: the merge of the records that followed in the same batch (the watch had moved on, so they were lost), the messages to peers, the choice of a member. Slots below 0 or of 2,147,483,647 were taken as they came.

Cause: FAIL_ON_MISSING_CREATOR_PROPERTIES says nothing of nulls, and Member and Labels checked nothing.

Change: Member refuses a missing component, and slots outside 0 to 100,000 (the limit of the node's heartbeats); Labels refuses a label without a value.

--- a/org.berylwick/src/org/berylwick/lib/Labels.java
+++ b/org.berylwick/src/org/berylwick/lib/Labels.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.annotation.JsonValue;
 import java.util.Collections;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.TreeMap;
 
@@ -19,6 +20,9 @@
     /** Copies {@code values}. */
     @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
     public Labels {
+        if (values.values().stream().anyMatch(Objects::isNull)) {
+            throw new IllegalArgumentException("a label has no value");
+        }
         values = Collections.unmodifiableMap(new TreeMap<>(values));
     }
 
--- a/org.berylwick/src/org/berylwick/lib/Member.java
+++ b/org.berylwick/src/org/berylwick/lib/Member.java
@@ -25,6 +25,9 @@
         int slots,
         long version,
         long installedAtEpochMillis) {
+    /** Far above any real number; a larger one is an error and would attract all requests of the service. */
+    private static final int MAX_SLOTS = 100_000;
+
     /** Whether a member can take requests. */
     public enum State {
         /** Announced, not ready yet. */
@@ -39,6 +42,25 @@
         GONE
     }
 
+    /**
+     * Checks what other processes state.
+     *
+     * @throws IllegalArgumentException if a component is missing or the number of slots out of range
+     */
+    public Member {
+        if (instance == null
+                || service == null
+                || address == null
+                || place == null
+                || labels == null
+                || state == null) {
+            throw new IllegalArgumentException("a member lacks a component");
+        }
+        if (slots < 0 || slots > MAX_SLOTS) {
+            throw new IllegalArgumentException("a member has " + slots + " slots");
+        }
+    }
+
     /** This member in another state. */
     public Member withState(State newState) {
         return new Member(
