Only the head itself is followed, not what else begins like its key

What operators saw: another program left an object such as "config/head-old" or "config/head.bak". The watch of the head takes a prefix, and the last changed object of the batch was taken for the head. Content that is no head made every watch fail (HEAD_LOST), so the head was read again after each pause; content that is one was followed as the accepted version.

Change: a watch of the head disregards objects with any other key. The revision moves on, so they are not seen again.

Test: HeadSiblingTest failed before (Damaged in place of version 2).

--- a/org.berylwick/src/org/berylwick/internal/version/VersionRepository.java
+++ b/org.berylwick/src/org/berylwick/internal/version/VersionRepository.java
@@ -107,7 +107,9 @@
     public record Watched(long revision, Optional<AcceptedHead> head) {}
 
     private static Result<Watched, VersionError> decodeWatched(WatchBatch batch) {
-        List<StoredObject> changed = batch.changed();
+        // Another object whose key begins like that of the head is none of ours.
+        List<StoredObject> changed =
+                batch.changed().stream().filter(o -> o.key().equals(HEAD)).toList();
         if (changed.isEmpty() || changed.getLast().deleted()) {
             return Result.ok(new Watched(batch.revision(), Optional.empty()));
         }
