An odd lease does not keep a zone without readers

What operators saw: a lease whose holders expire in the far future, as another program or a wrong clock writes it, was full for good: no daemon of the zone read the store. One with a null instance was decoded and ended each round of the reader role with a NullPointerException.

Change: a slot that expires later than the lease to be written by more than the length of a lease is free; clocks may still differ by as much. A holder without an instance is not decoded, which leaves an empty lease, as for other unreadable content.

Tests: ReaderLeaseTest.slotThatExpiresTooLateIsTaken and leaseWithoutAnInstanceIsNotDecoded failed before.

--- a/org.berylwick.test/tst/org/berylwick/internal/spread/ReaderLeaseTest.java
+++ b/org.berylwick.test/tst/org/berylwick/internal/spread/ReaderLeaseTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,6 +12,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.berylwick.internal.config.ConfigurationCodec;
+import org.berylwick.lib.Result;
 import org.junit.jupiter.api.Test;
 
 /** Tests how reader slots are acquired, renewed and freed. */
@@ -58,4 +61,22 @@
         ReaderLease others = new ReaderLease(List.of(new ReaderLease.Holder("b", 30), new ReaderLease.Holder("c", 30)));
         assertInstanceOf(ReaderLease.Decision.Full.class, others.acquireOrRenew("a", 25, MAX_READERS, 35));
     }
+
+    /** Guards against a lease of another writer that never expires, so that no daemon of the zone reads the store. */
+    @Test
+    void slotThatExpiresTooLateIsTaken() {
+        ReaderLease odd = new ReaderLease(List.of(
+                new ReaderLease.Holder("a", Long.MAX_VALUE), new ReaderLease.Holder("b", 1_000_000_000_000_000L)));
+        assertEquals(
+                0,
+                assertInstanceOf(ReaderLease.Decision.Write.class, odd.acquireOrRenew("c", 10, MAX_READERS, 20))
+                        .slot());
+    }
+
+    /** Guards against a lease that can be decoded and then ends each round of the reader role. */
+    @Test
+    void leaseWithoutAnInstanceIsNotDecoded() {
+        byte[] json = "{\"holders\":[{\"instance\":null,\"untilEpochMillis\":5}]}".getBytes(StandardCharsets.UTF_8);
+        assertInstanceOf(Result.Err.class, ConfigurationCodec.decode(json, ReaderLease.class));
+    }
 }
--- a/org.berylwick/src/org/berylwick/internal/spread/ReaderLease.java
+++ b/org.berylwick/src/org/berylwick/internal/spread/ReaderLease.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 
 /**
  * Lease that names the daemons which watch the platform's store on behalf of one availability zone. It is stored as one
@@ -23,7 +24,11 @@
      * @param instance instance name of the daemon
      * @param untilEpochMillis when the slot expires unless renewed
      */
-    public record Holder(String instance, long untilEpochMillis) {}
+    public record Holder(String instance, long untilEpochMillis) {
+        public Holder {
+            Objects.requireNonNull(instance, "instance");
+        }
+    }
 
     /** Outcome of an attempt to acquire or renew a slot. */
     public sealed interface Decision {
@@ -48,7 +53,8 @@
     /**
      * Decides how {@code instance} acquires a slot, or renews the one it holds.
      *
-     * <p>Expired slots of other holders are freed.
+     * <p>Slots of other holders are freed if they have expired, or expire later than clocks that differ by the length
+     * of a lease could explain.
      *
      * @param instance instance name of the daemon
      * @param nowEpochMillis current time
@@ -56,13 +62,14 @@
      * @param expiresAtEpochMillis expiry of the slot that {@code instance} acquires or renews
      */
     public Decision acquireOrRenew(String instance, long nowEpochMillis, int maxReaders, long expiresAtEpochMillis) {
+        long latestExpiry = expiresAtEpochMillis + (expiresAtEpochMillis - nowEpochMillis);
         List<Holder> next = new ArrayList<>();
         boolean renewed = false;
         for (Holder holder : holders) {
             if (holder.instance().equals(instance) && !renewed) {
                 next.add(new Holder(instance, expiresAtEpochMillis));
                 renewed = true;
-            } else if (holder.untilEpochMillis() > nowEpochMillis) {
+            } else if (holder.untilEpochMillis() > nowEpochMillis && holder.untilEpochMillis() <= latestExpiry) {
                 next.add(holder);
             }
         }
