A duty goes on after a stack overflow

A StackOverflowError in a round ended the duty's thread without a line in the log, as Duty caught RuntimeException alone.

--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/internal/kernel/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the kernel. */
+package org.berylwick.internal.kernel;
--- a/org.berylwick/src/org/berylwick/internal/kernel/Duty.java
+++ b/org.berylwick/src/org/berylwick/internal/kernel/Duty.java
@@ -35,7 +35,7 @@
                 round.run();
             } catch (InterruptedException e) {
                 return;
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | StackOverflowError e) {
                 EVENTS.log(ProcessEvent.DUTY_FAILED, thread.getName(), e);
                 pause();
             }
