An object with an odd key costs itself alone in lists and watches

What operators saw: another program wrote one object whose key holds a space, an empty segment or other characters. Every list and watch whose prefix matched it failed ("cannot read frames"): members, directories and the head were followed no more.

Cause: the key was checked while the frames were read, and its error was taken for damage of the whole body. The check was a regular expression that recurses for each segment; a key of 20,000 segments overflowed the stack.

PeerDirectory logs an unreadable directory, which it skipped silently.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/PeerDirectory.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/PeerDirectory.java
@@ -87,9 +87,10 @@
             case Result.Ok<WatchBatch, StoreError>(WatchBatch batch) -> {
                 List<HostPort> addresses = new ArrayList<>();
                 for (StoredObject o : batch.changed()) {
-                    if (ConfigurationCodec.decode(o.value(), ZoneDirectory.class)
-                            instanceof Result.Ok<ZoneDirectory, String>(ZoneDirectory zone)) {
-                        addresses.addAll(zone.addresses());
+                    switch (ConfigurationCodec.decode(o.value(), ZoneDirectory.class)) {
+                        case Result.Ok<ZoneDirectory, String>(ZoneDirectory zone) -> addresses.addAll(zone.addresses());
+                        case Result.Err<ZoneDirectory, String>(String detail) ->
+                            EVENTS.log(MembershipEvent.UNREADABLE_RECORD, o.key(), detail);
                     }
                 }
                 if (addresses.isEmpty()) {
--- /dev/null
+++ b/org.berylwick.test/tst/org/berylwick/transport/OddStoredObjectTest.java
@@ -0,0 +1,60 @@
+package org.berylwick.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.berylwick.lib.Result;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Objects of another writer whose key is not one that this library writes. */
+class OddStoredObjectTest {
+    private static void writeFrame(DataOutputStream out, String key, String value) throws IOException {
+        out.writeUTF(key);
+        out.writeLong(5);
+        out.writeBoolean(false);
+        out.writeInt(value.length());
+        out.writeBytes(value);
+    }
+
+    /** Guards against a list or watch that fails for good because of the key of one object in it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "members/a b", "members//a", "members/é", "members/\u0000", "/"})
+    void objectWithAnOddKeyCostsItselfAlone(String key) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            writeFrame(out, "members/a", "1");
+            writeFrame(out, key, "22");
+            writeFrame(out, "members/c", "333");
+        }
+        Result<List<String>, String> keys = ObjectFrames.decode(bytes.toByteArray())
+                .map(objects -> objects.stream()
+                        .map(o -> o.key() + "=" + new String(o.value()))
+                        .toList());
+        assertEquals(Result.ok(List.of("members/a=1", "members/c=333")), keys);
+    }
+
+    /** Guards against a key of many segments overflowing the stack. */
+    @Test
+    void longKeyIsRead() throws IOException {
+        String key = "a/".repeat(20_000) + "a";
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        writeFrame(new DataOutputStream(bytes), key, "1");
+        assertEquals(
+                Result.ok(List.of(new ObjectKey(key))),
+                ObjectFrames.decode(bytes.toByteArray())
+                        .map(objects -> objects.stream().map(StoredObject::key).toList()));
+    }
+
+    /** Guards against bytes that end the thread of a duty. */
+    @Property(tries = 2_000, seed = "68")
+    void arbitraryBytesAreDecodedOrRefused(@ForAll byte[] bytes) {
+        ObjectFrames.decode(bytes);
+    }
+}
--- a/org.berylwick/src/org/berylwick/internal/event/StoreEvent.java
+++ b/org.berylwick/src/org/berylwick/internal/event/StoreEvent.java
@@ -11,7 +11,9 @@
     /** This daemon began to read the store for its zone. */
     READER(5003, Level.INFO, "reads the store for {} from place {}"),
     /** This daemon no longer reads the store for its zone. */
-    READER_ENDED(5004, Level.INFO, "no longer reads the store: {}");
+    READER_ENDED(5004, Level.INFO, "no longer reads the store: {}"),
+    /** An object in a list has a key that no program of ours writes; the others are used. */
+    OBJECT_SKIPPED(5005, Level.WARN, "skips an object with an invalid key of {} characters, version {}");
 
     private final int number;
     private final Level level;
--- a/org.berylwick/src/org/berylwick/transport/ObjectFrames.java
+++ b/org.berylwick/src/org/berylwick/transport/ObjectFrames.java
@@ -6,8 +6,11 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import org.berylwick.internal.event.EventLog;
+import org.berylwick.internal.event.StoreEvent;
 import org.berylwick.lib.Result;
 
 /**
@@ -15,6 +18,8 @@
  * (1 byte), the value's length (4 bytes) and the value, all big-endian.
  */
 public final class ObjectFrames {
+    private static final EventLog EVENTS = new EventLog(ObjectFrames.class);
+
     private ObjectFrames() {}
 
     /** Writes {@code objects} in order. */
@@ -34,22 +39,31 @@
         return bytes.toByteArray();
     }
 
-    /** Reads what {@link #encode} wrote; the error says what is wrong. */
+    /**
+     * Reads what {@link #encode} wrote; the error says what is wrong. An object whose key is invalid, which only
+     * another program can have written, is left out.
+     */
     public static Result<List<StoredObject>, String> decode(byte[] body) {
         List<StoredObject> objects = new ArrayList<>();
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(body))) {
             while (in.available() > 0) {
-                ObjectKey key = new ObjectKey(in.readUTF());
+                // Valid keys are ASCII, which modified UTF-8 leaves as it is.
+                String key = new String(in.readNBytes(in.readUnsignedShort()), StandardCharsets.ISO_8859_1);
                 long version = in.readLong();
                 boolean deleted = in.readBoolean();
                 int length = in.readInt();
                 if (length < 0 || length > in.available()) {
                     return Result.err("a frame of " + length + " bytes in a body of " + body.length);
                 }
-                objects.add(new StoredObject(key, version, in.readNBytes(length), deleted));
+                byte[] value = in.readNBytes(length);
+                if (ObjectKey.isValid(key)) {
+                    objects.add(new StoredObject(new ObjectKey(key), version, value, deleted));
+                } else {
+                    EVENTS.log(StoreEvent.OBJECT_SKIPPED, key.length(), version);
+                }
             }
             return Result.ok(objects);
-        } catch (IOException | IllegalArgumentException e) {
+        } catch (IOException e) {
             return Result.err("cannot read frames: " + e);
         }
     }
