A version of an object that is no number is an error of the call

What operators saw: a response whose ETag is no number ended the call with a NumberFormatException. A duty goes on after that, but the thread that reads whether a backend server was taken out of service ended, and the daemon served as if it was not.

Change: a read with such a version is Malformed. The outcome of a write is unknown: the store said that it succeeded.

--- a/org.berylwick/src/org/berylwick/transport/HttpPlatformStore.java
+++ b/org.berylwick/src/org/berylwick/transport/HttpPlatformStore.java
@@ -86,14 +86,12 @@
     @Override
     public Result<Optional<StoredObject>, StoreError> get(ObjectKey key, Deadline deadline) {
         RequestHeaders headers = RequestHeaders.of(HttpMethod.GET, OBJECTS_PATH + "/" + key.path());
-        return call(headers, new byte[0], deadline).flatMap(r -> switch (r.status()
-                .code()) {
-            case 200 ->
-                Result.ok(Optional.of(
-                        new StoredObject(key, version(r), r.content().array(), false)));
-            case 404 -> Result.ok(Optional.empty());
-            default -> Result.err(errorOf(r));
-        });
+        return call(headers, new byte[0], deadline)
+                .flatMap(r -> switch (r.status().code()) {
+                    case 200 -> readObject(key, r).map(Optional::of);
+                    case 404 -> Result.ok(Optional.empty());
+                    default -> Result.err(errorOf(r));
+                });
     }
 
     @Override
@@ -124,8 +122,22 @@
             case Precondition.MustHaveVersion(long version) ->
                 headers.set(HttpHeaderNames.IF_MATCH, "\"" + version + "\"");
         }
-        return call(headers.build(), value, deadline)
-                .flatMap(r -> r.status().isSuccess() ? Result.ok(version(r)) : Result.err(errorOf(r)));
+        return call(headers.build(), value, deadline).flatMap(r -> writtenVersion(key, r));
+    }
+
+    private static Result<StoredObject, StoreError> readObject(ObjectKey key, AggregatedHttpResponse r) {
+        return hasInvalidVersion(r)
+                ? Result.err(new StoreError.Malformed("invalid version of " + key))
+                : Result.ok(new StoredObject(key, version(r), r.content().array(), false));
+    }
+
+    private static Result<Long, StoreError> writtenVersion(ObjectKey key, AggregatedHttpResponse r) {
+        if (!r.status().isSuccess()) {
+            return Result.err(errorOf(r));
+        }
+        return hasInvalidVersion(r)
+                ? Result.err(new StoreError.OutcomeUnknown("invalid version of " + key))
+                : Result.ok(version(r));
     }
 
     @Override
@@ -188,7 +200,19 @@
 
     private static OptionalLong optionalVersion(AggregatedHttpResponse r) {
         String etag = r.headers().get(HttpHeaderNames.ETAG);
-        return etag == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(etag.replace("\"", "")));
+        if (etag == null) {
+            return OptionalLong.empty();
+        }
+        try {
+            return OptionalLong.of(Long.parseLong(etag.replace("\"", "")));
+        } catch (NumberFormatException e) {
+            return OptionalLong.empty();
+        }
+    }
+
+    /** Whether the response states a version that is no number. */
+    private static boolean hasInvalidVersion(AggregatedHttpResponse r) {
+        return r.headers().contains(HttpHeaderNames.ETAG) && optionalVersion(r).isEmpty();
     }
 
     private static Result<WatchBatch, StoreError> batch(AggregatedHttpResponse r) {
