--- a/org.berylwick.test/tst/org/berylwick/node/rollout/RolloutFleet.java
+++ b/org.berylwick.test/tst/org/berylwick/node/rollout/RolloutFleet.java
@@ -11,6 +11,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.berylwick.bench.emulate.VirtualClock;
 import org.berylwick.node.call.Backend;
 import org.berylwick.node.call.CallSpec;
@@ -25,6 +27,7 @@
 import org.berylwick.node.lib.RolloutPhase;
 import org.berylwick.node.lib.RouteKind;
 import org.berylwick.node.lib.ServiceTimeDistribution;
+import org.berylwick.node.lib.UnusableEntry;
 import org.berylwick.node.log.Counters;
 import org.berylwick.node.log.EventLog;
 import org.berylwick.node.log.Instruments;
@@ -80,10 +83,13 @@
         private Optional<Order> order = Optional.empty();
         private long revision = 100;
         private boolean out;
+        private List<UnusableEntry> unusable = List.of();
+        private List<Order> others = List.of();
         private final List<RolloutPhase> told = new ArrayList<>();
 
         void give(double seconds) {
             revision++;
+            unusable = List.of();
             order = Optional.of(new Order(SERVICE, "v2", (long) (seconds * 1e9), revision, revision, Optional.empty()));
         }
 
@@ -91,6 +97,18 @@
             out = isOut;
         }
 
+        /** Leaves an entry for a service that cannot be used, until the order is given. */
+        void leaveUnusable(String service) {
+            unusable = List.of(new UnusableEntry(service, "not an order"));
+        }
+
+        /** Leaves orders for services that have no backend server, listed before the order for this one. */
+        void leaveOthers(int count) {
+            others = IntStream.range(0, count)
+                    .mapToObj(i -> new Order("other-" + i, "v1", 1_000_000_000L, 50 + i, 50 + i, Optional.empty()))
+                    .toList();
+        }
+
         List<RolloutPhase> told() {
             return told;
         }
@@ -106,7 +124,11 @@
                     () -> onResult.accept(
                             out
                                     ? new ListResult.Failed("out")
-                                    : new ListResult.Listed(order.stream().toList(), revision)));
+                                    : new ListResult.Listed(
+                                            Stream.concat(others.stream(), order.stream())
+                                                    .toList(),
+                                            revision,
+                                            unusable)));
         }
 
         @Override
