Test: a response that stops anywhere in its bytes is whole or a failure

Reported by other operators: an instance stopped in the middle of the head of its response and closed, and callers got a 200 with an empty or short body, framed as whole.

Cause looked for: a decoder that takes the end of the stream for the end of the head. Not found here. HttpObjectDecoder.decodeLast of Netty reports a head without its empty line as a message that failed (PrematureChannel- ClosureException); HttpConnection fails such a message, and Armeria's Http1ResponseDecoder raises a ProtocolViolationException for it.

CutResponseTest of the node and of berylwickd end a response after each of its bytes: with a length, in chunks with a trailer, without a length, after an interim response, and as "not run"; by the end of the stream, read with the last bytes or after them, by a reset, and at some bytes by silence; GET and POST, on new and on reused connections; from a backend server on the entry's VM and on another one, and on the hop between two nodes and between two daemons (there the HTTP/2 bytes, by TcpRelay.cutAfter). Checked are successes that are not whole or another request's, promises that a request was not run after it was, and second runs of a POST.

On the node the failures are 502, or 502 and 504 after silence. berylwickd streams: once the head is complete a cut body gives a 200 that is visibly truncated.

A response without a length that ends in order within its body can't be told from a complete one while the process lives on; the node delivers it as before, berylwickd treats it as truncated.

--- a/org.berylwick.test/tst/org/berylwick/testing/RawServer.java
+++ b/org.berylwick.test/tst/org/berylwick/testing/RawServer.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -116,9 +117,14 @@
 
     /** A server on the given port that does as the script says. */
     public RawServer(int port, Script script) {
+        this(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), script);
+    }
+
+    /** A server on the given address that does as the script says. */
+    public RawServer(InetSocketAddress address, Script script) {
         this.script = script;
         try {
-            listener = new ServerSocket(port, 128, InetAddress.getLoopbackAddress());
+            listener = new ServerSocket(address.getPort(), 128, address.getAddress());
         } catch (IOException e) {
             throw new IllegalStateException(e);
         }
--- a/org.berylwick.test/tst/org/berylwick/testing/TcpRelay.java
+++ b/org.berylwick.test/tst/org/berylwick/testing/TcpRelay.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -20,6 +21,11 @@
     private final Set<Link> links = ConcurrentHashMap.newKeySet();
     private final AtomicInteger accepted = new AtomicInteger();
 
+    private Optional<Cut> cut = Optional.empty();
+
+    /** Ends the connection on which the target sends next. */
+    private record Cut(int bytes, boolean withReset) {}
+
     private record Link(Socket near, Socket far, Gate gate) {}
 
     /** Holds back everything of one connection once it is shut. */
@@ -73,6 +79,28 @@
         links.forEach(TcpRelay::close);
     }
 
+    /**
+     * Ends the connection on which the target sends next as soon as a number of bytes from the target has passed; none
+     * passes if it is 0.
+     */
+    public synchronized void cutAfter(int bytes, boolean withReset) {
+        cut = Optional.of(new Cut(bytes, withReset));
+    }
+
+    /** Cancels a cut; returns whether the connection was still to be ended. */
+    public synchronized boolean cancelCut() {
+        boolean pending = cut.isPresent();
+        cut = Optional.empty();
+        return pending;
+    }
+
+    /** Takes up to {@code bytes} from the bytes that pass before the cut; the cut is due if it returns one. */
+    private synchronized Optional<Cut> takeBeforeCut(int bytes) {
+        Optional<Cut> before = cut;
+        cut = before.filter(c -> c.bytes() > bytes).map(c -> new Cut(c.bytes() - bytes, c.withReset()));
+        return before.filter(c -> c.bytes() <= bytes);
+    }
+
     private void accept() {
         while (!listener.isClosed()) {
             try {
@@ -100,8 +128,13 @@
             OutputStream out = to.getOutputStream();
             for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
                 link.gate().pass();
-                out.write(buffer, 0, n);
+                Optional<Cut> due = from == link.far() ? takeBeforeCut(n) : Optional.empty();
+                out.write(buffer, 0, due.map(Cut::bytes).orElse(n));
                 out.flush();
+                if (due.isPresent()) {
+                    end(link.near(), due.get().withReset());
+                    break;
+                }
             }
             link.gate().pass();
         } catch (IOException e) {
@@ -113,6 +146,14 @@
         links.remove(link);
     }
 
+    private static void end(Socket socket, boolean withReset) throws IOException {
+        if (withReset) {
+            socket.setSoLinger(true, 0);
+        } else {
+            socket.shutdownOutput();
+        }
+    }
+
     private static void close(Link link) {
         link.gate().open();
         try {
