The age of a crash in a header cannot lie in the future

A header of another node with a crash of a negative or very large age made its request refused for years. The age is now taken for 0 or for 31 years, when it is long forgotten.

--- a/org.berylwick.node/src/org/berylwick/node/call/PeerCodec.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/PeerCodec.java
@@ -22,6 +22,9 @@
     /** Number of fields with the two that follow while the backend server states a limit on its requests. */
     private static final int LIMITED_OUTCOME_FIELDS = 12;
 
+    /** Age of a crash that is forgotten long since; a larger one could overflow. */
+    private static final long MAX_AGE_MILLIS = 1_000_000_000_000L;
+
     private static final String ANSWERED = "answered";
     private static final String REFUSED = "refused";
     private static final String LOST = "lost";
@@ -160,7 +163,8 @@
 
     private static Optional<SuspectReport.Crashed> decodeCrash(HttpHeaders headers, long now) {
         return Optional.ofNullable(headers.get(Headers.CRASH))
-                .flatMap(text -> CrashText.decode(text, ageMillis -> now - ageMillis * 1_000_000));
+                .flatMap(text -> CrashText.decode(
+                        text, ageMillis -> now - Math.max(0, Math.min(MAX_AGE_MILLIS, ageMillis)) * 1_000_000));
     }
 
     static Optional<Outcome> decodeOutcome(HttpHeaders headers, long now) {
