JoinedResponseTest waits until a second response is written on the idle connection

Beside other builds (load 28) the part that should arrive while the connection is idle came after the next request was sent, so that the request which the test expects to succeed got the 502 of the other moment (once in four runs). The test now waits for the write; what it demands is unchanged.

--- a/org.berylwick.test/tst/org/berylwick/node/JoinedResponseTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/JoinedResponseTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.Semaphore;
 import org.berylwick.testing.RawServer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -26,6 +27,9 @@
     private static final String REFUSAL = "HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1";
     private static final long IDLE_MILLIS = 30;
 
+    /** A permit for each second response that was written while its connection was idle. */
+    private final Semaphore partsWritten = new Semaphore(0);
+
     /** When the second response is written. */
     private enum Moment {
         IDLE,
@@ -38,7 +42,7 @@
     }
 
     /** Answers requests whose id begins with "first" twice, the second time broken off, and fails all others. */
-    private static RawServer.Script stutter(String part, Moment moment) {
+    private RawServer.Script stutter(String part, Moment moment) {
         String[] late = {""};
         return (connection, request) -> {
             String length = request.header("content-length");
@@ -56,6 +60,7 @@
             }
             NodeRig.sleep(IDLE_MILLIS / 3);
             writeUnlessClosed(connection, part);
+            partsWritten.release();
         };
     }
 
@@ -75,20 +80,23 @@
         return rig;
     }
 
-    private static String callAfterFirst(NodeRig rig, String method, String path, String id) {
+    private String callAfterFirst(Moment moment, NodeRig rig, String method, String path, String id) {
         String firstResponse = rig.call(1, method, path, "first-" + id, "");
         assertTrue(firstResponse.startsWith("HTTP/1.1 200"), firstResponse);
+        if (moment == Moment.IDLE) {
+            partsWritten.acquireUninterruptibly();
+        }
         NodeRig.sleep(IDLE_MILLIS);
         return rig.call(1, method, path, id, "");
     }
 
-    private static void assertFailureIsDelivered(Moment moment, String method, String path) {
+    private void assertFailureIsDelivered(Moment moment, String method, String path) {
         try (RawServer server = new RawServer(NodeRig::respondOk);
                 NodeRig rig = rigWith(server)) {
             for (int i = 0; i < PARTS_OF_SUCCESS.size(); i++) {
                 String part = PARTS_OF_SUCCESS.get(i);
                 server.setScript(stutter(part, moment));
-                String response = callAfterFirst(rig, method, path, "a" + i);
+                String response = callAfterFirst(moment, rig, method, path, "a" + i);
                 String statusLine = response.lines().findFirst().orElse("");
                 assertTrue(statusLine.matches("HTTP/1.1 50[02] .*"), () -> part + " -> " + response + rig.logText());
                 assertEquals(1, server.runs("a" + i), part);
@@ -132,7 +140,7 @@
                 rig.awaitMemberKnown("i-2");
                 for (int i = 0; i < 8; i++) {
                     String id = "b" + i;
-                    String response = callAfterFirst(rig, "POST", "/pay/x", id);
+                    String response = callAfterFirst(moment, rig, "POST", "/pay/x", id);
                     assertEquals(1, firstServer.runs(id) + secondServer.runs(id), moment + " -> " + response);
                     assertFalse(response.startsWith("HTTP/1.1 503"), moment + " -> " + response);
                 }
