One rule for status lines within a head, on the node and in berylwickd

It now uses the node's ResponseHeadScanner. The scanner takes a status line for one only with a version, blanks and three digits, so that a header such as via: HTTP/1.1 proxy keeps its connection in use (connectionWithoutSurplusIsReused was red with the looser rule).

--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/SingleResponseCodec.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/SingleResponseCodec.java
@@ -7,7 +7,7 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.CombinedChannelDuplexHandler;
-import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
@@ -20,8 +20,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.net.SocketAddress;
 import java.util.List;
-import java.util.Map;
-import java.util.regex.Pattern;
+import org.berylwick.node.transport.ResponseHeadScanner;
 
 /**
  * HTTP/1.1 client codec for one request at a time that never composes a response of two.
@@ -32,9 +31,6 @@
  * contains a second status line is malformed.
  */
 public final class SingleResponseCodec extends CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder> {
-    private static final String VERSION_PREFIX = "HTTP/1.";
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]");
-
     /** Method of the request that awaits its response; null if there is none. */
     private HttpMethod pendingMethod;
 
@@ -73,6 +69,9 @@
     }
 
     private final class ResponseDecoder extends HttpResponseDecoder {
+        private final ResponseHeadScanner headScanner = new ResponseHeadScanner();
+        private int responses;
+        private boolean closeAfterResponse;
         private boolean informational;
         /** More bytes than the response were read. A request that is sent after them must not be given them. */
         private boolean surplus;
@@ -92,24 +91,53 @@
                 ctx.close();
                 return;
             }
+            checkHead(buffer);
             int decodedBefore = out.size();
+            int readableBefore = buffer.readableBytes();
             super.decode(ctx, buffer, out);
+            headScanner.onRead(readableBefore - buffer.readableBytes());
             for (Object message : out.subList(decodedBefore, out.size())) {
-                onDecoded(message, buffer);
+                onDecoded(ctx, message, buffer);
+            }
+        }
+
+        private void checkHead(ByteBuf buffer) {
+            switch (headScanner.scan(buffer)) {
+                case ONE_STATUS_LINE -> {}
+                case NO_STATUS_LINE -> throw corrupted("response begins with no status line");
+                case SECOND_STATUS_LINE -> throw corrupted("head of a response contains a second status line");
+                case STATUS_LINE_IN_VALUE -> {
+                    if (responses > 0) {
+                        throw corrupted("head of a response contains a second status line");
+                    }
+                    // The server quotes it, so that no later response could be told from parts of two.
+                    closeAfterResponse = true;
+                    checkHead(buffer);
+                }
             }
         }
 
-        private void onDecoded(Object message, ByteBuf buffer) {
+        private CorruptedFrameException corrupted(String problem) {
+            surplus = true;
+            return new CorruptedFrameException(problem);
+        }
+
+        private void onDecoded(ChannelHandlerContext ctx, Object message, ByteBuf buffer) {
             if (message instanceof HttpResponse response) {
                 informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-                if (containsStatusLine(response)) {
-                    response.setDecoderResult(DecoderResult.failure(
-                            new IllegalArgumentException("head of a response contains a second status line")));
-                }
             }
-            if (message instanceof LastHttpContent && !informational) {
-                pendingMethod = null;
-                surplus = buffer.isReadable();
+            if (!(message instanceof LastHttpContent)) {
+                return;
+            }
+            headScanner.reset();
+            if (informational) {
+                return;
+            }
+            responses++;
+            pendingMethod = null;
+            surplus = buffer.isReadable();
+            if (closeAfterResponse) {
+                ctx.channel().eventLoop().execute(ctx::close);
             }
         }
 
@@ -118,19 +146,4 @@
             return HttpMethod.HEAD.equals(pendingMethod) || super.isContentAlwaysEmpty(message);
         }
     }
-
-    private static boolean containsStatusLine(HttpResponse response) {
-        if (STATUS_LINE.matcher(response.status().reasonPhrase()).find()) {
-            return true;
-        }
-        for (Map.Entry<String, String> header : response.headers()) {
-            boolean inName = header.getKey().contains(VERSION_PREFIX);
-            boolean inValue = header.getValue().contains(VERSION_PREFIX)
-                    && STATUS_LINE.matcher(header.getValue()).find();
-            if (inName || inValue) {
-                return true;
-            }
-        }
-        return false;
-    }
 }
--- a/org.berylwick.node/src/org/berylwick/node/transport/ResponseHeadScanner.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/ResponseHeadScanner.java
@@ -9,13 +9,12 @@
  * <p>If a server breaks a response off within its head and continues with another response, the status line of the
  * latter stands in the middle of one head. The decoder would trim, shorten or drop the element that contains it.
  */
-final class ResponseHeadScanner {
-    private static final byte[] START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
-    private static final byte[] PROTOCOL = "http/".getBytes(StandardCharsets.US_ASCII);
-    private static final int LOWER_CASE_BIT = 0x20;
+public final class ResponseHeadScanner {
+    /** How a head begins; 0 stands for any digit. */
+    private static final byte[] START = "HTTP/1.0 000".getBytes(StandardCharsets.US_ASCII);
 
     /** What the bytes scanned so far show. */
-    enum Result {
+    public enum Result {
         /** They are a head, or the beginning of one, with one status line. */
         ONE_STATUS_LINE,
         /** They do not begin with a status line. */
@@ -26,23 +25,26 @@
         STATUS_LINE_IN_VALUE
     }
 
+    private final StatusLineMatcher statusLine = new StatusLineMatcher();
     private boolean ended;
     private int scannedUnread;
     private int headBytes;
     private int lines;
     private int lineBytes;
-    private int protocolBytes;
     private boolean inValue;
     private byte previous;
 
+    /** Creates a scanner of the first head. */
+    public ResponseHeadScanner() {}
+
     /** Prepares for the next head. */
-    void reset() {
+    public void reset() {
         ended = false;
         scannedUnread = 0;
         headBytes = 0;
         lines = 0;
         lineBytes = 0;
-        protocolBytes = 0;
+        statusLine.reset();
         inValue = false;
         previous = 0;
     }
@@ -53,7 +55,7 @@
     }
 
     /** Scans the readable bytes that have not been scanned yet, as far as they belong to the head. */
-    Result scan(ByteBuf in) {
+    public Result scan(ByteBuf in) {
         for (int i = in.readerIndex() + scannedUnread; i < in.writerIndex() && !ended; i++) {
             scannedUnread++;
             Result result = scan(in.getByte(i));
@@ -65,7 +67,7 @@
     }
 
     /** Called when bytes that were readable at the last scan have been read. */
-    void onRead(int bytes) {
+    public void onRead(int bytes) {
         scannedUnread = Math.max(0, scannedUnread - bytes);
     }
 
@@ -73,7 +75,7 @@
         if (headBytes == 0 && isLineBreak(next)) {
             return Result.ONE_STATUS_LINE;
         }
-        if (headBytes < START.length && next != START[headBytes]) {
+        if (headBytes < START.length && !matchesStart(next)) {
             return Result.NO_STATUS_LINE;
         }
         headBytes++;
@@ -88,27 +90,15 @@
             inValue |= next == ':' && lines > 0;
         }
         previous = next;
-        if (!startsProtocolVersion(next) || headBytes <= START.length) {
+        if (!statusLine.endsWith(next) || headBytes == START.length) {
             return Result.ONE_STATUS_LINE;
         }
         return inValue ? Result.STATUS_LINE_IN_VALUE : Result.SECOND_STATUS_LINE;
     }
 
-    /** Whether a byte is the first digit of a protocol version. */
-    private boolean startsProtocolVersion(byte next) {
-        if (protocolBytes == PROTOCOL.length) {
-            protocolBytes = 0;
-            if (next >= '0' && next <= '9') {
-                return true;
-            }
-        }
-        int lowerCase = next | LOWER_CASE_BIT;
-        if (lowerCase == PROTOCOL[protocolBytes]) {
-            protocolBytes++;
-        } else {
-            protocolBytes = lowerCase == PROTOCOL[0] ? 1 : 0;
-        }
-        return false;
+    private boolean matchesStart(byte next) {
+        byte expected = START[headBytes];
+        return expected == '0' ? next >= '0' && next <= '9' : next == expected;
     }
 
     static boolean isLineBreak(byte next) {
