Fail a response whose status code does not exist in HTTP

A backend server in trouble answered with status 000. With X-Not-Executed in such a head, the request counted as not run: an order that ran was answered 503.

Cause: the decoder takes any number between blanks for a status code. The scanner that looks at the bytes of a head before they are decoded took any three digits, and did not look at what follows them.

The scanner now ends a head whose status is not three digits within 100 and 599 (RFC 9110, section 15), followed by a space or the end of the line (RFC 9112, section 4). The response then counts as unreadable, as one without a status line does: 502 for what may have run, another attempt for what is idempotent, RESPONSE_FAULT with what is wrong, and nothing else in the head has an effect. It is the one place that all bytes of a head pass, on the node (backend server, health check, store, other nodes) and on berylwickd (backend server).

A head that quotes a status line in a value, which is accepted on a new connection, is now scanned to its end.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/SingleResponseCodec.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/SingleResponseCodec.java
@@ -103,8 +103,9 @@
 
         private void checkHead(ByteBuf buffer) {
             switch (headScanner.scan(buffer)) {
-                case ONE_STATUS_LINE -> {}
+                case VALID -> {}
                 case NO_STATUS_LINE -> throw corrupted("response begins with no status line");
+                case INVALID_STATUS_CODE -> throw corrupted("status code of a response is invalid");
                 case SECOND_STATUS_LINE -> throw corrupted("head of a response contains a second status line");
                 case STATUS_LINE_IN_VALUE -> {
                     if (responses > 0) {
--- a/org.berylwick.node/src/org/berylwick/node/transport/HttpConnection.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/HttpConnection.java
@@ -241,8 +241,8 @@
         }
 
         @Override
-        public void onMissingStatusLine() {
-            failResponse(Kind.UNREADABLE, "no status line", "unreadable answer: no status line");
+        public void onInvalidHead(String problem) {
+            failResponse(Kind.UNREADABLE, problem, "unreadable answer: " + problem);
         }
 
         @Override
--- a/org.berylwick.node/src/org/berylwick/node/transport/ResponseDecoder.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/ResponseDecoder.java
@@ -26,8 +26,12 @@
         /** Called when bytes arrive while no request waits for a response. */
         void onUnexpectedBytes();
 
-        /** Called when a head does not begin with a status line; the connection cannot be used any further. */
-        void onMissingStatusLine();
+        /**
+         * Called when a head is invalid; the connection cannot be used any further.
+         *
+         * @param problem what is wrong with it
+         */
+        void onInvalidHead(String problem);
 
         /**
          * Called when a head contains a second status line.
@@ -43,7 +47,6 @@
     private HttpMethod method = HttpMethod.GET;
     private boolean awaitingResponse;
     private boolean failed;
-    private boolean secondStatusLineAccepted;
     private boolean secondStatusLineSeen;
     private long receivedBytes;
     private Listener listener;
@@ -63,7 +66,7 @@
         awaitingResponse = true;
         receivedBytes = 0;
         secondStatusLineSeen = false;
-        startHead();
+        headScanner.reset();
     }
 
     /** Ends decoding for good. */
@@ -111,15 +114,10 @@
         super.decode(ctx, in, out);
         headScanner.onRead(readableBefore - in.readableBytes());
         if (out.size() > outBefore && out.get(out.size() - 1) instanceof LastHttpContent) {
-            startHead();
+            headScanner.reset();
         }
     }
 
-    private void startHead() {
-        headScanner.reset();
-        secondStatusLineAccepted = false;
-    }
-
     private void skipUnexpectedBytes(ByteBuf in) {
         // A server may end a response with an empty line too many.
         boolean onlyLineBreaks = in.forEachByte(ResponseHeadScanner::isLineBreak) < 0;
@@ -130,24 +128,23 @@
     }
 
     private boolean isHeadAcceptable(ByteBuf in) {
-        if (secondStatusLineAccepted) {
-            return true;
-        }
         return switch (headScanner.scan(in)) {
-            case ONE_STATUS_LINE -> true;
-            case NO_STATUS_LINE -> {
-                listener.onMissingStatusLine();
-                yield false;
-            }
+            case VALID -> true;
+            case NO_STATUS_LINE -> rejectHead("no status line");
+            case INVALID_STATUS_CODE -> rejectHead("invalid status code");
             case SECOND_STATUS_LINE -> isSecondStatusLineAccepted(false);
-            case STATUS_LINE_IN_VALUE -> isSecondStatusLineAccepted(true);
+            case STATUS_LINE_IN_VALUE -> isSecondStatusLineAccepted(true) && isHeadAcceptable(in);
         };
     }
 
+    private boolean rejectHead(String problem) {
+        listener.onInvalidHead(problem);
+        return false;
+    }
+
     private boolean isSecondStatusLineAccepted(boolean inValue) {
         secondStatusLineSeen = true;
-        secondStatusLineAccepted = listener.onSecondStatusLine(headScanner.headBytes(), inValue);
-        return secondStatusLineAccepted;
+        return listener.onSecondStatusLine(headScanner.headBytes(), inValue);
     }
 
     @Override
--- a/org.berylwick.node/src/org/berylwick/node/transport/ResponseHeadScanner.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/ResponseHeadScanner.java
@@ -4,7 +4,7 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Looks for status lines in the bytes of a response head, before they are decoded.
+ * Validates the status line of a response head, before it is decoded; the decoder takes any number for a status code.
  *
  * <p>If a server breaks a response off within its head and continues with another response, the status line of the
  * latter stands in the middle of one head. The decoder would trim, shorten or drop the element that contains it.
@@ -13,12 +13,16 @@
     /** How a head begins; 0 stands for any digit. */
     private static final byte[] START = "HTTP/1.0 000".getBytes(StandardCharsets.US_ASCII);
 
+    private static final int STATUS_INDEX = START.length - 3;
+
     /** What the bytes scanned so far show. */
     public enum Result {
         /** They are a head, or the beginning of one, with one status line. */
-        ONE_STATUS_LINE,
+        VALID,
         /** They do not begin with a status line. */
         NO_STATUS_LINE,
+        /** The status code does not consist of three digits, or is not within 100 and 599. */
+        INVALID_STATUS_CODE,
         /** Another status line follows the first one, outside of the value of a header. */
         SECOND_STATUS_LINE,
         /** The value of a header contains a status line. */
@@ -59,11 +63,11 @@
         for (int i = in.readerIndex() + scannedUnread; i < in.writerIndex() && !ended; i++) {
             scannedUnread++;
             Result result = scan(in.getByte(i));
-            if (result != Result.ONE_STATUS_LINE) {
+            if (result != Result.VALID) {
                 return result;
             }
         }
-        return Result.ONE_STATUS_LINE;
+        return Result.VALID;
     }
 
     /** Called when bytes that were readable at the last scan have been read. */
@@ -73,14 +77,14 @@
 
     private Result scan(byte next) {
         if (headBytes == 0 && isLineBreak(next)) {
-            return Result.ONE_STATUS_LINE;
+            return Result.VALID;
         }
-        if (headBytes < START.length && !matchesStart(next)) {
-            return Result.NO_STATUS_LINE;
+        if (headBytes <= START.length && !continuesStart(next)) {
+            return headBytes < STATUS_INDEX ? Result.NO_STATUS_LINE : Result.INVALID_STATUS_CODE;
         }
         headBytes++;
         if (next == '\n') {
-            ended = lineBytes - (previous == '\r' ? 1 : 0) == 0;
+            ended = isLineEmpty();
             lineBytes = 0;
             lines++;
             inValue = false;
@@ -91,16 +95,27 @@
         }
         previous = next;
         if (!statusLine.endsWith(next) || headBytes == START.length) {
-            return Result.ONE_STATUS_LINE;
+            return Result.VALID;
         }
         return inValue ? Result.STATUS_LINE_IN_VALUE : Result.SECOND_STATUS_LINE;
     }
 
-    private boolean matchesStart(byte next) {
+    private boolean continuesStart(byte next) {
+        if (headBytes == START.length) {
+            return next == ' ' || isLineBreak(next);
+        }
+        if (headBytes == STATUS_INDEX) {
+            return next >= '1' && next <= '5';
+        }
         byte expected = START[headBytes];
         return expected == '0' ? next >= '0' && next <= '9' : next == expected;
     }
 
+    /** Whether the current line, which a line feed ends, has no other bytes than its line break. */
+    private boolean isLineEmpty() {
+        return lineBytes - (previous == '\r' ? 1 : 0) == 0;
+    }
+
     static boolean isLineBreak(byte next) {
         return next == '\r' || next == '\n';
     }
