berylwickd: fail a health check whose response has an invalid head

A backend server in trouble answered its health check with a name that holds a blank; berylwickd took the server for ready, and a 503 with such a head for leaving. No request fails by that alone, but requests go to a server in trouble, or a sound one is left out.

Cause: the probe has a client of its own with the lenient codec of the library, where calls have SingleResponseCodec.

The probe now installs SingleResponseCodec, without the check of the framing, since it does not use the body: a healthy response that only the end of the connection ends stays healthy.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/BackendServerClient.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/BackendServerClient.java
@@ -28,7 +28,7 @@
                 .useHttp1Pipelining(false)
                 .option(
                         ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER,
-                        pipeline -> pipeline.addFirst(new SingleResponseCodec.Installer()))
+                        pipeline -> pipeline.addFirst(SingleResponseCodec.Installer.withFramingCheck()))
                 .build();
         client = WebClient.builder("h1c://" + address)
                 .factory(factory)
--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/SingleResponseCodec.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/SingleResponseCodec.java
@@ -38,15 +38,33 @@
         init(new ResponseDecoder(), new RequestEncoder());
     }
 
-    /** Replaces the HTTP codec of a client pipeline, and adds the {@link FramingCheck}, before it connects. */
+    /** Replaces the HTTP codec of a client pipeline before it connects. */
     public static final class Installer extends ChannelOutboundHandlerAdapter {
+        private final boolean checksFraming;
+
+        private Installer(boolean checksFraming) {
+            this.checksFraming = checksFraming;
+        }
+
+        /** Returns an installer that also adds the {@link FramingCheck}. */
+        static Installer withFramingCheck() {
+            return new Installer(true);
+        }
+
+        /** Returns an installer for a client that does not use the bodies of responses, which may be cut short. */
+        public static Installer withoutFramingCheck() {
+            return new Installer(false);
+        }
+
         @Override
         public void connect(
                 ChannelHandlerContext ctx, SocketAddress remote, SocketAddress local, ChannelPromise promise) {
             ChannelPipeline pipeline = ctx.pipeline();
             String name = pipeline.context(HttpClientCodec.class).name();
             pipeline.replace(name, name, new SingleResponseCodec());
-            pipeline.addAfter(name, null, new FramingCheck());
+            if (checksFraming) {
+                pipeline.addAfter(name, null, new FramingCheck());
+            }
             ctx.connect(remote, local, promise);
             pipeline.remove(this);
         }
--- a/org.berylwick.daemon/src/org/berylwick/daemon/duty/BackendServerProbe.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/duty/BackendServerProbe.java
@@ -1,10 +1,13 @@
 package org.berylwick.daemon.duty;
 
+import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.ClientFactoryOptions;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.HttpStatus;
 import java.time.Duration;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import org.berylwick.daemon.call.SingleResponseCodec;
 import org.berylwick.internal.event.EventLog;
 import org.berylwick.internal.event.ProcessEvent;
 import org.berylwick.internal.kernel.Duty;
@@ -34,6 +37,7 @@
         SILENT
     }
 
+    private final ClientFactory factory;
     private final WebClient client;
     private final InstalledVersion installed;
     private final SelfAnnouncement self;
@@ -51,7 +55,15 @@
     public BackendServerProbe(HostPort address, InstalledVersion installed, SelfAnnouncement self) {
         this.installed = installed;
         this.self = self;
-        client = WebClient.builder("h1c://" + address).responseTimeout(TIMEOUT).build();
+        factory = ClientFactory.builder()
+                .option(
+                        ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER,
+                        pipeline -> pipeline.addFirst(SingleResponseCodec.Installer.withoutFramingCheck()))
+                .build();
+        client = WebClient.builder("h1c://" + address)
+                .factory(factory)
+                .responseTimeout(TIMEOUT)
+                .build();
     }
 
     @Override
@@ -130,5 +142,6 @@
     @Override
     public void close() {
         duty.close();
+        factory.close();
     }
 }
