Count the pending requests of a stop on the event loop

A planned stop that ended at the end of its grace period, with connections still changing, could throw ConcurrentModificationException in the shutdown hook: STOPPED was not logged, and the connections were cut by the exit of the JVM instead of being closed.

Cause: Node.stop counted the requests of the entry server on the thread of the signal, and the connections belong to the event loop.

They are now counted on the event loop when the shutdown is complete; -1 in the log says that the event loop did not come to it in time.

--- a/org.berylwick.node/src/org/berylwick/node/Node.java
+++ b/org.berylwick.node/src/org/berylwick/node/Node.java
@@ -92,6 +92,9 @@
     private final HeartbeatHandler heartbeatHandler;
     private final BackendProbe backendProbe;
     private final CountDownLatch shutdownComplete = new CountDownLatch(1);
+    /** Requests in progress when the shutdown was complete, -1 until then. */
+    private volatile int pendingAtShutdown = -1;
+
     private volatile String service;
     private long stateSequence;
     /** The node was asked to stop and reports to callers that it is not ready. */
@@ -158,7 +161,12 @@
                     leaving = true;
                     gossip.scheduleBroadcast();
                 },
-                shutdownComplete::countDown);
+                this::onShutdownComplete);
+    }
+
+    private void onShutdownComplete() {
+        pendingAtShutdown = owner.pendingCount() + entryServer.pendingRequests();
+        shutdownComplete.countDown();
     }
 
     private Owner createOwner(Clock clock) {
@@ -456,7 +464,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        log.write(Event.STOPPED, "pending", owner.pendingCount() + entryServer.pendingRequests());
+        log.write(Event.STOPPED, "pending", pendingAtShutdown);
     }
 
     /** Returns the event loop on which all components run. */
