Refuse requests late in a stop that might outlast it

A node whose own backend server is busy keeps its port open for the calls of that server, and so takes requests until 1.5 s before the end.

Cause: whether the rest of the grace period is enough was asked by the median of the service time alone, at the owner. A request that takes longer than most was cut.

From the moment when callers have been routed to other nodes, the entry refuses a request with 503 and Retry-After if its slowest expected response would come after the end: the least of its time limit, the timeout of its route, and the slowest response time that is likely, five times the mean of its class or the slowest recent one. Another node then serves it. Before that moment nothing is refused. Calls of the own backend server cannot be told from other requests; short ones are still taken, as their usual time is short.

A first response that is slower than all before it can still be cut.

--- a/org.berylwick.node/src/org/berylwick/node/GracefulShutdown.java
+++ b/org.berylwick.node/src/org/berylwick/node/GracefulShutdown.java
@@ -15,6 +15,9 @@
  * the node is back. So the owner keeps accepting requests while callers are routed to other nodes, and stops last. The
  * requests that it runs make calls of their own through the port for callers, so that port is closed only after they
  * have ended. The shutdown is complete when the last response has been written.
+ *
+ * <p>Once callers have been routed to other nodes, a request that might not end before the shutdown is refused: it can
+ * be served elsewhere, and would be cut here.
  */
 final class GracefulShutdown {
     /** Callers are routed to other nodes after this many failed readiness probes. */
@@ -185,6 +188,7 @@
         }
         callersDrained = true;
         logStage(Stage.CALLERS_DRAINED);
+        entryServer.refuseLateEnds();
         announceLeaving.run();
         loop.schedule(this::stopOwner, LEAVE_PROPAGATION_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/CallerExchange.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/CallerExchange.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.function.Consumer;
+import org.berylwick.node.log.NodeMetricNames;
 import org.berylwick.node.transport.RequestBody;
 
 /**
@@ -128,6 +129,12 @@
         switch (result) {
             case RequestAdmission.Result.Admitted admitted
             when ended -> admitted.admission().permit().release();
+            case RequestAdmission.Result.Admitted admitted
+            when mayOutlastShutdown(admitted) -> {
+                admitted.admission().permit().release();
+                services.counters().increment(NodeMetricNames.ENTRY_REFUSED);
+                refuseAsStopping();
+            }
             case RequestAdmission.Result.Admitted admitted -> startCall(admitted);
             case RequestAdmission.Result.Denied denied -> respondWithoutCall(denied.status(), Headers.empty());
             case RequestAdmission.Result.Refused refused ->
@@ -135,6 +142,10 @@
         }
     }
 
+    private boolean mayOutlastShutdown(RequestAdmission.Result.Admitted admitted) {
+        return services.callFactory().mayOutlastShutdown(admitted.admission().route(), request.headers());
+    }
+
     private void startCall(RequestAdmission.Result.Admitted admitted) {
         addWait(System.nanoTime() - admissionStartedAt);
         repeatable = admitted.admission().route().kind().isRetryable();
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCallFactory.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCallFactory.java
@@ -29,6 +29,7 @@
     private final EntryContext context;
     private final CallerWaitEstimator callerWaitEstimator = new CallerWaitEstimator();
     private long latestDeadlineAt = Long.MAX_VALUE;
+    private boolean refusingLateEnds;
 
     /**
      * @param clock clock whose tasks run on the same thread as everything here
@@ -92,6 +93,27 @@
         latestDeadlineAt = latestAt;
     }
 
+    /** From now on, {@link #mayOutlastShutdown} tells which requests are better served by other nodes. */
+    void refuseLateEnds() {
+        refusingLateEnds = true;
+    }
+
+    /**
+     * Returns whether a backend server might still be at work on a request when the process has to end. It would be cut
+     * then, and nobody would know whether it ran.
+     */
+    boolean mayOutlastShutdown(Route route, HttpHeaders headers) {
+        if (!refusingLateEnds) {
+            return false;
+        }
+        double longestNanos = Math.min(
+                callerTimeoutNanos(headers), context.responseEstimates().slowestNanos(route));
+        if (route.timeoutNanos() > 0) {
+            longestNanos = Math.min(longestNanos, route.timeoutNanos());
+        }
+        return longestNanos > latestDeadlineAt - context.clock().now();
+    }
+
     /**
      * Creates a call; the caller of this method has to start it.
      *
--- a/org.berylwick.node/src/org/berylwick/node/call/ResponseEstimator.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/ResponseEstimator.java
@@ -21,8 +21,14 @@
     /** Response time assumed before the first response on routes without a latency objective. */
     private static final long DEFAULT_NANOS = 150_000_000L;
 
+    /** The slowest responses of a healthy server take up to this multiple of the mean response time. */
+    private static final int SLOW_RESPONSE_FACTOR = 5;
+    /** Factor by which each response time reduces the weight of a longer one before it. */
+    private static final double SLOWEST_DECAY_FACTOR = 0.98;
+
     private final Map<String, double[]> meanBytesByClass = new HashMap<>();
     private final Map<String, double[]> meanNanosByClass = new HashMap<>();
+    private final Map<String, Double> slowestNanosByClass = new HashMap<>();
 
     void recordBytes(Route route, int bytes) {
         updateMean(meanBytesByClass, route, bytes);
@@ -31,6 +37,8 @@
     /** Records the response time of a request that did not have to wait for a slot. */
     void recordNanos(Route route, long nanos) {
         updateMean(meanNanosByClass, route, nanos);
+        slowestNanosByClass.merge(
+                key(route), (double) nanos, (slowest, latest) -> Math.max(slowest * SLOWEST_DECAY_FACTOR, latest));
     }
 
     private static void updateMean(Map<String, double[]> meansByClass, Route route, double value) {
@@ -54,6 +62,11 @@
         return route.objectiveNanos() == 0 ? DEFAULT_NANOS : DEFAULT_OBJECTIVE_FRACTION * route.objectiveNanos();
     }
 
+    /** Returns a response time that few requests exceed: a multiple of the mean, or that of the slowest recent one. */
+    double slowestNanos(Route route) {
+        return Math.max(SLOW_RESPONSE_FACTOR * expectedNanos(route), slowestNanosByClass.getOrDefault(key(route), 0.0));
+    }
+
     private static String key(Route route) {
         return route.kind().ordinal() + "/" + route.objectiveNanos() + "/" + route.priority();
     }
--- a/org.berylwick.test/tst/org/berylwick/node/StopTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/StopTest.java
@@ -9,11 +9,14 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.berylwick.node.lib.ConfigurationVersion;
 import org.berylwick.node.lib.RouteKind;
@@ -22,6 +25,8 @@
 import org.berylwick.testing.RawServer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A node is stopped while requests and responses are still being transferred. */
 @Timeout(60)
@@ -56,6 +61,15 @@
     /** A request that crosses the end of its connection may go unanswered. */
     private static final int MAX_CROSSING_MILLIS = 200;
 
+    /** Later in a stop, callers have been routed to other nodes. */
+    private static final int LATE_MILLIS = 3_000;
+
+    private static final int LATE_CALLERS = 24;
+    private static final int WARM_UP_MILLIS = 2_000;
+    private static final int SHORT_RUN_MILLIS = 300;
+    private static final int LONG_RUN_MILLIS = 2_500;
+    private static final int LONG_RUN_INTERVAL = 6;
+
     private static final String LARGE_BODY = "x".repeat(RESPONSE_BYTES);
 
     private static int countCompleteResponsesAfterPause(Socket caller) {
@@ -286,6 +300,106 @@
         }
     }
 
+    /**
+     * Guards against a request that is passed on late in the grace period, and cut at its end while the backend server
+     * is at work on it. Most requests are short; some take longer than is left.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"POST", "GET"})
+    void requestsLateInTheGracePeriodAreAnsweredOrRefused(String method) {
+        AtomicInteger runs = new AtomicInteger();
+        RawServer.Script script = (connection, request) -> {
+            boolean isLong = runs.incrementAndGet() % LONG_RUN_INTERVAL == 0;
+            NodeRig.sleep(isLong ? LONG_RUN_MILLIS : SHORT_RUN_MILLIS);
+            NodeRig.respondOk(connection, request);
+        };
+        try (RawServer localServer = new RawServer((c, r) -> {
+                    NodeRig.sleep(HANG_MILLIS);
+                    NodeRig.respondOk(c, r);
+                });
+                RawServer remoteServer = new RawServer(script);
+                NodeRig rig = new NodeRig()) {
+            rig.configuration.publish(NodeRig.version(
+                    1,
+                    b -> b.route(NodeRig.HOST, NodeRig.route("hang", "/hang/", RouteKind.NON_IDEMPOTENT, HANG_MILLIS))
+                            .route(NodeRig.HOST, NodeRig.route("late", "/late/", kindOf(method), HANG_MILLIS))));
+            Node node = rig.start(1, "zone-a", Optional.of(localServer), 1);
+            rig.awaitReady(1);
+            // A request that keeps the port for callers open until the end of the grace period.
+            CompletableFuture.runAsync(() -> rig.send(1, NodeRig.request("POST", "/hang/x", "h1", HANG_MILLIS, "")));
+            Await.until("the request hangs at the backend server", () -> localServer.runs("h1") == 1, rig::logText);
+            rig.start(2, "zone-a", Optional.of(remoteServer), 64);
+            rig.awaitMemberKnown("i-2");
+            LateCallers callers = new LateCallers(rig, remoteServer, method);
+            NodeRig.sleep(WARM_UP_MILLIS);
+            callers.onStopStarted();
+            node.stop();
+            callers.onStopEnded();
+            node.close();
+            NodeRig.sleep(MAX_EXIT_MILLIS);
+            assertEquals(List.of(), callers.cutRequests());
+        }
+    }
+
+    private static RouteKind kindOf(String method) {
+        return method.equals("GET") ? RouteKind.IDEMPOTENT : RouteKind.NON_IDEMPOTENT;
+    }
+
+    /** Callers that send requests in series, each on a new connection, until the node has stopped. */
+    private static final class LateCallers {
+        private final NodeRig rig;
+        private final RawServer server;
+        private final String method;
+        private final Map<String, Long> sentAtById = new ConcurrentHashMap<>();
+        private final Map<String, String> responseById = new ConcurrentHashMap<>();
+        private volatile long stopStartedAt;
+        private volatile long stopEndedAt;
+
+        private LateCallers(NodeRig rig, RawServer server, String method) {
+            this.rig = rig;
+            this.server = server;
+            this.method = method;
+            for (int i = 0; i < LATE_CALLERS; i++) {
+                String name = "late-" + i + "-";
+                Thread.ofVirtual().start(() -> callInSeries(name));
+            }
+        }
+
+        private void callInSeries(String name) {
+            for (int i = 0; stopEndedAt == 0; i++) {
+                String id = name + i;
+                sentAtById.put(id, System.nanoTime());
+                String response = rig.send(1, NodeRig.request(method, "/late/x", id, HANG_MILLIS, ""));
+                responseById.put(id, response.lines().findFirst().orElse(""));
+            }
+        }
+
+        private void onStopStarted() {
+            stopStartedAt = System.nanoTime();
+        }
+
+        private void onStopEnded() {
+            stopEndedAt = System.nanoTime();
+        }
+
+        /** Returns the late requests that ran without a response from the backend server, or that got no response. */
+        private List<String> cutRequests() {
+            long from = stopStartedAt + LATE_MILLIS * 1_000_000L;
+            long to = stopEndedAt - MAX_CROSSING_MILLIS * 1_000_000L;
+            return sentAtById.entrySet().stream()
+                    .filter(e -> e.getValue() > from && e.getValue() < to)
+                    .filter(e -> isCut(e.getKey()))
+                    .map(e -> e.getKey() + " sent after " + (e.getValue() - stopStartedAt) / 1_000_000 + " ms: "
+                            + responseById.getOrDefault(e.getKey(), "no response"))
+                    .toList();
+        }
+
+        private boolean isCut(String id) {
+            String response = responseById.getOrDefault(id, "");
+            return !response.startsWith("HTTP/1.1") || server.runs(id) > 0 && !response.startsWith("HTTP/1.1 200");
+        }
+    }
+
     private static ConfigurationVersion versionWithSlowRoute() {
         return NodeRig.version(
                 1, b -> b.route(NodeRig.HOST, NodeRig.route("slow", "/slow/", RouteKind.BULK, HANG_MILLIS)));
