Join the small chunks of a response body as they are read

A backend server that sends a body in small chunks made the node keep far more than the bytes that its limits count: for a chunk of one byte that arrives alone, the buffer of 2,048 bytes that it was read into, and objects for each of many chunks that arrive together. On a link that is paced, the queue holds seconds of the link in bytes, and so millions of parts.

Cause: the limits of buffered bytes count the content of the parts, not what the parts keep.

HttpConnection now copies parts under 512 bytes of one read into a buffer of up to 8 KB and passes that on. All that is kept of responses, on the own VM, for other nodes, behind other responses and in the queue of the link, passes there. A body that arrives with the end of its response, as most do, is passed on as before without a copy.

--- a/org.berylwick.node/src/org/berylwick/node/transport/HttpConnection.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/HttpConnection.java
@@ -59,6 +59,7 @@
     private final EndOfStream endOfStream;
     private final ResponseDecoder decoder;
     private final Listener listener;
+    private final BodyCollector bodyCollector = new BodyCollector(this::deliver);
     private HttpResponseHandler responseHandler;
     private HttpResponse responseHead;
     private boolean discardingResponse;
@@ -361,10 +362,11 @@
             return;
         }
         HttpResponseHandler handler = responseHandler;
-        if (content.content().isReadable()) {
-            handler.onBody(content.content());
+        if (isLast) {
+            bodyCollector.flush();
+            deliver(content.content());
         } else {
-            content.release();
+            bodyCollector.add(content.content());
         }
         if (!isLast || responseHandler != handler) {
             return;
@@ -379,6 +381,14 @@
         handler.onEnd();
     }
 
+    private void deliver(ByteBuf part) {
+        if (responseHandler == null || !part.isReadable()) {
+            part.release();
+            return;
+        }
+        responseHandler.onBody(part);
+    }
+
     private void endDiscardedResponse(LastHttpContent end) {
         discardingResponse = false;
         if (!end.trailingHeaders().isEmpty()) {
@@ -393,6 +403,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        bodyCollector.flush();
         if (!responseComplete) {
             return;
         }
@@ -455,6 +466,7 @@
         responseHandler = null;
         decoder.stop();
         stopWritingBody();
+        bodyCollector.clear();
         channel.close();
         return handler;
     }
