Soak: backend servers send heads that are invalid in HTTP

One response in twenty of a backend server that spoils its responses has a status code outside of HTTP or an invalid header name.

--- a/org.berylwick.bench/src/org/berylwick/bench/nodes/ResponseFaultDraw.java
+++ b/org.berylwick.bench/src/org/berylwick/bench/nodes/ResponseFaultDraw.java
@@ -24,10 +24,10 @@
     void draw() {
         NodeFleet.Vm vm = fleet.vms().get(random.nextInt(fleet.vms().size()));
         int millis = random.nextInt(MIN_MILLIS, MAX_MILLIS);
-        Random draws = new Random(random.nextLong());
+        long seed = random.nextLong();
         if (random.nextInt(STEPS_PER_FAULT) == 0) {
             threads.later("responses_spoiled", () -> {
-                vm.backend().setResponseFaults(new ResponseFaults(draws, vm::note));
+                vm.backend().setResponseFaults(new ResponseFaults(seed, vm::note));
                 Thread.sleep(millis);
                 vm.backend().setResponseFaults(ResponseFaults.NONE);
             });
--- a/org.berylwick.standin/src/org/berylwick/standin/objects/ResponseFaults.java
+++ b/org.berylwick.standin/src/org/berylwick/standin/objects/ResponseFaults.java
@@ -11,11 +11,12 @@
 
 /**
  * Spoils responses: second responses to an earlier request, whole or cut at any byte, while a connection is idle or in
- * front of the next response; responses that break off within their head; failures. Safe for use by many threads.
+ * front of the next response; responses that break off within their head, or whose head is invalid; failures. Safe for
+ * use by many threads.
  */
 public final class ResponseFaults {
     /** Spoils nothing. */
-    public static final ResponseFaults NONE = new ResponseFaults(new Random(0), line -> {}, false);
+    public static final ResponseFaults NONE = new ResponseFaults(0, line -> {}, false);
 
     private static final double FAILURE_SHARE = 0.3;
     private static final double BREAK_OFF_SHARE = 0.05;
@@ -23,6 +24,11 @@
     private static final double SECOND_WHILE_IDLE_SHARE = 0.2;
     private static final double SECOND_BEFORE_WORK_SHARE = 0.1;
     private static final double SECOND_BEFORE_RESPONSE_SHARE = 0.1;
+    private static final double INVALID_HEAD_SHARE = 0.05;
+    private static final List<String> INVALID_STATUSES = List.of("000", "099", "600", "999", "1000");
+    private static final List<String> INVALID_LINES = List.of(
+            "X Pad: 1", "X\tPad: 1", "X-Pad : 1", "X\u0001Pad: 1", "X-Not-Executed : 1", "Transfer-Encoding : chunked");
+    private static final long INVALID_HEADS_SEED_OFFSET = 1;
     private static final int MAX_IDLE_MILLIS = 60;
     private static final int MAX_LOGGED_BYTES = 300;
     private static final String SUCCESS = "200 OK";
@@ -32,6 +38,7 @@
     };
 
     private final Random random;
+    private final Random invalidHeads;
     private final Consumer<String> log;
     private final boolean active;
 
@@ -47,15 +54,16 @@
     /**
      * Faults with shares of their own.
      *
-     * @param random of all draws
+     * @param seed of all draws
      * @param log receives a line for each fault
      */
-    public ResponseFaults(Random random, Consumer<String> log) {
-        this(random, log, true);
+    public ResponseFaults(long seed, Consumer<String> log) {
+        this(seed, log, true);
     }
 
-    private ResponseFaults(Random random, Consumer<String> log, boolean active) {
-        this.random = random;
+    private ResponseFaults(long seed, Consumer<String> log, boolean active) {
+        this.random = new Random(seed);
+        this.invalidHeads = new Random(seed + INVALID_HEADS_SEED_OFFSET);
         this.log = log;
         this.active = active;
     }
@@ -91,7 +99,7 @@
         if (connection.isDirty()) {
             log.accept(connection + " response to " + request.id() + " follows: " + describe("WHOLE", response));
         }
-        connection.respond(request, response);
+        connection.respond(request, drawInvalidHead(connection, request, response));
         if (draw(SECOND_WHILE_IDLE_SHARE)) {
             int millis = random.nextInt(MAX_IDLE_MILLIS);
             Second second = drawSecond(request);
@@ -99,6 +107,24 @@
         }
     }
 
+    private byte[] drawInvalidHead(ServedConnection connection, ServedConnection.Request request, byte[] response) {
+        if (!active || invalidHeads.nextDouble() >= INVALID_HEAD_SHARE) {
+            return response;
+        }
+        String text = new String(response, StandardCharsets.ISO_8859_1);
+        String invalid;
+        if (invalidHeads.nextBoolean()) {
+            String status = INVALID_STATUSES.get(invalidHeads.nextInt(INVALID_STATUSES.size()));
+            invalid = text.replaceFirst("^(HTTP/1.1) [0-9]+", "$1 " + status);
+        } else {
+            String line = INVALID_LINES.get(invalidHeads.nextInt(INVALID_LINES.size()));
+            invalid = text.replaceFirst("\r\n", "\r\n" + line + "\r\n");
+        }
+        byte[] bytes = invalid.getBytes(StandardCharsets.ISO_8859_1);
+        log.accept(connection + " response to " + request.id() + ": " + describe("INVALID", bytes));
+        return bytes;
+    }
+
     private void sendWhileIdle(ServedConnection connection, Second second, int millis) {
         try {
             Thread.sleep(millis);
