--- a/org.berylwick.test/tst/org/berylwick/node/JoinedResponseTest.java
+++ b/org.berylwick.test/tst/org/berylwick/node/JoinedResponseTest.java
@@ -82,7 +82,7 @@
 
     private String callAfterFirst(Moment moment, NodeRig rig, String method, String path, String id) {
         String firstResponse = rig.call(1, method, path, "first-" + id, "");
-        assertTrue(firstResponse.startsWith("HTTP/1.1 200"), firstResponse);
+        assertTrue(firstResponse.startsWith("HTTP/1.1 200"), () -> firstResponse + rig.logText());
         if (moment == Moment.IDLE) {
             partsWritten.acquireUninterruptibly();
         }
