berylwickd: join the small chunks of a response body as they are read

With callers that read nothing, a backend server that sends a body in chunks of one byte without end took 6.5 MB of live heap for each caller of berylwickd, and 1.5 MB for chunks of five bytes, where a body without chunks takes 0.1 MB.

Cause: the library stops reading at a number of bytes, and each chunk that was read before is kept as some objects.

ChunkCollector follows the codec and joins the chunks of one read, as HttpConnection does on the node since; both use BodyCollector.

--- a/org.berylwick.daemon/src/org/berylwick/daemon/call/SingleResponseCodec.java
+++ b/org.berylwick.daemon/src/org/berylwick/daemon/call/SingleResponseCodec.java
@@ -38,7 +38,7 @@
         init(new ResponseDecoder(), new RequestEncoder());
     }
 
-    /** Replaces the HTTP codec of a client pipeline before it connects. */
+    /** Replaces the HTTP codec of a client pipeline, and adds the {@link ChunkCollector}, before it connects. */
     public static final class Installer extends ChannelOutboundHandlerAdapter {
         private final boolean checksFraming;
 
@@ -65,6 +65,7 @@
             if (checksFraming) {
                 pipeline.addAfter(name, null, new FramingCheck());
             }
+            pipeline.addAfter(name, null, new ChunkCollector());
             ctx.connect(remote, local, promise);
             pipeline.remove(this);
         }
--- a/org.berylwick.node/src/org/berylwick/node/transport/BodyCollector.java
+++ b/org.berylwick.node/src/org/berylwick/node/transport/BodyCollector.java
@@ -11,7 +11,7 @@
  * <p>A server may send a body in chunks of a few bytes. Each part costs over a hundred bytes of objects, and keeps the
  * buffer that was read with it; limits of buffered bytes do not count that.
  */
-final class BodyCollector {
+public final class BodyCollector {
     /** A shorter part is copied. */
     private static final int MIN_PART_BYTES = 512;
 
@@ -22,12 +22,12 @@
     private ByteBuf collected = Unpooled.EMPTY_BUFFER;
 
     /** @param recipient receives parts in order, and releases them */
-    BodyCollector(Consumer<ByteBuf> recipient) {
+    public BodyCollector(Consumer<ByteBuf> recipient) {
         this.recipient = recipient;
     }
 
     /** Adds a part of a body, and passes on what need not wait for the next one. */
-    void add(ByteBuf part) {
+    public void add(ByteBuf part) {
         if (part.readableBytes() >= MIN_PART_BYTES) {
             flush();
             recipient.accept(part);
@@ -44,7 +44,7 @@
     }
 
     /** Passes on what has been collected; to be called at the end of a read and of a body. */
-    void flush() {
+    public void flush() {
         if (!collected.isReadable()) {
             return;
         }
@@ -54,7 +54,7 @@
     }
 
     /** Discards what has been collected. */
-    void clear() {
+    public void clear() {
         collected.release();
         collected = Unpooled.EMPTY_BUFFER;
     }
