--- a/org.berylwick.node/src/org/berylwick/node/GracefulShutdown.java
+++ b/org.berylwick.node/src/org/berylwick/node/GracefulShutdown.java
@@ -188,7 +188,7 @@
         }
         callersDrained = true;
         logStage(Stage.CALLERS_DRAINED);
-        entryServer.refuseLateEnds();
+        entryServer.refuseLongRequests();
         announceLeaving.run();
         loop.schedule(this::stopOwner, LEAVE_PROPAGATION_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryCallFactory.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryCallFactory.java
@@ -29,7 +29,7 @@
     private final EntryContext context;
     private final CallerWaitEstimator callerWaitEstimator = new CallerWaitEstimator();
     private long latestDeadlineAt = Long.MAX_VALUE;
-    private boolean refusingLateEnds;
+    private boolean refusingLongRequests;
 
     /**
      * @param clock clock whose tasks run on the same thread as everything here
@@ -93,9 +93,11 @@
         latestDeadlineAt = latestAt;
     }
 
-    /** From now on, {@link #mayOutlastShutdown} tells which requests are better served by other nodes. */
-    void refuseLateEnds() {
-        refusingLateEnds = true;
+    /**
+     * From now on, {@link #mayOutlastShutdown} tells which requests are to be refused, as other nodes can serve them.
+     */
+    void refuseLongRequests() {
+        refusingLongRequests = true;
     }
 
     /**
@@ -103,7 +105,7 @@
      * then, and nobody would know whether it ran.
      */
     boolean mayOutlastShutdown(Route route, HttpHeaders headers) {
-        if (!refusingLateEnds) {
+        if (!refusingLongRequests) {
             return false;
         }
         double longestNanos = Math.min(
--- a/org.berylwick.node/src/org/berylwick/node/call/EntryServer.java
+++ b/org.berylwick.node/src/org/berylwick/node/call/EntryServer.java
@@ -126,9 +126,11 @@
         }
     }
 
-    /** Refuses requests that arrive from now on if they might not end before the time that calls are ended by. */
-    public void refuseLateEnds() {
-        services.callFactory().refuseLateEnds();
+    /**
+     * Refuses requests that arrive from now on if they might take longer than until the time given to {@link #drain}.
+     */
+    public void refuseLongRequests() {
+        services.callFactory().refuseLongRequests();
     }
 
     /** Refuses requests that arrive from now on; those in progress go on. */
